--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+NAME ?= overhead
+export PYTHONPATH := src
+export UV_USE_IO_URING := 0
+
+.PHONY: install test lint format demo bench model
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	touch $@
+
+lint: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: install
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: install
+	$(BIN)/python -m pytest -q
+
+demo: install
+	$(BIN)/python -m bench demo
+
+bench: install
+	$(BIN)/python -m bench $(NAME)
+
+model: install
+	$(BIN)/python -m model
