--- /dev/null
+++ b/src/celeryjunction/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters between the ports and the libraries that implement them."""
--- /dev/null
+++ b/src/celeryjunction/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, for trying and testing."""
