--- a/src/celeryjunction/errors.py
+++ b/src/celeryjunction/errors.py
@@ -56,7 +56,7 @@
 ERROR_TABLE: dict[ErrorKind, ErrorSpec] = {
     ErrorKind.NOT_RUN_DEADLINE: ErrorSpec(
         "CJ001",
-        "not run: the deadline of {deadline_s:g} s passed before the statement was sent",
+        "not run: the deadline of {deadline_s:g} s passed before it was sent",
         Ran.NO,
         True,
     ),
