--- a/src/celeryjunction/errors.py
+++ b/src/celeryjunction/errors.py
@@ -36,6 +36,10 @@
     WRONG_PASSWORD = "wrong_password"
     STATEMENT_TOO_LARGE = "statement_too_large"
     PROTOCOL_VIOLATION = "protocol_violation"
+    UNKNOWN_STATEMENT = "unknown_statement"
+    DUPLICATE_STATEMENT = "duplicate_statement"
+    UNKNOWN_PORTAL = "unknown_portal"
+    DUPLICATE_PORTAL = "duplicate_portal"
     CANCELLED = "cancelled"
     IDLE_TRANSACTION = "idle_transaction"
     TRANSACTION_ABORTED = "transaction_aborted"
@@ -138,6 +142,18 @@
     ErrorKind.PROTOCOL_VIOLATION: ErrorSpec(
         "08P01", "protocol violation: {reason}", Ran.NO, False
     ),
+    ErrorKind.UNKNOWN_STATEMENT: ErrorSpec(
+        "26000", 'prepared statement "{name}" does not exist', Ran.NO, False
+    ),
+    ErrorKind.DUPLICATE_STATEMENT: ErrorSpec(
+        "42P05", 'prepared statement "{name}" already exists', Ran.NO, False
+    ),
+    ErrorKind.UNKNOWN_PORTAL: ErrorSpec(
+        "34000", 'portal "{name}" does not exist', Ran.NO, False
+    ),
+    ErrorKind.DUPLICATE_PORTAL: ErrorSpec(
+        "42P03", 'portal "{name}" already exists', Ran.NO, False
+    ),
     ErrorKind.CANCELLED: ErrorSpec(
         "57014", "canceled on request of the caller; it did not run", Ran.NO, True
     ),
