--- /dev/null
+++ b/src/celeryjunction/adapters/etcd.py
@@ -0,0 +1,417 @@
+"""The platform's key-value service over etcd v3.
+
+The adapter uses aetcd's messages and service stubs on channels of its own. aetcd's
+client knows one address, shares one watch stream between all watches and hides
+whether a watch broke, while this adapter needs failover and has to report a break.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Sequence
+
+from aetcd import rpc
+from aetcd.utils import prefix_range_end
+from grpc import ChannelConnectivity, RpcError, StatusCode, aio
+
+from celeryjunction.ports import (
+    Compare,
+    KeyValue,
+    KeyValueList,
+    LeaseLapsed,
+    Put,
+    PutResult,
+    StoreRefused,
+    StoreUnavailable,
+    WatchCompacted,
+    WatchEvent,
+)
+
+_PAGE_KEYS = 1_000
+_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+_CHANNEL_OPTIONS = (
+    ("grpc.enable_http_proxy", 0),
+    # A change must be sent at most once, so the library may not repeat calls.
+    ("grpc.enable_retries", 0),
+    ("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    # The default of 2 minutes would keep a healed service out of use for as long.
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+)
+
+
+class _Member:
+    """One service address: its channel and the stubs on it."""
+
+    __slots__ = ("address", "channel", "kv", "lease", "watch")
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.channel = aio.insecure_channel(address, options=_CHANNEL_OPTIONS)
+        self.kv = rpc.KVStub(self.channel)
+        self.lease = rpc.LeaseStub(self.channel)
+        self.watch = rpc.WatchStub(self.channel)
+
+    async def ready(self) -> None:
+        """Wait until the channel is connected."""
+        state = self.channel.get_state(try_to_connect=True)
+        while state is not ChannelConnectivity.READY:
+            if state is ChannelConnectivity.TRANSIENT_FAILURE:
+                raise ConnectionError(f"cannot connect to {self.address}")
+            await self.channel.wait_for_state_change(state)
+            state = self.channel.get_state(try_to_connect=True)
+
+
+_Attempt = Callable[[_Member, float], Awaitable]
+
+
+class EtcdStore:
+    """`KeyValueStore` over one or more addresses (``host:port``) of an etcd v3 service.
+
+    A call goes to the address that worked last. A read that fails is tried at the
+    next address; a change is sent at most once, after its connection was seen to
+    work, because a repeated change could not be told from the change of another.
+    `calls` counts calls by method, a waiting watch as one. `name` and `zone` are
+    sent along as metadata. Create it inside a running event loop.
+
+    `progress_s` is the interval, in seconds, at which a quiet watch asks the service
+    for a sign of life; a watch that stays mute for twice as long counts as broken.
+    """
+
+    __slots__ = (
+        "_current",
+        "_members",
+        "_metadata",
+        "_progress_s",
+        "calls",
+    )
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        *,
+        name: str = "",
+        zone: str = "",
+        progress_s: float = 5.0,
+    ) -> None:
+        if not addresses:
+            raise ValueError("the key-value service needs at least one address")
+        self._members = [_Member(address) for address in addresses]
+        self._current = 0
+        self._progress_s = progress_s
+        pairs = (("client-name", name), ("client-zone", zone))
+        self._metadata = tuple(pair for pair in pairs if pair[1])
+        self.calls: Counter[str] = Counter()
+
+    def __rich_repr__(self) -> Iterator[tuple[str, object]]:
+        yield "addresses", [member.address for member in self._members]
+        yield "current", self._members[self._current].address
+        yield "calls", self.total_calls
+
+    @property
+    def total_calls(self) -> int:
+        """Number of calls made so far, watches included."""
+        return self.calls.total()
+
+    async def get(self, key: str, *, timeout: float = 2.0) -> KeyValue | None:
+        """Read one key, linearizable. `timeout` is in seconds."""
+        request = rpc.RangeRequest(key=key.encode())
+        answer = await self._read("Range", request, timeout)
+        return _key_value(answer.kvs[0]) if answer.kvs else None
+
+    async def list(self, prefix: str, *, timeout: float = 2.0) -> KeyValueList:
+        """Read all keys under a prefix at one revision, in order of the key."""
+        deadline = _now() + timeout
+        end = prefix_range_end(prefix.encode())
+        start, revision, items = prefix.encode(), 0, []
+        while True:
+            request = rpc.RangeRequest(
+                key=start, range_end=end, limit=_PAGE_KEYS, revision=revision
+            )
+            answer = await self._read("Range", request, deadline - _now())
+            revision = revision or answer.header.revision
+            items.extend(_key_value(item) for item in answer.kvs)
+            if not answer.more:
+                return KeyValueList(tuple(items), revision)
+            start = answer.kvs[-1].key + b"\0"
+
+    async def compare_and_put(
+        self,
+        compares: Sequence[Compare],
+        puts: Sequence[Put],
+        *,
+        lease: int = 0,
+        timeout: float = 2.0,
+    ) -> PutResult:
+        """Apply all puts in one step if every compare holds.
+
+        Raises `LeaseLapsed` and `StoreRefused`; then nothing was changed.
+        """
+        reads = [_read_operation(compare) for compare in compares]
+        request = rpc.TxnRequest(
+            compare=[_compare(compare) for compare in compares],
+            success=[_write_operation(put, lease) for put in puts] + reads,
+            failure=reads,
+        )
+        answer = await self._change(
+            "Txn",
+            lambda member, left: self._unary(member.kv.Txn, request, left),
+            timeout,
+        )
+        found = answer.responses[len(answer.responses) - len(reads) :]
+        current = (one.response_range.kvs for one in found)
+        return PutResult(
+            answer.succeeded,
+            answer.header.revision,
+            tuple(_key_value(kvs[0]) if kvs else None for kvs in current),
+        )
+
+    async def grant_lease(self, ttl: int, *, timeout: float = 2.0) -> int:
+        """Return a new lease that lapses after `ttl` seconds without renewal."""
+        request = rpc.LeaseGrantRequest(TTL=ttl)
+        answer = await self._change(
+            "LeaseGrant",
+            lambda member, left: self._unary(member.lease.LeaseGrant, request, left),
+            timeout,
+        )
+        return answer.ID
+
+    async def renew_lease(self, lease: int, *, timeout: float = 2.0) -> bool:
+        """Renew a lease; False when it has lapsed."""
+
+        async def renew(member: _Member, left: float) -> bool:
+            call = member.lease.LeaseKeepAlive(timeout=left, metadata=self._metadata)
+            try:
+                await call.write(rpc.LeaseKeepAliveRequest(ID=lease))
+                answer = await call.read()
+            finally:
+                call.cancel()
+            if answer is aio.EOF:
+                raise StoreUnavailable("the renewal stream ended without an answer")
+            return answer.TTL > 0
+
+        return await self._attempt_each("LeaseKeepAlive", renew, timeout)
+
+    async def revoke_lease(self, lease: int, *, timeout: float = 2.0) -> None:
+        """End a lease and delete its keys; a lease that is gone is no error."""
+        request = rpc.LeaseRevokeRequest(ID=lease)
+        with contextlib.suppress(LeaseLapsed):
+            await self._change(
+                "LeaseRevoke",
+                lambda member, left: self._unary(
+                    member.lease.LeaseRevoke, request, left
+                ),
+                timeout,
+            )
+
+    async def watch(
+        self, prefix: str, *, start_revision: int, timeout: float = 2.0
+    ) -> AsyncIterator[WatchEvent]:
+        """Yield the changes under a prefix from a revision on, and progress notes.
+
+        `timeout`, in seconds, bounds opening the watch. Raises `StoreUnavailable`
+        when the watch breaks or stays mute, and `WatchCompacted`.
+        """
+        member = await self._reachable(_now() + timeout)
+        self.calls["Watch"] += 1
+        # Makes a member without a leader end the watch.
+        metadata = (*self._metadata, ("hasleader", "true"))
+        request = _watch_request(prefix, start_revision)
+        try:
+            with self._translated():
+                call = member.watch.Watch(metadata=metadata)
+                events = self._watch_on(call, request, timeout)
+                async with contextlib.aclosing(events):
+                    async for event in events:
+                        yield event
+        except StoreUnavailable:
+            self._skip(member)
+            raise
+
+    async def close(self) -> None:
+        """Close the connections; calls in progress raise `StoreUnavailable`."""
+        for member in self._members:
+            await member.channel.close()
+
+    async def _watch_on(
+        self, call: aio.StreamStreamCall, request: rpc.WatchRequest, timeout: float
+    ) -> AsyncIterator[WatchEvent]:
+        await call.write(request)
+        patience, asked = timeout, True
+        reading = asyncio.ensure_future(call.read())
+        try:
+            while True:
+                await asyncio.wait({reading}, timeout=patience)
+                if reading.done():
+                    for event in _watch_events(reading.result()):
+                        yield event
+                    reading = asyncio.ensure_future(call.read())
+                    patience, asked = self._progress_s, False
+                elif asked:
+                    raise StoreUnavailable("the watch gave no sign of life")
+                else:
+                    progress = rpc.WatchProgressRequest()
+                    await call.write(rpc.WatchRequest(progress_request=progress))
+                    asked = True
+        finally:
+            call.cancel()
+            await _discard(reading)
+
+    async def _read(self, method: str, request: object, timeout: float) -> object:
+        return await self._attempt_each(
+            method,
+            lambda member, left: self._unary(getattr(member.kv, method), request, left),
+            timeout,
+        )
+
+    async def _attempt_each(
+        self, method: str, attempt: _Attempt, timeout: float
+    ) -> object:
+        """Try an idempotent call at one address after another until the deadline."""
+        deadline = _now() + timeout
+        failure = StoreUnavailable("no time left for the call")
+        for remaining in range(len(self._members), 0, -1):
+            left = deadline - _now()
+            if left <= 0:
+                break
+            member = self._members[self._current]
+            self.calls[method] += 1
+            try:
+                with self._translated():
+                    # Half of the time is kept for the other addresses.
+                    return await attempt(member, left if remaining == 1 else left / 2)
+            except StoreUnavailable as error:
+                failure = error
+                self._skip(member)
+        raise failure
+
+    async def _change(self, method: str, attempt: _Attempt, timeout: float) -> object:
+        """Send a change once, over the first address that can be reached."""
+        deadline = _now() + timeout
+        member = await self._reachable(deadline)
+        self.calls[method] += 1
+        try:
+            with self._translated():
+                return await attempt(member, max(0.001, deadline - _now()))
+        except StoreUnavailable:
+            self._skip(member)
+            raise
+
+    async def _reachable(self, deadline: float) -> _Member:
+        failure = StoreUnavailable("no time left to connect")
+        for remaining in range(len(self._members), 0, -1):
+            left = deadline - _now()
+            member = self._members[self._current]
+            try:
+                with self._translated():
+                    async with asyncio.timeout(left / 2 if remaining > 1 else left):
+                        await member.ready()
+                    return member
+            except StoreUnavailable as error:
+                failure = error
+                self._skip(member)
+        raise failure
+
+    def _skip(self, member: _Member) -> None:
+        """Go on with the next address, unless another call has done so already."""
+        if self._members[self._current] is member:
+            self._current = (self._current + 1) % len(self._members)
+
+    async def _unary(self, stub: Callable, request: object, timeout: float) -> object:
+        return await stub(request, timeout=timeout, metadata=self._metadata)
+
+    @contextlib.contextmanager
+    def _translated(self) -> Iterator[None]:
+        """Turn the library's errors into those of the port."""
+        try:
+            yield
+        except RpcError as error:
+            raise _translate(error) from error
+        except (OSError, TimeoutError) as error:
+            raise StoreUnavailable(str(error) or "timeout") from error
+        except aio.UsageError as error:
+            raise StoreUnavailable(f"connection closed: {error}") from error
+        except asyncio.CancelledError as error:
+            # The library also raises this when the service or the closing of the
+            # channel cancelled the call, although nobody cancelled the task.
+            task = asyncio.current_task()
+            if task is not None and not task.cancelling():
+                raise StoreUnavailable("the call was cancelled") from error
+            raise
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _translate(error: RpcError) -> Exception:
+    code, details = error.code(), error.details() or ""
+    if code is StatusCode.INVALID_ARGUMENT:
+        return StoreRefused(details)
+    if code is StatusCode.NOT_FOUND and "lease" in details:
+        return LeaseLapsed(details)
+    return StoreUnavailable(f"{code.name}: {details}")
+
+
+async def _discard(reading: asyncio.Future) -> None:
+    """Cancel a read in progress, and take note of its outcome."""
+    reading.cancel()
+    await asyncio.wait({reading}, timeout=1.0)
+    if reading.done() and not reading.cancelled():
+        reading.exception()
+
+
+def _watch_request(prefix: str, start_revision: int) -> rpc.WatchRequest:
+    key = prefix.encode()
+    create = rpc.WatchCreateRequest(
+        key=key, range_end=prefix_range_end(key), start_revision=start_revision
+    )
+    return rpc.WatchRequest(create_request=create)
+
+
+def _watch_events(response: object) -> Iterator[WatchEvent]:
+    if response is aio.EOF:
+        raise StoreUnavailable("the watch ended")
+    if response.compact_revision:
+        raise WatchCompacted(f"changes are kept from {response.compact_revision} on")
+    if response.canceled:
+        raise StoreUnavailable(f"the watch was cancelled: {response.cancel_reason}")
+    for event in response.events:
+        deleted = event.type == rpc.Event.DELETE
+        yield WatchEvent(
+            event.kv.key.decode(),
+            None if deleted else event.kv.value,
+            event.kv.mod_revision,
+        )
+    if not response.events:
+        yield WatchEvent("", None, response.header.revision)
+
+
+def _key_value(item: rpc.KeyValue) -> KeyValue:
+    return KeyValue(item.key.decode(), item.value, item.mod_revision)
+
+
+def _compare(compare: Compare) -> rpc.Compare:
+    return rpc.Compare(
+        result=rpc.Compare.EQUAL,
+        target=rpc.Compare.MOD,
+        key=compare.key.encode(),
+        mod_revision=compare.revision,
+    )
+
+
+def _read_operation(compare: Compare) -> rpc.RequestOp:
+    request = rpc.RangeRequest(key=compare.key.encode())
+    return rpc.RequestOp(request_range=request)
+
+
+def _write_operation(put: Put, lease: int) -> rpc.RequestOp:
+    key = put.key.encode()
+    if put.value is None:
+        request = rpc.DeleteRangeRequest(key=key)
+        return rpc.RequestOp(request_delete_range=request)
+    request = rpc.PutRequest(key=key, value=put.value, lease=lease)
+    return rpc.RequestOp(request_put=request)
--- a/src/celeryjunction/ports.py
+++ b/src/celeryjunction/ports.py
@@ -193,7 +193,11 @@
 
 
 class WatchEvent(NamedTuple):
-    """A change seen by a watch; `value` is None when the key was deleted."""
+    """A change seen by a watch; `value` is None when the key was deleted.
+
+    An event with an empty key is a progress note: the watch is alive, and no key
+    changed. Notes come when the watch is accepted and then at intervals.
+    """
 
     key: str
     value: bytes | None
@@ -226,6 +230,18 @@
     """The key-value service gave no answer; a change may have taken effect."""
 
 
+class StoreRefused(Exception):
+    """The key-value service refused a request as invalid; nothing was changed."""
+
+
+class LeaseLapsed(Exception):
+    """A put named a lease that no longer exists; nothing was changed."""
+
+
+class WatchCompacted(Exception):
+    """The changes from the start revision on are no longer kept; list again."""
+
+
 class KeyValueStore(Protocol):
     """The platform's key-value service. All calls raise `StoreUnavailable`."""
 
@@ -245,11 +261,21 @@
         lease: int = 0,
         timeout: float = 2.0,
     ) -> PutResult:
-        """Apply all puts in one step if every compare holds."""
+        """Apply all puts in one step if every compare holds.
+
+        Raises `LeaseLapsed` when the lease is gone and `StoreRefused` when the
+        service does not take the request, for example because it is too large.
+        """
         ...
 
     def watch(self, prefix: str, *, start_revision: int) -> AsyncIterator[WatchEvent]:
-        """Yield the changes under a prefix from a revision on."""
+        """Yield the changes under a prefix from a revision on.
+
+        All changes of one revision are yielded before the watch can break, so a
+        watch may be resumed at the revision after the last event's. Raises
+        `StoreUnavailable` when the watch breaks and `WatchCompacted` when the start
+        revision is no longer kept.
+        """
         ...
 
     async def grant_lease(self, ttl: int, *, timeout: float = 2.0) -> int:
