Add directory, contract store and membership

The directory follows prefixes of the key-value service and keeps the last known records. A contract change and its audit entry are one transaction, and a lost answer is settled by reading back the change id. Membership announces a VM under a lease and follows its peers.

--- /dev/null
+++ b/src/celeryjunction/contracts_store.py
@@ -0,0 +1,410 @@
+"""Contract changes in the key-value service, with an audit trail.
+
+A change is one transaction: it replaces the contract only if the contract still has
+the revision that the change is based on, and writes the audit entry with it. Each
+change carries an id of its own, so that a change whose answer was lost is recognised
+when it is read back. For example:
+
+    outcome = await contracts.set(
+        "co-op", text, base_revision=41, change_id="c-7", author="mei", reason="fair"
+    )
+    match outcome:
+        case Accepted(revision=revision): ...
+        case Conflict(current=current, diff=diff): ...
+"""
+
+from __future__ import annotations
+
+import asyncio
+import difflib
+from collections.abc import Awaitable, Callable, Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+import json5
+import msgspec
+from logbook import Logger
+
+from celeryjunction.ports import (
+    Clock,
+    Compare,
+    KeyValue,
+    KeyValueStore,
+    Put,
+    StoreRefused,
+    StoreUnavailable,
+)
+
+CONTRACTS = "/contracts/"
+AUDIT = "/audit/"
+MAX_AUDIT_ENTRIES = 200
+"""Audit entries that are kept for each customer."""
+# etcd takes 128 operations in a transaction; a change needs a few itself.
+_MAX_DELETES = 100
+_CALL_TIMEOUT_S = 2.0
+_RETRY_DELAY_S = 0.2
+_log = Logger("contracts_store")
+
+Validate = Callable[[str], list[str]]
+"""Returns the problems of a contract document, each with its remedy."""
+
+
+class ContractEnvelope(msgspec.Struct, frozen=True):
+    """The value of ``/contracts/CUSTOMER``; `time` is seconds since the epoch."""
+
+    change_id: str
+    author: str
+    reason: str
+    time: float
+    document: str
+
+
+class AuditEntry(msgspec.Struct, frozen=True):
+    """The value of ``/audit/CUSTOMER/REVISION``: who changed what, when and why.
+
+    `before` is None for a customer's first contract. `shed_signers` names those who
+    signed the shed orders of the new document.
+    """
+
+    customer: str
+    change_id: str
+    author: str
+    reason: str
+    time: float
+    base_revision: int
+    before: str | None
+    after: str
+    shed_signers: tuple[str, ...] = ()
+
+
+class AuditRecord(msgspec.Struct, frozen=True):
+    """An audit entry as stored: `revision` is that of the contract it made."""
+
+    key: str
+    revision: int
+    entry: AuditEntry
+
+
+class StoredContract(msgspec.Struct, frozen=True):
+    """A contract document as stored; `change_id` is empty for an unreadable record."""
+
+    customer: str
+    text: str
+    revision: int
+    change_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The change is stored; `revision` is that of the contract."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """Another change came first; `diff` leads from the current to the refused text."""
+
+    current: StoredContract | None
+    diff: str
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The document or the request is invalid; nothing was changed."""
+
+    problems: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NotApplied:
+    """The service could not be reached before the change was sent."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """The change was sent and may still take effect; set it again by the same id."""
+
+    reason: str
+
+
+SetOutcome = Accepted | Conflict | Rejected | NotApplied | Unknown
+
+
+class AppliedRevision(Protocol):
+    """What `in_force` needs of a VM's record."""
+
+    @property
+    def name(self) -> str:
+        """Name of the VM."""
+        ...
+
+    @property
+    def applied_revision(self) -> int:
+        """All contract changes up to this revision are in force on the VM."""
+        ...
+
+
+class _ChangeRequest(msgspec.Struct, frozen=True):
+    customer: str
+    text: str
+    base_revision: int
+    change_id: str
+    author: str
+    reason: str
+
+
+class _View(msgspec.Struct, frozen=True):
+    """A customer's contract and audit trail, as read back."""
+
+    current: StoredContract | None
+    trail: tuple[AuditRecord, ...]
+
+    @property
+    def revision(self) -> int:
+        return self.current.revision if self.current else 0
+
+    @property
+    def next_number(self) -> int:
+        """Number of the next audit entry: the revision that it replaces.
+
+        It is above all earlier ones, even if the contract was deleted or changed
+        by other means.
+        """
+        newest = self.trail[-1].revision if self.trail else 0
+        return max(self.revision, newest)
+
+    def applied(self, change_id: str) -> AuditRecord | None:
+        return next((r for r in self.trail if r.entry.change_id == change_id), None)
+
+    def forgot(self, base_revision: int) -> bool:
+        """Tell whether the trail was cut at a point after the base revision."""
+        full = len(self.trail) >= MAX_AUDIT_ENTRIES
+        return full and self.trail[0].entry.base_revision > base_revision
+
+
+class ContractStore:
+    """Reads and changes contracts in the key-value service.
+
+    `validate` returns the problems of a document. `sleep` waits between tries, in
+    seconds.
+    """
+
+    __slots__ = ("_clock", "_random", "_sleep", "_store", "_validate")
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        *,
+        clock: Clock,
+        validate: Validate,
+        random: Random | None = None,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._validate = validate
+        self._random = random or Random()
+        self._sleep = sleep
+
+    async def get(self, customer: str) -> StoredContract | None:
+        """Read a customer's contract; raises `StoreUnavailable`."""
+        item = await self._store.get(CONTRACTS + customer)
+        return stored_contract(item) if item else None
+
+    async def history(self, customer: str) -> tuple[StoredContract, ...]:
+        """Return the versions in the audit trail, oldest first."""
+        return tuple(
+            StoredContract(
+                customer, record.entry.after, record.revision, record.entry.change_id
+            )
+            for record in await self.audit(customer)
+        )
+
+    async def audit(self, customer: str | None = None) -> tuple[AuditRecord, ...]:
+        """Return the audit trail of one customer or of all, oldest first for each."""
+        prefix = AUDIT if customer is None else f"{AUDIT}{customer}/"
+        listed = await self._store.list(prefix)
+        return tuple(_audit_records(listed.items))
+
+    async def set(
+        self,
+        customer: str,
+        text: str,
+        *,
+        base_revision: int,
+        change_id: str,
+        author: str,
+        reason: str,
+        timeout: float = 10.0,
+    ) -> SetOutcome:
+        """Replace a customer's contract, if it still has the base revision.
+
+        `base_revision` 0 creates the contract. `timeout` is in seconds. Setting again
+        with the same change id is safe: the change takes effect at most once.
+        """
+        change = _ChangeRequest(
+            customer, text, base_revision, change_id, author, reason
+        )
+        problems = _request_problems(change) or self._validate(text)
+        if problems:
+            return Rejected(tuple(problems))
+        outcome = await self._settle(change, self._clock.monotonic() + timeout)
+        _log.info(
+            "event=contract_set customer={} change={} author={} base_revision={} "
+            "outcome={}",
+            customer,
+            change_id,
+            author,
+            base_revision,
+            type(outcome).__name__,
+        )
+        return outcome
+
+    async def _settle(self, change: _ChangeRequest, deadline: float) -> SetOutcome:
+        """Read, then send if the base is still current, until the outcome is known."""
+        sent = False
+        failure = "no time left"
+        while (left := deadline - self._clock.monotonic()) > 0:
+            try:
+                view = await self._read(change.customer, min(left, _CALL_TIMEOUT_S))
+                outcome = _judge(change, view, sent)
+                if outcome is not None:
+                    return outcome
+                transaction = self._transaction(change, view)
+                sent = True
+                result = await self._store.compare_and_put(
+                    *transaction, timeout=min(left, _CALL_TIMEOUT_S)
+                )
+                if result.succeeded:
+                    return Accepted(result.revision)
+            except StoreRefused as error:
+                return Rejected((f"the key-value service refused it: {error}",))
+            except StoreUnavailable as error:
+                failure = str(error)
+            # A failed compare is settled by reading again.
+            await self._sleep(self._random.uniform(0.5, 1.0) * _RETRY_DELAY_S)
+        return Unknown(failure) if sent else NotApplied(failure)
+
+    async def _read(self, customer: str, timeout: float) -> _View:
+        # The contract is read first: a change that comes in between then shows in
+        # the trail, and its compare fails.
+        item = await self._store.get(CONTRACTS + customer, timeout=timeout)
+        listed = await self._store.list(f"{AUDIT}{customer}/", timeout=timeout)
+        current = stored_contract(item) if item else None
+        return _View(current, tuple(_audit_records(listed.items)))
+
+    def _transaction(
+        self, change: _ChangeRequest, view: _View
+    ) -> tuple[list[Compare], list[Put]]:
+        now = self._clock.wall()
+        envelope = ContractEnvelope(
+            change.change_id, change.author, change.reason, now, change.text
+        )
+        entry = AuditEntry(
+            customer=change.customer,
+            change_id=change.change_id,
+            author=change.author,
+            reason=change.reason,
+            time=now,
+            base_revision=change.base_revision,
+            before=view.current.text if view.current else None,
+            after=change.text,
+            shed_signers=shed_signers(change.text),
+        )
+        key = CONTRACTS + change.customer
+        # Numbers have a fixed width, so that keys sort by number.
+        audit_key = f"{AUDIT}{change.customer}/{view.next_number:020d}"
+        compares = [Compare(key, change.base_revision), Compare(audit_key, 0)]
+        puts = [
+            Put(key, msgspec.json.encode(envelope)),
+            Put(audit_key, msgspec.json.encode(entry)),
+        ]
+        surplus = len(view.trail) + 1 - MAX_AUDIT_ENTRIES
+        oldest = view.trail[: min(max(0, surplus), _MAX_DELETES)]
+        return compares, puts + [Put(record.key, None) for record in oldest]
+
+
+def _judge(change: _ChangeRequest, view: _View, sent: bool) -> SetOutcome | None:
+    """Return the outcome that a reading proves; None if the change may be sent."""
+    record = view.applied(change.change_id)
+    if record is not None:
+        if record.entry.after != change.text:
+            return Rejected(
+                (f"change id {change.change_id} names another change; use a new id",)
+            )
+        return Accepted(record.revision)
+    if view.revision == change.base_revision:
+        return None
+    if sent and view.forgot(change.base_revision):
+        return Unknown("the audit trail no longer reaches back to the base revision")
+    current = view.current.text if view.current else ""
+    return Conflict(view.current, diff(current, change.text))
+
+
+def _request_problems(change: _ChangeRequest) -> list[str]:
+    problems = []
+    if not change.customer or "/" in change.customer:
+        problems.append(f'customer "{change.customer}" is empty or has a slash in it')
+    for field in ("change_id", "author", "reason"):
+        if not getattr(change, field).strip():
+            problems.append(f"{field} is empty; every change needs one")
+    return problems
+
+
+def decode_envelope(value: bytes) -> ContractEnvelope:
+    """Decode a contract record; raises `msgspec.MsgspecError`."""
+    return msgspec.json.decode(value, type=ContractEnvelope)
+
+
+def stored_contract(item: KeyValue) -> StoredContract:
+    """Return the contract of a record.
+
+    A record that cannot be decoded is returned as raw text without a change id, so
+    that it can be looked at and replaced.
+    """
+    customer = item.key.removeprefix(CONTRACTS)
+    try:
+        envelope = decode_envelope(item.value)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        raw = item.value.decode(errors="replace")
+        return StoredContract(customer, raw, item.revision, "")
+    return StoredContract(
+        customer, envelope.document, item.revision, envelope.change_id
+    )
+
+
+def _audit_records(items: Sequence[KeyValue]) -> Iterator[AuditRecord]:
+    for item in items:
+        try:
+            entry = msgspec.json.decode(item.value, type=AuditEntry)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            _log.error(
+                "event=audit_entry_ignored alarm=1 key={} reason={!r}", item.key, error
+            )
+            continue
+        yield AuditRecord(item.key, item.revision, entry)
+
+
+def shed_signers(text: str) -> tuple[str, ...]:
+    """Return who signed the shed orders of a contract document."""
+    try:
+        orders = json5.loads(text)["shed_orders"]
+        return tuple(str(order["signed_by"]) for order in orders)
+    except (ValueError, KeyError, TypeError):
+        return ()
+
+
+def diff(a: str, b: str) -> str:
+    """Return a unified diff from one document to another, empty if they are equal."""
+    return "\n".join(
+        difflib.unified_diff(a.splitlines(), b.splitlines(), "a", "b", lineterm="")
+    )
+
+
+def in_force(revision: int, vms: Iterable[AppliedRevision]) -> list[str]:
+    """Return the names of the VMs that do not yet apply a contract revision."""
+    return sorted(vm.name for vm in vms if vm.applied_revision < revision)
--- /dev/null
+++ b/src/celeryjunction/directory.py
@@ -0,0 +1,451 @@
+"""What the platform's key-value service says, followed and kept during outages.
+
+`PrefixFollower` keeps a copy of the keys under a prefix. `StoreDirectory` decodes the
+database groups and the contracts from two such copies.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+from random import Random
+
+import msgspec
+from logbook import Logger
+
+from celeryjunction.contracts_store import (
+    CONTRACTS,
+    StoredContract,
+    Validate,
+    decode_envelope,
+)
+from celeryjunction.ports import (
+    Clock,
+    GroupRecord,
+    KeyValue,
+    KeyValueList,
+    KeyValueStore,
+    StoreUnavailable,
+    WatchCompacted,
+    WatchEvent,
+)
+
+GROUPS = "/groups/"
+_LIST_TIMEOUT_S = 5.0
+_log = Logger("directory")
+
+OnChange = Callable[[WatchEvent], None]
+Sleep = Callable[[float], Awaitable[None]]
+
+
+class PrefixFollower:
+    """Follows all keys under a prefix of the key-value service.
+
+    It lists the keys once, then watches from the listed revision on. After a break
+    it resumes the watch at the revision where it stopped, with jittered back-off; it
+    lists again only if the changes in between are no longer kept. Each change is
+    given to the subscribers once and in order; a key that vanished between two lists
+    is given as a deletion. An answer older than what is already known is ignored.
+
+    `max_backoff_s` bounds the pause between two attempts, in seconds. Its default
+    leaves a contract change time to be in force 3 s after an outage.
+    """
+
+    __slots__ = (
+        "_base_backoff_s",
+        "_clock",
+        "_failures",
+        "_items",
+        "_last_contact",
+        "_max_backoff_s",
+        "_needs_list",
+        "_prefix",
+        "_random",
+        "_revision",
+        "_sleep",
+        "_store",
+        "_subscribers",
+        "synced",
+    )
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        prefix: str,
+        *,
+        clock: Clock,
+        random: Random,
+        base_backoff_s: float = 0.1,
+        max_backoff_s: float = 1.5,
+        sleep: Sleep = asyncio.sleep,
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._clock = clock
+        self._random = random
+        self._base_backoff_s = base_backoff_s
+        self._max_backoff_s = max_backoff_s
+        self._sleep = sleep
+        self._subscribers: list[OnChange] = []
+        self._items: dict[str, KeyValue] = {}
+        self._revision = 0
+        self._failures = 0
+        self._last_contact = -math.inf
+        self._needs_list = True
+        self.synced = asyncio.Event()
+
+    def __rich_repr__(self) -> Iterator[tuple[str, object]]:
+        yield "prefix", self._prefix
+        yield "revision", self._revision
+        yield "keys", len(self._items)
+        yield "age_s", self.age_s
+
+    @property
+    def revision(self) -> int:
+        """Revision of the service up to which all changes are known."""
+        return self._revision
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the service last gave a sign of life; infinite before."""
+        return self._clock.monotonic() - self._last_contact
+
+    @property
+    def items(self) -> dict[str, KeyValue]:
+        """The keys as last known."""
+        return dict(self._items)
+
+    def subscribe(self, on_change: OnChange) -> None:
+        """Call back for every change from now on."""
+        self._subscribers.append(on_change)
+
+    async def run(self) -> None:
+        """Follow the prefix until cancelled."""
+        while True:
+            try:
+                if self._needs_list:
+                    await self._relist()
+                await self._follow()
+            except WatchCompacted as error:
+                self._needs_list = True
+                _log.warning(
+                    "event=watch_compacted prefix={} revision={} reason={!r}",
+                    self._prefix,
+                    self._revision,
+                    str(error),
+                )
+            except StoreUnavailable as error:
+                _log.warning(
+                    "event=watch_broken prefix={} revision={} failures={} reason={!r}",
+                    self._prefix,
+                    self._revision,
+                    self._failures,
+                    str(error),
+                )
+            await self._back_off()
+
+    async def _back_off(self) -> None:
+        longest = self._base_backoff_s * 2 ** min(self._failures, 16)
+        self._failures += 1
+        ceiling = min(self._max_backoff_s, longest)
+        await self._sleep(self._random.uniform(ceiling / 2, ceiling))
+
+    async def _relist(self) -> None:
+        listed = await self._store.list(self._prefix, timeout=_LIST_TIMEOUT_S)
+        if listed.revision < self._revision:
+            _log.error(
+                "event=store_went_back alarm=1 prefix={} known={} listed={}",
+                self._prefix,
+                self._revision,
+                listed.revision,
+            )
+            raise StoreUnavailable("the service answered with an older revision")
+        self._touch()
+        for event in self._differences(listed):
+            self._apply(event)
+        self._revision = listed.revision
+        self._needs_list = False
+        self.synced.set()
+
+    def _differences(self, listed: KeyValueList) -> list[WatchEvent]:
+        """Return what changed between the known keys and a list, by revision."""
+        present = {item.key for item in listed.items}
+        changed = [
+            WatchEvent(item.key, item.value, item.revision)
+            for item in sorted(listed.items, key=lambda item: item.revision)
+            if item.key not in self._items
+            or item.revision > self._items[item.key].revision
+        ]
+        gone = sorted(self._items.keys() - present)
+        return changed + [WatchEvent(key, None, listed.revision) for key in gone]
+
+    async def _follow(self) -> None:
+        events = self._store.watch(self._prefix, start_revision=self._revision + 1)
+        try:
+            async for event in events:
+                self._touch()
+                # A note's revision is not taken over: services are known to send
+                # notes ahead of changes that a watch has yet to catch up with.
+                if event.key and event.revision >= self._revision:
+                    self._apply(event)
+                    self._revision = event.revision
+        finally:
+            if hasattr(events, "aclose"):
+                await events.aclose()
+        raise StoreUnavailable("the watch ended")
+
+    def _touch(self) -> None:
+        self._last_contact = self._clock.monotonic()
+        self._failures = 0
+
+    def _apply(self, event: WatchEvent) -> None:
+        known = self._items.get(event.key)
+        if known is not None and event.revision <= known.revision:
+            return
+        if event.value is None:
+            if self._items.pop(event.key, None) is None:
+                return
+        else:
+            self._items[event.key] = KeyValue(*event)
+        for subscriber in self._subscribers:
+            try:
+                subscriber(event)
+            except Exception:
+                # One bad record must not end the following of all others.
+                _log.exception(
+                    "event=subscriber_failed alarm=1 key={} revision={}",
+                    event.key,
+                    event.revision,
+                )
+
+
+class StoreDirectory:
+    """Database groups and contracts from the key-value service.
+
+    The last known records stay during an outage. A group never goes back to an older
+    term, and a record that cannot be decoded is ignored with an alarm, while the last
+    good one stays. A contract also stays when its key is deleted, because refusing a
+    customer needs more than a missing key.
+
+    `check_contract` returns the problems of a document; a contract with problems
+    counts as one that cannot be decoded.
+    """
+
+    __slots__ = (
+        "_check_contract",
+        "_contract_followers",
+        "_contracts",
+        "_group_followers",
+        "_groups",
+        "_ignored_contracts",
+        "_last_contract",
+        "_store",
+        "_newest",
+        "contracts_follower",
+        "groups_follower",
+    )
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        *,
+        clock: Clock,
+        random: Random,
+        check_contract: Validate = lambda _: [],
+        sleep: Sleep = asyncio.sleep,
+    ) -> None:
+        self._store = store
+        self._check_contract = check_contract
+        self._groups: dict[str, GroupRecord] = {}
+        # Term and revision of the newest record; kept when the group is removed.
+        self._newest: dict[str, tuple[int, int]] = {}
+        self._contracts: dict[str, StoredContract] = {}
+        self._ignored_contracts: dict[str, int] = {}
+        self._last_contract = 0
+        self._group_followers: list[Callable[[str, GroupRecord | None], None]] = []
+        self._contract_followers: list[Callable[[StoredContract], None]] = []
+        self.groups_follower = PrefixFollower(
+            store, GROUPS, clock=clock, random=random, sleep=sleep
+        )
+        self.contracts_follower = PrefixFollower(
+            store, CONTRACTS, clock=clock, random=random, sleep=sleep
+        )
+        self.groups_follower.subscribe(self._group_changed)
+        self.contracts_follower.subscribe(self._contract_changed)
+
+    def __rich_repr__(self) -> Iterator[tuple[str, object]]:
+        yield "groups", len(self._groups)
+        yield "contracts", len(self._contracts)
+        yield "age_s", self.age_s
+
+    async def run(self) -> None:
+        """Follow groups and contracts until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.groups_follower.run())
+            tasks.create_task(self.contracts_follower.run())
+
+    async def synced(self) -> None:
+        """Wait until groups and contracts were read once."""
+        await self.groups_follower.synced.wait()
+        await self.contracts_follower.synced.wait()
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the older of the two copies was known to be current."""
+        return max(self.groups_follower.age_s, self.contracts_follower.age_s)
+
+    @property
+    def groups(self) -> dict[str, GroupRecord]:
+        """The groups as last known, by name."""
+        return dict(self._groups)
+
+    @property
+    def contracts(self) -> dict[str, StoredContract]:
+        """The contracts as last known, by customer."""
+        return dict(self._contracts)
+
+    @property
+    def applied_revision(self) -> int:
+        """All contract changes up to this revision are in force here.
+
+        It stays below the revision of a contract that had to be ignored.
+        """
+        if self._ignored_contracts:
+            return min(self._ignored_contracts.values()) - 1
+        return self._last_contract
+
+    def on_group(self, callback: Callable[[str, GroupRecord | None], None]) -> None:
+        """Call back with name and record of each changed group, None for a removed."""
+        self._group_followers.append(callback)
+
+    def on_contract(self, callback: Callable[[StoredContract], None]) -> None:
+        """Call back with each changed contract, after it is in `contracts`."""
+        self._contract_followers.append(callback)
+
+    def group(self, database: str) -> GroupRecord | None:
+        """Return the last known record, which may lag; None for an unknown name."""
+        return self._groups.get(database)
+
+    def contract(self, customer: str) -> StoredContract | None:
+        """Return the last known contract; None for an unknown customer."""
+        return self._contracts.get(customer)
+
+    async def read_now(self, database: str, *, timeout: float) -> GroupRecord:
+        """Read the record from the platform; `timeout` is in seconds.
+
+        Raises `StoreUnavailable` also when the record is missing, cannot be decoded
+        or is older than one already seen, because then it proves nothing.
+        """
+        key = GROUPS + database
+        item = await self._store.get(key, timeout=timeout)
+        record = _decode_group(item.key, item.value) if item else None
+        if record is None:
+            raise StoreUnavailable(f"no usable record at {key}")
+        if not self._take_group(record, item.revision):
+            raise StoreUnavailable(f"the record at {key} is older than a known one")
+        return record
+
+    def _group_changed(self, event: WatchEvent) -> None:
+        name = event.key.removeprefix(GROUPS)
+        if event.value is None:
+            if self._groups.pop(name, None) is not None:
+                self._tell_group(name, None)
+            return
+        record = _decode_group(event.key, event.value)
+        if record is not None:
+            self._take_group(record, event.revision)
+
+    def _take_group(self, record: GroupRecord, revision: int) -> bool:
+        """Keep a record, unless a newer one was already seen."""
+        term, known_revision = self._newest.get(record.name, (0, 0))
+        if record.term < term:
+            _log.error(
+                "event=term_went_back alarm=1 group={} known={} term={} revision={}",
+                record.name,
+                term,
+                record.term,
+                revision,
+            )
+        if record.term < term or revision < known_revision:
+            return False
+        known = self._groups.get(record.name)
+        self._newest[record.name] = (record.term, revision)
+        self._groups[record.name] = record
+        if record != known:
+            self._tell_group(record.name, record)
+        return True
+
+    def _tell_group(self, name: str, record: GroupRecord | None) -> None:
+        for callback in self._group_followers:
+            callback(name, record)
+
+    def _contract_changed(self, event: WatchEvent) -> None:
+        customer = event.key.removeprefix(CONTRACTS)
+        contract = self._usable_contract(customer, event)
+        if contract is None:
+            # No accepted change deletes a contract, so a deletion is not waited for.
+            if event.value is not None:
+                self._ignored_contracts.setdefault(customer, event.revision)
+            return
+        self._contracts[customer] = contract
+        try:
+            for callback in self._contract_followers:
+                callback(contract)
+        except Exception:
+            self._ignored_contracts.setdefault(customer, event.revision)
+            raise
+        self._ignored_contracts.pop(customer, None)
+        self._last_contract = max(self._last_contract, event.revision)
+
+    def _usable_contract(
+        self, customer: str, event: WatchEvent
+    ) -> StoredContract | None:
+        if event.value is None:
+            problems = ["the key was deleted"]
+        else:
+            try:
+                envelope = decode_envelope(event.value)
+                problems = self._check_contract(envelope.document)
+            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+                problems = [str(error)]
+        if not problems:
+            return StoredContract(
+                customer, envelope.document, event.revision, envelope.change_id
+            )
+        _log.error(
+            "event=contract_ignored alarm=1 customer={} revision={} reason={!r}",
+            customer,
+            event.revision,
+            problems[0],
+        )
+        return None
+
+
+def _decode_group(key: str, value: bytes) -> GroupRecord | None:
+    try:
+        record = msgspec.json.decode(value, type=GroupRecord)
+        reason = "" if GROUPS + record.name == key else f"it names {record.name}"
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        reason = str(error)
+    if reason:
+        _log.error("event=group_ignored alarm=1 key={} reason={!r}", key, reason)
+        return None
+    return record
+
+
+class StaticDirectory:
+    """Database groups from settings, without a key-value service."""
+
+    __slots__ = ("_groups",)
+
+    def __init__(self, records: Iterable[GroupRecord]) -> None:
+        self._groups = {record.name: record for record in records}
+
+    def group(self, database: str) -> GroupRecord | None:
+        """Return the record of the settings; None for an unknown name."""
+        return self._groups.get(database)
+
+    async def read_now(self, database: str, *, timeout: float) -> GroupRecord:
+        """Raise `StoreUnavailable`: settings prove nothing about the present."""
+        raise StoreUnavailable("there is no key-value service in the settings")
--- /dev/null
+++ b/src/celeryjunction/membership.py
@@ -0,0 +1,335 @@
+"""Which VMs there are: each announces itself under a lease and follows the others."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+from collections.abc import Iterator
+from random import Random
+
+import msgspec
+from logbook import Logger
+
+from celeryjunction.directory import PrefixFollower, Sleep
+from celeryjunction.ports import (
+    Clock,
+    Compare,
+    KeyValue,
+    KeyValueStore,
+    LeaseLapsed,
+    Put,
+    StoreUnavailable,
+    WatchEvent,
+)
+
+VMS = "/vms/"
+_log = Logger("membership")
+
+
+class VmRecord(msgspec.Struct, frozen=True):
+    """The value of ``/vms/NAME``.
+
+    `incarnation` grows with each start of the VM's process, for example the start
+    time in nanoseconds; `started_at` is seconds since the epoch. All contract changes
+    up to `applied_revision` are in force on the VM. Unknown fields are ignored, so
+    that VMs of two versions can run side by side.
+    """
+
+    name: str
+    zone: str
+    peer_address: str
+    sql_address: str
+    status_address: str
+    incarnation: int
+    started_at: float
+    applied_revision: int = 0
+    leaving: bool = False
+
+
+async def list_vms(store: KeyValueStore) -> tuple[VmRecord, ...]:
+    """Read the announced VMs from the service; raises `StoreUnavailable`."""
+    listed = await store.list(VMS)
+    records = (_decode(item.key, item.value) for item in listed.items)
+    return tuple(record for record in records if record is not None)
+
+
+class Membership:
+    """Announces one VM under a lease and knows its peers.
+
+    The lease is renewed every third of `ttl_s` seconds, with jitter. When it lapsed,
+    for example because the process was paused, a new one is asked for after a random
+    part of `spread_s` seconds, so that many VMs do not come back in the same moment.
+    Changes of the own record are put at most once in `put_interval_s` seconds.
+
+    The list counts as late: a peer whose record vanished stays as long as it is heard
+    directly. Of two incarnations of one VM the newer one wins; the older one raises
+    an alarm and stops announcing itself.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_dirty",
+        "_failures",
+        "_heard",
+        "_last_put",
+        "_lease",
+        "_peers",
+        "_put_interval_s",
+        "_random",
+        "_record",
+        "_renew_at",
+        "_revision",
+        "_sleep",
+        "_spread_s",
+        "_store",
+        "_ttl_s",
+        "_vanished",
+        "announced",
+        "follower",
+        "superseded",
+    )
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        record: VmRecord,
+        *,
+        ttl_s: int = 10,
+        spread_s: float = 3.0,
+        put_interval_s: float = 1.0,
+        clock: Clock,
+        random: Random,
+        sleep: Sleep = asyncio.sleep,
+    ) -> None:
+        self._store = store
+        self._record = record
+        self._ttl_s = ttl_s
+        self._spread_s = spread_s
+        self._put_interval_s = put_interval_s
+        self._clock = clock
+        self._random = random
+        self._sleep = sleep
+        self._lease = 0
+        self._revision = 0
+        self._renew_at = 0.0
+        self._last_put = -math.inf
+        self._failures = 0
+        self._dirty = asyncio.Event()
+        self._peers: dict[str, VmRecord] = {}
+        self._vanished: set[str] = set()
+        self._heard: dict[str, float] = {}
+        self.announced = asyncio.Event()
+        self.superseded = asyncio.Event()
+        self.follower = PrefixFollower(
+            store, VMS, clock=clock, random=random, sleep=sleep
+        )
+        self.follower.subscribe(self._vm_changed)
+
+    def __rich_repr__(self) -> Iterator[tuple[str, object]]:
+        yield "name", self._record.name
+        yield "announced", self.announced.is_set()
+        yield "superseded", self.superseded.is_set()
+        yield "peers", sorted(self._peers)
+
+    @property
+    def record(self) -> VmRecord:
+        """This VM's own record, as it is or will be announced."""
+        return self._record
+
+    async def run(self) -> None:
+        """Announce this VM and follow the others until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.follower.run())
+            tasks.create_task(self._announce())
+
+    async def leave(self) -> None:
+        """End the lease, which removes the record. Call it after `run` has ended."""
+        lease, self._lease = self._lease, 0
+        if lease and not self.superseded.is_set():
+            with contextlib.suppress(StoreUnavailable):
+                await self._store.revoke_lease(lease)
+
+    def update(
+        self, *, applied_revision: int | None = None, leaving: bool | None = None
+    ) -> None:
+        """Change this VM's record; the applied revision never goes back."""
+        known = self._record
+        changed = msgspec.structs.replace(
+            known,
+            applied_revision=max(known.applied_revision, applied_revision or 0),
+            leaving=known.leaving if leaving is None else leaving,
+        )
+        if changed != known:
+            self._record = changed
+            self._dirty.set()
+
+    # Peers
+
+    def heard(self, vm: str) -> None:
+        """Note that a peer was heard directly just now."""
+        if vm in self._peers:
+            self._heard[vm] = self._clock.monotonic()
+
+    def peers(self) -> dict[str, VmRecord]:
+        """Return the other VMs by name."""
+        oldest = self._clock.monotonic() - self._ttl_s
+        silent = (vm for vm in self._vanished if self._heard.get(vm, 0.0) <= oldest)
+        for vm in tuple(silent):
+            self._forget(vm)
+        return dict(self._peers)
+
+    def _forget(self, vm: str) -> None:
+        self._vanished.discard(vm)
+        self._peers.pop(vm, None)
+        self._heard.pop(vm, None)
+
+    def _vm_changed(self, event: WatchEvent) -> None:
+        name = event.key.removeprefix(VMS)
+        if event.value is None:
+            if name == self._record.name:
+                self._own_record_vanished(event.revision)
+            elif name in self._peers:
+                self._vanished.add(name)
+            return
+        record = _decode(event.key, event.value)
+        if record is None:
+            return
+        if name == self._record.name:
+            self._check_incarnation(record)
+        else:
+            self._take_peer(record)
+
+    def _take_peer(self, record: VmRecord) -> None:
+        known = self._peers.get(record.name)
+        if known is not None and record.incarnation < known.incarnation:
+            _log.error(
+                "event=incarnation_went_back alarm=1 vm={} known={} incarnation={}",
+                record.name,
+                known.incarnation,
+                record.incarnation,
+            )
+            return
+        self._peers[record.name] = record
+        self._vanished.discard(record.name)
+
+    # Announcing
+
+    def _own_record_vanished(self, revision: int) -> None:
+        # Usually the lease lapsed; renewing now instead of later shows it.
+        if revision > self._revision and self._lease:
+            self._renew_at = 0.0
+            self._dirty.set()
+
+    def _check_incarnation(self, stored: VmRecord) -> None:
+        if stored.incarnation <= self._record.incarnation:
+            return
+        if not self.superseded.is_set():
+            _log.error(
+                "event=vm_superseded alarm=1 vm={} incarnation={} newer={} address={}",
+                self._record.name,
+                self._record.incarnation,
+                stored.incarnation,
+                stored.peer_address,
+            )
+        self.superseded.set()
+        self.announced.clear()
+        self._dirty.set()
+
+    async def _announce(self) -> None:
+        while not self.superseded.is_set():
+            try:
+                await self._announce_step()
+                self._failures = 0
+            except LeaseLapsed:
+                await self._lapsed()
+            except StoreUnavailable as error:
+                _log.warning(
+                    "event=announce_failed vm={} failures={} reason={!r}",
+                    self._record.name,
+                    self._failures,
+                    str(error),
+                )
+                await self._back_off()
+
+    async def _announce_step(self) -> None:
+        """Do what is due next: ask for a lease, renew it, or put the record."""
+        now = self._clock.monotonic()
+        if not self._lease:
+            self._lease = await self._store.grant_lease(self._ttl_s)
+            self._schedule_renewal(now)
+            self._dirty.set()
+        elif now >= self._renew_at:
+            if not await self._store.renew_lease(self._lease):
+                raise LeaseLapsed("the lease was not renewed in time")
+            self._schedule_renewal(now)
+        if not self._dirty.is_set():
+            await self._wait_for_change(self._renew_at - self._clock.monotonic())
+        elif (early := self._last_put + self._put_interval_s - now) > 0:
+            await self._sleep(min(early, max(0.0, self._renew_at - now)))
+        else:
+            await self._put()
+
+    def _schedule_renewal(self, now: float) -> None:
+        self._renew_at = now + self._ttl_s / 3 * self._random.uniform(0.8, 1.0)
+
+    async def _put(self) -> None:
+        """Put the record, unless a newer incarnation has put its own."""
+        self._dirty.clear()
+        record, key = self._record, VMS + self._record.name
+        try:
+            result = await self._store.compare_and_put(
+                [Compare(key, self._revision)],
+                [Put(key, msgspec.json.encode(record))],
+                lease=self._lease,
+            )
+        except (StoreUnavailable, LeaseLapsed):
+            self._dirty.set()
+            raise
+        current: KeyValue | None = result.current[0]
+        self._revision = current.revision if current else 0
+        if result.succeeded:
+            self._last_put = self._clock.monotonic()
+            self.announced.set()
+            return
+        # An own earlier put whose answer was lost, or another incarnation's.
+        self._dirty.set()
+        stored = _decode(key, current.value) if current else None
+        if stored is not None:
+            self._check_incarnation(stored)
+
+    async def _lapsed(self) -> None:
+        _log.warning(
+            "event=lease_lapsed vm={} lease={}", self._record.name, self._lease
+        )
+        self._lease = 0
+        self.announced.clear()
+        await self._sleep(self._random.uniform(0.0, self._spread_s))
+
+    async def _back_off(self) -> None:
+        ceiling = min(self._spread_s, 0.2 * 2 ** min(self._failures, 16))
+        self._failures += 1
+        await self._sleep(self._random.uniform(ceiling / 2, ceiling))
+
+    async def _wait_for_change(self, seconds: float) -> None:
+        sleeping = asyncio.ensure_future(self._sleep(max(0.0, seconds)))
+        changing = asyncio.ensure_future(self._dirty.wait())
+        waits = {sleeping, changing}
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+            await asyncio.wait(waits)
+
+
+def _decode(key: str, value: bytes) -> VmRecord | None:
+    try:
+        record = msgspec.json.decode(value, type=VmRecord)
+        reason = "" if VMS + record.name == key else f"it names {record.name}"
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        reason = str(error)
+    if reason:
+        _log.error("event=vm_record_ignored alarm=1 key={} reason={!r}", key, reason)
+        return None
+    return record
