--- a/src/celeryjunction/directory.py
+++ b/src/celeryjunction/directory.py
@@ -240,8 +240,8 @@
         "_groups",
         "_ignored_contracts",
         "_last_contract",
-        "_store",
         "_newest",
+        "_store",
         "contracts_follower",
         "groups_follower",
     )
--- a/src/celeryjunction/membership.py
+++ b/src/celeryjunction/membership.py
@@ -24,6 +24,9 @@
 )
 
 VMS = "/vms/"
+# Keeps two processes that share an incarnation by mistake from overwriting each other
+# without pause.
+_MISMATCH_PAUSE_S = 0.2
 _log = Logger("membership")
 
 
@@ -174,7 +177,9 @@
     def peers(self) -> dict[str, VmRecord]:
         """Return the other VMs by name."""
         oldest = self._clock.monotonic() - self._ttl_s
-        silent = (vm for vm in self._vanished if self._heard.get(vm, 0.0) <= oldest)
+        silent = (
+            vm for vm in self._vanished if self._heard.get(vm, -math.inf) <= oldest
+        )
         for vm in tuple(silent):
             self._forget(vm)
         return dict(self._peers)
@@ -297,12 +302,13 @@
         stored = _decode(key, current.value) if current else None
         if stored is not None:
             self._check_incarnation(stored)
+        await self._sleep(self._random.uniform(0.0, _MISMATCH_PAUSE_S))
 
     async def _lapsed(self) -> None:
         _log.warning(
             "event=lease_lapsed vm={} lease={}", self._record.name, self._lease
         )
-        self._lease = 0
+        self._lease = self._revision = 0
         self.announced.clear()
         await self._sleep(self._random.uniform(0.0, self._spread_s))
 
--- /dev/null
+++ b/tests/_store_support.py
@@ -0,0 +1,86 @@
+"""Shared helpers of the tests around the key-value service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager, suppress
+
+from celeryjunction.adapters.etcd import EtcdStore
+from celeryjunction.ports import Compare, Put
+from celeryjunction.standin.kv import RunningStore, serve_store
+
+PATIENCE_S = 20.0
+"""Bound for events that must come; no test waits this long when it passes."""
+
+
+class FakeTime:
+    """A clock with a sleep, both moved on by `advance` only."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        self.sleepers: list[tuple[float, asyncio.Future]] = []
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return 1_700_000_000.0 + self.now
+
+    async def sleep(self, seconds: float) -> None:
+        waiting = asyncio.get_running_loop().create_future()
+        self.sleepers.append((self.now + seconds, waiting))
+        self.advance(0)
+        await waiting
+
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+        for due, waiting in self.sleepers:
+            if due <= self.now and not waiting.done():
+                waiting.set_result(None)
+        self.sleepers = [one for one in self.sleepers if not one[1].done()]
+
+
+async def eventually(condition: Callable[[], bool], time: FakeTime | None = None):
+    """Wait until the condition holds, moving the fake time on in small steps."""
+    async with asyncio.timeout(PATIENCE_S):
+        while not condition():
+            await asyncio.sleep(0.005)
+            if time is not None:
+                time.advance(0.05)
+
+
+@asynccontextmanager
+async def running_store(**options) -> AsyncIterator[tuple[RunningStore, EtcdStore]]:
+    """Serve a stand-in and connect to it."""
+    server = await serve_store(**options)
+    store = EtcdStore([f"127.0.0.1:{server.port}"], name="test", progress_s=0.2)
+    try:
+        yield server, store
+    finally:
+        await store.close()
+        await server.close()
+
+
+@asynccontextmanager
+async def running(*coroutines: Coroutine) -> AsyncIterator[list[asyncio.Task]]:
+    """Run coroutines in the background; one that failed fails the test."""
+    tasks = [asyncio.create_task(one) for one in coroutines]
+    try:
+        yield tasks
+    finally:
+        for task in tasks:
+            task.cancel()
+        for task in tasks:
+            with suppress(asyncio.CancelledError):
+                await task
+
+
+async def write(store: EtcdStore, key: str, value: bytes | None) -> int:
+    """Write a key whatever it holds and return the revision."""
+    return (await store.compare_and_put([], [Put(key, value)])).revision
+
+
+async def create(store: EtcdStore, key: str, value: bytes):
+    """Write a key that must be absent."""
+    return await store.compare_and_put([Compare(key, 0)], [Put(key, value)])
