--- a/tests/_store_support.py
+++ b/tests/_store_support.py
@@ -41,12 +41,19 @@
         self.sleepers = [one for one in self.sleepers if not one[1].done()]
 
 
-async def eventually(condition: Callable[[], bool], time: FakeTime | None = None):
-    """Wait until the condition holds, moving the fake time on in small steps."""
+async def eventually(
+    condition: Callable[[], bool], time: FakeTime | None = None, *, limit: float = 5.0
+) -> None:
+    """Wait until the condition holds.
+
+    The fake time moves on in small steps, by `limit` seconds in all: below the life
+    of a lease, no lease lapses only because the machine is busy.
+    """
+    end = time.now + limit if time else 0.0
     async with asyncio.timeout(PATIENCE_S):
         while not condition():
             await asyncio.sleep(0.005)
-            if time is not None:
+            if time is not None and time.now < end:
                 time.advance(0.05)
 
 
--- /dev/null
+++ b/tests/test_contracts_store.py
@@ -0,0 +1,172 @@
+"""Tests of contract changes and their audit trail."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import pytest
+from _store_support import FakeTime, eventually, running, running_store
+
+from celeryjunction import contracts_store
+from celeryjunction.contracts_store import (
+    Accepted,
+    Conflict,
+    ContractStore,
+    NotApplied,
+    Rejected,
+    Unknown,
+    diff,
+    in_force,
+)
+from celeryjunction.membership import VmRecord
+
+
+def contracts(store, time: FakeTime | None = None) -> ContractStore:
+    return ContractStore(
+        store,
+        clock=time or FakeTime(),
+        validate=lambda text: ["it is bad"] if "bad" in text else [],
+        random=Random(1),
+        sleep=time.sleep if time else asyncio.sleep,
+    )
+
+
+def change(one: ContractStore, text: str, base: int, change_id: str, **options):
+    options = {"author": "mei", "reason": "test"} | options
+    return one.set("co-op", text, base_revision=base, change_id=change_id, **options)
+
+
+class TestSet:
+    async def test_contract_and_audit_entry_come_together(self) -> None:
+        async with running_store() as (_, store):
+            one = contracts(store)
+            first = await change(one, "one", 0, "c1")
+            shed = '{shed_orders: [{signed_by: "director"}]}'
+            second = await change(one, shed, first.revision, "c2", author="ana")
+            current = await one.get("co-op")
+            assert (current.text, current.revision) == (shed, second.revision)
+            newest = (await one.audit())[-1]
+            entry = newest.entry
+            assert newest.revision == second.revision
+            assert (entry.before, entry.after) == ("one", shed)
+            assert (entry.author, entry.change_id) == ("ana", "c2")
+            assert entry.base_revision == first.revision
+            assert entry.shed_signers == ("director",)
+            assert [v.text for v in await one.history("co-op")] == ["one", shed]
+
+    async def test_of_two_operators_one_wins(self) -> None:
+        # Guards against a change that silently overwrites another.
+        async with running_store() as (_, store):
+            base = (await change(contracts(store), "base", 0, "c0")).revision
+            outcomes = await asyncio.gather(
+                *(
+                    change(contracts(store), f"by {n}", base, f"c{n}")
+                    for n in range(1, 6)
+                )
+            )
+            winners = [one for one in outcomes if isinstance(one, Accepted)]
+            losers = [one for one in outcomes if isinstance(one, Conflict)]
+            assert (len(winners), len(losers)) == (1, 4)
+            current = await contracts(store).get("co-op")
+            assert current.revision == winners[0].revision
+            assert losers[0].current == current
+            assert f"-{current.text}" in losers[0].diff
+            assert len(await contracts(store).audit("co-op")) == 2
+
+    async def test_problems_are_rejected_before_anything_is_sent(self) -> None:
+        async with running_store() as (_, store):
+            one = contracts(store)
+            assert await change(one, "bad", 0, "c") == Rejected(("it is bad",))
+            assert isinstance(await change(one, "x", 0, "c", reason=" "), Rejected)
+            assert store.total_calls == 0
+            large = await change(one, "x" * 2**20, 0, "c")
+            assert isinstance(large, Rejected) and await one.get("co-op") is None
+
+    async def test_the_trail_is_bounded(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        # Guards against an audit trail that grows without end.
+        monkeypatch.setattr(contracts_store, "MAX_AUDIT_ENTRIES", 3)
+        async with running_store() as (_, store):
+            one, base = contracts(store), 0
+            for number in range(6):
+                base = (await change(one, str(number), base, f"c{number}")).revision
+            assert [r.entry.after for r in await one.audit("co-op")] == ["3", "4", "5"]
+
+
+class TestLostAnswers:
+    @pytest.mark.parametrize("mode", ["unavailable", "hang"])
+    async def test_a_change_that_took_effect_is_accepted(self, mode: str) -> None:
+        # Guards against "conflict" or a second change for a change that is in force.
+        async with running_store() as (server, store):
+            server.lose_answers(1, mode=mode)
+            outcome = await change(contracts(store), "one", 0, "c1")
+            current = await contracts(store).get("co-op")
+            assert outcome == Accepted(current.revision)
+            assert len(await contracts(store).audit("co-op")) == 1
+
+    async def test_accepted_although_another_change_followed(self) -> None:
+        # Guards against an accepted change reported as a conflict: only the trail
+        # still shows it.
+        async with running_store() as (server, store):
+            time = FakeTime()
+            server.lose_answers(1)
+            async with running(change(contracts(store, time), "one", 0, "c1")) as tasks:
+                await eventually(lambda: time.sleepers != [])
+                base = (await contracts(store).get("co-op")).revision
+                await change(contracts(store), "two", base, "c2")
+                await eventually(tasks[0].done, time, limit=30)
+            assert tasks[0].result() == Accepted(base)
+            assert (await contracts(store).get("co-op")).text == "two"
+
+    async def test_a_change_that_takes_effect_late_is_applied_once(self) -> None:
+        # Guards against the repeated and the delayed change both taking effect.
+        async with running_store() as (server, store):
+            time = FakeTime()
+            server.delay_changes(1)
+            async with running(change(contracts(store, time), "one", 0, "c1")) as tasks:
+                await eventually(lambda: time.sleepers != [])
+                await eventually(tasks[0].done, time, limit=30)
+            assert isinstance(tasks[0].result(), Accepted)
+            server.release_changes()
+            assert len(await contracts(store).audit("co-op")) == 1
+
+    async def test_unknown_when_even_reading_back_failed(self) -> None:
+        async with running_store() as (server, store):
+            time = FakeTime()
+            server.lose_answers(1)
+            async with running(change(contracts(store, time), "one", 0, "c1")) as tasks:
+                await eventually(lambda: time.sleepers != [])
+                server.outage()
+                await eventually(tasks[0].done, time, limit=30)
+            assert isinstance(tasks[0].result(), Unknown)
+            server.heal()
+            # Setting again by the same id answers for the first time.
+            again = await change(contracts(store), "one", 0, "c1")
+            assert again == Accepted((await contracts(store).get("co-op")).revision)
+
+    async def test_nothing_is_sent_during_an_outage(self) -> None:
+        # Guards against "unknown" for a change that provably was not made.
+        async with running_store() as (server, store):
+            time = FakeTime()
+            server.outage()
+            async with running(change(contracts(store, time), "one", 0, "c1")) as tasks:
+                await eventually(tasks[0].done, time, limit=30)
+            assert isinstance(tasks[0].result(), NotApplied)
+            assert "Txn" not in server.state()["calls"]
+
+    async def test_an_id_of_another_change_is_rejected(self) -> None:
+        # Guards against "accepted" for a text that was never stored.
+        async with running_store() as (_, store):
+            await change(contracts(store), "one", 0, "c1")
+            outcome = await change(contracts(store), "two", 0, "c1")
+            assert isinstance(outcome, Rejected)
+
+
+class TestReports:
+    def test_in_force_names_the_vms_that_lag(self) -> None:
+        vms = [VmRecord(n, "a", "", "", "", 1, 0.0, r) for n, r in (("x", 4), ("y", 5))]
+        assert in_force(5, vms) == ["x"]
+
+    def test_diff_of_equal_texts_is_empty(self) -> None:
+        assert diff("a", "a") == ""
+        assert "+b" in diff("a", "b").splitlines()
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,197 @@
+"""Tests of following the key-value service."""
+
+from __future__ import annotations
+
+from random import Random
+
+import msgspec
+import pytest
+from _store_support import FakeTime, eventually, running, running_store, write
+
+from celeryjunction.contracts_store import ContractEnvelope
+from celeryjunction.directory import PrefixFollower, StaticDirectory, StoreDirectory
+from celeryjunction.ports import (
+    EndpointRecord,
+    GroupRecord,
+    KeyValueList,
+    StoreUnavailable,
+    WatchEvent,
+)
+
+
+def group(term: int, *, name: str = "orders", primary: str = "e1") -> GroupRecord:
+    endpoint = EndpointRecord(name=primary, host="127.0.0.1", port=1, zone="a")
+    return GroupRecord(name=name, term=term, primary=primary, endpoints=(endpoint,))
+
+
+def contract(change_id: str, text: str) -> bytes:
+    return msgspec.json.encode(ContractEnvelope(change_id, "mei", "test", 0.0, text))
+
+
+def follower(store, time: FakeTime, seen: list[WatchEvent]) -> PrefixFollower:
+    one = PrefixFollower(store, "/p/", clock=time, random=Random(1), sleep=time.sleep)
+    one.subscribe(seen.append)
+    return one
+
+
+class TestPrefixFollower:
+    async def test_resumes_without_missing_or_repeating_a_change(self) -> None:
+        # Guards against changes lost between a broken watch and the next one.
+        time, seen = FakeTime(), []
+        async with running_store() as (server, store):
+            one = follower(store, time, seen)
+            await write(store, "/p/a", b"0")
+            async with running(one.run()):
+                await one.synced.wait()
+                for number in range(1, 6):
+                    await eventually(lambda: server.state()["watches"] == 1, time)
+                    await write(store, "/p/a", b"%d" % number)
+                    server.outage()
+                    await eventually(lambda: server.state()["watches"] == 0)
+                    server.heal()
+                    await write(store, "/p/b", b"%d" % number)
+                await eventually(lambda: len(seen) >= 11, time)
+            revisions = [event.revision for event in seen]
+            assert revisions == sorted(set(revisions)) and len(seen) == 11
+            # The prefix was listed once; each break cost only a new watch.
+            assert store.calls["Range"] == 1
+
+    async def test_lists_again_when_the_changes_are_gone(self) -> None:
+        # Guards against a follower stuck behind a compaction, or missing a deletion.
+        time, seen = FakeTime(), []
+        async with running_store() as (server, store):
+            one = follower(store, time, seen)
+            await write(store, "/p/gone", b"")
+            await write(store, "/p/kept", b"")
+            async with running(one.run()):
+                await eventually(lambda: server.state()["watches"] == 1)
+                server.outage()
+                await eventually(lambda: server.state()["watches"] == 0)
+                server.heal()
+                await write(store, "/p/gone", None)
+                await write(store, "/p/new", b"")
+                server.compact()
+                await eventually(lambda: len(seen) == 4, time)
+            assert set(one.items) == {"/p/kept", "/p/new"}
+            assert seen[3].key == "/p/gone" and seen[3].value is None
+
+    async def test_keeps_the_last_known_keys_during_an_outage(self) -> None:
+        time, seen = FakeTime(), []
+        async with running_store() as (server, store):
+            one = follower(store, time, seen)
+            await write(store, "/p/a", b"1")
+            async with running(one.run()):
+                await one.synced.wait()
+                server.outage()
+                await eventually(lambda: one.age_s > 30, time, limit=60)
+                assert one.items["/p/a"].value == b"1" and len(seen) == 1
+                server.heal()
+                await eventually(lambda: one.age_s < 1, time)
+
+    async def test_a_service_that_went_back_is_not_believed(self) -> None:
+        # Guards against contracts reverting when the service is restored from an
+        # old copy.
+        seen = []
+        one = follower(None, FakeTime(), seen)
+        one._revision = 9
+        one._apply(WatchEvent("/p/a", b"new", 9))
+
+        class OldStore:
+            async def list(self, prefix: str, *, timeout: float) -> KeyValueList:
+                return KeyValueList((), 5)
+
+        one._store = OldStore()
+        with pytest.raises(StoreUnavailable):
+            await one._relist()
+        one._apply(WatchEvent("/p/a", b"old", 8))
+        assert one.items["/p/a"].value == b"new" and len(seen) == 1
+
+
+class TestStoreDirectory:
+    async def test_groups_and_contracts_are_followed(self) -> None:
+        time, removed = FakeTime(), []
+        async with running_store() as (_, store):
+            await write(store, "/groups/orders", msgspec.json.encode(group(1)))
+            await write(store, "/contracts/co-op", contract("c1", "one"))
+            directory = StoreDirectory(
+                store, clock=time, random=Random(1), sleep=time.sleep
+            )
+            directory.on_group(lambda name, record: removed.append((name, record)))
+            async with running(directory.run()):
+                await directory.synced()
+                assert directory.group("orders").term == 1
+                revision = await write(store, "/contracts/co-op", contract("c2", "two"))
+                await eventually(lambda: directory.applied_revision == revision)
+                assert directory.contract("co-op").text == "two"
+                await write(store, "/groups/orders", None)
+                await eventually(lambda: directory.group("orders") is None)
+            assert removed == [("orders", group(1)), ("orders", None)]
+
+    def directory(self) -> StoreDirectory:
+        return StoreDirectory(
+            None,
+            clock=FakeTime(),
+            random=Random(1),
+            check_contract=lambda text: ["bad"] if text == "bad" else [],
+        )
+
+    def test_a_group_never_goes_back_to_an_older_term(self) -> None:
+        directory = self.directory()
+        records = [group(3), group(2), group(3, primary="e2"), None, group(1)]
+        for revision, record in enumerate(records, 1):
+            value = msgspec.json.encode(record) if record else None
+            directory._group_changed(WatchEvent("/groups/orders", value, revision))
+            if revision == 3:
+                assert directory.group("orders") == group(3, primary="e2")
+        assert directory.group("orders") is None
+
+    @pytest.mark.parametrize(
+        "value", [b"{", b"\xff", msgspec.json.encode(group(9, name="other"))]
+    )
+    def test_the_last_good_group_record_stays(self, value: bytes) -> None:
+        # Guards against one unreadable record making a database unreachable.
+        directory = self.directory()
+        good = msgspec.json.encode(group(3))
+        directory._group_changed(WatchEvent("/groups/orders", good, 1))
+        directory._group_changed(WatchEvent("/groups/orders", value, 2))
+        assert directory.group("orders") == group(3)
+
+    @pytest.mark.parametrize("value", [b"{", contract("c2", "bad"), None])
+    def test_the_last_good_contract_stays(self, value: bytes | None) -> None:
+        # Guards against a customer refused because of a bad or missing record.
+        directory = self.directory()
+        event = WatchEvent("/contracts/co-op", contract("c1", "good"), 5)
+        directory._contract_changed(event)
+        directory._contract_changed(WatchEvent("/contracts/co-op", value, 7))
+        assert directory.contract("co-op").text == "good"
+
+    def test_an_ignored_contract_is_not_reported_as_in_force(self) -> None:
+        directory = self.directory()
+        for customer, text, revision in (("a", "bad", 7), ("b", "good", 9)):
+            event = WatchEvent(f"/contracts/{customer}", contract("c", text), revision)
+            directory._contract_changed(event)
+        assert directory.applied_revision == 6
+        event = WatchEvent("/contracts/a", contract("d", "good"), 10)
+        directory._contract_changed(event)
+        assert directory.applied_revision == 10
+
+    async def test_read_now_proves_nothing_with_an_old_or_missing_record(self) -> None:
+        # Guards against a write acknowledged on the strength of a stale record.
+        async with running_store() as (_, store):
+            directory = StoreDirectory(store, clock=FakeTime(), random=Random(1))
+            with pytest.raises(StoreUnavailable):
+                await directory.read_now("orders", timeout=5)
+            await write(store, "/groups/orders", msgspec.json.encode(group(4)))
+            assert (await directory.read_now("orders", timeout=5)).term == 4
+            await write(store, "/groups/orders", msgspec.json.encode(group(3)))
+            with pytest.raises(StoreUnavailable):
+                await directory.read_now("orders", timeout=5)
+
+
+class TestStaticDirectory:
+    async def test_settings_are_no_proof(self) -> None:
+        # Guards against a write acknowledged on the strength of settings.
+        directory = StaticDirectory([group(1)])
+        assert directory.group("orders") == group(1)
+        with pytest.raises(StoreUnavailable):
+            await directory.read_now("orders", timeout=1)
--- a/tests/test_kv.py
+++ b/tests/test_kv.py
@@ -7,6 +7,7 @@
 from aetcd import rpc
 from aiohttp import ClientSession
 
+from celeryjunction.adapters.etcd import EtcdStore
 from celeryjunction.ports import Compare, Put, StoreUnavailable
 from celeryjunction.standin._versions import RequestError, VersionedKeys
 
@@ -93,3 +94,14 @@
             assert await store.get("/k") is None
             assert server.release_changes() == 1
             assert (await store.get("/k")).value == b"1"
+
+    async def test_a_blocked_zone_is_cut_off_alone(self) -> None:
+        async with running_store() as (server, store):
+            far = EtcdStore([f"127.0.0.1:{server.port}"], zone="b")
+            server.block("b")
+            with pytest.raises(StoreUnavailable):
+                await far.get("/k", timeout=0.2)
+            assert await store.get("/k") is None
+            server.heal()
+            assert await far.get("/k") is None
+            await far.close()
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,176 @@
+"""Tests of the VM's announcement and of its list of peers."""
+
+from __future__ import annotations
+
+from random import Random
+
+import msgspec
+from _store_support import FakeTime, eventually, running, running_store, write
+
+from celeryjunction.adapters.etcd import EtcdStore
+from celeryjunction.membership import Membership, VmRecord, list_vms
+from celeryjunction.ports import WatchEvent
+from celeryjunction.standin.kv import RunningStore
+
+
+def record(name: str = "vm1", *, incarnation: int = 1) -> VmRecord:
+    return VmRecord(name, "a", "p", "s", "t", incarnation, 0.0)
+
+
+def member(store, time: FakeTime, vm: VmRecord, *, seed: int = 1) -> Membership:
+    return Membership(store, vm, clock=time, random=Random(seed), sleep=time.sleep)
+
+
+def renewals_of(server: RunningStore) -> int:
+    return server.state()["calls"].get("LeaseKeepAlive", 0)
+
+
+class TimedStore(EtcdStore):
+    """Notes when leases are asked for."""
+
+    def __init__(self, time: FakeTime, port: int) -> None:
+        super().__init__([f"127.0.0.1:{port}"])
+        self.time = time
+        self.asked_at: list[float] = []
+
+    async def grant_lease(self, ttl: int, **options: float) -> int:
+        self.asked_at.append(self.time.now)
+        return await super().grant_lease(ttl, **options)
+
+
+class TestAnnouncing:
+    async def test_announces_renews_and_leaves(self) -> None:
+        time = FakeTime()
+        async with running_store(clock=time) as (server, store):
+            one = member(store, time, record())
+            async with running(one.run()):
+                await one.announced.wait()
+                started = time.now
+                for number in range(1, 6):
+                    await eventually(
+                        lambda n=number: renewals_of(server) == n, time, limit=4.0
+                    )
+                assert await list_vms(store) == (record(),)
+            # Each renewal is due 2.7 to 3.3 s after the one before.
+            assert 5 * 2.6 < time.now - started < 5 * 4.0
+            calls = server.state()["calls"]
+            assert (calls["LeaseGrant"], calls["Txn"]) == (1, 1)
+            await one.leave()
+            assert await list_vms(store) == ()
+
+    async def test_a_paused_holder_comes_back_after_its_lapse(self) -> None:
+        # Guards against a VM that goes on under a lease that has lapsed.
+        time = FakeTime()
+        async with running_store(clock=time) as (server, store):
+            one = member(store, time, record())
+            async with running(one.run()):
+                await one.announced.wait()
+                time.advance(30)
+                server.expire_leases()
+                assert server.state()["keys"] == 0
+                # The pause before asking again is at most 3 s.
+                await eventually(lambda: server.state()["keys"] == 1, time, limit=3.3)
+            assert server.state()["calls"]["LeaseGrant"] == 2
+
+    async def test_many_vms_come_back_spread_out(self) -> None:
+        # Guards against all VMs asking for a lease at once after an outage.
+        time = FakeTime()
+        async with running_store(clock=time) as (server, _):
+            store = TimedStore(time, server.port)
+            members = [member(store, time, record(f"vm{n}"), seed=n) for n in range(8)]
+            async with running(*(one.run() for one in members)):
+                for one in members:
+                    await one.announced.wait()
+                store.asked_at.clear()
+                server.outage()
+                time.advance(30)
+                server.expire_leases()
+                server.heal()
+                await eventually(lambda: server.state()["keys"] == 8, time, limit=8)
+            await store.close()
+            assert len(store.asked_at) == 8
+            assert max(store.asked_at) - min(store.asked_at) > 0.5
+
+    async def test_updates_are_batched(self) -> None:
+        # Guards against one write to the service for each contract change.
+        time = FakeTime()
+        async with running_store(clock=time) as (server, store):
+            one = member(store, time, record())
+            async with running(one.run()):
+                await one.announced.wait()
+                for revision in range(100, 150):
+                    one.update(applied_revision=revision)
+                one.update(applied_revision=7, leaving=True)
+                await eventually(lambda: server.state()["calls"]["Txn"] == 2, time)
+            stored = (await list_vms(store))[0]
+            assert (stored.applied_revision, stored.leaving) == (149, True)
+
+    async def test_a_lost_answer_to_the_announcement_is_repaired(self) -> None:
+        time = FakeTime()
+        async with running_store(clock=time) as (server, store):
+            one = member(store, time, record())
+            server.lose_answers(2)
+            async with running(one.run()):
+                await eventually(one.announced.is_set, time)
+            assert await list_vms(store) == (record(),)
+
+    async def test_the_newer_incarnation_wins(self) -> None:
+        # Guards against two processes of one VM taking turns at its record.
+        time = FakeTime()
+        async with running_store(clock=time) as (_, store):
+            old = member(store, time, record(incarnation=1))
+            new = member(store, time, record(incarnation=2), seed=2)
+            async with running(old._announce(), old.follower.run()) as tasks:
+                await old.announced.wait()
+                async with running(new.run()):
+                    await eventually(new.announced.is_set, time)
+                    # Announcing ends, so that a later update is not put either.
+                    await eventually(tasks[0].done, time)
+                    assert old.superseded.is_set()
+                    assert await list_vms(store) == (record(incarnation=2),)
+            assert not new.superseded.is_set()
+
+    async def test_an_older_incarnation_does_not_start(self) -> None:
+        time = FakeTime()
+        async with running_store(clock=time) as (_, store):
+            newer = record(incarnation=2)
+            await write(store, "/vms/vm1", msgspec.json.encode(newer))
+            old = member(store, time, record(incarnation=1))
+            async with running(old.run()):
+                await eventually(old.superseded.is_set, time)
+            assert await list_vms(store) == (newer,)
+
+
+class TestPeers:
+    def peer_event(self, vm: VmRecord | None, revision: int) -> WatchEvent:
+        value = msgspec.json.encode(vm) if vm else None
+        return WatchEvent("/vms/vm2", value, revision)
+
+    def test_a_vanished_peer_stays_while_it_is_heard(self) -> None:
+        # Guards against a healthy peer dropped because the service was out.
+        time = FakeTime()
+        one = member(None, time, record())
+        one._vm_changed(self.peer_event(record("vm2"), 1))
+        one.heard("vm2")
+        one._vm_changed(self.peer_event(None, 2))
+        time.advance(9)
+        assert set(one.peers()) == {"vm2"}
+        one.heard("vm2")
+        time.advance(9)
+        assert set(one.peers()) == {"vm2"}
+        time.advance(2)
+        assert one.peers() == {}
+
+    def test_a_vanished_peer_that_was_never_heard_goes(self) -> None:
+        one = member(None, FakeTime(), record())
+        one._vm_changed(self.peer_event(record("vm2"), 1))
+        one._vm_changed(self.peer_event(None, 2))
+        assert one.peers() == {}
+
+    def test_an_older_incarnation_of_a_peer_is_ignored(self) -> None:
+        one = member(None, FakeTime(), record())
+        for revision, incarnation in enumerate((5, 4), 1):
+            vm = record("vm2", incarnation=incarnation)
+            one._vm_changed(self.peer_event(vm, revision))
+        one._vm_changed(WatchEvent("/vms/vm2", b"{", 3))
+        assert one.peers()["vm2"].incarnation == 5
