--- a/src/celeryjunction/_concurrency.py
+++ b/src/celeryjunction/_concurrency.py
@@ -36,14 +36,17 @@
     - Three windows in a row below 1.1 times the baseline, with the limit reached and
       work waiting in nearly all of them: the limit grows by one.
     - Above the endpoint's stated `slots` the limit is a probe. An endpoint that really
-      has only `slots` answers ``limit / slots`` times slower in the mean, so half of that
-      increase of the mean ends the probe. (The quartile does not show a short queue
-      when service times are all alike: some statements still find a free slot.) The next one starts 10 s later, and twice as late each time, up
-      to 300 s.
+      has only `slots` answers ``limit / slots`` times slower in the mean, so half of
+      that increase of the mean ends the probe. (The quartile does not show a short
+      queue when service times are all alike: some statements still find a free slot.)
+      The next probe starts 10 s later, and twice as late each time, up to 300 s.
 
     The baseline moves by a tenth towards faster windows and by a twentieth towards
     slower ones below 1.25. It does not move during a probe, or probes would add up.
 
+    The rule compares with what it saw before: an endpoint that is overloaded by other
+    proxies from the first statement on looks like a slow endpoint.
+
     The limit stays between 1 and twice `slots`.
     """
 
--- a/src/celeryjunction/_fair_queue.py
+++ b/src/celeryjunction/_fair_queue.py
@@ -134,8 +134,10 @@
         "busy",
         "credit",
         "expected_s",
+        "flows",
         "held",
         "idle_since",
+        "index",
         "rank",
         "rate",
         "running",
@@ -146,6 +148,8 @@
 
     def __init__(self, rank: Rank) -> None:
         self.rank = rank
+        self.index = int(rank)
+        self.flows: dict[str, Flow] = {}
         self.backlog: dict[Flow, None] = {}
         self.busy = BusyMeter()
         self.active = 0
--- a/src/celeryjunction/admission.py
+++ b/src/celeryjunction/admission.py
@@ -82,6 +82,8 @@
 
 EXPECTED_WEIGHT = 0.1
 
+_URGENT, _INTERACTIVE, _BACKGROUND = Rank
+
 
 class Ticket:
     """A caller's request to send statements to an endpoint.
@@ -229,7 +231,6 @@
     __slots__ = (
         "_clock",
         "_connections",
-        "_flows",
         "_held",
         "_limit",
         "_long_running",
@@ -247,7 +248,6 @@
         self._connections = connections
         self._limit = ConcurrencyLimit(slots=slots)
         self._queues = tuple(RankQueue(rank) for rank in Rank)
-        self._flows: dict[tuple[str, Rank], Flow] = {}
         self._running = 0
         self._long_running = 0
         self._held = 0
@@ -333,7 +333,7 @@
         if left_s <= 0 or left_s < ticket.expected_s:
             raise ticket.deadline_error()
         flow = self._flow_of(ticket)
-        if ticket.rank is Rank.URGENT:
+        if ticket.rank is _URGENT:
             self._urgent_seen = now
         if not self._waiting and self._admits(ticket, flow.queue, now):
             flow.catch_up()
@@ -360,7 +360,7 @@
             flow.expected_s += EXPECTED_WEIGHT * (service_s - flow.expected_s)
             queue.expected_s += EXPECTED_WEIGHT * (service_s - queue.expected_s)
             self._limit.observe(
-                queue.rank,
+                queue.index,
                 service_s,
                 now=now,
                 running=running,
@@ -517,7 +517,7 @@
     def _connection_permits(self, queue: RankQueue) -> bool:
         if self._held >= self._connections:
             return False
-        if queue.rank is not Rank.BACKGROUND:
+        if queue.rank is not _BACKGROUND:
             return True
         return queue.held < max(1, self._connections - 1)
 
@@ -525,18 +525,18 @@
         self, queue: RankQueue, guaranteed: bool, now: float
     ) -> tuple[bool, bool]:
         """Tell whether the reserve lets short and long work of a rank run."""
-        if queue.rank is Rank.URGENT:
+        if queue.rank is _URGENT:
             return True, True
         base = min(self._limit.limit, self._slots)
         if base >= 2:
             if guaranteed:
                 may_run = self._long_running < base - 1
             else:
-                used = self._queues[Rank.URGENT].busy.read(now)
+                used = self._queues[0].busy.read(now)
                 reserved = min(base - 1, 1 + ceil(used - SPARE_SLOTS))
                 free = base - self._running
                 may_run = free >= 2 and self._long_running < base - reserved
-            return may_run or queue.rank is Rank.INTERACTIVE, may_run
+            return may_run or queue.rank is _INTERACTIVE, may_run
         if guaranteed:
             return True, queue.credit >= queue.expected_s
         return True, now - self._urgent_seen >= QUIET_S
@@ -548,7 +548,7 @@
         if not ticket.holds_connection and not self._connection_permits(queue):
             return False
         self._classify(ticket)
-        if queue.rank is Rank.URGENT:
+        if queue.rank is _URGENT:
             return True
         return self._reserve_permits(queue, False, now)[ticket._long]
 
@@ -558,13 +558,13 @@
         rank = ticket.rank
         long = (ticket.expected_s or ticket._flow.expected_s) > LONG_S
         ticket._long = long
-        ticket._reserved = rank is Rank.BACKGROUND or (long and rank is not Rank.URGENT)
+        ticket._reserved = rank is _BACKGROUND or (long and rank is not _URGENT)
 
     def _flow_of(self, ticket: Ticket) -> Flow:
-        key = (ticket.customer, ticket.rank)
-        flow = self._flows.get(key)
+        queue = self._queues[ticket.rank]
+        flow = queue.flows.get(ticket.customer)
         if flow is None:
-            flow = self._flows[key] = Flow(self._queues[ticket.rank], ticket.share)
+            flow = queue.flows[ticket.customer] = Flow(queue, ticket.share)
         elif flow.share != ticket.share and ticket.share > MIN_SHARE:
             self._set_share(flow, ticket.share)
         ticket._flow = flow
