--- a/src/celeryjunction/standin/_inference.py
+++ b/src/celeryjunction/standin/_inference.py
@@ -12,8 +12,19 @@
 
 from pg_mimic import ARRAY_OID, PgError
 from pg_mimic.arrays import ELEMENT_OID
-from pg_mimic.types import BOOL, DATE, FLOAT8, INT2, INT4, INT8, NUMERIC, TEXT
-from pg_mimic.types import TIMESTAMP, TIMESTAMPTZ, UUID
+from pg_mimic.types import (
+    BOOL,
+    DATE,
+    FLOAT8,
+    INT2,
+    INT4,
+    INT8,
+    NUMERIC,
+    TEXT,
+    TIMESTAMP,
+    TIMESTAMPTZ,
+    UUID,
+)
 from sqlglot import exp
 
 from celeryjunction.standin._types import VOID, oid_of
--- a/src/celeryjunction/standin/_plan.py
+++ b/src/celeryjunction/standin/_plan.py
@@ -9,8 +9,17 @@
 
 from pg_mimic import PgError, ResultColumn
 from pg_mimic.arrays import ELEMENT_OID
-from pg_mimic.types import BOOL, BYTEA, DATE, FLOAT4, FLOAT8, NUMERIC, TEXT
-from pg_mimic.types import TIMESTAMP, TIMESTAMPTZ
+from pg_mimic.types import (
+    BOOL,
+    BYTEA,
+    DATE,
+    FLOAT4,
+    FLOAT8,
+    NUMERIC,
+    TEXT,
+    TIMESTAMP,
+    TIMESTAMPTZ,
+)
 from sqlglot import exp, parse
 from sqlglot.errors import SqlglotError
 
@@ -226,7 +235,9 @@
         wire = self._scope.parameters
         numbers = range(1, count + 1)
         self._plan.wire_oids = [wire.get(n) or TEXT for n in numbers]
-        self._plan.storage_oids = [stored.get(n) or wire.get(n) or TEXT for n in numbers]
+        self._plan.storage_oids = [
+            stored.get(n) or wire.get(n) or TEXT for n in numbers
+        ]
 
     def _result_columns(self) -> list[ResultColumn] | None:
         tree: exp.Expression | None = self._tree
@@ -263,6 +274,8 @@
                 inner = node.this if type(node) in (exp.Sum, exp.Avg) else node
                 changes.append((node, change, result_type(inner, scope) or 0))
         self._rewrite_literals()
+        if isinstance(tree, exp.Insert) and isinstance(tree.this, exp.Table):
+            self._name_columns(tree)
         for node in list(tree.find_all(exp.Lock)):
             node.parent.set("locks", None)
         for node, change, oid in reversed(changes):
@@ -281,6 +294,14 @@
         elif self._plan.is_ddl:
             _rewrite_ddl(tree)
 
+    def _name_columns(self, insert: exp.Insert) -> None:
+        """Name the first columns: SQLite refuses fewer values than columns."""
+        if not isinstance(insert.expression, exp.Query | exp.Values):
+            return
+        count = len(projections(insert.expression, self._scope))
+        names = [exp.to_identifier(name) for name in self._scope.target][:count]
+        insert.set("this", exp.Schema(this=insert.this.copy(), expressions=names))
+
     def _rewrite_literals(self) -> None:
         for node in list(self._tree.find_all(exp.Literal)):
             in_default = isinstance(node.parent, exp.DefaultColumnConstraint)
@@ -329,6 +350,12 @@
     return exp.Paren(this=exp.Collate(this=call, expression=exp.Var(this="cj_numeric")))
 
 
+def _change_negation(node: exp.Neg, oid: int) -> exp.Expression:
+    if oid != NUMERIC or isinstance(node.this, exp.Literal):
+        return node.copy()
+    return _call("cj_sub", exp.Literal.number(0), node.this.copy())
+
+
 def _change_sum(node: exp.Sum, oid: int) -> exp.Expression:
     return _call("cj_sum", node.this.copy()) if oid == NUMERIC else node.copy()
 
@@ -360,6 +387,7 @@
     exp.Mul: _change_arithmetic,
     exp.Div: _change_arithmetic,
     exp.Mod: _change_arithmetic,
+    exp.Neg: _change_negation,
     exp.Sum: _change_sum,
     exp.Avg: _change_avg,
     exp.Cast: _change_cast,
@@ -428,7 +456,9 @@
 def _rewrite_column(column: exp.ColumnDef) -> None:
     kind = column.args["kind"]
     kinds = [constraint.args["kind"] for constraint in column.constraints]
-    identity = [c for c in kinds if isinstance(c, exp.GeneratedAsIdentityColumnConstraint)]
+    identity = [
+        c for c in kinds if isinstance(c, exp.GeneratedAsIdentityColumnConstraint)
+    ]
     serial = kind.this in (exp.DataType.Type.SERIAL, exp.DataType.Type.BIGSERIAL)
     for constraint in identity:
         constraint.parent.pop()
@@ -444,5 +474,3 @@
 def _add_not_null(column: exp.ColumnDef) -> None:
     constraint = exp.ColumnConstraint(kind=exp.NotNullColumnConstraint())
     column.append("constraints", constraint)
-
-
--- a/src/celeryjunction/standin/control.py
+++ b/src/celeryjunction/standin/control.py
@@ -72,7 +72,9 @@
     ) -> Callable[[web.Request], Awaitable[web.Response]]:
         async def handle(request: web.Request) -> web.Response:
             try:
-                arguments = msgspec.json.decode(await request.read() or b"{}", type=dict)
+                arguments = msgspec.json.decode(
+                    await request.read() or b"{}", type=dict
+                )
             except msgspec.MsgspecError as error:
                 return _json({"error": str(error)}, status=400)
             return await _answer(method, arguments)
--- a/src/celeryjunction/standin/endpoint.py
+++ b/src/celeryjunction/standin/endpoint.py
@@ -145,7 +145,8 @@
     @property
     def frozen(self) -> bool:
         """True while the endpoint answers nothing."""
-        return self.faults.frozen_until > asyncio.get_running_loop().time()
+        until = self.faults.frozen_until
+        return until > 0.0 and until > asyncio.get_running_loop().time()
 
     @property
     def connected(self) -> bool:
@@ -187,9 +188,7 @@
             await _refuse(stream)
             return
         counters.connections += 1
-        counters.peak_connections = max(
-            counters.peak_connections, counters.connections
-        )
+        counters.peak_connections = max(counters.peak_connections, counters.connections)
         try:
             await asyncio.sleep(self.times.connect_delay)
             await self._run_connection(server, stream, startup, zone)
--- a/src/celeryjunction/standin/group.py
+++ b/src/celeryjunction/standin/group.py
@@ -251,7 +251,9 @@
         primaries = [e for e in self._connected() if e.is_primary]
         leader = max(primaries, key=lambda e: e.term, default=None)
         if leader is not None:
-            await self._follow(leader, [e for e in self._connected() if e is not leader])
+            await self._follow(
+                leader, [e for e in self._connected() if e is not leader]
+            )
         for endpoint in self.endpoints.values():
             self._replicate(endpoint)
 
@@ -330,7 +332,9 @@
             raise FaultRefused(f"endpoint {name} does not answer")
         self._term += 1
         self._primary = chosen
-        while not await self._publish_record():
+        while True:
+            if await self._publish_record():
+                break
             await asyncio.sleep(_REPUBLISH_PAUSE_S)
         self._require_up(chosen)
         self._start_term(chosen)
@@ -420,10 +424,13 @@
             await chosen.listen()
 
     async def freeze(self, endpoint: str, seconds: float) -> None:
-        """Let an endpoint answer nothing for some seconds; returns at once."""
+        """Let an endpoint answer nothing for some seconds; returns at once.
+
+        A later call replaces an earlier one, so that 0 seconds ends it.
+        """
         chosen = self._endpoint(endpoint)
         loop = asyncio.get_running_loop()
-        until = max(chosen.faults.frozen_until, loop.time() + seconds)
+        until = loop.time() + seconds
         chosen.faults.frozen_until = until
 
         def thaw() -> None:
--- a/src/celeryjunction/standin/sqlite_engine.py
+++ b/src/celeryjunction/standin/sqlite_engine.py
@@ -121,7 +121,6 @@
         # asyncpg reads and sets `jit` around its type queries.
         db.create_function("current_setting", 1, lambda name: "off")
         db.create_function("set_config", 3, lambda name, value, local: value)
-        db.create_function("version", 0, lambda: "PostgreSQL stand-in")
         db.create_aggregate("cj_sum", 1, _Sum)
         db.create_aggregate("cj_avg", 1, _Average)
 
