Make the block and slot tests of the stand-in stricter

Cause: a trial without the inbound half of block passed, and a status query that waits for a slot hung the test. Change: block a single-message statement, and bound the wait. Both faults now fail a test.

--- a/tests/test_standin_endpoint.py
+++ b/tests/test_standin_endpoint.py
@@ -253,10 +253,11 @@
         ]
         await eventually(lambda: group.state()["a"]["running"] == 3)
         client = await connect(group)
-        assert (await client.fetchrow(STATUS))["role"] == "primary"
-        await client.execute("BEGIN")
-        assert await client.fetchval("SELECT pg_current_xact_id()") > 0
-        await client.execute("COMMIT")
+        async with asyncio.timeout(20):
+            assert (await client.fetchrow(STATUS))["role"] == "primary"
+            await client.execute("BEGIN")
+            assert await client.fetchval("SELECT pg_current_xact_id()") > 0
+            await client.execute("COMMIT")
         waiting = asyncio.create_task(client.fetchval("SELECT 1"))
         tasks[0].cancel()
         assert await waiting == 1
--- a/tests/test_standin_group.py
+++ b/tests/test_standin_group.py
@@ -247,7 +247,9 @@
         near = await connect(group, "a", "celeryjunction/vm1/near")
         far = await connect(group, "a", "celeryjunction/vm2/far")
         await group.block("a", "far")
-        stalled = asyncio.create_task(insert(far, 1))
+        # One message, so that only holding it back keeps the statement from running.
+        statement = "INSERT INTO t (id) VALUES (1)"
+        stalled = asyncio.create_task(far.execute(statement))
         opening = asyncio.create_task(connect(group, "a", "celeryjunction/vm3/far"))
         for _ in range(20):
             assert await near.fetchval("SELECT count(*) FROM t") == 0
