Measure roaming sessions; count majorities only where promotions need them

Cause: the stand-in may publish a record late in majority mode, so the platform's record is no proof there; and the bench read the stand-in's state wrongly. Change: in majority mode only observations count, the record only for single promotions.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -209,7 +209,7 @@
 
     async def primary(self, database: str) -> str:
         """Return the name of the primary of the newest term."""
-        state = (await self.group_state(database))["endpoints"]
+        state = await self.group_state(database)
         primaries = [(s["term"], n) for n, s in state.items() if s["role"] == "primary"]
         return max(primaries)[1]
 
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from collections import Counter
 
 import asyncpg
 
@@ -94,11 +95,17 @@
         ops, pairs = await final_rows(direct)
         await direct.close()
         found = ledger.check_writes(ops)
-        replica = sum(share[0] for share in shares)
+        replica = sum(
+            share.get("replica_strict", 0) + share.get("replica_bounded", 0)
+            for share in shares
+        )
+        reads = sum(
+            share.get("strict", 0) + share.get("bounded", 0) for share in shares
+        )
         return {
             "reads": ledger.reads,
             "writes": len(ledger.acknowledged),
-            "replica_read_share": round(replica / max(sum(map(sum, shares)), 1), 3),
+            "replica_read_share": round(replica / max(reads, 1), 3),
             "stale_reads": ledger.stale_reads,
             "duplicate_writes": found["duplicates"],
             "lost_acknowledged_writes": found["lost_acknowledged"],
@@ -107,12 +114,9 @@
             "unknown": len(ledger.unknown),
         }
 
-    async def _reads(self, proxy: Proxy) -> tuple[int, int]:
+    async def _reads(self, proxy: Proxy) -> dict[str, int]:
         groups = (await self._cluster.status(proxy))["groups"].values()
-        return (
-            sum(group["replica_reads"] for group in groups),
-            sum(group["primary_reads"] for group in groups),
-        )
+        return dict(sum((Counter(group["reads"]) for group in groups), Counter()))
 
 
 async def run() -> None:
--- a/bench/failover.py
+++ b/bench/failover.py
@@ -11,6 +11,7 @@
 import asyncio
 import statistics
 import time
+from functools import partial
 
 import asyncpg
 
@@ -57,7 +58,7 @@
         connection = await self._cluster.connect(proxy, user=f"{customer}.lock")
         while self._running:
             op = ledger.new_op(name)
-            if await ledger.write(op, lambda: insert_op(connection, op, name)):
+            if await ledger.write(op, partial(insert_op, connection, op, name)):
                 now = time.monotonic()
                 self._acks[proxy.name].append(now)
                 self._ack_times[op] = now
--- a/src/celeryjunction/group.py
+++ b/src/celeryjunction/group.py
@@ -112,8 +112,7 @@
             "primary": proof.primary if proof else None,
             "proof_age_s": round(now - proof.proven_at, 3) if proof else None,
             "waiting": self.monitor.waiting,
-            "replica_reads": self.reader.replica_reads,
-            "primary_reads": self.reader.primary_reads,
+            "reads": self.reader.counts,
             "endpoints": {
                 name: self._endpoint_snapshot(handle)
                 for name, handle in self.handles.items()
--- a/src/celeryjunction/reads.py
+++ b/src/celeryjunction/reads.py
@@ -89,8 +89,14 @@
         self._clock = clock
         self._random = random
         self._refresh: asyncio.Task[None] | None = None
-        self.replica_reads = 0
-        self.primary_reads = 0
+        self._counts = dict.fromkeys(
+            ("replica_strict", "strict", "replica_bounded", "bounded"), 0
+        )
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Reads so far, strict and bounded, in all and at replicas."""
+        return dict(self._counts)
 
     async def read(self, work: Work, step: Step) -> QueryResult:
         """Run a read by itself; raises `ProxyError` or the endpoint's own error."""
@@ -156,12 +162,15 @@
                 self._failed(handle)
             raise
         self._balancer.observe(handle.name, self._clock.monotonic() - started, ok=True)
-        if target.primary:
-            self.primary_reads += 1
-        else:
-            self.replica_reads += 1
+        self._count(work, target)
         return checkout, results
 
+    def _count(self, work: Work, target: Target) -> None:
+        kind = "bounded" if work.staleness_s > 0 else "strict"
+        self._counts[kind] += 1
+        if not target.primary:
+            self._counts[f"replica_{kind}"] += 1
+
     async def _enter(self, handle: EndpointHandle, work: Work) -> Checkout:
         try:
             return await handle.enter(work)
--- a/src/celeryjunction/rounds.py
+++ b/src/celeryjunction/rounds.py
@@ -464,13 +464,13 @@
             (o.sent_at for o in self._observations.values() if o.status.term == term),
             reverse=True,
         )
-        # With promotions of a single endpoint a majority proves nothing.
-        needed = record.majority
-        if record.promotion == "single":
-            needed = len(record.endpoints)
+        if record.promotion != "single":
+            return times[record.majority - 1] if len(times) >= record.majority else None
+        # With promotions of a single endpoint a majority proves nothing: all of them
+        # must report the term, or the platform's record must still have it (A2).
         candidates = []
-        if len(times) >= needed:
-            candidates.append(times[needed - 1])
+        if len(times) == len(record.endpoints):
+            candidates.append(times[-1])
         if self._platform is not None and self._platform[0].term == term:
             candidates.append(self._platform[1])
         return max(candidates, default=None)
