Keep following and announcing when the service refuses a call

An invalid-argument answer or a key that is not UTF-8 ended the tasks that follow the service. Both now count as a failed attempt or are passed over. Tests wait with a bound, so that a fault fails them instead of hanging.

--- a/src/celeryjunction/adapters/etcd.py
+++ b/src/celeryjunction/adapters/etcd.py
@@ -332,7 +332,8 @@
             raise _translate(error) from error
         except (OSError, TimeoutError) as error:
             raise StoreUnavailable(str(error) or "timeout") from error
-        except aio.UsageError as error:
+        except (aio.BaseError, asyncio.InvalidStateError) as error:
+            # A closed channel, or a write on a stream that has just ended.
             raise StoreUnavailable(f"connection closed: {error}") from error
         except asyncio.CancelledError as error:
             # The library also raises this when the service or the closing of the
@@ -382,7 +383,7 @@
     for event in response.events:
         deleted = event.type == rpc.Event.DELETE
         yield WatchEvent(
-            event.kv.key.decode(),
+            _key(event.kv.key),
             None if deleted else event.kv.value,
             event.kv.mod_revision,
         )
@@ -391,7 +392,12 @@
 
 
 def _key_value(item: rpc.KeyValue) -> KeyValue:
-    return KeyValue(item.key.decode(), item.value, item.mod_revision)
+    return KeyValue(_key(item.key), item.value, item.mod_revision)
+
+
+def _key(key: bytes) -> str:
+    # A key that is not UTF-8 is none of ours, and must not end the reading of others.
+    return key.decode(errors="replace")
 
 
 def _compare(compare: Compare) -> rpc.Compare:
--- a/src/celeryjunction/directory.py
+++ b/src/celeryjunction/directory.py
@@ -26,6 +26,7 @@
     KeyValue,
     KeyValueList,
     KeyValueStore,
+    StoreRefused,
     StoreUnavailable,
     WatchCompacted,
     WatchEvent,
@@ -135,7 +136,7 @@
                     self._revision,
                     str(error),
                 )
-            except StoreUnavailable as error:
+            except (StoreUnavailable, StoreRefused) as error:
                 _log.warning(
                     "event=watch_broken prefix={} revision={} failures={} reason={!r}",
                     self._prefix,
--- a/src/celeryjunction/membership.py
+++ b/src/celeryjunction/membership.py
@@ -19,6 +19,7 @@
     KeyValueStore,
     LeaseLapsed,
     Put,
+    StoreRefused,
     StoreUnavailable,
     WatchEvent,
 )
@@ -248,7 +249,7 @@
                 self._failures = 0
             except LeaseLapsed:
                 await self._lapsed()
-            except StoreUnavailable as error:
+            except (StoreUnavailable, StoreRefused) as error:
                 _log.warning(
                     "event=announce_failed vm={} failures={} reason={!r}",
                     self._record.name,
@@ -288,7 +289,7 @@
                 [Put(key, msgspec.json.encode(record))],
                 lease=self._lease,
             )
-        except (StoreUnavailable, LeaseLapsed):
+        except (StoreUnavailable, StoreRefused, LeaseLapsed):
             self._dirty.set()
             raise
         current: KeyValue | None = result.current[0]
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 from random import Random
 
 import msgspec
 import pytest
-from _store_support import FakeTime, eventually, running, running_store, write
+from _store_support import (
+    PATIENCE_S,
+    FakeTime,
+    eventually,
+    running,
+    running_store,
+    write,
+)
 
 from celeryjunction.contracts_store import ContractEnvelope
 from celeryjunction.directory import PrefixFollower, StaticDirectory, StoreDirectory
@@ -42,7 +50,7 @@
             one = follower(store, time, seen)
             await write(store, "/p/a", b"0")
             async with running(one.run()):
-                await one.synced.wait()
+                await eventually(one.synced.is_set)
                 for number in range(1, 6):
                     await eventually(lambda: server.state()["watches"] == 1, time)
                     await write(store, "/p/a", b"%d" % number)
@@ -81,7 +89,7 @@
             one = follower(store, time, seen)
             await write(store, "/p/a", b"1")
             async with running(one.run()):
-                await one.synced.wait()
+                await eventually(one.synced.is_set)
                 server.outage()
                 await eventually(lambda: one.age_s > 30, time, limit=60)
                 assert one.items["/p/a"].value == b"1" and len(seen) == 1
@@ -118,7 +126,7 @@
             )
             directory.on_group(lambda name, record: removed.append((name, record)))
             async with running(directory.run()):
-                await directory.synced()
+                await asyncio.wait_for(directory.synced(), PATIENCE_S)
                 assert directory.group("orders").term == 1
                 revision = await write(store, "/contracts/co-op", contract("c2", "two"))
                 await eventually(lambda: directory.applied_revision == revision)
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -145,12 +145,17 @@
                         pass
             assert store.calls["Watch"] == 1
 
-    async def test_closing_breaks_a_watch_without_cancelling_its_task(self) -> None:
+    @pytest.mark.parametrize("side", ["service", "client"])
+    async def test_closing_breaks_a_watch_without_cancelling_its_task(
+        self, side: str
+    ) -> None:
         # Guards against a follower's task ending as if it had been cancelled.
         async with running_store() as (server, store):
             watch = store.watch("/w/", start_revision=1)
             await anext(watch)
-            await server.close()
+            waiting = asyncio.ensure_future(anext(watch))
+            await asyncio.sleep(0)
+            await (server if side == "service" else store).close()
             with pytest.raises(StoreUnavailable):
-                async for _ in watch:
-                    pass
+                async with asyncio.timeout(10):
+                    await waiting
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -44,7 +44,7 @@
         async with running_store(clock=time) as (server, store):
             one = member(store, time, record())
             async with running(one.run()):
-                await one.announced.wait()
+                await eventually(one.announced.is_set)
                 started = time.now
                 for number in range(1, 6):
                     await eventually(
@@ -64,7 +64,7 @@
         async with running_store(clock=time) as (server, store):
             one = member(store, time, record())
             async with running(one.run()):
-                await one.announced.wait()
+                await eventually(one.announced.is_set)
                 time.advance(30)
                 server.expire_leases()
                 assert server.state()["keys"] == 0
@@ -80,7 +80,7 @@
             members = [member(store, time, record(f"vm{n}"), seed=n) for n in range(8)]
             async with running(*(one.run() for one in members)):
                 for one in members:
-                    await one.announced.wait()
+                    await eventually(one.announced.is_set)
                 store.asked_at.clear()
                 server.outage()
                 time.advance(30)
@@ -97,7 +97,7 @@
         async with running_store(clock=time) as (server, store):
             one = member(store, time, record())
             async with running(one.run()):
-                await one.announced.wait()
+                await eventually(one.announced.is_set)
                 for revision in range(100, 150):
                     one.update(applied_revision=revision)
                 one.update(applied_revision=7, leaving=True)
@@ -121,7 +121,7 @@
             old = member(store, time, record(incarnation=1))
             new = member(store, time, record(incarnation=2), seed=2)
             async with running(old._announce(), old.follower.run()) as tasks:
-                await old.announced.wait()
+                await eventually(old.announced.is_set)
                 async with running(new.run()):
                     await eventually(new.announced.is_set, time)
                     # Announcing ends, so that a later update is not put either.
