--- a/src/celeryjunction/_concurrency.py
+++ b/src/celeryjunction/_concurrency.py
@@ -16,10 +16,31 @@
 CONFIRM = 3
 """Windows in a row that must agree before the limit moves."""
 
+LEARNING = 5
+"""Windows that make the first baseline. The quartile of one window of exponential
+service times is off by 15 to 30%, and a low baseline would hold the limit down."""
+
 FIRST_PROBE_S = 10.0
 LONGEST_PROBE_S = 300.0
 
 
+class _Baseline:
+    """Usual service times of one kind of statement, in seconds."""
+
+    __slots__ = ("low", "mean", "windows")
+
+    def __init__(self) -> None:
+        self.low = 0.0
+        self.mean = 0.0
+        self.windows = 0
+
+    def follow(self, low: float, mean: float, weight: float) -> None:
+        """Move towards a window's lower quartile and mean."""
+        self.low += weight * (low - self.low)
+        self.mean += weight * (mean - self.mean)
+        self.windows += 1
+
+
 class ConcurrencyLimit:
     """Limit that follows the service times an endpoint shows.
 
@@ -41,11 +62,10 @@
       queue when service times are all alike: some statements still find a free slot.)
       The next probe starts 10 s later, and twice as late each time, up to 300 s.
 
-    The baseline moves by a tenth towards faster windows and by a twentieth towards
-    slower ones below 1.25. It does not move during a probe, or probes would add up.
-
-    The rule compares with what it saw before: an endpoint that is overloaded by other
-    proxies from the first statement on looks like a slow endpoint.
+    The baseline is the mean of the first 5 windows, in which the limit does not move.
+    After that it moves by a tenth towards faster windows, and by a twentieth towards
+    slower ones that are not surely slow, so that a baseline that was low by chance is
+    forgotten. It does not move during a probe, or probes would add up.
 
     The limit stays between 1 and twice `slots`.
     """
@@ -71,7 +91,7 @@
             raise ValueError("slots must be at least 1")
         self._slots = slots
         self._limit = slots
-        self._baselines: dict[int, tuple[float, float]] = {}
+        self._baselines: dict[int, _Baseline] = {}
         self._before: tuple[int, float] | None = None
         self._probe_delay = FIRST_PROBE_S
         self._next_probe = 0.0
@@ -133,21 +153,21 @@
         count = len(samples)
         low = samples[count // 4]
         mean = sum(samples) / count
-        usual, usual_mean = self._baselines.setdefault(kind, (low, mean))
-        ratio = low / usual if usual > 0 else 1.0
+        usual = self._baselines.setdefault(kind, _Baseline())
+        if usual.windows < LEARNING:
+            usual.follow(low, mean, 1 / (usual.windows + 1))
+            return
+        ratio = low / usual.low if usual.low > 0 else 1.0
         over = self._limit - self._slots
         if over > 0:
-            slow = mean > usual_mean * min(SLOWER, 1 + 0.5 * over / self._slots)
+            slow = mean > usual.mean * min(SLOWER, 1 + 0.5 * over / self._slots)
         else:
             surely = samples[int(count / 4 - sqrt(count * 3 / 16))]
-            slow = in_use and surely > SLOWER * usual
+            slow = in_use and surely > SLOWER * usual.low
         self._slow = self._slow + 1 if slow else 0
         self._steady = self._steady + 1 if ratio < STEADY and saturated else 0
-        if ratio <= SLOWER and over <= 0:
-            weight = 0.1 if ratio < 1 else 0.05
-            usual += weight * (low - usual)
-            usual_mean += weight * (mean - usual_mean)
-            self._baselines[kind] = (usual, usual_mean)
+        if not slow and over <= 0:
+            usual.follow(low, mean, 0.1 if ratio < 1 else 0.05)
         if self._slow >= CONFIRM:
             self._slow = 0
             self._decrease(kind, low, mean, now)
@@ -163,7 +183,7 @@
         elif self._before is not None and low > 0.9 * self._before[1]:
             self._limit = self._before[0]
             self._before = None
-            self._baselines = {kind: (low, mean)}
+            self._baselines[kind].follow(low, mean, 1.0)
         else:
             self._before = (self._limit, low)
             self._limit = max(1, int(self._limit * 0.8))
--- a/src/celeryjunction/admission.py
+++ b/src/celeryjunction/admission.py
@@ -619,7 +619,11 @@
         return flow.queue.charge(amount_s, guaranteed)
 
     def _correct(self, ticket: Ticket, service_s: float) -> None:
-        """Replace the charge of the expected service time by the measured one."""
+        """Replace the charge of the expected service time by the measured one.
+
+        The credit gets back no more than was taken from it: the use of left-over time
+        may have cost it less than the expected time.
+        """
         flow = ticket._flow
         extra_s = service_s - ticket._charged_s
         if extra_s >= 0:
