--- a/src/celeryjunction/adapters/_pg_stream.py
+++ b/src/celeryjunction/adapters/_pg_stream.py
@@ -292,9 +292,10 @@
 
     async def close(self) -> None:
         """Flush and close the socket, at the latest after `LINGER_S`."""
-        self.flush()
-        self._closed = True
+        if not self._closed:
+            self.flush()
+            self._closed = True
+            if self._transport.get_write_buffer_size():
+                loop = asyncio.get_running_loop()
+                loop.call_later(LINGER_S, self._transport.abort)
         self._transport.close()
-        if self._transport.get_write_buffer_size():
-            loop = asyncio.get_running_loop()
-            loop.call_later(LINGER_S, self._transport.abort)
--- a/src/celeryjunction/adapters/pg_server.py
+++ b/src/celeryjunction/adapters/pg_server.py
@@ -244,6 +244,8 @@
         self.stream.write(pg.make_error(fields, severity="FATAL"))
 
     async def _clean_up(self) -> None:
+        # From here on a shutdown must not interrupt the closing of the session.
+        self._ending = True
         session, self.session = self.session, None
         try:
             await self.stream.close()
@@ -382,6 +384,8 @@
         self._failed = True
         self._undescribed = None
         self.stream.write(pg.make_error(_error_fields(error), severity="ERROR"))
+        # A Flush that follows is skipped, and the client may wait for this answer.
+        self.stream.flush()
 
     # Transactions around several statements.
 
