--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,72 @@
+"""Tests of histograms and counters."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hdrh.histogram import HdrHistogram
+
+from celeryjunction.contract import Rank
+from celeryjunction.metrics import MAX_LATENCY_US, Metrics
+
+
+def record(metrics: Metrics, seconds: float, **changes: str) -> None:
+    labels = {"customer": "coop", "endpoint": "e1", **changes}
+    metrics.record_latency(rank=Rank.URGENT, seconds=seconds, **labels)
+
+
+class TestLatency:
+    def test_counts_land_where_the_histogram_puts_them(self) -> None:
+        # `record` computes the index itself; guards against another layout.
+        random.seed(1)
+        values = [*range(1, 2000), *(1 << n for n in range(31)), MAX_LATENCY_US]
+        values += [int(10 ** random.uniform(0, 9.5)) for _ in range(5000)]
+        reference = HdrHistogram(1, MAX_LATENCY_US, 2)
+        metrics = Metrics()
+        for value in values:
+            reference.record_value(value)
+            record(metrics, (value + 0.5) / 1e6)
+        (row,) = metrics.snapshot()["latency"]
+        (kept,) = metrics._latencies[Rank.URGENT].values()
+        assert list(kept._counts) == list(reference.counts)
+        assert (row["count"], row["rank"]) == (len(values), "urgent")
+        assert row["p50_us"] == pytest.approx(
+            sorted(values)[len(values) // 2], rel=0.01
+        )
+        assert row["p99_us"] == reference.get_value_at_percentile(99)
+        assert row["p999_us"] <= row["max_us"] == MAX_LATENCY_US
+
+    def test_values_out_of_range(self) -> None:
+        # Guards against lost or failing records of odd clock readings.
+        metrics = Metrics()
+        for seconds in (0.0, -1.0, 1e9):
+            record(metrics, seconds)
+        (row,) = metrics.snapshot()["latency"]
+        assert (row["count"], row["max_us"]) == (3, MAX_LATENCY_US)
+
+    def test_label_sets_are_bounded(self) -> None:
+        # Guards against memory that grows with the number of customers.
+        metrics = Metrics(max_latency_sets=2)
+        for number in range(10):
+            record(metrics, 0.001, customer=f"c{number}")
+        rows = metrics.snapshot()["latency"]
+        counts = {row["customer"]: row["count"] for row in rows}
+        assert counts == {"c0": 1, "c1": 1, "other": 8}
+
+
+class TestCounters:
+    def test_labels_in_any_order_are_one_counter_and_sets_are_bounded(self) -> None:
+        metrics = Metrics(max_counters=1)
+        metrics.count("shed", customer="coop", rank="urgent")
+        metrics.count("shed", 2, rank="urgent", customer="coop")
+        for number in range(5):
+            metrics.count("login", customer=f"c{number}")
+        assert metrics.snapshot()["counters"] == [
+            {"name": "login", "labels": {"customer": "other"}, "value": 5},
+            {
+                "name": "shed",
+                "labels": {"customer": "coop", "rank": "urgent"},
+                "value": 3,
+            },
+        ]
