Give sessions a narrow port to groups; keep one SCRAM module

Cause: statements shall also be forwarded to another proxy, and verifiers were built in two places. Change: service.GroupService and GroupTransaction; adapters/scram.py keeps the login exchange only.

--- a/src/celeryjunction/adapters/scram.py
+++ b/src/celeryjunction/adapters/scram.py
@@ -70,16 +70,6 @@
         return f"{MECHANISM}${self.iterations}:{salt}${stored}:{server}"
 
 
-def make_verifier(
-    password: str, *, iterations: int = ITERATIONS, salt: bytes | None = None
-) -> str:
-    """Return the verifier of a password, with a random salt unless one is given."""
-    parts = ScramMechanism(MECHANISM).make_auth_info(
-        password, iteration_count=iterations, salt=salt
-    )
-    return str(Verifier(*parts))
-
-
 class ScramAuthPlugin(AuthPlugin):
     """The server's side of one SCRAM-SHA-256 exchange against a verifier."""
 
--- a/src/celeryjunction/cli.py
+++ b/src/celeryjunction/cli.py
@@ -18,6 +18,8 @@
 
 from celeryjunction._documents import DocumentError, Problem, read_file
 from celeryjunction.contract import parse_contract
+from celeryjunction.contract_cli import app as contract_app
+from celeryjunction.contract_cli import audit
 from celeryjunction.scram import make_verifier
 from celeryjunction.settings import (
     SettingsError,
@@ -25,6 +27,7 @@
     load_settings,
     parse_settings,
 )
+from celeryjunction.standin.cli import app as standin_app
 
 app = Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
 
@@ -33,6 +36,10 @@
     str, Option(help="Address of the proxy's status, such as http://127.0.0.1:8080.")
 ]
 
+app.add_typer(standin_app, name="standin")
+app.add_typer(contract_app, name="contract")
+app.command()(audit)
+
 
 @app.callback()
 def root() -> None:
@@ -88,12 +95,6 @@
     run_proxy(settings)
 
 
-@app.command()
-def standin() -> None:
-    """Run the stand-ins of a database group and of the key-value service."""
-    _fail("the stand-ins are not available in this version")
-
-
 @app.command()
 def status(url: _Url) -> None:
     """Print the status of a proxy as JSON."""
--- a/src/celeryjunction/group.py
+++ b/src/celeryjunction/group.py
@@ -27,10 +27,12 @@
     GroupDirectory,
     GroupRecord,
     QueryResult,
+    StatementShape,
     Step,
 )
 from celeryjunction.reads import BACKOFF_BASE_S, BACKOFF_CAP_S, Reader
 from celeryjunction.rounds import GroupMonitor, NoProof, Proof
+from celeryjunction.transaction import Transaction
 from celeryjunction.work import Work
 
 BEGIN_STEP = Step("BEGIN")
@@ -132,6 +134,18 @@
             "waiting": {rank.label: n for rank, n in admission.waiting.items()},
         }
 
+    async def read(self, work: Work, step: Step) -> QueryResult:
+        """Run a read by itself at an endpoint that is proven fresh enough."""
+        return await self.reader.read(work, step)
+
+    async def describe(self, work: Work, step: Step) -> StatementShape:
+        """Return a statement's parameters and columns."""
+        return await self.reader.describe(work, step)
+
+    def begin(self, *, begin_sql: str, read_only: bool, begun: float) -> Transaction:
+        """Return a new transaction; nothing is sent before its first statement."""
+        return Transaction(self, begin_sql=begin_sql, read_only=read_only, begun=begun)
+
     def note_acknowledged(self, work: Work, committed: Committed) -> None:
         """Remember the highest position acknowledged to the work's customer."""
         mark = (committed.term, committed.position)
--- a/src/celeryjunction/session.py
+++ b/src/celeryjunction/session.py
@@ -15,11 +15,10 @@
     WorkClass,
 )
 from celeryjunction.errors import EndpointError, ErrorKind, ProxyError
-from celeryjunction.group import Group
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import Clock, Column, QueryResult, StatementShape, Step
+from celeryjunction.service import GroupService, GroupTransaction
 from celeryjunction.shapes import ShapeCache
-from celeryjunction.transaction import Transaction, aborted
 from celeryjunction.work import Work
 
 TEXT_OID = 25
@@ -60,7 +59,7 @@
     def __init__(
         self,
         *,
-        group: Group,
+        group: GroupService,
         contract: Callable[[], Contract | None],
         customer: str,
         work_name: str | None,
@@ -79,7 +78,7 @@
         self._observe = observe
         self._settings: dict[str, str] = {}
         self._repeatable: bool | None = None
-        self._transaction: Transaction | None = None
+        self._transaction: GroupTransaction | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
         self._idle_expired = False
         self._running = 0
@@ -162,7 +161,7 @@
         transaction = self._transaction
         failed = transaction is not None and transaction.failed
         if failed and not (kind is StatementKind.SAVEPOINT and transaction.opened):
-            raise aborted()
+            raise ProxyError(ErrorKind.TRANSACTION_ABORTED)
         if kind is StatementKind.BEGIN:
             return self._begin(info, step)
         if kind in (StatementKind.READ, StatementKind.WRITE, StatementKind.SAVEPOINT):
@@ -181,15 +180,14 @@
                 transaction.failed = False
             return result
         if info.kind is StatementKind.READ:
-            return await self._group.reader.read(work, step)
+            return await self._group.read(work, step)
         result = await self._group.write(work, step)
         self._minimum = self._group.mark(self._customer)
         return result
 
     def _begin(self, info: StatementInfo, step: Step) -> QueryResult:
         if self._transaction is None:
-            self._transaction = Transaction(
-                self._group,
+            self._transaction = self._group.begin(
                 begin_sql=step.sql,
                 read_only=bool(info.read_only),
                 begun=self._clock.monotonic(),
@@ -222,7 +220,7 @@
             shape = await transaction.describe(work, step)
             if shape is not None:
                 return shape
-        return await self._group.reader.describe(work, step)
+        return await self._group.describe(work, step)
 
     def _work(self, info: StatementInfo) -> Work:
         contract = self._current_contract()
--- a/src/celeryjunction/transaction.py
+++ b/src/celeryjunction/transaction.py
@@ -8,15 +8,18 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 from celeryjunction.commit import TRANSACTION_ID_STEP, rolled_back
 from celeryjunction.endpoints import Checkout
-from celeryjunction.errors import ConnectionLost, EndpointError, ErrorKind, ProxyError
-from celeryjunction.group import Group
+from celeryjunction.errors import ConnectionLost, EndpointError
 from celeryjunction.ports import QueryResult, StatementShape, Step
 from celeryjunction.rounds import NoProof
 from celeryjunction.work import Work
 
+if TYPE_CHECKING:
+    from celeryjunction.group import Group
+
 ROLLBACK_STEP = Step("ROLLBACK")
 ROLLBACK_TIMEOUT_S = 1.0
 
@@ -180,8 +183,3 @@
             checkout.connection.close()
         finally:
             checkout.release()
-
-
-def aborted() -> ProxyError:
-    """Return the error for a statement in a failed transaction."""
-    return ProxyError(ErrorKind.TRANSACTION_ABORTED)
--- a/tests/test_pg_server.py
+++ b/tests/test_pg_server.py
@@ -17,9 +17,10 @@
 from scramp import ScramClient
 
 from celeryjunction.adapters.pg_server import PgFrontend
-from celeryjunction.adapters.scram import Verifier, make_verifier
+from celeryjunction.adapters.scram import Verifier
 from celeryjunction.errors import EndpointError, ErrorKind, ProxyError
 from celeryjunction.ports import Column, Login, QueryResult, StatementShape, Step
+from celeryjunction.scram import make_verifier
 
 PASSWORD = "correct horse"
 VERIFIER = make_verifier(PASSWORD)
