Keep commits whole under cancel, read at the primary read-only, fix parameters

Cause: a cancel during COMMIT was answered as 'did not run'; a function behind a view could write in a read at the primary; sqlglot takes '$1,$' for a dollar quote, which made reads writes and could hide a call; strict reads waited 100 ms in vain for replicas that lag by more; a mark older than two promotions was compared with the newest term only. Change: a started commit runs to its end; reads at the primary run in BEGIN READ ONLY and go again as writes after 25006; parameters are replaced before tokenizing; a lag estimate decides whether to wait for a replica; term starts are kept.

--- a/src/celeryjunction/classify.py
+++ b/src/celeryjunction/classify.py
@@ -186,10 +186,16 @@
             return len(sql)
 
 
+_PARAMETER = re.compile(r"\$(?=\d)")
+
+
 def _tokenize(sql: str) -> list[Token] | None:
     """Return the tokens, or None when sqlglot may see others than PostgreSQL."""
     if not sql.isascii() and _FOREIGN_SPACE.search(sql):
         return None
+    # sqlglot takes the "$1,$" of "$1,$2" for the start of a dollar quote, which could
+    # hide a call. The substitute has the same length and is a parameter to it as well.
+    sql = _PARAMETER.sub("@", sql)
     try:
         tokens = _TOKENIZER.tokenize(sql)
     except (SqlglotError, RecursionError):
--- a/src/celeryjunction/commit.py
+++ b/src/celeryjunction/commit.py
@@ -78,6 +78,23 @@
 
     async def commit(
         self, checkout: Checkout, work: Work, *, xid: bytes, term: int
+    ) -> Committed:
+        """Commit as `_commit` does, to the end even when the caller is cancelled.
+
+        Once COMMIT is on its way, "cancelled, did not run" would be untrue; the true
+        outcome is returned or raised instead, and the cancellation is dropped.
+        """
+        commit = self._commit(checkout, work, xid=xid, term=term)
+        task = asyncio.get_running_loop().create_task(commit)
+        while True:
+            try:
+                return await asyncio.shield(task)
+            except asyncio.CancelledError:
+                if task.cancelled():
+                    raise
+
+    async def _commit(
+        self, checkout: Checkout, work: Work, *, xid: bytes, term: int
     ) -> Committed:
         """Commit the open transaction and prove that it may be acknowledged.
 
--- a/src/celeryjunction/endpoints.py
+++ b/src/celeryjunction/endpoints.py
@@ -5,7 +5,12 @@
 from collections.abc import Sequence
 
 from celeryjunction.admission import EndpointAdmission, Ticket
-from celeryjunction.errors import ConnectionLost, ErrorKind, ProxyError
+from celeryjunction.errors import (
+    ConnectionLost,
+    EndpointError,
+    ErrorKind,
+    ProxyError,
+)
 from celeryjunction.pool import EndpointPool
 from celeryjunction.ports import (
     Clock,
@@ -17,6 +22,9 @@
 )
 from celeryjunction.work import Work
 
+ROLLBACK_STEP = Step("ROLLBACK")
+ROLLBACK_TIMEOUT_S = 1.0
+
 
 def deadline_error(work: Work) -> ProxyError:
     """Return the error for work whose deadline passed before it was sent."""
@@ -69,8 +77,8 @@
                 raise deadline_error(work)
             connection = await self.pool.take(timeout=timeout)
         except BaseException:
-            self.admission.leave(ticket, service_s=0.0, ok=False)
             self.admission.release_connection(ticket)
+            self.admission.leave(ticket, service_s=0.0, ok=False)
             raise
         return Checkout(self, ticket, connection)
 
@@ -130,16 +138,26 @@
             self._handle.admission.leave(self._ticket, service_s=held, ok=ok)
         return held
 
+    async def roll_back(self) -> None:
+        """End an open or failed transaction; close the connection if that fails."""
+        connection = self.connection
+        if not (connection.usable and connection.in_transaction):
+            return
+        try:
+            await connection.run([ROLLBACK_STEP], timeout=ROLLBACK_TIMEOUT_S)
+        except (ConnectionLost, EndpointError):
+            connection.close()
+
     def release(self, *, ok: bool = True, reusable: bool = True) -> float:
         """Free the slot and give the connection back; return the time held.
 
         A connection that is not `reusable`, or whose state is in doubt, is closed.
         """
-        held = self.end_statement(ok=ok)
+        # The connection goes first, so that the next in the queue finds both free.
         if not self._released:
             self._released = True
             if not reusable:
                 self.connection.close()
             self._handle.pool.give(self.connection)
             self._handle.admission.release_connection(self._ticket)
-        return held
+        return self.end_statement(ok=ok)
--- a/src/celeryjunction/errors.py
+++ b/src/celeryjunction/errors.py
@@ -162,7 +162,10 @@
         "42P03", 'portal "{name}" already exists', Ran.NO, False
     ),
     ErrorKind.CANCELLED: ErrorSpec(
-        "57014", "canceled on request of the caller; it did not run", Ran.NO, True
+        "57014",
+        "canceled on request of the client; nothing was changed",
+        Ran.NO,
+        True,
     ),
     ErrorKind.IDLE_TRANSACTION: ErrorSpec(
         "25P03",
--- a/src/celeryjunction/freshness.py
+++ b/src/celeryjunction/freshness.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
+from bisect import bisect_left, bisect_right
 from collections import deque
 
 FINE_STEP_S = 0.01
@@ -39,6 +39,10 @@
         index = bisect_left(self._entries, instant, key=lambda entry: entry[0])
         return self._entries[index][1] if index < len(self._entries) else None
 
+    def last_at(self, position: int) -> float | None:
+        index = bisect_right(self._entries, position, key=lambda entry: entry[1])
+        return self._entries[index - 1][0] if index else None
+
     def covers(self, instant: float) -> bool:
         return bool(self._entries) and self._entries[0][0] <= instant
 
@@ -69,6 +73,11 @@
         series = self._fine if self._fine.covers(instant) else self._coarse
         return series.first_from(instant)
 
+    def last_covered(self, position: int) -> float | None:
+        """Return the latest instant that `position` covers, None when too old."""
+        fine = self._fine.last_at(position)
+        return fine if fine is not None else self._coarse.last_at(position)
+
     def clear(self) -> None:
         """Forget everything; positions of another term cannot be compared."""
         self._fine.clear()
--- a/src/celeryjunction/group.py
+++ b/src/celeryjunction/group.py
@@ -71,6 +71,7 @@
         self._connections = connections
         self._random = random
         self._marks: dict[str, tuple[int, int]] = {}
+        self._replicated: dict[str, bool] = {}
         balancer = Balancer(zone=zone, clock=clock, random=random)
         self._budget = RetryBudget(clock=clock)
         self.reader = Reader(
@@ -149,7 +150,9 @@
     def note_acknowledged(self, work: Work, committed: Committed) -> None:
         """Remember the highest position acknowledged to the work's customer."""
         mark = (committed.term, committed.position)
-        self._marks[work.customer] = max(self._marks.get(work.customer, mark), mark)
+        if mark > self._marks.get(work.customer, (0, 0)):
+            self._marks[work.customer] = mark
+            self._replicated[work.customer] = work.replicated
 
     def mark(self, customer: str) -> tuple[int, int] | None:
         """Return the highest (term, position) acknowledged to a customer here."""
@@ -158,10 +161,11 @@
     def lost_term(self, customer: str) -> int | None:
         """Return the term whose start dropped writes acknowledged to the customer."""
         mark = self._marks.get(customer)
-        proof = self.monitor.proof
-        if mark is None or proof is None or proof.term <= mark[0]:
+        if mark is None:
             return None
-        return proof.term if proof.term_start < mark[1] else None
+        return self.monitor.dropped(
+            term=mark[0], position=mark[1], certain=self._replicated[customer]
+        )
 
     async def write(self, work: Work, step: Step) -> QueryResult:
         """Run a write by itself and return its answer once it is proven.
@@ -249,7 +253,7 @@
                 raise _NotSent from error
             raise rolled_back(f"the connection broke: {error.reason}") from None
         except EndpointError as error:
-            await self._roll_back(checkout)
+            await checkout.roll_back()
             if error.sqlstate in NOT_PRIMARY_STATES:
                 self.monitor.suspect()
                 raise rolled_back("the endpoint stopped being the primary") from None
@@ -266,14 +270,6 @@
             checkout.connection.close()
             raise _NotSent from error
 
-    async def _roll_back(self, checkout: Checkout) -> None:
-        if not checkout.connection.usable:
-            return
-        try:
-            await checkout.connection.run([Step("ROLLBACK")], timeout=1.0)
-        except (ConnectionLost, EndpointError):
-            checkout.connection.close()
-
     def _may_repeat(self, work: Work, error: ProxyError) -> bool:
         repeatable = work.repeatable and error.kind in (
             ErrorKind.NOT_RUN_ROLLED_BACK,
--- a/src/celeryjunction/reads.py
+++ b/src/celeryjunction/reads.py
@@ -43,8 +43,11 @@
 BACKOFF_BASE_S = 0.01
 BACKOFF_CAP_S = 0.25
 
+READ_ONLY_STEP = Step("BEGIN READ ONLY")
+END_STEP = Step("COMMIT")
+
 RETRYABLE_STATES = frozenset(
-    {"57P01", "57P02", "57P03", "53300", "40001", "08006", "08003", "25006"}
+    {"57P01", "57P02", "57P03", "53300", "40001", "08006", "08003"}
 )
 """Errors that speak of the endpoint's state and not of the statement; on a replica
 40001 reports a conflict with recovery."""
@@ -105,15 +108,12 @@
         attempt = 0
         while True:
             try:
-                checkout, results = await self.open(work, [step])
+                return await self._read_once(work, step)
             except ConnectionLost as error:
                 sent = sent or error.sent
             except EndpointError as error:
                 if error.sqlstate not in RETRYABLE_STATES:
                     raise
-            else:
-                checkout.release()
-                return results[-1]
             attempt += 1
             await self._pause(work, attempt, sent=sent)
 
@@ -138,6 +138,18 @@
         finally:
             checkout.release()
 
+    async def _read_once(self, work: Work, step: Step) -> QueryResult:
+        target = await self._target(work)
+        if not target.primary:
+            checkout, results = await self._open_at(target, work, [step])
+            checkout.release()
+            return results[0]
+        # A function behind a view may write; a replica refuses that by itself.
+        steps = [READ_ONLY_STEP, step, END_STEP]
+        checkout, results = await self._open_at(target, work, steps)
+        checkout.release()
+        return results[1]
+
     async def open(
         self, work: Work, steps: Sequence[Step]
     ) -> tuple[Checkout, list[QueryResult]]:
@@ -146,7 +158,11 @@
         Raises `ConnectionLost` or `EndpointError` when that endpoint failed, with the
         connection given back, and `ProxyError` when no endpoint was proven fresh.
         """
-        target = await self._target(work)
+        return await self._open_at(await self._target(work), work, steps)
+
+    async def _open_at(
+        self, target: Target, work: Work, steps: Sequence[Step]
+    ) -> tuple[Checkout, list[QueryResult]]:
         handle = self._choose(target.names)
         asked = self._clock.monotonic()
         checkout = await self._enter(handle, work)
@@ -157,6 +173,8 @@
             results = await self._run_checked(checkout, work, steps, target)
         except BaseException as error:
             answered = isinstance(error, EndpointError)
+            if answered:
+                await checkout.roll_back()
             checkout.release(ok=answered)
             if not answered and not isinstance(error, asyncio.CancelledError):
                 self._failed(handle)
@@ -246,7 +264,8 @@
         if not names:
             left = work.deadline - self._clock.monotonic()
             wait = min(REPLICA_WAIT_S[work.rank], left * REPLICA_WAIT_PART)
-            if wait > 0:
+            # Waiting for replicas that lag by more would only cost time.
+            if wait > 0 and monitor.lag_s(proof.term, position) <= wait:
                 try:
                     names = await monitor.reach(
                         term=proof.term,
--- a/src/celeryjunction/rounds.py
+++ b/src/celeryjunction/rounds.py
@@ -208,6 +208,7 @@
         self._proof: Proof | None = None
         self._suspected_at = float("-inf")
         self._history = FreshnessHistory()
+        self._term_starts: dict[int, int] = {}
         self._waiters: list[_Waiter] = []
 
     @property
@@ -275,6 +276,21 @@
             return None
         return proof
 
+    def dropped(self, *, term: int, position: int, certain: bool) -> int | None:
+        """Return the later term whose start dropped a position of `term`, if any.
+
+        A term that began and ended unseen leaves it open; that counts as dropped
+        unless the position was `certain` to survive (replicated to a majority).
+        """
+        newest = self._proof.term if self._proof is not None else term
+        for later in range(term + 1, newest + 1):
+            start = self._term_starts.get(later)
+            if start is None and not certain:
+                return newest
+            if start is not None and start < position:
+                return later
+        return None
+
     def leaving(self, endpoint: str) -> bool:
         """Whether the endpoint's own word or the record says that it leaves."""
         observation = self._observations.get(endpoint)
@@ -349,6 +365,24 @@
         """
         return self._history.position_since(instant)
 
+    def lag_s(self, term: int, position: int) -> float:
+        """Estimate how long the best replica takes to reach a new log position.
+
+        Infinite without a replica of the term. A replica that has all of `position`
+        gives 0.
+        """
+        best = float("inf")
+        for name, seen in self._observations.items():
+            status = seen.status
+            if status.term != term or status.is_primary or self.leaving(name):
+                continue
+            if status.applied >= position:
+                return 0.0
+            covered = self._history.last_covered(status.applied)
+            if covered is not None:
+                best = min(best, seen.sent_at - covered)
+        return best
+
     def observe(self, name: str, status: EndpointStatus, sent_at: float) -> None:
         """Take in an endpoint's answer to a query sent at `sent_at`."""
         self._failed.discard(name)
@@ -420,6 +454,7 @@
             return
         if old is None or proof.term != old.term:
             self._history.clear()
+            self._term_starts[proof.term] = proof.term_start
             _log.info(
                 "primary_proven",
                 database=self.database,
--- a/src/celeryjunction/session.py
+++ b/src/celeryjunction/session.py
@@ -25,6 +25,7 @@
 VOID_OID = 2278
 VOID_TAG = "SELECT 1"
 """Tag of `pg_advisory_unlock_all`, which client pools run to reset a connection."""
+READ_ONLY_STATE = "25006"
 BOOL_ON = frozenset({"on", "true", "yes", "1", "t"})
 BOOL_OFF = frozenset({"off", "false", "no", "0", "f"})
 PASSIVE_SETTINGS = frozenset(
@@ -179,8 +180,14 @@
             if info.kind is StatementKind.SAVEPOINT:
                 transaction.failed = False
             return result
-        if info.kind is StatementKind.READ:
-            return await self._group.read(work, step)
+        if info.kind is StatementKind.READ and not self._shapes.writes(step.sql):
+            try:
+                return await self._group.read(work, step)
+            except EndpointError as error:
+                if error.sqlstate != READ_ONLY_STATE:
+                    raise
+                # It did not run: a function in it writes, out of sight of the text.
+                self._shapes.note_writes(step.sql)
         result = await self._group.write(work, step)
         self._minimum = self._group.mark(self._customer)
         return result
--- a/src/celeryjunction/shapes.py
+++ b/src/celeryjunction/shapes.py
@@ -1,4 +1,4 @@
-"""Cache of statement shapes, bounded, per database."""
+"""What was found out about statement texts: shapes, repetition, hidden writes."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 
 MAX_SHAPES = 4096
 MAX_TEXTS = 8192
+MAX_WRITING = 1024
 SHAPE_TTL_S = 60.0
 """A change of schema that went past this proxy is noticed after so long."""
 
@@ -15,11 +16,12 @@
 class ShapeCache:
     """Parameters and columns of statements, by database, text and declared types."""
 
-    __slots__ = ("_clock", "_shapes", "_texts")
+    __slots__ = ("_clock", "_shapes", "_texts", "_writing")
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._shapes: OrderedDict[tuple, tuple[StatementShape, float]] = OrderedDict()
+        self._writing: OrderedDict[str, None] = OrderedDict()
         self._texts: OrderedDict[str, None] = OrderedDict()
 
     def get(
@@ -48,6 +50,16 @@
             self._texts.popitem(last=False)
         return False
 
+    def writes(self, sql: str) -> bool:
+        """Whether the text looks like a read but was found to write."""
+        return sql in self._writing
+
+    def note_writes(self, sql: str) -> None:
+        """Remember that a text that looks like a read writes."""
+        self._writing[sql] = None
+        if len(self._writing) > MAX_WRITING:
+            self._writing.popitem(last=False)
+
     def clear(self) -> None:
         """Forget all shapes, after a change of schema."""
         self._shapes.clear()
--- a/src/celeryjunction/transaction.py
+++ b/src/celeryjunction/transaction.py
@@ -20,9 +20,6 @@
 if TYPE_CHECKING:
     from celeryjunction.group import Group
 
-ROLLBACK_STEP = Step("ROLLBACK")
-ROLLBACK_TIMEOUT_S = 1.0
-
 
 class Transaction:
     """One open transaction of a client."""
@@ -175,11 +172,6 @@
         if checkout is None:
             return
         try:
-            if checkout.connection.usable:
-                await checkout.connection.run(
-                    [ROLLBACK_STEP], timeout=ROLLBACK_TIMEOUT_S
-                )
-        except (ConnectionLost, EndpointError):
-            checkout.connection.close()
+            await checkout.roll_back()
         finally:
             checkout.release()
--- a/tests/test_classify.py
+++ b/tests/test_classify.py
@@ -170,6 +170,14 @@
         for sql in ("close all", "unlisten *", "deallocate all", "discard all"):
             assert kind(sql) is StatementKind.DISCARD
 
+    def test_parameters_without_spaces(self) -> None:
+        # Guards against sqlglot's reading of "$1,$" as a dollar quote: it made reads
+        # writes, and it could hide a call between two such "quotes".
+        assert kind("SELECT a FROM t WHERE a IN ($1,$2)") is StatementKind.READ
+        hidden = "SELECT abs($1,$2), nextval('s'), abs($1,$3)"
+        assert kind(hidden) is StatementKind.WRITE
+        assert split("SELECT $1,$2; SELECT $1,$2") == ["SELECT $1,$2"] * 2
+
     def test_unlock_all_is_answered_without_an_endpoint(self) -> None:
         # Guards against pools of clients failing to reset their connection: no session
         # lock can be held on shared connections, so the statement does nothing.
