--- a/src/celeryjunction/errors.py
+++ b/src/celeryjunction/errors.py
@@ -97,7 +97,7 @@
     ),
     ErrorKind.ACKNOWLEDGED_WRITE_LOST: ErrorSpec(
         "CJ010",
-        "not run: a promotion to term {term} dropped acknowledged writes of customer "
+        "refused: a promotion to term {term} dropped acknowledged writes of customer "
         "{customer}; check the data, then repeat the read",
         Ran.NO,
         True,
--- a/src/celeryjunction/group.py
+++ b/src/celeryjunction/group.py
@@ -180,11 +180,11 @@
             try:
                 return await self._write_once(work, step)
             except _NotSent:
-                await self._back_off(work, attempt)
+                await self.back_off(work, attempt)
             except ProxyError as error:
                 if not self._may_repeat(work, error):
                     raise
-                await self._back_off(work, attempt)
+                await self.back_off(work, attempt)
 
     async def enter_primary(self, work: Work) -> tuple[Proof, Checkout]:
         """Wait for a trusted primary and check out a connection to it."""
@@ -195,7 +195,7 @@
             try:
                 return proof, await self._enter(proof, work)
             except _NotSent:
-                await self._back_off(work, attempt)
+                await self.back_off(work, attempt)
 
     async def _enter(self, proof: Proof, work: Work) -> Checkout:
         handle = self.handles.get(proof.primary)
@@ -254,8 +254,7 @@
             raise rolled_back(f"the connection broke: {error.reason}") from None
         except EndpointError as error:
             await checkout.roll_back()
-            if error.sqlstate in NOT_PRIMARY_STATES:
-                self.monitor.suspect()
+            if self.is_endpoint_fault(error):
                 raise rolled_back("the endpoint stopped being the primary") from None
             raise
         return xid.rows[0][0] or b"", result
@@ -278,7 +277,20 @@
         in_time = self.clock.monotonic() < work.deadline
         return repeatable and in_time and self._budget.try_spend()
 
-    async def _back_off(self, work: Work, attempt: int) -> None:
+    def is_endpoint_fault(self, error: ConnectionLost | EndpointError) -> bool:
+        """Whether an error at the primary speaks of the endpoint, not the statement.
+
+        Then the proof of the primary is distrusted.
+        """
+        fault = (
+            isinstance(error, ConnectionLost) or error.sqlstate in NOT_PRIMARY_STATES
+        )
+        if fault:
+            self.monitor.suspect()
+        return fault
+
+    async def back_off(self, work: Work, attempt: int) -> None:
+        """Pause before another try; raises `NOT_RUN_NO_PRIMARY` at the deadline."""
         pause = backoff(
             attempt, base_s=BACKOFF_BASE_S, cap_s=BACKOFF_CAP_S, random=self._random
         )
--- a/src/celeryjunction/reads.py
+++ b/src/celeryjunction/reads.py
@@ -10,9 +10,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from contextlib import suppress
 from random import Random
+from typing import TypeVar
 
 from celeryjunction.balancer import Balancer, Candidate, RetryBudget, backoff
 from celeryjunction.contract import Rank
@@ -23,7 +24,13 @@
     ErrorKind,
     ProxyError,
 )
-from celeryjunction.ports import Clock, QueryResult, StatementShape, Step
+from celeryjunction.ports import (
+    Clock,
+    EndpointStatus,
+    QueryResult,
+    StatementShape,
+    Step,
+)
 from celeryjunction.rounds import STATUS_STEP, GroupMonitor, NoProof, Proof, status_of
 from celeryjunction.work import Work
 
@@ -53,10 +60,16 @@
 40001 reports a conflict with recovery."""
 
 
+T = TypeVar("T")
+
+
 class Target:
-    """An endpoint proven fresh enough: `term` and `position` that it must have."""
+    """Endpoints proven fresh enough: `term` and `position` that they must have.
+
+    `chosen` is the one that was tried.
+    """
 
-    __slots__ = ("names", "position", "primary", "term")
+    __slots__ = ("chosen", "names", "position", "primary", "term")
 
     def __init__(
         self, names: Sequence[str], *, term: int, position: int, primary: bool
@@ -65,6 +78,11 @@
         self.term = term
         self.position = position
         self.primary = primary
+        self.chosen = ""
+
+    def covered_by(self, status: EndpointStatus) -> bool:
+        """Whether an endpoint with this status may serve the read."""
+        return status.term == self.term and status.applied >= self.position
 
     def __rich_repr__(self):
         yield "names", self.names
@@ -103,67 +121,71 @@
 
     async def read(self, work: Work, step: Step) -> QueryResult:
         """Run a read by itself; raises `ProxyError` or the endpoint's own error."""
+
+        async def run(target: Target) -> QueryResult:
+            if not target.primary:
+                checkout, results = await self._open_at(target, work, [step])
+                checkout.release()
+                return results[0]
+            # A function behind a view may write; a replica refuses that by itself.
+            steps = [READ_ONLY_STEP, step, END_STEP]
+            checkout, results = await self._open_at(target, work, steps)
+            checkout.release()
+            return results[1]
+
+        return await self._attempt(work, run)
+
+    async def open(
+        self, work: Work, steps: Sequence[Step]
+    ) -> tuple[Checkout, list[QueryResult]]:
+        """Open a read-only transaction and keep its connection checked out.
+
+        Raises the endpoint's own error, with the connection given back, and
+        `ProxyError` when no endpoint was proven fresh.
+        """
+        return await self._attempt(
+            work, lambda target: self._open_at(target, work, steps)
+        )
+
+    async def _attempt(self, work: Work, run: Callable[[Target], Awaitable[T]]) -> T:
+        """Run at one fresh endpoint after the other until one answers."""
         self._budget.count_request()
         sent = False
         attempt = 0
+        failed: set[str] = set()
         while True:
+            target = await self._target(work, failed)
             try:
-                return await self._read_once(work, step)
+                return await run(target)
             except ConnectionLost as error:
                 sent = sent or error.sent
             except EndpointError as error:
                 if error.sqlstate not in RETRYABLE_STATES:
                     raise
+            # The primary is the last resort; after it, all may be tried again.
+            failed = set() if target.primary else failed | {target.chosen}
             attempt += 1
             await self._pause(work, attempt, sent=sent)
 
     async def describe(self, work: Work, step: Step) -> StatementShape:
         """Return a statement's shape, from an endpoint that a read could use."""
-        attempt = 0
-        while True:
-            try:
-                return await self._describe_once(work, step)
-            except ConnectionLost:
-                attempt += 1
-                await self._pause(work, attempt, sent=False)
-
-    async def _describe_once(self, work: Work, step: Step) -> StatementShape:
-        target = await self._target(work)
-        checkout = await self._enter(self._choose(target.names), work)
-        try:
-            timeout = work.deadline - self._clock.monotonic()
-            return await checkout.connection.describe(
-                step.sql, step.param_oids, timeout=timeout
-            )
-        finally:
-            checkout.release()
-
-    async def _read_once(self, work: Work, step: Step) -> QueryResult:
-        target = await self._target(work)
-        if not target.primary:
-            checkout, results = await self._open_at(target, work, [step])
-            checkout.release()
-            return results[0]
-        # A function behind a view may write; a replica refuses that by itself.
-        steps = [READ_ONLY_STEP, step, END_STEP]
-        checkout, results = await self._open_at(target, work, steps)
-        checkout.release()
-        return results[1]
 
-    async def open(
-        self, work: Work, steps: Sequence[Step]
-    ) -> tuple[Checkout, list[QueryResult]]:
-        """Run steps at a fresh endpoint, once, and keep the connection checked out.
+        async def run(target: Target) -> StatementShape:
+            checkout = await self._enter(self._choose(target), work)
+            try:
+                timeout = work.deadline - self._clock.monotonic()
+                return await checkout.connection.describe(
+                    step.sql, step.param_oids, timeout=timeout
+                )
+            finally:
+                checkout.release()
 
-        Raises `ConnectionLost` or `EndpointError` when that endpoint failed, with the
-        connection given back, and `ProxyError` when no endpoint was proven fresh.
-        """
-        return await self._open_at(await self._target(work), work, steps)
+        return await self._attempt(work, run)
 
     async def _open_at(
         self, target: Target, work: Work, steps: Sequence[Step]
     ) -> tuple[Checkout, list[QueryResult]]:
-        handle = self._choose(target.names)
+        handle = self._choose(target)
         asked = self._clock.monotonic()
         checkout = await self._enter(handle, work)
         started = self._clock.monotonic()
@@ -206,11 +228,16 @@
         self, checkout: Checkout, work: Work, steps: Sequence[Step], target: Target
     ) -> list[QueryResult]:
         seen = self._monitor.observations.get(checkout.endpoint)
-        if seen is not None and checkout.connection.opened_at <= seen.sent_at:
+        if (
+            seen is not None
+            and checkout.connection.opened_at <= seen.sent_at
+            and target.covered_by(seen.status)
+        ):
             return await checkout.run(steps, work)
         status_result, *results = await checkout.run([STATUS_STEP, *steps], work)
         status = status_of(status_result)
-        if status.term != target.term or status.applied < target.position:
+        if not target.covered_by(status):
+            self._monitor.forget(checkout.endpoint)
             checkout.connection.close()
             raise ConnectionLost("the endpoint was not fresh enough", sent=True)
         return results
@@ -228,18 +255,18 @@
         ):
             raise ConnectionLost("no longer fresh after the wait", sent=False)
 
-    async def _target(self, work: Work) -> Target:
+    async def _target(self, work: Work, failed: set[str]) -> Target:
         try:
             if work.staleness_s > 0:
-                return await self._bounded_target(work)
+                return await self._bounded_target(work, failed)
             proof = await self._monitor.prove(since=work.begun, deadline=work.deadline)
-            return await self._replicas_or_primary(work, proof, proof.position)
+            return await self._replicas_or_primary(work, proof, proof.position, failed)
         except NoProof:
             raise ProxyError(
                 ErrorKind.FRESHNESS_UNPROVEN, {"database": self._monitor.database}
             ) from None
 
-    async def _bounded_target(self, work: Work) -> Target:
+    async def _bounded_target(self, work: Work, failed: set[str]) -> Target:
         monitor = self._monitor
         now = self._clock.monotonic()
         instant = now - work.staleness_s
@@ -254,14 +281,14 @@
             position = max(position, work.minimum[1])
         if now - proof.proven_at > work.staleness_s * REFRESH_PART:
             self._start_refresh()
-        return await self._replicas_or_primary(work, proof, position)
+        return await self._replicas_or_primary(work, proof, position, failed)
 
     async def _replicas_or_primary(
-        self, work: Work, proof: Proof, position: int
+        self, work: Work, proof: Proof, position: int, failed: set[str]
     ) -> Target:
         monitor = self._monitor
         names = monitor.replicas_at(proof.term, position)
-        if not names:
+        if not names and not failed:
             left = work.deadline - self._clock.monotonic()
             wait = min(REPLICA_WAIT_S[work.rank], left * REPLICA_WAIT_PART)
             # Waiting for replicas that lag by more would only cost time.
@@ -274,6 +301,7 @@
                     )
                 except NoProof:
                     names = []
+        names = [name for name in names if name not in failed]
         if names:
             return Target(names, term=proof.term, position=position, primary=False)
         return Target([proof.primary], term=proof.term, position=position, primary=True)
@@ -287,11 +315,13 @@
         with suppress(NoProof):
             await self._monitor.prove(since=now, deadline=now + 1.0)
 
-    def _choose(self, names: Sequence[str]) -> EndpointHandle:
-        if len(names) == 1:
-            return self._handle(names[0])
-        candidates = [self._candidate(self._handle(name)) for name in names]
-        return self._handle(self._balancer.choose(candidates).name)
+    def _choose(self, target: Target) -> EndpointHandle:
+        if len(target.names) == 1:
+            target.chosen = target.names[0]
+        else:
+            candidates = [self._candidate(self._handle(name)) for name in target.names]
+            target.chosen = self._balancer.choose(candidates).name
+        return self._handle(target.chosen)
 
     def _candidate(self, handle: EndpointHandle) -> Candidate:
         admission = handle.admission
--- a/src/celeryjunction/rounds.py
+++ b/src/celeryjunction/rounds.py
@@ -394,6 +394,10 @@
         self._update_proof()
         self._wake()
 
+    def forget(self, name: str) -> None:
+        """Drop the last observation of an endpoint that turned out otherwise."""
+        self._observations.pop(name, None)
+
     def probe_failed(self, name: str, error: Exception) -> None:
         """Note that an endpoint gave no status."""
         if name not in self._failed:
--- a/src/celeryjunction/session.py
+++ b/src/celeryjunction/session.py
@@ -72,7 +72,7 @@
         self._group = group
         self._contract = contract
         self._customer = customer
-        self._work_name = work_name
+        self._login_work = self._work_name = work_name
         self._shapes = shapes
         self._clock = clock
         self._on_close = on_close
@@ -125,16 +125,18 @@
         self._running += 1
         self._stop_idle_timer()
         started = self._clock.monotonic()
-        work = self._work(info)
+        work: Work | None = None
         ok = False
         try:
+            work = self._work(info)
             result = await self._dispatch(info, work, step)
             ok = True
             return result
         finally:
             self._running -= 1
             self._start_idle_timer()
-            self._observe(work, self._clock.monotonic() - started, ok)
+            if work is not None:
+                self._observe(work, self._clock.monotonic() - started, ok)
 
     async def close(self) -> None:
         """Roll back an open transaction and forget the session."""
@@ -170,19 +172,36 @@
         return await self._local(info, work, step)
 
     async def _run(self, info: StatementInfo, work: Work, step: Step) -> QueryResult:
-        if info.is_ddl:
-            self._shapes.clear()
         self._refuse_lost_write(work)
         step = step._replace(prepare=step.prepare and self._shapes.seen(step.sql))
+        try:
+            return await self._run_by_kind(info, work, step)
+        finally:
+            if info.is_ddl:
+                self._shapes.clear()
+
+    async def _run_by_kind(
+        self, info: StatementInfo, work: Work, step: Step
+    ) -> QueryResult:
         transaction = self._transaction
         if transaction is not None:
             result = await transaction.execute(work, step)
             if info.kind is StatementKind.SAVEPOINT:
                 transaction.failed = False
+            try:
+                self._refuse_lost_write(work)
+            except ProxyError:
+                transaction.failed = True
+                raise
             return result
+        if info.kind is StatementKind.SAVEPOINT:
+            raise _error("25P01", "SAVEPOINT can only be used in transaction blocks")
         if info.kind is StatementKind.READ and not self._shapes.writes(step.sql):
             try:
-                return await self._group.read(work, step)
+                result = await self._group.read(work, step)
+                # The read itself may have been the first to prove a new term.
+                self._refuse_lost_write(work)
+                return result
             except EndpointError as error:
                 if error.sqlstate != READ_ONLY_STATE:
                     raise
@@ -310,7 +329,10 @@
         if kind is StatementKind.SET:
             if info.local:
                 return await self._set_local(work, step)
-            self._set(info.setting or "", info.value or "")
+            if info.value is None:
+                self._reset(info.setting)
+            else:
+                self._set(info.setting or "", info.value)
             return QueryResult("SET", None, ())
         if kind is StatementKind.RESET:
             self._reset(info.setting)
@@ -356,11 +378,11 @@
         if name is None or name == "all":
             self._settings.clear()
             self._repeatable = None
-            self._work_name = None
+            self._work_name = self._login_work
         elif name == "celeryjunction.repeatable":
             self._repeatable = None
         elif name == "celeryjunction.work":
-            self._work_name = None
+            self._work_name = self._login_work
         else:
             self._settings.pop(name, None)
 
@@ -404,9 +426,12 @@
         self._idle_expired = True
 
 
+def _error(sqlstate: str, message: str) -> EndpointError:
+    return EndpointError({"S": "ERROR", "V": "ERROR", "C": sqlstate, "M": message})
+
+
 def _bad_setting(name: str, reason: str) -> EndpointError:
-    message = f"invalid value for parameter {name}: {reason}"
-    return EndpointError({"S": "ERROR", "V": "ERROR", "C": "22023", "M": message})
+    return _error("22023", f"invalid value for parameter {name}: {reason}")
 
 
 def _boolean(name: str, value: str) -> bool:
--- a/src/celeryjunction/transaction.py
+++ b/src/celeryjunction/transaction.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from celeryjunction.commit import TRANSACTION_ID_STEP, rolled_back
@@ -64,6 +65,10 @@
                 return await self._checkout.connection.describe(
                     step.sql, step.param_oids, timeout=timeout
                 )
+            except ConnectionLost as error:
+                self.failed = True
+                self._drop_broken()
+                raise rolled_back(f"the connection broke: {error.reason}") from None
             except BaseException:
                 self.failed = True
                 self._drop_broken()
@@ -99,8 +104,10 @@
     async def _commit(self, checkout: Checkout, work: Work) -> str:
         checkout.next_statement(work)
         if self._read_only:
-            (result,) = await checkout.run([Step("COMMIT")], work)
-            return result.tag
+            # Nothing was changed, so a lost answer to COMMIT means nothing.
+            with suppress(ConnectionLost):
+                await checkout.run([Step("COMMIT")], work)
+            return "COMMIT"
         committed = await self._group.committer.commit(
             checkout, work, xid=self._xid, term=self._term
         )
@@ -113,20 +120,42 @@
             self._checkout = checkout
             checkout.end_statement()
             return results[-1]
-        proof, checkout = await self._group.enter_primary(work)
-        self._checkout = checkout
-        self._term = proof.term
-        begun, xid = await self._guard(
-            checkout, [self._begin, TRANSACTION_ID_STEP], work
-        )
-        del begun
-        self._xid = xid.rows[0][0] or b""
-        (result,), _ = await asyncio.gather(
-            self._guard(checkout, [step], work), self._barrier(work)
-        )
+        checkout = await self._open_at_primary(work)
+        statement = asyncio.create_task(self._guard(checkout, [step], work))
+        try:
+            await self._barrier(work)
+            (result,) = await statement
+        except BaseException:
+            # A statement that still runs is cancelled, which closes the connection.
+            statement.cancel()
+            await asyncio.gather(statement, return_exceptions=True)
+            raise
         checkout.end_statement()
         return result
 
+    async def _open_at_primary(self, work: Work) -> Checkout:
+        """Begin at the primary; until that has worked nothing of the client is sent."""
+        attempt = 0
+        while True:
+            proof, checkout = await self._group.enter_primary(work)
+            try:
+                _, xid = await checkout.run([self._begin, TRANSACTION_ID_STEP], work)
+            except (ConnectionLost, EndpointError) as error:
+                await checkout.roll_back()
+                checkout.release(ok=False)
+                if not self._group.is_endpoint_fault(error):
+                    raise
+                attempt += 1
+                await self._group.back_off(work, attempt)
+                continue
+            except BaseException:
+                checkout.release(ok=False, reusable=False)
+                raise
+            self._checkout = checkout
+            self._term = proof.term
+            self._xid = xid.rows[0][0] or b""
+            return checkout
+
     async def _barrier(self, work: Work) -> None:
         try:
             proof = await self._group.monitor.prove(
@@ -149,8 +178,10 @@
     ) -> list[QueryResult]:
         try:
             return await checkout.run(steps, work)
-        except EndpointError:
+        except EndpointError as error:
             checkout.end_statement()
+            if not self._read_only:
+                self._group.is_endpoint_fault(error)
             raise
         except ConnectionLost as error:
             # COMMIT was not sent, so the endpoint rolls the transaction back.
