--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,413 @@
+"""A simulated event loop and a fake database group behind the endpoint ports.
+
+Time moves only when every task waits, straight to the next timer. Tests therefore
+need no real time, and what the modules see does not depend on the machine. A test
+module takes it over with ``from fakes import event_loop_policy  # noqa: F401``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from random import Random
+
+import msgspec
+import pytest
+
+from celeryjunction.contract import Contract, Rank
+from celeryjunction.errors import ConnectionLost, EndpointError, ProxyError
+from celeryjunction.group import Group
+from celeryjunction.ports import (
+    Column,
+    EndpointRecord,
+    GroupRecord,
+    QueryResult,
+    StatementShape,
+    Step,
+    StoreUnavailable,
+)
+from celeryjunction.rounds import STATUS_STEP, Proof
+from celeryjunction.work import Work
+
+DELAY_S = 0.001
+"""Time of half a round trip to an endpoint."""
+LIMIT_S = 4000.0
+
+INSERT = Step("INSERT INTO t VALUES (1)")
+SELECT = Step("SELECT v FROM t")
+
+
+class _Selector(selectors.DefaultSelector):
+    now = 1000.0
+
+    def select(self, timeout: float | None = None) -> list:
+        events = super().select(0)
+        if not events:
+            if timeout is None or self.now > LIMIT_S:
+                raise RuntimeError("every task waits for something that never comes")
+            self.now += max(timeout, 0.0)
+        return events
+
+
+class SimulatedLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self.simulated = _Selector()
+        super().__init__(self.simulated)
+
+    def time(self) -> float:
+        return self.simulated.now
+
+
+class SimulatedPolicy(asyncio.DefaultEventLoopPolicy):
+    new_event_loop = staticmethod(SimulatedLoop)
+
+
+@pytest.fixture(scope="module")
+def event_loop_policy() -> asyncio.AbstractEventLoopPolicy:
+    return SimulatedPolicy()
+
+
+@pytest.fixture
+async def fake() -> AsyncIterator[FakeGroup]:
+    """Give a group of three endpoints; `fake.proxy` is closed afterwards."""
+    group = FakeGroup()
+    yield group
+    await group.close()
+
+
+async def outcome(call: Awaitable[object]) -> object:
+    """Return the result, the kind or SQLSTATE of the error, or "lost"."""
+    try:
+        return await call
+    except ProxyError as error:
+        return error.kind
+    except EndpointError as error:
+        return error.sqlstate
+    except ConnectionLost as error:
+        return "lost" if error.sent else "lost unsent"
+
+
+class ManualClock:
+    """The simulated loop's time, which `advance` moves on by hand."""
+
+    def monotonic(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def wall(self) -> float:
+        return 1_700_000_000.0 + self.monotonic()
+
+    def advance(self, seconds: float) -> None:
+        asyncio.get_running_loop().simulated.now += seconds
+
+
+Fault = Callable[["FakeConnection"], Awaitable[None]]
+
+
+def refuse(sqlstate: str) -> Fault:
+    async def fault(connection: FakeConnection) -> None:
+        raise EndpointError({"C": sqlstate, "M": "scripted"})
+
+    return fault
+
+
+def lose(*, ran: bool = False) -> Fault:
+    """Lose the connection, before or after the step took effect."""
+
+    async def fault(connection: FakeConnection) -> None:
+        if ran:
+            connection.end("committed")
+        connection.close()
+        raise ConnectionLost("scripted", sent=True)
+
+    return fault
+
+
+def wait(seconds: float) -> Fault:
+    async def fault(connection: FakeConnection) -> None:
+        await asyncio.sleep(seconds)
+
+    return fault
+
+
+def call(action: Callable[[], object]) -> Fault:
+    async def fault(connection: FakeConnection) -> None:
+        action()
+
+    return fault
+
+
+class FakeConnection:
+    """Implements `EndpointConnection` over a `FakeEndpoint`."""
+
+    def __init__(self, endpoint: FakeEndpoint, opened_at: float) -> None:
+        self.endpoint = endpoint
+        self.opened_at = opened_at
+        self.verified_term = 0
+        self.usable = True
+        self.in_transaction = False
+        self.xid = ""
+        self._running = False
+        self._broken = asyncio.get_running_loop().create_future()
+        endpoint.connections.append(self)
+
+    async def run(self, steps: Sequence[Step], *, timeout: float) -> list[QueryResult]:
+        if not self.usable:
+            raise ConnectionLost("closed", sent=False)
+        assert not self._running, "a pipeline is already running on this connection"
+        self._running = True
+        work = asyncio.ensure_future(self._run(steps))
+        try:
+            await asyncio.wait(
+                (work, self._broken), timeout=timeout, return_when="FIRST_COMPLETED"
+            )
+            if work.done():
+                return work.result()
+            raise ConnectionLost("no answer", sent=True)
+        except BaseException as error:
+            if not isinstance(error, EndpointError):
+                self.close()
+            raise
+        finally:
+            work.cancel()
+            self._running = False
+
+    async def _run(self, steps: Sequence[Step]) -> list[QueryResult]:
+        await asyncio.sleep(DELAY_S)
+        results = []
+        for index, step in enumerate(steps):
+            try:
+                results.append(await self._step(step))
+            except EndpointError as error:
+                await asyncio.sleep(DELAY_S)
+                raise EndpointError(error.fields, index) from None
+        await asyncio.sleep(DELAY_S)
+        return results
+
+    async def _step(self, step: Step) -> QueryResult:
+        endpoint, sql = self.endpoint, step.sql
+        if sql != STATUS_STEP.sql:
+            endpoint.ran.append(sql)
+        for prefix, fault in endpoint.script:
+            if sql.startswith(prefix):
+                endpoint.script.remove((prefix, fault))
+                await fault(self)
+                break
+        if sql == STATUS_STEP.sql:
+            endpoint.asked += 1
+            return _row(*endpoint.status_row())
+        word = sql.split()[0]
+        if word == "BEGIN":
+            self.in_transaction, self.xid = True, ""
+        elif "pg_current_xact_id" in sql:
+            endpoint.require_primary()
+            self.xid = str(len(endpoint.outcomes) + 1)
+            endpoint.outcomes[self.xid] = "in progress"
+            return _row(self.xid)
+        elif "pg_xact_status" in sql:
+            return _row(endpoint.outcomes.get(step.params[0].decode()))
+        elif word in ("COMMIT", "ROLLBACK") and "TO" not in sql:
+            self.end("committed" if word == "COMMIT" else "aborted")
+        elif word == "INSERT":
+            endpoint.require_primary()
+        elif word == "SELECT":
+            return _row(endpoint.name, endpoint.applied)
+        return QueryResult(word, None, ())
+
+    def end(self, outcome: str) -> None:
+        """End the transaction; a commit adds one entry to the log."""
+        if self.xid:
+            self.endpoint.outcomes[self.xid] = outcome
+            if outcome == "committed":
+                self.endpoint.group.commit(self.endpoint)
+        self.in_transaction, self.xid = False, ""
+
+    async def describe(
+        self, sql: str, param_oids: Sequence[int], *, timeout: float
+    ) -> StatementShape:
+        await self.run([Step("DESCRIBE")], timeout=timeout)
+        return StatementShape((), (Column(b"v", 25, -1, -1),))
+
+    def close(self) -> None:
+        if self.usable:
+            self.usable = False
+            self.endpoint.connections.remove(self)
+            if self.xid:
+                self.endpoint.outcomes[self.xid] = "aborted"
+            if not self._broken.done():
+                self._broken.set_result(None)
+
+
+def _row(*values: object) -> QueryResult:
+    row = tuple(None if v is None else str(v).encode() for v in values)
+    return QueryResult("SELECT 1", (), [row])
+
+
+class FakeEndpoint:
+    """State of one endpoint; `script` holds faults for steps by their first words."""
+
+    def __init__(self, group: FakeGroup, name: str) -> None:
+        self.group = group
+        self.name = name
+        self.term = 1
+        self.is_primary = False
+        self.received = self.applied = self.term_start = 0
+        self.leaving = False
+        self.receives = self.applies = True
+        self.down = False
+        self.refuses = ""
+        self.connect_s = DELAY_S
+        self.script: list[tuple[str, Fault]] = []
+        self.ran: list[str] = []
+        self.asked = 0
+        self.outcomes: dict[str, str] = {}
+        self.connections: list[FakeConnection] = []
+
+    def status_row(self) -> tuple[object, ...]:
+        role = "primary" if self.is_primary else "replica"
+        leaving = "t" if self.leaving else "f"
+        positions = (self.received, self.applied)
+        return self.term, role, *positions, leaving, self.term_start
+
+    def require_primary(self) -> None:
+        if not self.is_primary:
+            raise EndpointError({"C": "25006", "M": "read-only"})
+
+    def disconnect(self) -> None:
+        for connection in list(self.connections):
+            connection.close()
+
+    def stop(self) -> None:
+        self.down = True
+        self.disconnect()
+
+    def at(self, position: int) -> None:
+        self.received = self.applied = position
+
+
+class FakeGroup:
+    """A group; also its `EndpointConnector` and `GroupDirectory`.
+
+    `proxy` is one proxy's view of the group; `open` makes further ones.
+    """
+
+    def __init__(self, names: str = "abc", *, promotion: str = "majority") -> None:
+        self.clock = ManualClock()
+        self.endpoints = {name: FakeEndpoint(self, name) for name in names}
+        self.endpoints[names[0]].is_primary = True
+        records = (EndpointRecord(name=n, host=n, port=1, zone="z") for n in names)
+        self.record = GroupRecord("db", 1, names[0], tuple(records), promotion)
+        self.platform_up = False
+        self.groups: list[Group] = []
+        self.proxy = self.open()
+
+    def __getattr__(self, name: str) -> FakeEndpoint:
+        try:
+            return self.endpoints[name]
+        except KeyError:
+            raise AttributeError(name) from None
+
+    def held(self) -> int:
+        """Connections that the proxy holds or keeps idle."""
+        handles = self.proxy.handles.values()
+        return sum(h.pool.idle + h.admission.held for h in handles)
+
+    async def prove(self) -> Proof:
+        now = self.clock.monotonic()
+        return await self.proxy.monitor.prove(since=now, deadline=now + 1)
+
+    async def write(self, deadline_s: float = 1.0, **options: object) -> object:
+        """Run a write; return its tag, or as `outcome` does."""
+        work = self.work(deadline_s, **options)
+        result = await outcome(self.proxy.write(work, INSERT))
+        return result.tag if isinstance(result, QueryResult) else result
+
+    def commit(self, primary: FakeEndpoint) -> None:
+        primary.at(primary.applied + 1)
+        for other in self.endpoints.values():
+            if other is not primary and other.term == primary.term and other.receives:
+                other.received = primary.received
+                if other.applies:
+                    other.applied = other.received
+
+    def promote(self, name: str, *, but: str = "") -> None:
+        """Start a term at `name`; the endpoints in `but` do not learn of it.
+
+        A former primary that learns of it closes its connections (A4).
+        """
+        chosen = self.endpoints[name]
+        term = max(each.term for each in self.endpoints.values()) + 1
+        for each in self.endpoints.values():
+            if each.name not in but:
+                if each.is_primary and each is not chosen:
+                    each.disconnect()
+                each.term, each.term_start = term, chosen.received
+                each.is_primary = each is chosen
+        replaced = {"term": term, "primary": name}
+        self.record = msgspec.structs.replace(self.record, **replaced)
+
+    async def connect(
+        self, endpoint: EndpointRecord, database: str, *, timeout: float
+    ) -> FakeConnection:
+        opened_at = self.clock.monotonic()
+        chosen = self.endpoints[endpoint.name]
+        async with asyncio.timeout(timeout):
+            await asyncio.sleep(chosen.connect_s)
+        if chosen.refuses:
+            raise EndpointError({"C": chosen.refuses, "M": "scripted"})
+        if chosen.down:
+            raise ConnectionLost("refused", sent=False)
+        return FakeConnection(chosen, opened_at)
+
+    def group(self, database: str) -> GroupRecord | None:
+        return self.record if database == "db" else None
+
+    async def read_now(self, database: str, *, timeout: float) -> GroupRecord:
+        await asyncio.sleep(DELAY_S)
+        if not self.platform_up:
+            raise StoreUnavailable("scripted")
+        return self.record
+
+    def open(self) -> Group:
+        group = Group(
+            "db",
+            directory=self,
+            connector=self,
+            connections=lambda record: 10,
+            zone="z",
+            clock=self.clock,
+            random=Random(1),
+        )
+        group.follow(self.record)
+        self.groups.append(group)
+        return group
+
+    async def close(self) -> None:
+        for group in self.groups:
+            await group.close()
+
+    def work(self, deadline_s: float = 1.0, **options: object) -> Work:
+        terms = {"customer": "coop", "rank": Rank.INTERACTIVE, "share": 0.5}
+        begun = self.clock.monotonic()
+        return Work(**{**terms, "begun": begun, "deadline_s": deadline_s, **options})
+
+    @property
+    def ran(self) -> list[str]:
+        """All statements but status queries, of all endpoints."""
+        return [sql for each in self.endpoints.values() for sql in each.ran]
+
+
+def make_contract(**changes: object) -> Contract:
+    document = {
+        "customer": "coop",
+        "databases": ["db"],
+        "verifier": "",
+        "work": {
+            "counter": {"rank": "urgent", "deadline_ms": 1000},
+            "sheet": {"rank": "interactive", "staleness_ms": 500, "deadline_ms": 2000},
+        },
+        "default_work": "counter",
+        "shares": {"urgent": 0.5, "interactive": 0.3},
+        **changes,
+    }
+    return msgspec.convert(document, Contract)
--- /dev/null
+++ b/tests/test_group.py
@@ -0,0 +1,174 @@
+"""Tests of writes: to a proven primary, at most once, and held over a failover."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+from fakes import (
+    INSERT,
+    FakeGroup,
+    event_loop_policy,  # noqa: F401
+    lose,
+    refuse,
+    wait,
+)
+from fakes import fake as fake
+
+from celeryjunction.errors import ErrorKind
+
+ROLLED_BACK = ErrorKind.NOT_RUN_ROLLED_BACK
+NO_PRIMARY = ErrorKind.NOT_RUN_NO_PRIMARY
+OPENING = ["BEGIN", "SELECT pg_current_xact_id()"]
+
+
+class TestAtMostOnce:
+    @pytest.mark.parametrize("fault", [lose(), wait(50), refuse("57P01")])
+    @pytest.mark.parametrize("verified", [True, False])
+    async def test_failed_write_is_not_sent_again(
+        self, fake: FakeGroup, fault: object, verified: bool
+    ) -> None:
+        # Guards R5 and R6: a statement that may not be repeated is sent once, also
+        # when it is proven that it did not take effect.
+        if verified:
+            await fake.write()
+        fake.a.script.append(("INSERT", fault))
+        assert await fake.write() is ROLLED_BACK
+        assert fake.ran.count(INSERT.sql) == fake.a.applied + 1
+
+    @pytest.mark.parametrize("word", ["INSERT", "COMMIT"])
+    async def test_repeatable_is_sent_again(self, fake: FakeGroup, word: str) -> None:
+        fake.a.script.append((word, lose()))
+        assert await fake.write(repeatable=True) == "INSERT"
+        assert fake.ran.count(INSERT.sql) == 2 and fake.a.applied == 1
+
+    async def test_repeats_end_at_the_deadline_and_keep_a_budget(
+        self, fake: FakeGroup
+    ) -> None:
+        # Guards against a fault of every statement that multiplies the load.
+        fake.a.script.append(("INSERT", wait(50)))
+        assert await fake.write(repeatable=True) is ROLLED_BACK
+        fake.a.script += [("INSERT", lose())] * 1000
+        began = fake.clock.monotonic()
+        writes = [fake.write(repeatable=True) for _ in range(50)]
+        assert set(await asyncio.gather(*writes)) == {ROLLED_BACK}
+        assert fake.clock.monotonic() - began < 1.1
+        assert 51 < fake.ran.count(INSERT.sql) <= 61
+
+    async def test_error_of_the_statement_is_passed_on(self, fake: FakeGroup) -> None:
+        fake.a.script.append(("INSERT", refuse("23505")))
+        assert await fake.write(repeatable=True) == "23505"
+        assert fake.a.ran[-1] == "ROLLBACK" and fake.held() == 1
+
+
+class TestDemotedPrimary:
+    async def test_write_refused_by_a_replica_did_not_run(
+        self, fake: FakeGroup
+    ) -> None:
+        fake.a.script.append(("INSERT", refuse("25006")))
+        assert await fake.write() is ROLLED_BACK
+        assert fake.proxy.monitor.trusted is None
+
+    async def test_first_write_sends_only_the_opening(self, fake: FakeGroup) -> None:
+        # Guards against a statement used up on an endpoint demoted since the proof.
+        await fake.write()
+        fake.a.ran.clear()
+        fake.promote("b")
+        assert await fake.write() == "INSERT"
+        assert fake.a.ran == OPENING and fake.b.ran.count(INSERT.sql) == 1
+
+    async def test_connection_of_an_older_term_is_verified_again(
+        self, fake: FakeGroup
+    ) -> None:
+        await fake.write()
+        for each in fake.endpoints.values():
+            each.term = 2  # a second term of the same primary, connections kept
+        fake.proxy.monitor.suspect()
+        fake.a.script.append(("SELECT pg_current", refuse("25006")))
+        fake.a.ran.clear()
+        assert await fake.write() == "INSERT"
+        assert fake.a.ran[:2] == OPENING and fake.a.ran.count(INSERT.sql) == 1
+
+
+class TestNoPrimary:
+    async def test_writes_wait_and_go_on_with_the_new_term(
+        self, fake: FakeGroup
+    ) -> None:
+        # Guards the gap: unsent writes wait through a failover and are not refused.
+        await fake.write()
+        fake.a.stop()
+        tasks = [asyncio.create_task(fake.write(10.0)) for _ in range(5)]
+        await asyncio.sleep(3.0)
+        assert not any(task.done() for task in tasks)
+        fake.promote("b", but="a")
+        await asyncio.sleep(0.3)
+        assert {task.result() for task in tasks} == {"INSERT"}
+        assert fake.b.ran.count(INSERT.sql) == 5
+
+    async def test_deadline_says_not_run(self, fake: FakeGroup) -> None:
+        fake.b.stop()
+        fake.c.stop()
+        began = fake.clock.monotonic()
+        assert await fake.write(1.0) is NO_PRIMARY and fake.ran == []
+        assert fake.clock.monotonic() - began == pytest.approx(1.0, abs=0.01)
+
+    async def test_refused_connections_keep_the_write_waiting(
+        self, fake: FakeGroup
+    ) -> None:
+        # 53300 from the primary: nothing was sent, so the write tries again.
+        await fake.write()
+        fake.a.disconnect()
+        fake.a.refuses = "53300"
+        task = asyncio.create_task(fake.write(5.0))
+        await asyncio.sleep(1.0)
+        fake.a.refuses = ""
+        assert await task == "INSERT"
+
+    async def test_primary_outside_the_record(self, fake: FakeGroup) -> None:
+        del fake.proxy.handles["a"]
+        assert await fake.write(0.5) is NO_PRIMARY
+
+
+class TestCancelledWrite:
+    @pytest.mark.parametrize("word", ["BEGIN", "INSERT"])
+    async def test_connection_is_closed(self, fake: FakeGroup, word: str) -> None:
+        # Guards R3 and R4: the next write gets another connection and its own answer.
+        await fake.write()
+        fake.a.script.append((word, wait(5)))
+        task = asyncio.create_task(fake.write(9.0))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        await asyncio.wait([task])
+        assert task.cancelled() and fake.held() == 0
+        assert await fake.write() == "INSERT" and fake.a.applied == 2
+
+
+class TestRecord:
+    async def test_moved_endpoint_gets_a_new_pool(self, fake: FakeGroup) -> None:
+        # Guards against connections to an address that the endpoint left, and
+        # against an older record that undoes a newer one.
+        await fake.write()
+        old, group = dict(fake.proxy.handles), fake.proxy
+        first, *others = fake.record.endpoints
+        endpoints = (msgspec.structs.replace(first, port=2), *others)
+        moved = msgspec.structs.replace(fake.record, term=2, endpoints=endpoints)
+        group.follow(moved)
+        group.follow(fake.record)
+        assert group.handles["a"].record.port == 2 and fake.held() == 0
+        assert group.handles["b"] is old["b"]
+
+
+class TestMarks:
+    @pytest.mark.parametrize("lost", [True, False])
+    async def test_term_that_starts_before_an_acknowledged_write(
+        self, fake: FakeGroup, lost: bool
+    ) -> None:
+        # Guards against acknowledged writes that a promotion drops unnoticed.
+        fake.b.receives = not lost
+        await fake.write(replicated=False)
+        assert fake.proxy.lost_term("coop") is None
+        fake.promote("b", but="a")
+        await fake.prove()
+        assert fake.proxy.lost_term("coop") == (2 if lost else None)
+        assert fake.proxy.lost_term("other") is None
--- /dev/null
+++ b/tests/test_reads.py
@@ -0,0 +1,179 @@
+"""Tests of reads: the endpoint that answers is proven fresh enough."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from fakes import (
+    SELECT,
+    FakeGroup,
+    event_loop_policy,  # noqa: F401
+    lose,
+    outcome,
+    refuse,
+    wait,
+)
+from fakes import fake as fake
+
+from celeryjunction.contract import Rank
+from celeryjunction.errors import ErrorKind
+
+
+@pytest.fixture(autouse=True)
+async def start(fake: FakeGroup) -> None:
+    for each in fake.endpoints.values():
+        each.at(5)
+
+
+async def read(fake: FakeGroup, *args: float, **options: object) -> object:
+    """Run a read; return the endpoint that answered and what it had applied."""
+    work = fake.work(*args, **options)
+    result = await outcome(fake.proxy.reader.read(work, SELECT))
+    if isinstance(result, ErrorKind | str):
+        return result
+    name, applied = result.rows[0]
+    return name.decode(), int(applied)
+
+
+class TestStrictRead:
+    async def test_sees_every_acknowledged_write(self, fake: FakeGroup) -> None:
+        # Guards R1, also for a second proxy that shares nothing with the first.
+        first, second = fake.proxy, fake.open()
+        fake.c.applies = False
+        for proxy in [first, second] * 5:
+            fake.proxy = first
+            await fake.write()
+            fake.proxy = proxy
+            assert await read(fake) == ("b", fake.a.applied)
+        assert first.reader.replica_reads == second.reader.replica_reads == 5
+
+    @pytest.mark.parametrize(
+        ("rank", "deadline_s", "wait_s"),
+        [
+            (Rank.URGENT, 100, 0.0),
+            (Rank.INTERACTIVE, 100, 0.1),
+            (Rank.BACKGROUND, 100, 0.5),
+            (Rank.BACKGROUND, 0.2, 0.04),
+        ],
+    )
+    async def test_waits_by_rank_then_goes_to_the_primary(
+        self, fake: FakeGroup, rank: Rank, deadline_s: float, wait_s: float
+    ) -> None:
+        # Guards against a replica behind the proven position, and against a wait that
+        # urgent work pays for or that takes more than a fifth of the time left.
+        fake.a.at(6)
+        began = fake.clock.monotonic()
+        assert await read(fake, deadline_s, rank=rank) == ("a", 6)
+        assert fake.clock.monotonic() - began == pytest.approx(wait_s, abs=0.02)
+
+    async def test_replica_that_catches_up_answers(self, fake: FakeGroup) -> None:
+        fake.a.at(6)
+        task = asyncio.create_task(read(fake))
+        await asyncio.sleep(0.05)
+        assert not task.done()
+        fake.c.at(6)
+        assert await task == ("c", 6)
+
+    async def test_old_proof_and_old_term_do_not_serve(self, fake: FakeGroup) -> None:
+        fake.b.at(99)
+        fake.promote("c", but="b")
+        assert (await read(fake))[0] in "ac"
+        fake.c.stop()
+        assert await read(fake) is ErrorKind.FRESHNESS_UNPROVEN
+
+
+class TestBoundedRead:
+    async def test_uses_a_replica_inside_its_bound_only(self, fake: FakeGroup) -> None:
+        fake.b.applies = fake.c.applies = False
+        await read(fake)  # proves position 5
+        await asyncio.sleep(1.0)
+        await fake.write()
+        assert (await read(fake, staleness_s=2.0))[1] == 5
+        assert await read(fake, staleness_s=0.001) == ("a", 6)
+        await asyncio.sleep(3.0)
+        assert await read(fake, staleness_s=2.0) == ("a", 6)
+
+    async def test_includes_the_sessions_own_write(self, fake: FakeGroup) -> None:
+        # Guards against a session that does not see its own write within its bound.
+        fake.b.applies = False
+        await read(fake)
+        await fake.write()
+        for _ in range(10):
+            assert await read(fake, staleness_s=60.0, minimum=(1, 6)) == ("c", 6)
+
+    async def test_renews_the_proof_before_it_is_too_old(self, fake: FakeGroup) -> None:
+        await read(fake)
+        proven = fake.proxy.monitor.proof.proven_at
+        await asyncio.sleep(1.0)
+        await read(fake, staleness_s=2.0)
+        await asyncio.sleep(0.1)
+        assert fake.proxy.monitor.proof.proven_at > proven + 0.9
+
+    async def test_checks_its_bound_again_after_a_queue_wait(
+        self, fake: FakeGroup
+    ) -> None:
+        # Guards against a position that was fresh enough when the read began to wait.
+        fake.c.leaving, fake.b.applies = True, False
+        await read(fake)
+        handle = fake.proxy.handles["b"]
+        held = [await handle.enter(fake.work(60)) for _ in range(3)]
+        waiting = asyncio.create_task(read(fake, 30.0, staleness_s=2.0))
+        await asyncio.sleep(0.1)
+        await fake.write()
+        await asyncio.sleep(5.0)
+        for checkout in held:
+            checkout.release()
+        assert await waiting == ("a", 6)
+
+
+class TestYoungConnection:
+    async def test_asks_the_status_in_line(self, fake: FakeGroup) -> None:
+        # Guards A4: the status seen before the connection was opened may be that of
+        # a log that was rewound since. The answer is thrown away.
+        await fake.prove()
+        await asyncio.sleep(0.1)
+        fake.c.at(2)
+        for _ in range(10):
+            assert await read(fake, staleness_s=3000.0) == ("b", 5)
+        assert SELECT.sql in fake.c.ran and fake.proxy.handles["c"].pool.idle == 0
+
+    async def test_older_connection_sends_the_statement_alone(
+        self, fake: FakeGroup
+    ) -> None:
+        fake.b.leaving = True
+        await read(fake)
+        await read(fake)  # the status is now younger than the connection
+        asked = fake.c.asked
+        assert await read(fake, staleness_s=60.0) == ("c", 5) and fake.c.asked == asked
+
+
+class TestFailure:
+    @pytest.mark.parametrize(
+        "fault", [lose(), refuse("57P01"), refuse("40001"), refuse("53300")]
+    )
+    async def test_read_is_repeated(self, fake: FakeGroup, fault: object) -> None:
+        for each in (fake.b, fake.c):
+            each.script.append(("SELECT v", fault))
+        assert (await read(fake))[1] == 5
+
+    async def test_error_of_the_statement_is_passed_on(self, fake: FakeGroup) -> None:
+        for each in (fake.b, fake.c):
+            each.script.append(("SELECT v", refuse("42P01")))
+        assert await read(fake) == "42P01" and fake.ran == [SELECT.sql]
+
+    async def test_unanswered_until_the_deadline(self, fake: FakeGroup) -> None:
+        for each in fake.endpoints.values():
+            each.script += [("SELECT v", wait(50))] * 5
+        assert await read(fake, 1.0) is ErrorKind.READ_UNANSWERED
+        assert fake.held() == 0
+
+    async def test_cancelled_read_closes_its_connection(self, fake: FakeGroup) -> None:
+        # Guards R4: the late answer must not reach the next read.
+        for each in (fake.b, fake.c):
+            each.script.append(("SELECT v", wait(5)))
+        task = asyncio.create_task(read(fake, 30.0))
+        await asyncio.sleep(0.5)
+        task.cancel()
+        await asyncio.wait([task])
+        assert task.cancelled() and fake.held() == 0
--- /dev/null
+++ b/tests/test_transaction.py
@@ -0,0 +1,145 @@
+"""Tests of transactions that a client opened."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from fakes import (
+    INSERT,
+    SELECT,
+    FakeGroup,
+    call,
+    event_loop_policy,  # noqa: F401
+    lose,
+    outcome,
+    refuse,
+    wait,
+)
+from fakes import fake as fake
+
+from celeryjunction.errors import ErrorKind
+from celeryjunction.transaction import Transaction
+
+ROLLED_BACK = ErrorKind.NOT_RUN_ROLLED_BACK
+
+
+def begin(fake: FakeGroup, *, read_only: bool = False) -> Transaction:
+    sql = "BEGIN READ ONLY" if read_only else "BEGIN"
+    begun = fake.clock.monotonic()
+    return Transaction(fake.proxy, begin_sql=sql, read_only=read_only, begun=begun)
+
+
+async def opened(fake: FakeGroup) -> Transaction:
+    transaction = begin(fake)
+    await transaction.execute(fake.work(), INSERT)
+    return transaction
+
+
+class TestLife:
+    async def test_sends_nothing_before_its_first_statement(
+        self, fake: FakeGroup
+    ) -> None:
+        assert await begin(fake).commit(fake.work()) == "COMMIT"
+        await begin(fake).rollback()
+        assert fake.ran == [] and fake.held() == 0
+
+    async def test_stays_on_one_connection_and_commits(self, fake: FakeGroup) -> None:
+        # Guards R3: a second transaction at the same time gets its own connection.
+        first, second = await opened(fake), await opened(fake)
+        for transaction in (first, second):
+            await transaction.execute(fake.work(), SELECT)
+        assert len(fake.a.connections) == 3  # one is the probe's
+        assert fake.proxy.handles["a"].admission.running == 0
+        assert await first.commit(fake.work()) == "COMMIT"
+        await second.rollback()
+        assert fake.proxy.mark("coop") == (1, 1) and fake.a.applied == 1
+        assert fake.proxy.handles["a"].pool.idle == 2 and fake.held() == 2
+
+    async def test_failed_one_answers_rollback(self, fake: FakeGroup) -> None:
+        transaction = await opened(fake)
+        fake.a.script.append(("SELECT v", refuse("42P01")))
+        assert await outcome(transaction.execute(fake.work(), SELECT)) == "42P01"
+        assert transaction.failed
+        assert await transaction.commit(fake.work()) == "ROLLBACK"
+        assert fake.a.applied == 0 and fake.a.ran[-1] == "ROLLBACK"
+
+    async def test_commit_is_proven_like_a_write(self, fake: FakeGroup) -> None:
+        transaction = await opened(fake)
+        fake.a.script.append(("COMMIT", call(lambda: fake.promote("b", but="a"))))
+        kind = await outcome(transaction.commit(fake.work()))
+        assert kind is ErrorKind.OUTCOME_UNKNOWN
+        assert fake.proxy.handles["a"].admission.held == 0
+
+
+class TestBarrier:
+    @pytest.mark.parametrize("seen", [True, False])
+    async def test_first_statement_waits_for_it(
+        self, fake: FakeGroup, seen: bool
+    ) -> None:
+        # Guards R1 inside transactions: a cut-off primary answers the statement, but
+        # nobody else proves it, or others prove a newer term.
+        await fake.write()
+        if seen:
+            fake.promote("b", but="a")
+        else:
+            fake.b.stop()
+            fake.c.stop()
+        transaction = begin(fake)
+        call = transaction.execute(fake.work(1.0), SELECT)
+        assert await outcome(call) is ROLLED_BACK
+        assert transaction.failed and SELECT.sql in fake.a.ran
+
+
+class TestBrokenConnection:
+    @pytest.mark.parametrize("fault", [lose(), wait(50)])
+    async def test_is_closed_and_rolled_back(
+        self, fake: FakeGroup, fault: object
+    ) -> None:
+        transaction = await opened(fake)
+        fake.a.script.append(("INSERT", fault))
+        call = transaction.execute(fake.work(1.0), INSERT)
+        assert await outcome(call) is ROLLED_BACK and fake.held() == 0
+        assert await transaction.commit(fake.work()) == "ROLLBACK"
+        assert fake.a.outcomes == {"1": "aborted"}
+
+    async def test_cancelled_statement_closes_it(self, fake: FakeGroup) -> None:
+        transaction = await opened(fake)
+        fake.a.script.append(("SELECT v", wait(5)))
+        task = asyncio.create_task(transaction.execute(fake.work(9.0), SELECT))
+        await asyncio.sleep(0.5)
+        task.cancel()
+        await asyncio.wait([task])
+        assert task.cancelled() and transaction.failed and fake.held() == 0
+
+    async def test_lost_rollback_closes_it(self, fake: FakeGroup) -> None:
+        transaction = await opened(fake)
+        fake.a.script.append(("ROLLBACK", lose()))
+        await transaction.rollback()
+        assert fake.held() == 0
+
+
+class TestReadOnly:
+    @pytest.mark.parametrize("fresh", [True, False])
+    async def test_runs_on_a_fresh_replica_or_the_primary(
+        self, fake: FakeGroup, fresh: bool
+    ) -> None:
+        fake.b.applies, fake.c.applies = False, fresh
+        await fake.write()
+        transaction, name = begin(fake, read_only=True), "c" if fresh else "a"
+        for _ in range(2):
+            result = await transaction.execute(fake.work(), SELECT)
+            assert result.rows[0] == (name.encode(), b"1")
+        assert await transaction.commit(fake.work()) == "COMMIT"
+        script = ["BEGIN READ ONLY", SELECT.sql, SELECT.sql, "COMMIT"]
+        assert fake.endpoints[name].ran[-4:] == script
+        assert fake.proxy.handles[name].admission.held == 0
+
+
+class TestDescribe:
+    async def test_uses_the_open_connection(self, fake: FakeGroup) -> None:
+        assert await begin(fake).describe(fake.work(), SELECT) is None
+        transaction = await opened(fake)
+        shape = await transaction.describe(fake.work(), SELECT)
+        assert shape.columns is not None and fake.a.ran[-1] == "DESCRIBE"
+        await transaction.rollback()
