--- /dev/null
+++ b/tests/test_core_faults.py
@@ -0,0 +1,188 @@
+"""Tests that show faults of the core which are not repaired yet."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from fakes import (
+    INSERT,
+    SELECT,
+    FakeConnection,
+    FakeGroup,
+    call,
+    event_loop_policy,  # noqa: F401
+    lose,
+    outcome,
+    wait,
+)
+from fakes import fake as fake
+from test_reads import read
+from test_session import Desk, say
+from test_transaction import begin, opened
+
+from celeryjunction.errors import ErrorKind
+from celeryjunction.ports import QueryResult
+
+
+class TestReads:
+    async def test_status_after_the_connection_was_opened_must_be_fresh(
+        self, fake: FakeGroup
+    ) -> None:
+        # Guards R1: the replica is chosen, rewinds into a new term while a connection
+        # to it is opened, and a probe sees it before the statement is sent. The newer
+        # status covers the connection but is not fresh enough.
+        for each in fake.endpoints.values():
+            each.at(5)
+        fake.b.leaving = True
+        await fake.prove()
+        fake.c.connect_s = 0.05
+        task = asyncio.create_task(read(fake, 5.0))
+        await asyncio.sleep(0.02)
+        fake.promote("a")
+        fake.c.at(2)
+        fake.c.disconnect()
+        fake.c.connect_s = 0.001
+        await fake.prove()
+        await asyncio.sleep(0.01)
+        assert fake.proxy.monitor.observations["c"].status.applied == 2
+        assert (await task)[1] >= 5
+
+    @pytest.mark.parametrize("fault", ["rewound", "stopped"])
+    async def test_primary_serves_when_the_only_fresh_replica_fails(
+        self, fake: FakeGroup, fault: str
+    ) -> None:
+        # Guards against a read that returns to the same failing replica until its
+        # deadline, because the last status of that replica stays.
+        fake.b.applies = False
+        await fake.write()
+        await fake.prove()
+        await asyncio.sleep(0.1)
+        if fault == "rewound":
+            fake.c.disconnect()
+            fake.c.at(0)
+        else:
+            fake.c.stop()
+        assert await read(fake, 2.0, staleness_s=600.0, minimum=(1, 1)) == ("a", 1)
+
+    async def test_first_read_after_a_lossy_promotion_is_refused(
+        self, fake: FakeGroup
+    ) -> None:
+        # Guards against an acknowledged write that is missing from an answer: the
+        # read's own round proves the new term, after the mark was checked.
+        session = await Desk(fake, acknowledgement="proven").open()
+        fake.b.receives = fake.c.receives = False
+        assert await say(session, INSERT.sql) == "INSERT"
+        fake.promote("b", but="a")
+        assert await say(session, SELECT.sql) is ErrorKind.ACKNOWLEDGED_WRITE_LOST
+
+
+class TestTransactions:
+    async def test_demoted_primary_is_suspected(self, fake: FakeGroup) -> None:
+        # Guards the gap: without a suspicion every further transaction goes to the
+        # demoted endpoint, and fails with 25006 although nothing of it was sent.
+        await fake.write()
+        fake.promote("b")
+        for _ in range(3):
+            transaction = begin(fake)
+            last = await outcome(transaction.execute(fake.work(), INSERT))
+            await transaction.rollback()
+            await asyncio.sleep(1.0)
+        assert isinstance(last, QueryResult)
+
+    async def test_failed_barrier_leaves_no_statement_behind(
+        self, fake: FakeGroup
+    ) -> None:
+        # Guards against ROLLBACK on a connection whose statement still runs, and
+        # against a savepoint that revives a transaction without its barrier.
+        await fake.write()
+        fake.promote("b", but="a")
+        fake.a.script.append(("SELECT v", wait(0.5)))
+        transaction = begin(fake)
+        result = await outcome(transaction.execute(fake.work(), SELECT))
+        assert result is ErrorKind.NOT_RUN_ROLLED_BACK and not transaction.opened
+        await transaction.rollback()
+
+    @pytest.mark.parametrize("word", ["SELECT v", "COMMIT"])
+    async def test_lost_read_only_connection_is_an_error_of_the_list(
+        self, fake: FakeGroup, word: str
+    ) -> None:
+        # Guards against an internal error (XX000): `ClientSession` raises errors of
+        # the closed list only.
+        session = await Desk(fake).open()
+        for each in fake.endpoints.values():
+            each.script.append((word, lose()))
+        for sql in ("BEGIN READ ONLY", SELECT.sql, "COMMIT"):
+            assert await say(session, sql) not in ("lost", "lost unsent")
+
+    async def test_lost_describe_is_an_error_of_the_list(self, fake: FakeGroup) -> None:
+        transaction = await opened(fake)
+        fake.a.script.append(("DESCRIBE", lose()))
+        result = await outcome(transaction.describe(fake.work(), SELECT))
+        assert result is ErrorKind.NOT_RUN_ROLLED_BACK
+
+
+class TestCancel:
+    async def test_cancelled_commit_is_not_called_not_run(
+        self, fake: FakeGroup
+    ) -> None:
+        # Guards R5: a cancelled call is answered with 57014 "it did not run". Once
+        # COMMIT was sent that is not known, so the call must end by itself.
+        def commit_slowly(connection: FakeConnection) -> object:
+            connection.end("committed")
+            return wait(0.5)(connection)
+
+        fake.a.script.append(("COMMIT", commit_slowly))
+        task = asyncio.create_task(fake.write(9.0))
+        await asyncio.sleep(0.2)
+        assert fake.a.applied == 1
+        task.cancel()
+        await asyncio.wait([task])
+        assert not task.cancelled()
+        assert task.result() in ("INSERT", ErrorKind.OUTCOME_UNKNOWN)
+
+
+class TestSessions:
+    async def test_missing_contract_leaves_nothing_busy(self, fake: FakeGroup) -> None:
+        # Guards against a drain that waits for a statement which never ran, and an
+        # open transaction without its idle limit.
+        desk = Desk(fake, idle_transaction_ms=2000)
+        session = await desk.open()
+        await say(session, "BEGIN", INSERT.sql)
+        desk.contracts._contracts.clear()
+        assert await say(session, SELECT.sql) is ErrorKind.NO_CONTRACT
+        await asyncio.sleep(3)
+        assert fake.a.outcomes["1"] == "aborted"
+        await session.close()
+        assert desk.sessions.busy == 0 and not session.busy
+
+    @pytest.mark.parametrize("reset", ["RESET ALL", "RESET celeryjunction.work"])
+    async def test_reset_keeps_the_work_class_of_the_login(
+        self, fake: FakeGroup, reset: str
+    ) -> None:
+        # Guards against client pools that run RESET ALL between two uses: their work
+        # would then be served by the terms of the default class.
+        session = await Desk(fake).open("coop.sheet")
+        await say(session, reset)
+        assert await say(session, "SHOW celeryjunction.work") == "sheet"
+
+    @pytest.mark.parametrize("name", ["statement_timeout", "timezone"])
+    async def test_set_to_default_is_a_reset(self, fake: FakeGroup, name: str) -> None:
+        session = await Desk(fake).open()
+        assert await say(session, f"SET {name} TO DEFAULT") == "SET"
+
+    async def test_savepoint_needs_a_transaction(self, fake: FakeGroup) -> None:
+        # Guards against a savepoint that looks set and protects nothing (25P01).
+        session = await Desk(fake).open()
+        assert await say(session, "SAVEPOINT s") == "25P01" and fake.ran == []
+
+    async def test_shape_seen_during_a_schema_change_is_forgotten(
+        self, fake: FakeGroup
+    ) -> None:
+        # Guards against old columns announced for 60 s after a change of schema.
+        desk = Desk(fake)
+        session = await desk.open()
+        shapes, key = desk.sessions._shapes, ("db", SELECT.sql, ())
+        fake.a.script.append(("ALTER", call(lambda: shapes.put(*key, "old"))))
+        await say(session, "ALTER TABLE t ADD w int")
+        assert shapes.get(*key) is None
