--- a/src/celeryjunction/adapters/pg_endpoint.py
+++ b/src/celeryjunction/adapters/pg_endpoint.py
@@ -154,9 +154,11 @@
         "_loop",
         "_lost",
         "_names",
+        "_new_names",
         "_next_name",
         "_pending",
         "_pgconn",
+        "_unclosed",
         "opened_at",
         "verified_term",
     )
@@ -167,6 +169,8 @@
         self._pgconn = pgconn
         self._loop = asyncio.get_running_loop()
         self._names: OrderedDict[tuple[str, tuple[int, ...]], bytes] = OrderedDict()
+        self._new_names: list[tuple[str, tuple[int, ...]]] = []
+        self._unclosed: list[bytes] = []
         self._next_name = 0
         self._pending: _Pending | None = None
         self._closed = False
@@ -233,7 +237,11 @@
             raise AssertionError("a pipeline is already running on this connection")
         pending = _Pending(commands, self._loop.create_future())
         self._pending = pending
+        self._new_names.clear()
         try:
+            for name in self._unclosed:
+                self._close_name(name, commands)
+            self._unclosed.clear()
             send()
             self._pgconn.pipeline_sync()
             self._flush()
@@ -249,10 +257,20 @@
         finally:
             self._pending = None
         if pending.error is not None:
-            self._names.clear()
+            self._forget_new_names()
             raise pending.error
         return pending.results
 
+    def _forget_new_names(self) -> None:
+        """Drop statements that a failed pipeline may not have prepared.
+
+        They are closed with the next pipeline; closing an unknown name is no error.
+        """
+        for key in self._new_names:
+            name = self._names.pop(key, None)
+            if name is not None:
+                self._unclosed.append(name)
+
     async def _wait(self, pending: _Pending, timeout: float) -> None:
         if pending.done.done():
             return pending.done.result()
@@ -289,15 +307,19 @@
             return name
         if len(self._names) >= MAX_PREPARED:
             _, old = self._names.popitem(last=False)
-            self._pgconn.send_close_prepared(old)
-            commands.append(None)
+            self._close_name(old, commands)
         self._next_name += 1
         name = b"cj%d" % self._next_name
         self._pgconn.send_prepare(name, sql.encode(), oids or None)
         commands.append(None)
         self._names[key] = name
+        self._new_names.append(key)
         return name
 
+    def _close_name(self, name: bytes, commands: deque[int | None]) -> None:
+        self._pgconn.send_close_prepared(name)
+        commands.append(None)
+
     def _flush(self) -> None:
         if self._pgconn.flush():
             self._loop.add_writer(self._fileno, self._on_writable)
--- a/src/celeryjunction/classify.py
+++ b/src/celeryjunction/classify.py
@@ -69,6 +69,7 @@
     SHOW = "show"
     RESET = "reset"
     DISCARD = "discard"
+    CONSTANT = "constant"
     EMPTY = "empty"
     UNSUPPORTED = "unsupported"
 
@@ -82,7 +83,8 @@
     asks for. `setting`, `value` and `local` belong to SET, SHOW and RESET; the name is
     in lower case, and a value of None means DEFAULT. SET TRANSACTION is a local SET of
     ``transaction``. The value of a DISCARD is its command tag. `needs_reset` is True
-    when the connection may carry changed session state afterwards.
+    when the connection may carry changed session state afterwards. `answer` holds name
+    and value of each column of a CONSTANT.
     """
 
     kind: StatementKind
@@ -94,6 +96,7 @@
     needs_reset: bool = False
     is_ddl: bool = False
     locks: bool = False
+    answer: tuple[tuple[str, str], ...] = ()
 
 
 def classify(sql: str) -> StatementInfo:
@@ -304,9 +307,15 @@
     return _classify(sql)
 
 
-# Client pools reset a connection with it. No session lock is ever held here, so it
-# does nothing and need not go to an endpoint.
-_UNLOCK_ALL = "select pg_advisory_unlock_all()"
+# What client libraries send on their own account, and an answer that holds on shared
+# connections: no session lock is ever held, and `jit` is not changed for a session.
+_CONSTANT_ANSWERS = {
+    "select pg_advisory_unlock_all()": (("pg_advisory_unlock_all", ""),),
+    "select current_setting('jit') as cur, set_config('jit', 'off', false) as new": (
+        ("cur", "off"),
+        ("new", "off"),
+    ),
+}
 
 
 def _classify(sql: str) -> StatementInfo:
@@ -315,8 +324,9 @@
         sql = sql[start:]
     if not sql:
         return _EMPTY
-    if sql.rstrip("; \n").lower() == _UNLOCK_ALL:
-        return StatementInfo(kind=StatementKind.DISCARD, value="SELECT 1")
+    answer = _CONSTANT_ANSWERS.get(" ".join(sql.rstrip("; \n").lower().split()))
+    if answer is not None:
+        return StatementInfo(kind=StatementKind.CONSTANT, answer=answer)
     tokens = _tokenize(sql) if len(sql) <= TOKENIZE_LIMIT else None
     if tokens is None:
         return _classify_first_word(sql)
--- a/src/celeryjunction/commit.py
+++ b/src/celeryjunction/commit.py
@@ -30,9 +30,12 @@
 COMMIT_STEP = Step("COMMIT")
 TRANSACTION_ID_STEP = Step("SELECT pg_current_xact_id()")
 
+CLOSING_STATES = frozenset({"57P01", "57P02", "57P03", "08006", "08003"})
+"""Errors of an endpoint that is going down; they do not tell the commit's outcome."""
 STATUS_RETRY_S = 0.02
 """Pause between two questions for a transaction's status."""
 STATUS_TIMEOUT_S = 1.0
+MIN_CONFIRM_S = 0.2
 MIN_RESOLVE_S = 2.0
 """A lost COMMIT is looked into for at least so long, even past the deadline: a late
 definite answer is worth more to the client than "outcome unknown"."""
@@ -111,13 +114,15 @@
 
     async def acknowledge(self, committed: Committed, work: Work) -> None:
         """Wait for the proof that the commit may be acknowledged."""
+        now = self._clock.monotonic()
         try:
             proven = await self._monitor.confirm(
                 term=committed.term,
                 position=committed.position,
-                since=self._clock.monotonic(),
+                since=now,
                 replicated=work.replicated,
-                deadline=work.deadline,
+                # A commit resolved after the deadline still gets its true answer.
+                deadline=max(work.deadline, now + MIN_CONFIRM_S),
             )
         except NoProof:
             proven = False
@@ -140,8 +145,12 @@
         try:
             result, status = await checkout.run([COMMIT_STEP, STATUS_STEP], work)
         except EndpointError as error:
-            if error.step == 0:
+            if error.sqlstate == "25006":
+                self._monitor.suspect()
+                raise rolled_back("the endpoint stopped being the primary") from None
+            if error.step == 0 and error.sqlstate not in CLOSING_STATES:
                 raise
+            self._monitor.suspect()
             return await self._resolve(checkout, work, xid=xid, term=term)
         except ConnectionLost as error:
             if not error.sent:
--- a/src/celeryjunction/reads.py
+++ b/src/celeryjunction/reads.py
@@ -189,9 +189,10 @@
         asked = self._clock.monotonic()
         checkout = await self._enter(handle, work)
         started = self._clock.monotonic()
+        waited = started - asked
+        if work.staleness_s > 0 and waited > QUEUE_RECHECK_S:
+            self._recheck(checkout, work, target)
         try:
-            if work.staleness_s > 0 and started - asked > QUEUE_RECHECK_S:
-                self._recheck(handle, work, target)
             results = await self._run_checked(checkout, work, steps, target)
         except BaseException as error:
             answered = isinstance(error, EndpointError)
@@ -242,17 +243,18 @@
             raise ConnectionLost("the endpoint was not fresh enough", sent=True)
         return results
 
-    def _recheck(self, handle: EndpointHandle, work: Work, target: Target) -> None:
+    def _recheck(self, checkout: Checkout, work: Work, target: Target) -> None:
         """Prove the staleness again after a wait in the queue."""
         instant = self._clock.monotonic() - work.staleness_s
         position = self._monitor.position_since(instant)
-        seen = self._monitor.observations.get(handle.name)
+        seen = self._monitor.observations.get(checkout.endpoint)
         if (
             position is None
             or seen is None
             or seen.status.term != target.term
             or seen.status.applied < position
         ):
+            checkout.release()
             raise ConnectionLost("no longer fresh after the wait", sent=False)
 
     async def _target(self, work: Work, failed: set[str]) -> Target:
--- a/src/celeryjunction/rounds.py
+++ b/src/celeryjunction/rounds.py
@@ -14,7 +14,6 @@
 import asyncio
 from collections.abc import Callable
 
-from celeryjunction.errors import ConnectionLost, EndpointError
 from celeryjunction.freshness import FreshnessHistory
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
@@ -159,7 +158,8 @@
             sent_at = monitor.clock.monotonic()
             try:
                 status = await self._ask()
-            except (ConnectionLost, EndpointError, ValueError) as error:
+            except Exception as error:
+                # Whatever an endpoint answers, the probe must go on asking.
                 self._disconnect()
                 monitor.probe_failed(self._record.name, error)
                 await asyncio.sleep(PROBE_RETRY_S)
--- a/src/celeryjunction/session.py
+++ b/src/celeryjunction/session.py
@@ -22,9 +22,6 @@
 from celeryjunction.work import Work
 
 TEXT_OID = 25
-VOID_OID = 2278
-VOID_TAG = "SELECT 1"
-"""Tag of `pg_advisory_unlock_all`, which client pools run to reset a connection."""
 READ_ONLY_STATE = "25006"
 BOOL_ON = frozenset({"on", "true", "yes", "1", "t"})
 BOOL_OFF = frozenset({"off", "false", "no", "0", "f"})
@@ -252,7 +249,6 @@
         contract = self._current_contract()
         cls = self._work_class(contract)
         rank = cls.rank_value
-        repeatable = cls.repeatable if self._repeatable is None else self._repeatable
         return Work(
             customer=self._customer,
             rank=rank,
@@ -260,12 +256,18 @@
             begun=self._clock.monotonic(),
             deadline_s=self._deadline_s(cls),
             staleness_s=0.0 if self._strict else cls.staleness_ms / 1000,
-            repeatable=repeatable,
+            repeatable=self._is_repeatable,
             replicated=contract.acknowledgement is Acknowledgement.REPLICATED,
             shed_order=self._shed_order(contract, rank),
             minimum=self._minimum,
         )
 
+    @property
+    def _is_repeatable(self) -> bool:
+        if self._repeatable is not None:
+            return self._repeatable
+        return self._work_class(self._current_contract()).repeatable
+
     @property
     def _strict(self) -> bool:
         return self._settings.get("celeryjunction.strict") == "on"
@@ -318,8 +320,8 @@
             return None
         if info.kind is StatementKind.SHOW:
             return StatementShape((), (_text_column(info.setting or "?"),))
-        if info.kind is StatementKind.DISCARD and info.value == VOID_TAG:
-            return StatementShape((), (_void_column(),))
+        if info.kind is StatementKind.CONSTANT:
+            return StatementShape((), _constant_columns(info))
         return StatementShape((), None)
 
     async def _local(self, info: StatementInfo, work: Work, step: Step) -> QueryResult:
@@ -337,8 +339,9 @@
         if kind is StatementKind.RESET:
             self._reset(info.setting)
             return QueryResult("RESET", None, ())
-        if kind is StatementKind.DISCARD and info.value == VOID_TAG:
-            return QueryResult(VOID_TAG, (_void_column(),), [(b"",)])
+        if kind is StatementKind.CONSTANT:
+            row = tuple(value.encode() for _, value in info.answer)
+            return QueryResult("SELECT 1", _constant_columns(info), [row])
         return QueryResult(info.value or "", None, ())
 
     async def _set_local(self, work: Work, step: Step) -> QueryResult:
@@ -391,12 +394,16 @@
         contract = self._current_contract()
         own = {
             "celeryjunction.work": self._work_name or contract.default_work,
-            "celeryjunction.repeatable": "on" if self._repeatable else "off",
+            "celeryjunction.repeatable": "on" if self._is_repeatable else "off",
+            "celeryjunction.strict": "off",
             "server_version": "16.0",
             "transaction_isolation": "read committed",
             "search_path": '"$user", public',
         }
-        value = self._settings.get(name, own.get(name, FIXED_SETTINGS.get(name, "")))
+        defaults = dict.fromkeys(PASSIVE_SETTINGS, "") | FIXED_SETTINGS | own
+        value = self._settings.get(name, defaults.get(name))
+        if value is None:
+            raise _error("42704", f'unrecognized configuration parameter "{name}"')
         return QueryResult("SHOW", (_text_column(name),), [(value.encode(),)])
 
     def _idle_limit_s(self) -> float:
@@ -461,5 +468,5 @@
     return Column(name.encode(), TEXT_OID, -1, -1)
 
 
-def _void_column() -> Column:
-    return Column(b"pg_advisory_unlock_all", VOID_OID, 4, -1)
+def _constant_columns(info: StatementInfo) -> tuple[Column, ...]:
+    return tuple(_text_column(name) for name, _ in info.answer)
--- a/tests/test_classify.py
+++ b/tests/test_classify.py
@@ -178,10 +178,17 @@
         assert kind(hidden) is StatementKind.WRITE
         assert split("SELECT $1,$2; SELECT $1,$2") == ["SELECT $1,$2"] * 2
 
-    def test_unlock_all_is_answered_without_an_endpoint(self) -> None:
-        # Guards against pools of clients failing to reset their connection: no session
-        # lock can be held on shared connections, so the statement does nothing.
-        assert kind("select pg_advisory_unlock_all();") is StatementKind.DISCARD
+    def test_library_queries_are_answered_without_an_endpoint(self) -> None:
+        # Guards against pools that cannot reset a connection and against asyncpg
+        # failing on every array type, which it looks up after switching jit off.
+        assert kind("select pg_advisory_unlock_all();") is StatementKind.CONSTANT
+        jit = """
+            SELECT current_setting('jit') AS cur,
+                set_config('jit', 'off', false) AS new
+        """
+        assert classify(jit).answer == (("cur", "off"), ("new", "off"))
+        other = "SELECT set_config('jit', 'on', false)"
+        assert kind(other) is StatementKind.UNSUPPORTED
         assert kind(" ; -- nothing") is StatementKind.EMPTY
 
 
--- a/tests/test_reads.py
+++ b/tests/test_reads.py
@@ -63,6 +63,7 @@
     ) -> None:
         # Guards against a replica behind the proven position, and against a wait that
         # urgent work pays for or that takes more than a fifth of the time left.
+        await fake.prove()
         fake.a.at(6)
         began = fake.clock.monotonic()
         assert await read(fake, deadline_s, rank=rank) == ("a", 6)
@@ -81,6 +82,7 @@
         assert fake.clock.monotonic() - began < 0.05
 
     async def test_replica_that_catches_up_answers(self, fake: FakeGroup) -> None:
+        await fake.prove()
         fake.a.at(6)
         task = asyncio.create_task(read(fake))
         await asyncio.sleep(0.05)
