--- a/src/celeryjunction/ports.py
+++ b/src/celeryjunction/ports.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import NamedTuple, Protocol
 
 import msgspec
@@ -309,6 +309,27 @@
         ...
 
 
+class PeerTransport(Protocol):
+    """Single messages between proxies; any of them may be lost."""
+
+    @property
+    def port(self) -> int:
+        """The port that is listened on; 0 before `start`."""
+        ...
+
+    def start(self, host: str, port: int, receive: Callable[[bytes], None]) -> None:
+        """Listen and call `receive` with each message; raises `OSError`."""
+        ...
+
+    def send(self, host: str, port: int, message: bytes) -> bool:
+        """Send a message if that is possible at once; otherwise return False."""
+        ...
+
+    def close(self) -> None:
+        """Close all sockets."""
+        ...
+
+
 class Login(NamedTuple):
     """What a client asks for when it connects.
 
