Forward statements to the home proxy of their database

Each proxy queued by itself, so that an endpoint saw the sum of all queues. Now the first usable proxy in rendezvous order runs a database's statements through its group, and the others forward them with their terms over authenticated streams. Settings with static groups keep the local group only.

--- a/src/celeryjunction/daemon.py
+++ b/src/celeryjunction/daemon.py
@@ -17,18 +17,20 @@
 from celeryjunction.contract import Contract, parse_contract
 from celeryjunction.contracts_store import StoredContract
 from celeryjunction.directory import StaticDirectory, StoreDirectory
+from celeryjunction.forwarding import Forwarding
 from celeryjunction.group import Group
+from celeryjunction.local import PROBE_CONNECTIONS, home_connections
 from celeryjunction.logs import get_logger, set_up_logs
 from celeryjunction.membership import Membership, VmRecord
 from celeryjunction.metrics import Metrics
+from celeryjunction.peers import Identity
 from celeryjunction.ports import Clock, EndpointRecord, GroupRecord, SystemClock
+from celeryjunction.service import GroupService
 from celeryjunction.sessions import Sessions, StaticContracts
 from celeryjunction.settings import ProxySettings
 from celeryjunction.status import StatusServer
 from celeryjunction.work import Work
 
-PROBE_CONNECTIONS = 1
-"""Connections per endpoint that the status probe holds besides the pool's."""
 MAINTENANCE_S = 5.0
 DRAIN_POLL_S = 0.05
 ENDPOINT_USER = "celeryjunction"
@@ -76,6 +78,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._store: EtcdStore | None = None
         self._membership: Membership | None = None
+        self._forwarding: Forwarding | None = None
         self._draining = False
         self._ready = False
         self.stopped = asyncio.Event()
@@ -120,15 +123,23 @@
         self._ready = False
         limits = self._settings.limits
         _log.info("drain_started", notice_s=limits.drain_notice_s)
+        if self._forwarding is not None:
+            self._forwarding.leave()
         await asyncio.sleep(limits.drain_notice_s)
         await self._frontend.stop_accepting()
         self._sessions.stop_opening()
         end = self._clock.monotonic() + limits.drain_limit_s
-        while self._sessions.busy and self._clock.monotonic() < end:
+        while self._busy and self._clock.monotonic() < end:
             await asyncio.sleep(DRAIN_POLL_S)
-        _log.info("drain_finished", left=self._sessions.busy)
+        _log.info("drain_finished", left=self._busy)
         await self.close()
 
+    @property
+    def _busy(self) -> int:
+        """Sessions with open work, and work that runs here for other proxies."""
+        forwarded = self._forwarding.in_flight if self._forwarding is not None else 0
+        return self._sessions.busy + forwarded
+
     async def close(self) -> None:
         """Close everything at once."""
         await self._frontend.close()
@@ -137,6 +148,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        if self._forwarding is not None:
+            await self._forwarding.close()
         if self._membership is not None:
             await self._membership.leave()
         for group in self._groups.values():
@@ -163,24 +176,38 @@
         contracts = StoreContracts(directory)
         self._start_task(directory.run())
         await directory.synced()
-        self._start_membership()
+        await self._join_peers()
         return contracts
 
-    def _start_membership(self) -> None:
+    async def _join_peers(self) -> None:
         settings = self._settings
+        me = Identity(settings.vm, int(self._clock.wall() * 1_000_000))
+        self._forwarding = Forwarding(
+            me,
+            settings.peers,
+            make_group=self._new_group,
+            knows=lambda database: self._directory.group(database) is not None,
+            clock=self._clock,
+            random=self._random,
+            metrics=self._metrics,
+        )
+        await self._forwarding.start()
         record = VmRecord(
             name=settings.vm,
             zone=settings.zone,
-            peer_address=f"{settings.peers.host}:{settings.peers.port}",
+            peer_address=self._forwarding.peer_address,
+            heartbeat_address=self._forwarding.heartbeat_address,
             sql_address=f"{settings.listen.host}:{settings.listen.port}",
             status_address=f"{settings.status.host}:{settings.status.port}",
-            incarnation=int(self._clock.wall() * 1_000_000),
+            incarnation=me.incarnation,
             started_at=self._clock.wall(),
         )
         self._membership = Membership(
             self._store, record, clock=self._clock, random=self._random
         )
         self._start_task(self._membership.run())
+        await self._membership.follower.synced.wait()
+        self._forwarding.join(self._membership)
 
     async def _start_servers(self) -> None:
         settings = self._settings
@@ -209,13 +236,17 @@
         )
         await self._status.start()
 
-    def _group(self, database: str) -> Group | None:
+    def _group(self, database: str) -> GroupService | None:
+        if self._forwarding is not None:
+            return self._forwarding.group(database)
         group = self._groups.get(database)
-        if group is not None:
-            return group
-        record = self._directory.group(database)
-        if record is None:
-            return None
+        if group is None and self._directory.group(database) is not None:
+            group = self._groups[database] = self._new_group(database)
+        return group
+
+    def _new_group(
+        self, database: str, marks: dict[str, tuple[int, int]] | None = None
+    ) -> Group:
         group = Group(
             database,
             directory=self._directory,
@@ -224,17 +255,25 @@
             zone=self._settings.zone,
             clock=self._clock,
             random=self._random,
+            marks=marks,
         )
-        group.follow(record)
-        self._groups[database] = group
+        group.follow(self._directory.group(database))
         return group
 
     def _group_changed(self, database: str, record: GroupRecord | None) -> None:
-        group = self._groups.get(database)
-        if group is not None and record is not None:
-            group.follow(record)
+        if self._forwarding is not None and record is not None:
+            self._forwarding.follow(database, record)
+
+    def _local_groups(self) -> dict[str, Group]:
+        """Return the groups that run in this process."""
+        if self._forwarding is None:
+            return self._groups
+        locals_ = self._forwarding.local_groups
+        return {one.database: one.group for one in locals_ if one.group is not None}
 
     def _connections(self, endpoint: EndpointRecord) -> int:
+        if self._forwarding is not None:
+            return home_connections(endpoint)
         share = int(endpoint.connections * self._settings.connection_share)
         return max(share - PROBE_CONNECTIONS, 1)
 
@@ -246,20 +285,24 @@
             self._metrics.count("failed_statements", customer=work.customer)
 
     def _snapshot(self) -> dict[str, object]:
-        return {
+        groups = self._local_groups()
+        snapshot = {
             "vm": self._settings.vm,
             "zone": self._settings.zone,
             "ready": self._ready,
             "clients": self._frontend.connections,
             "sessions": self._sessions.count,
             "busy": self._sessions.busy,
-            "groups": {name: group.snapshot() for name, group in self._groups.items()},
+            "groups": {name: group.snapshot() for name, group in groups.items()},
         }
+        if self._forwarding is not None:
+            snapshot["forwarding"] = self._forwarding.snapshot()
+        return snapshot
 
     async def _maintain(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_S)
-            for group in self._groups.values():
+            for group in self._local_groups().values():
                 for handle in group.handles.values():
                     handle.pool.close_idle()
 
--- /dev/null
+++ b/src/celeryjunction/forwarding.py
@@ -0,0 +1,358 @@
+"""Sharing databases among proxies: homes, links to peers, heartbeats, served work.
+
+`Forwarding` puts the parts together for the daemon, which starts it before the VM is
+announced, because its record names the ports that it listens on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterator
+from itertools import count
+from random import Random
+
+from celeryjunction.adapters.nng import NngTransport
+from celeryjunction.adapters.peer_stream import PeerListener, dial_peer
+from celeryjunction.home import KEPT, HomeTable, rank_homes
+from celeryjunction.links import DIAL_S, PeerLink
+from celeryjunction.liveness import BEAT_S, Liveness
+from celeryjunction.local import LocalGroup, MakeGroup
+from celeryjunction.logs import get_logger
+from celeryjunction.marks import CustomerMarks
+from celeryjunction.membership import Membership, VmRecord
+from celeryjunction.metrics import Metrics
+from celeryjunction.peers import (
+    BadMessage,
+    Heartbeat,
+    HeartbeatCheck,
+    Identity,
+    PeerKeys,
+    PeerLost,
+    PeerStream,
+    seal_heartbeat,
+)
+from celeryjunction.ports import Clock, GroupRecord, PeerTransport, WatchEvent
+from celeryjunction.routing import RoutedGroup
+from celeryjunction.serving import PeerServer
+from celeryjunction.settings import PeersSettings, split_address
+
+MAX_FAREWELLS = 64
+"""Peers that a leaving proxy tells at once; the others read it in its record."""
+
+_log = get_logger("forwarding")
+
+
+class LiveHomes:
+    """The order of homes by the VM list. Implements `Homes`.
+
+    VMs that leave come only when no other is left.
+    """
+
+    def __init__(self, me: str, *, make_link: Callable[[str], PeerLink]) -> None:
+        self.vm = me
+        self.links: dict[str, PeerLink] = {}
+        self._make_link = make_link
+        self._table = HomeTable()
+        self._leaving: tuple[str, ...] = ()
+        self._farewells: dict[str, int] = {}
+        self._staying_here = True
+        self._peers: dict[str, VmRecord] = {}
+        self.update({})
+
+    def __rich_repr__(self) -> Iterator[tuple[str, object]]:
+        yield "vm", self.vm
+        yield "staying", len(self._table.vms)
+        yield "leaving", self._leaving
+
+    @property
+    def peers(self) -> dict[str, VmRecord]:
+        """The other VMs by name."""
+        return self._peers
+
+    def update(self, peers: dict[str, VmRecord]) -> None:
+        """Take over the list of the other VMs, and drop the links to those gone."""
+        self._peers = peers
+        self._farewells = {
+            vm: incarnation
+            for vm, incarnation in self._farewells.items()
+            if vm in peers and peers[vm].incarnation <= incarnation
+        }
+        leaving = {
+            vm
+            for vm, record in peers.items()
+            if record.leaving or vm in self._farewells
+        }
+        staying = peers.keys() - leaving
+        (staying if self._staying_here else leaving).add(self.vm)
+        self._table.update(staying)
+        self._leaving = tuple(sorted(leaving))
+        for vm in [vm for vm in self.links if vm not in peers]:
+            self.links.pop(vm).close()
+
+    def leave(self) -> None:
+        """Prefer the other VMs from now on."""
+        self._staying_here = False
+        self.update(self._peers)
+
+    def note_leaving(self, vm: str, incarnation: int) -> None:
+        """Take in a peer's own word that it leaves."""
+        if vm in self._peers and self._farewells.get(vm, -1) < incarnation:
+            self._farewells[vm] = incarnation
+            self.update(self._peers)
+
+    def homes(self, database: str) -> list[str]:
+        """Return VMs in the order in which they are the home."""
+        return self._table.homes(database) or rank_homes(database, self._leaving)[:KEPT]
+
+    def link(self, vm: str) -> PeerLink:
+        """Return the link to another proxy."""
+        link = self.links.get(vm)
+        if link is None:
+            link = self.links[vm] = self._make_link(vm)
+        return link
+
+
+class Forwarding:
+    """Everything that this proxy shares with the others.
+
+    `make_group` makes a local group, and `knows` says whether a database exists.
+    """
+
+    def __init__(
+        self,
+        me: Identity,
+        settings: PeersSettings,
+        *,
+        make_group: MakeGroup,
+        knows: Callable[[str], bool],
+        clock: Clock,
+        random: Random,
+        metrics: Metrics,
+        transport: PeerTransport | None = None,
+    ) -> None:
+        self._me = me
+        self._settings = settings
+        self._make_group = make_group
+        self._knows = knows
+        self._clock = clock
+        self._random = random
+        self._metrics = metrics
+        self._keys = PeerKeys(settings.keys)
+        self._membership: Membership | None = None
+        self._groups: dict[str, RoutedGroup] = {}
+        self._incarnations: dict[str, int] = {}
+        self._numbers = count(1)
+        self._leaving = False
+        self._check = HeartbeatCheck(self._keys, me)
+        self._liveness = Liveness(clock=clock, random=random)
+        self._homes = LiveHomes(me.vm, make_link=self._make_link)
+        self._server = PeerServer(
+            group=self._served_group, liveness=self._liveness, clock=clock
+        )
+        self._listener = PeerListener(
+            self._serve, me=me, keys=self._keys, on_drop=self._dropped
+        )
+        self._transport = transport or NngTransport()
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def peer_address(self) -> str:
+        """Address at which other proxies open streams."""
+        return _address(self._settings.host, self._listener.port)
+
+    @property
+    def heartbeat_address(self) -> str:
+        """Address to which other proxies send heartbeats."""
+        return _address(self._settings.host, self._transport.port)
+
+    @property
+    def in_flight(self) -> int:
+        """Forwarded statements that run here and forwarded transactions."""
+        return self._server.in_flight
+
+    @property
+    def local_groups(self) -> list[LocalGroup]:
+        """The local sides of all groups in use."""
+        return [group.local for group in self._groups.values()]
+
+    async def start(self) -> None:
+        """Listen for peers; raises `OSError` when an address is not free."""
+        settings = self._settings
+        await self._listener.start(settings.host, settings.port)
+        self._transport.start(
+            settings.host, settings.heartbeat_port, self._heartbeat_arrived
+        )
+
+    def join(self, membership: Membership) -> None:
+        """Follow the VM list and exchange heartbeats from now on."""
+        self._membership = membership
+        membership.follower.subscribe(self._vms_changed)
+        self._homes.update(membership.peers())
+        self._task = asyncio.create_task(self._beat())
+
+    def group(self, database: str) -> RoutedGroup | None:
+        """Return the group of a database; None for an unknown one."""
+        group = self._groups.get(database)
+        if group is not None:
+            return group
+        if not self._knows(database):
+            return None
+        marks = CustomerMarks()
+        local = LocalGroup(
+            database, make=self._make_group, marks=marks, clock=self._clock
+        )
+        group = self._groups[database] = RoutedGroup(
+            database, homes=self._homes, local=local, marks=marks, clock=self._clock
+        )
+        return group
+
+    def follow(self, database: str, record: GroupRecord) -> None:
+        """Take over a newer group record."""
+        group = self._groups.get(database)
+        if group is not None:
+            group.local.follow(record)
+
+    def leave(self) -> None:
+        """Let the other proxies take over; what runs here goes on."""
+        self._leaving = True
+        self._server.draining = True
+        self._homes.leave()
+        if self._membership is not None:
+            self._membership.update(leaving=True)
+        first = sorted(self._homes.peers, key=lambda vm: vm not in self._homes.links)
+        for vm in first[:MAX_FAREWELLS]:
+            self._send_heartbeat(vm)
+
+    async def close(self) -> None:
+        """Close all connections to peers and all local groups."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self._listener.close()
+        await self._server.close()
+        for link in self._homes.links.values():
+            link.close()
+        for local in self.local_groups:
+            await local.close()
+        self._transport.close()
+
+    def snapshot(self) -> dict[str, object]:
+        """Return plain data for the status page."""
+        return {
+            "home": {name: group.home for name, group in self._groups.items()},
+            "forwarded": sum(group.forwarded for group in self._groups.values()),
+            "served": self._server.served,
+            "in_flight": self._server.in_flight,
+            "heard_s_ago": self._liveness.silences(),
+            "unusable": [vm for vm, li in self._homes.links.items() if not li.usable],
+        }
+
+    def _served_group(self, database: str) -> LocalGroup | None:
+        group = self.group(database)
+        return group.local if group is not None else None
+
+    async def _serve(self, stream: PeerStream) -> None:
+        if stream.vm not in self._homes.peers:
+            # The key shows that it is a proxy; its record may be late.
+            _log.info("peer_not_listed", vm=stream.vm)
+        self._learn(stream)
+        await self._server.serve(stream)
+
+    def _make_link(self, vm: str) -> PeerLink:
+        return PeerLink(
+            vm,
+            dial=lambda: self._dial(vm),
+            liveness=self._liveness,
+            clock=self._clock,
+            random=self._random,
+        )
+
+    def _dial(self, vm: str) -> Awaitable[PeerStream]:
+        return self._dial_record(vm, self._homes.peers.get(vm))
+
+    async def _dial_record(self, vm: str, record: VmRecord | None) -> PeerStream:
+        if record is None:
+            raise PeerLost("the VM is not listed")
+        try:
+            host, port = split_address(record.peer_address)
+        except ValueError as error:
+            raise PeerLost(str(error)) from None
+        stream = await dial_peer(
+            host,
+            port,
+            vm,
+            me=self._me,
+            keys=self._keys,
+            timeout=DIAL_S,
+            on_drop=self._dropped,
+        )
+        self._learn(stream)
+        return stream
+
+    def _learn(self, stream: PeerStream) -> None:
+        known = self._incarnations.get(stream.vm, 0)
+        self._incarnations[stream.vm] = max(known, stream.incarnation)
+
+    # Heartbeats
+
+    async def _beat(self) -> None:
+        while True:
+            try:
+                await self._tick()
+            except Exception as error:
+                # Without further heartbeats the peers would take this VM for dead.
+                _log.error("heartbeat_failed", reason=repr(error))
+            await asyncio.sleep(BEAT_S)
+
+    async def _tick(self) -> None:
+        peers = self._membership.peers()
+        self._homes.update(peers)
+        for vm in self._liveness.tick(peers):
+            self._send_heartbeat(vm)
+        for vm, silence in self._liveness.silences().items():
+            if silence <= BEAT_S:
+                self._membership.heard(vm)
+        for link in self._homes.links.values():
+            link.check()
+        self._server.check()
+        self._check.forget(frozenset(peers))
+        self._incarnations = {v: i for v, i in self._incarnations.items() if v in peers}
+        for group in list(self._groups.values()):
+            await group.local.review(is_home=group.home == self._me.vm)
+
+    def _send_heartbeat(self, vm: str) -> None:
+        record = self._homes.peers.get(vm)
+        if record is None or not record.heartbeat_address:
+            return
+        try:
+            host, port = split_address(record.heartbeat_address)
+        except ValueError:
+            return
+        incarnation = max(record.incarnation, self._incarnations.get(vm, 0))
+        heartbeat = Heartbeat(vm, incarnation, next(self._numbers), self._leaving)
+        message = seal_heartbeat(self._keys, self._me, heartbeat)
+        self._transport.send(host, port, message)
+
+    def _heartbeat_arrived(self, data: bytes) -> None:
+        try:
+            envelope = self._check.open(data)
+        except BadMessage as error:
+            self._dropped(str(error))
+            return
+        vm = envelope.vm
+        if vm not in self._homes.peers:
+            self._dropped("foreign")
+            return
+        self._liveness.heard(vm)
+        if envelope.body.leaving:
+            self._homes.note_leaving(vm, envelope.incarnation)
+
+    def _vms_changed(self, event: WatchEvent) -> None:
+        self._homes.update(self._membership.peers())
+
+    def _dropped(self, reason: str) -> None:
+        self._metrics.count("peer_messages_dropped", reason=reason)
+
+
+def _address(host: str, port: int) -> str:
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/src/celeryjunction/group.py
+++ b/src/celeryjunction/group.py
@@ -59,6 +59,7 @@
         zone: str,
         clock: Clock,
         random: Random,
+        marks: dict[str, tuple[int, int]] | None = None,
     ) -> None:
         self.database = database
         self.clock = clock
@@ -70,7 +71,7 @@
         self._connector = connector
         self._connections = connections
         self._random = random
-        self._marks: dict[str, tuple[int, int]] = {}
+        self._marks = {} if marks is None else marks
         balancer = Balancer(zone=zone, clock=clock, random=random)
         self._budget = RetryBudget(clock=clock)
         self.reader = Reader(
--- /dev/null
+++ b/src/celeryjunction/liveness.py
@@ -0,0 +1,79 @@
+"""Which peers are heard, and to which ones heartbeats go.
+
+A full mesh of heartbeats would cost a node of 2,300 some 4,600 messages a second each
+way. So heartbeats go only to peers with an open stream, over which statements are
+exchanged, and to a few random others, which keeps the list of VMs alive while the
+key-value service is out. Frames of a stream count as heard too. Only a peer with a
+stream is expected to be heard, and so only such a peer can be suspected.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from random import Random
+
+from celeryjunction.ports import Clock
+
+BEAT_S = 0.5
+SUSPECT_S = 2.0
+RANDOM_PEERS = 3
+
+
+class Liveness:
+    """What was heard of each peer. Times are monotonic seconds."""
+
+    __slots__ = ("_clock", "_heard", "_random", "_streams", "_ticked")
+
+    def __init__(self, *, clock: Clock, random: Random) -> None:
+        self._clock = clock
+        self._random = random
+        self._heard: dict[str, float] = {}
+        self._streams: Counter[str] = Counter()
+        self._ticked = clock.monotonic()
+
+    def __rich_repr__(self) -> Iterator[tuple[str, object]]:
+        yield "streams", dict(self._streams)
+
+    def connected(self, vm: str) -> None:
+        """Note a new stream to or from a peer, which has just been heard."""
+        self._streams[vm] += 1
+        self.heard(vm)
+
+    def disconnected(self, vm: str) -> None:
+        """Note the end of a stream."""
+        self._streams[vm] -= 1
+        if self._streams[vm] <= 0:
+            del self._streams[vm]
+
+    def heard(self, vm: str) -> None:
+        """Note that a peer was heard just now."""
+        self._heard[vm] = self._clock.monotonic()
+
+    def suspected(self, vm: str) -> bool:
+        """Whether a peer that should be heard was silent for `SUSPECT_S`."""
+        if vm not in self._streams:
+            return False
+        return self._clock.monotonic() - self._heard[vm] > SUSPECT_S
+
+    def silences(self) -> dict[str, float]:
+        """Return the seconds since each peer was heard."""
+        now = self._clock.monotonic()
+        return {vm: round(now - at, 3) for vm, at in self._heard.items()}
+
+    def tick(self, peers: Iterable[str]) -> list[str]:
+        """Return the peers to send a heartbeat to; call it every `BEAT_S`.
+
+        A late call means that this process was paused. Silence proves nothing then,
+        so all peers get the full time again.
+        """
+        now = self._clock.monotonic()
+        if now - self._ticked > SUSPECT_S / 2:
+            self._heard = dict.fromkeys(self._heard, now)
+        self._ticked = now
+        known = set(peers)
+        for vm in [v for v in self._heard if v not in known and v not in self._streams]:
+            del self._heard[vm]
+        others = sorted(known - self._streams.keys())
+        chosen = self._random.sample(others, min(RANDOM_PEERS, len(others)))
+        return [*(known & self._streams.keys()), *chosen]
--- a/src/celeryjunction/membership.py
+++ b/src/celeryjunction/membership.py
@@ -49,6 +49,7 @@
     started_at: float
     applied_revision: int = 0
     leaving: bool = False
+    heartbeat_address: str = ""
 
 
 async def list_vms(store: KeyValueStore) -> tuple[VmRecord, ...]:
--- a/src/celeryjunction/session.py
+++ b/src/celeryjunction/session.py
@@ -130,6 +130,9 @@
             result = await self._dispatch(info, work, step)
             ok = True
             return result
+        except ProxyError as error:
+            self._note_lost_write(error)
+            raise
         finally:
             self._running -= 1
             self._start_idle_timer()
@@ -287,6 +290,11 @@
             {"term": term, "customer": self._customer},
         )
 
+    def _note_lost_write(self, error: ProxyError) -> None:
+        """Remember what a home proxy reported, so that it is reported only once."""
+        if error.kind is ErrorKind.ACKNOWLEDGED_WRITE_LOST:
+            self._reported_term = max(self._reported_term, int(error.details["term"]))
+
     def _local_shape(self, info: StatementInfo) -> StatementShape | None:
         if info.kind in (StatementKind.READ, StatementKind.WRITE):
             return None
--- a/src/celeryjunction/sessions.py
+++ b/src/celeryjunction/sessions.py
@@ -7,8 +7,8 @@
 
 from celeryjunction.contract import Contract, parse_user
 from celeryjunction.errors import ErrorKind, ProxyError
-from celeryjunction.group import Group
 from celeryjunction.ports import Clock, Login
+from celeryjunction.service import GroupService
 from celeryjunction.session import Observer, Session
 from celeryjunction.shapes import ShapeCache
 
@@ -45,7 +45,7 @@
         self,
         *,
         contracts: ContractSource,
-        group: Callable[[str], Group | None],
+        group: Callable[[str], GroupService | None],
         clock: Clock,
         observe: Observer,
     ) -> None:
--- a/src/celeryjunction/settings.py
+++ b/src/celeryjunction/settings.py
@@ -137,6 +137,8 @@
         tuple[_Key, ...],
         Meta(min_length=1, max_length=2, extra={"wanted": "1 or 2 keys"}),
     ]
+    heartbeat_port: Port = 0
+    """Port for heartbeats, on the same address; it is announced to the others."""
 
     def __rich_repr__(self) -> Iterator[tuple[str, Any]]:
         return hide_fields(self, "keys")
@@ -180,7 +182,8 @@
     """Static contracts, to try the proxy without the platform. The file lists paths
     (relative to the settings file) or whole contracts."""
     connection_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
-    """Part of each endpoint's connections that this proxy may hold."""
+    """Part of each endpoint's connections that this proxy may hold with static groups.
+    With a store, a home proxy holds half of them."""
     limits: LimitSettings = LimitSettings()
     log_level: Annotated[
         str,
