--- a/src/celeryjunction/group.py
+++ b/src/celeryjunction/group.py
@@ -59,6 +59,7 @@
         zone: str,
         clock: Clock,
         random: Random,
+        marks: dict[str, tuple[int, int]] | None = None,
     ) -> None:
         self.database = database
         self.clock = clock
@@ -70,7 +71,7 @@
         self._connector = connector
         self._connections = connections
         self._random = random
-        self._marks: dict[str, tuple[int, int]] = {}
+        self._marks = {} if marks is None else marks
         self._replicated: dict[str, bool] = {}
         balancer = Balancer(zone=zone, clock=clock, random=random)
         self._budget = RetryBudget(clock=clock)
@@ -164,7 +165,7 @@
         if mark is None:
             return None
         return self.monitor.dropped(
-            term=mark[0], position=mark[1], certain=self._replicated[customer]
+            term=mark[0], position=mark[1], certain=self._replicated.get(customer, False)
         )
 
     async def write(self, work: Work, step: Step) -> QueryResult:
