--- a/src/celeryjunction/group.py
+++ b/src/celeryjunction/group.py
@@ -165,7 +165,9 @@
         if mark is None:
             return None
         return self.monitor.dropped(
-            term=mark[0], position=mark[1], certain=self._replicated.get(customer, False)
+            term=mark[0],
+            position=mark[1],
+            certain=self._replicated.get(customer, False),
         )
 
     async def write(self, work: Work, step: Step) -> QueryResult:
