Retire idle client connections without cutting a request

Closing a frontend cancelled whatever ran and reset sockets with unread input, and it answered 'not run' for a write that may have been committed. PgFrontend.retire_idle ends each connection when it is idle, right behind its last answer, and reads on for a second so that a request that crossed the notice still gets its answer (57P01). A write that a hard close cuts is answered with 'outcome unknown' (08007).

--- a/src/celeryjunction/adapters/_pg_stream.py
+++ b/src/celeryjunction/adapters/_pg_stream.py
@@ -29,6 +29,10 @@
 LINGER_S = 5.0
 """Seconds that a client has to read the last output before its socket is aborted."""
 
+CROSSING_S = 1.0
+"""Seconds that `finish` reads on for requests that crossed the last output. Closing a
+socket with unread input resets it, and the client would lose that output."""
+
 _INT32 = Struct("!i").unpack_from
 _INT32_PAIR = Struct("!ii").unpack_from
 
@@ -52,6 +56,10 @@
         return cls(ProxyError(ErrorKind.STATEMENT_TOO_LARGE, details))
 
 
+class ReadInterrupted(Exception):
+    """`ClientStream.interrupt_read` ended a read that waited with no input."""
+
+
 class ClientStream(asyncio.Protocol):
     """One client socket.
 
@@ -64,6 +72,7 @@
         "_buffer",
         "_chunks",
         "_closed",
+        "_discarding",
         "_needed",
         "_on_connected",
         "_out",
@@ -85,6 +94,7 @@
         self._on_connected = on_connected
         self._transport: asyncio.Transport | None = None
         self._closed = False
+        self._discarding = False
         self._buffer = b""
         self._position = 0
         self._chunks: list[bytes] = []
@@ -116,6 +126,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Keep input and wake the reader when it has what it needs."""
+        if self._discarding:
+            return
         self._chunks.append(data)
         self._available += len(data)
         if self._reader is not None:
@@ -157,6 +169,17 @@
 
     # Input.
 
+    @property
+    def buffered(self) -> int:
+        """Bytes of input that arrived and were not yet taken."""
+        return self._available
+
+    def interrupt_read(self) -> None:
+        """Raise `ReadInterrupted` in a read that waits with no input at hand."""
+        reader = self._reader
+        if reader is not None and not reader.done() and not self._available:
+            reader.set_exception(ReadInterrupted())
+
     def next_tag(self) -> bytes:
         """Return the type of the next message if it arrived already, or nothing."""
         if self._position < len(self._buffer):
@@ -290,6 +313,24 @@
         self._closed = True
         self._transport.abort()
 
+    async def finish(self) -> None:
+        """Send the last output, then drop input until the client closes its side.
+
+        It waits for `CROSSING_S` at most; `close` comes afterwards.
+        """
+        if self._closed:
+            return
+        self.flush()
+        self._discarding = True
+        if self._reading_paused:
+            self._reading_paused = False
+            self._transport.resume_reading()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._reader = asyncio.get_running_loop().create_future()
+        await asyncio.wait({self._reader}, timeout=CROSSING_S)
+        self._reader = None
+
     async def close(self) -> None:
         """Flush and close the socket, at the latest after `LINGER_S`."""
         if not self._closed:
--- a/src/celeryjunction/adapters/pg_server.py
+++ b/src/celeryjunction/adapters/pg_server.py
@@ -33,6 +33,7 @@
     WRITE_CHUNK,
     ClientStream,
     ConnectionFault,
+    ReadInterrupted,
 )
 from celeryjunction.adapters.scram import ScramAuthPlugin, Verifier
 from celeryjunction.classify import StatementInfo, StatementKind, classify, split
@@ -64,6 +65,11 @@
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 LOGIN_TIMEOUT_S = 10.0
 
+QUIET_S = 0.25
+"""A connection that had a request within this time is retired right behind its next
+answer, in one write with it, so that no request can cross the notice. A quieter one
+is told at once."""
+
 _BACKLOG = 1024
 _ENTRY_BYTES = 200
 """Overhead counted for each prepared statement and portal."""
@@ -146,6 +152,11 @@
         self._running = False
         self._interrupt: _Interrupt | None = None
         self._ending = False
+        self._retiring = False
+        self._retired = False
+        self._outcome_open = False
+        self._synced = True
+        self._idle_since = self._opened_at
         self._failed = False
         self._implicit = False
         self._undescribed: _Portal | None = None
@@ -157,11 +168,37 @@
         """Cancel the statement that runs now; without one, do nothing."""
         self._cancel_statement(_Interrupt.CANCEL_REQUEST)
 
+    def retire(self) -> None:
+        """End the connection with 57P01 at the first moment when it is idle.
+
+        Idle means that no transaction is open, each request was answered and no input
+        is at hand. A client in the middle of its work is served until then.
+        """
+        if self._retiring:
+            return
+        self._retiring = True
+        quiet = self.server.clock.monotonic() - self._idle_since
+        loop = asyncio.get_running_loop()
+        loop.call_later(max(0.0, QUIET_S - quiet), self.stream.interrupt_read)
+
+    @property
+    def _at_rest(self) -> bool:
+        """Whether the client waits for nothing and has sent nothing."""
+        return (
+            self._synced
+            and not self.stream.buffered
+            and self.session.transaction_status == b"I"
+        )
+
     def shut_down(self) -> None:
-        """End the connection with 57P01, cancelling a running statement."""
+        """End the connection at once, cancelling a running statement.
+
+        The client gets 57P01, or "outcome unknown" when the statement may write.
+        """
         if self._ending:
             return
         self._ending = True
+        self._outcome_open = self._outcome_open and self._running
         # A task that has not started yet ends itself; cancelled, it would not clean up.
         if self._task is not None:
             self._interrupt = _Interrupt.SHUTDOWN
@@ -197,7 +234,13 @@
                 self._task.uncancel()
 
     async def _execute(self, step: Step) -> QueryResult:
-        return await self._call(self.session.execute, step)
+        self._outcome_open = classify(step.sql).kind is not StatementKind.READ
+        try:
+            return await self._call(self.session.execute, step)
+        finally:
+            # A shutdown keeps the value for the last answer.
+            if not self._ending:
+                self._outcome_open = False
 
     # The life of a connection.
 
@@ -212,7 +255,7 @@
         except asyncio.CancelledError:
             if not self._ending:
                 raise
-            self._write_fatal(ProxyError(ErrorKind.SHUTTING_DOWN))
+            self._write_fatal(self._shutdown_error())
         except Exception as error:
             self._write_fatal(error)
         finally:
@@ -229,6 +272,13 @@
             raise ConnectionFault.violation(reason) from None
         await self._command_loop()
 
+    def _shutdown_error(self) -> ProxyError:
+        """Return the answer to what a shutdown cut off."""
+        if self._outcome_open:
+            reason = "the proxy was stopped while the statement ran"
+            return ProxyError(ErrorKind.OUTCOME_UNKNOWN, {"reason": reason})
+        return ProxyError(ErrorKind.SHUTTING_DOWN)
+
     def _write_fatal(self, error: BaseException) -> None:
         """Write the error that ends the connection."""
         fields = _error_fields(error)
@@ -248,6 +298,8 @@
         self._ending = True
         session, self.session = self.session, None
         try:
+            if self._retired:
+                await self.stream.finish()
             await self.stream.close()
         finally:
             if session is not None:
@@ -353,7 +405,12 @@
     async def _command_loop(self) -> None:
         stream = self.stream
         while not self._ending:
-            tag, payload = await stream.read_message()
+            if self._retiring:
+                self._retire_at_rest()
+            try:
+                tag, payload = await stream.read_message()
+            except ReadInterrupted:
+                continue
             if tag == messages.TERMINATE:
                 return
             if self._ignore_until_sync and tag != messages.SYNC:
@@ -366,6 +423,7 @@
             except (ValueError, IndexError, struct.error):
                 reason = f"malformed body of message {tag.decode()}"
                 raise ConnectionFault.violation(reason) from None
+            self._synced = False
             try:
                 pending = handle(self, parsed)
                 if pending is not None:
@@ -379,6 +437,13 @@
                 await stream.drain()
         raise asyncio.CancelledError
 
+    def _retire_at_rest(self) -> None:
+        """End the connection if it is idle; otherwise send what `_finish` kept."""
+        if self._at_rest:
+            self._retired = True
+            raise ProxyError(ErrorKind.SHUTTING_DOWN)
+        self.stream.flush()
+
     def _report(self, error: Exception) -> None:
         """Answer a message with an error; the transaction so far has failed."""
         self._failed = True
@@ -423,7 +488,11 @@
             for name in list(self.portals):
                 self._drop_portal(name)
         self.stream.write(_READY[status])
-        await self.stream.drain()
+        self._synced = True
+        self._idle_since = self.server.clock.monotonic()
+        # The notice of a retiring connection goes out in one write with this answer.
+        if not self._retiring:
+            await self.stream.drain()
 
     # Simple queries.
 
@@ -752,6 +821,7 @@
         self._connections: dict[int, ClientConnection] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._closing = False
+        self._retiring = False
 
     @property
     def port(self) -> int:
@@ -779,8 +849,20 @@
         if self._server is not None:
             self._server.close()
 
+    async def retire_idle(self) -> None:
+        """End each connection once it is idle, and return when all have ended.
+
+        See `ClientConnection.retire`. Nothing is cut; how long that may take is the
+        caller's decision: `close` ends what is left.
+        """
+        self._retiring = True
+        for connection in list(self._connections.values()):
+            connection.retire()
+        while self._tasks:
+            await asyncio.wait(set(self._tasks))
+
     async def close(self) -> None:
-        """Stop accepting and end all connections with 57P01."""
+        """Stop accepting and end all connections at once."""
         self._closing = True
         await self.stop_accepting()
         for connection in list(self._connections.values()):
@@ -810,6 +892,8 @@
             pid = secrets.randbits(31)
         connection = ClientConnection(stream, self, pid)
         self._connections[pid] = connection
+        if self._retiring:
+            connection.retire()
         task = asyncio.get_running_loop().create_task(connection.run())
         self._tasks.add(task)
 
--- a/tests/test_pg_server.py
+++ b/tests/test_pg_server.py
@@ -16,7 +16,7 @@
 from pg_mimic import messages
 from scramp import ScramClient
 
-from celeryjunction.adapters.pg_server import PgFrontend
+from celeryjunction.adapters.pg_server import QUIET_S, PgFrontend
 from celeryjunction.adapters.scram import Verifier
 from celeryjunction.errors import EndpointError, ErrorKind, ProxyError
 from celeryjunction.ports import Column, Login, QueryResult, StatementShape, Step
@@ -526,3 +526,81 @@
             assert sqlstate(await client.ask(b"", until=b"Z")) == "57P01"
         assert [session.closes for session in frontend.factory.sessions] == [1, 1]
         assert frontend.connections == 0
+
+    async def test_a_cut_write_is_not_said_to_have_not_run(
+        self, frontend: PgFrontend
+    ) -> None:
+        # Guards against "not run" for a write that may be committed already.
+        client = await RawClient.connect(frontend)
+        client.writer.write(packet(b"Q", b"insert into forever\0"))
+        await frontend.factory.session.waiting.wait()
+        await frontend.close()
+        assert sqlstate(await client.ask(b"", until=b"Z")) == "08007"
+
+
+class TestRetiring:
+    async def retire(self, server: PgFrontend) -> asyncio.Task[None]:
+        task = asyncio.create_task(server.retire_idle())
+        await asyncio.sleep(0)
+        return task
+
+    async def test_idle_client_is_told(self, frontend: PgFrontend) -> None:
+        client = await by_asyncpg(frontend)
+        async with asyncio.timeout(10):
+            await frontend.retire_idle()
+        assert client.is_closed() and frontend.connections == 0
+
+    async def test_a_request_that_crosses_the_notice_is_answered(
+        self, frontend: PgFrontend
+    ) -> None:
+        # Guards against a reset, or silence, for a request sent before the client
+        # read the notice. libpq reads it only with its next request.
+        client = await by_psycopg(frontend)
+        raw = await RawClient.connect(frontend)
+        retiring = await self.retire(frontend)
+        async with asyncio.timeout(10):
+            while b"E" not in raw.reader._buffer[:1]:
+                await asyncio.sleep(0.01)
+        raw.writer.write(packet(b"Q", b"select 1\0") * 1000)
+        with pytest.raises(psycopg.errors.AdminShutdown, match="not run: this proxy"):
+            await client.execute("select 1")
+        assert sqlstate(await raw.ask(b"", until=b"Z")) == "57P01"
+        assert await raw.reader.read() == b""
+        raw.writer.close()
+        await client.close()
+        async with asyncio.timeout(10):
+            await retiring
+        assert [s.texts for s in frontend.factory.sessions] == [[], []]
+
+    async def test_work_ends_before_the_notice(self, frontend: PgFrontend) -> None:
+        # Guards against a transaction, batch or pipelined request that is cut.
+        client = await RawClient.connect(frontend)
+        batch = await RawClient.connect(frontend)
+        assert await client.tags(packet(b"Q", b"begin\0")) == b"CZ"
+        await batch.ask(PARSE + packet(b"H"), until=b"1")
+        retiring = await self.retire(frontend)
+        await asyncio.sleep(2 * QUIET_S)
+        assert await client.tags(packet(b"Q", b"insert into a\0")) == b"CZ"
+        assert await batch.tags(SYNC) == b"Z"
+        assert sqlstate(await batch.ask(b"", until=b"E")) == "57P01"
+        two = packet(b"Q", b"commit\0") + packet(b"Q", b"select 1\0")
+        answers = await client.ask(two, until=b"E")
+        assert b"".join(tag for tag, _ in answers) == b"CZTDDDDDCZE"
+        for each in (client, batch):
+            each.writer.close()
+        async with asyncio.timeout(10):
+            await retiring
+
+    async def test_busy_client_is_told_with_its_answer(
+        self, frontend: PgFrontend
+    ) -> None:
+        # Guards against a notice that crosses the next request of a busy client.
+        client = await RawClient.connect(frontend)
+        query = packet(b"Q", b"select 1\0")
+        assert await client.tags(query) == b"TDDDDDCZ"
+        retiring = await self.retire(frontend)
+        assert await client.tags(query) == b"TDDDDDCZ"
+        assert bytes(client.reader._buffer[:1]) == b"E"
+        client.writer.close()
+        async with asyncio.timeout(10):
+            await retiring
