Report the applied contract revision; drain in order; leave leaving endpoints

The daemon announced revision 0 for ever, and an unreadable contract raised ContractError, which is no ValueError, out of the check, so that it was not counted as ignored. Draining counted busy sessions only and cut idle clients that had a request on the way; a second SIGTERM did nothing. Reads that waited in the queue of an endpoint, or accepted 60 s of staleness, still went to it after it said that it leaves (seen in a test with the service out). Now: reads check again after the queue, ask the endpoints at least about once a second while bounded reads run, and idle connections to a leaving endpoint close.

--- a/src/celeryjunction/daemon.py
+++ b/src/celeryjunction/daemon.py
@@ -14,7 +14,7 @@
 from celeryjunction.adapters.etcd import EtcdStore
 from celeryjunction.adapters.pg_endpoint import EndpointLogin, PgConnector
 from celeryjunction.adapters.pg_server import PgFrontend
-from celeryjunction.contract import Contract, parse_contract
+from celeryjunction.contract import Contract, ContractError, parse_contract
 from celeryjunction.contracts_store import StoredContract
 from celeryjunction.directory import StaticDirectory, StoreDirectory
 from celeryjunction.group import Group
@@ -29,8 +29,8 @@
 
 PROBE_CONNECTIONS = 1
 """Connections per endpoint that the status probe holds besides the pool's."""
-MAINTENANCE_S = 5.0
-DRAIN_POLL_S = 0.05
+MAINTENANCE_S = 1.0
+"""Idle connections of an endpoint that leaves are closed within this time."""
 ENDPOINT_USER = "celeryjunction"
 
 _log = get_logger("daemon")
@@ -52,15 +52,17 @@
         return self._contracts.get(customer)
 
     def _take(self, stored: StoredContract) -> None:
-        contract = parse_contract(stored.text)
+        contract = parse_contract(stored.text, comments=False)
         self._contracts[contract.customer] = contract
 
 
 def _contract_problems(text: str) -> list[str]:
     try:
-        parse_contract(text)
-    except ValueError as error:
-        return [str(error)]
+        # Contracts are stored as plain JSON. Reading one with comments takes 60 µs for
+        # each character, in which all clients wait.
+        parse_contract(text, comments=False)
+    except ContractError as error:
+        return [str(problem) for problem in error.problems]
     return []
 
 
@@ -77,6 +79,7 @@
         self._store: EtcdStore | None = None
         self._membership: Membership | None = None
         self._draining = False
+        self._closing = False
         self._ready = False
         self.stopped = asyncio.Event()
 
@@ -112,25 +115,49 @@
         self._ready = True
         _log.info("proxy_started", vm=settings.vm, zone=settings.zone, port=self.port)
 
+    def stop(self) -> None:
+        """Start to drain; a second call stops at once."""
+        self._start_task(self.close() if self._draining else self.drain())
+
     async def drain(self) -> None:
-        """Stop without cutting a request: not ready, then finish, then close."""
+        """Stop without cutting a request: not ready, then finish, then close.
+
+        Connections are accepted for the notice time, then refused. Each open one ends
+        when it is idle; the drain limit bounds the wait for those that are not.
+        """
         if self._draining:
             return
         self._draining = True
         self._ready = False
         limits = self._settings.limits
         _log.info("drain_started", notice_s=limits.drain_notice_s)
+        if self._membership is not None:
+            self._membership.update(leaving=True)
         await asyncio.sleep(limits.drain_notice_s)
         await self._frontend.stop_accepting()
         self._sessions.stop_opening()
-        end = self._clock.monotonic() + limits.drain_limit_s
-        while self._sessions.busy and self._clock.monotonic() < end:
-            await asyncio.sleep(DRAIN_POLL_S)
-        _log.info("drain_finished", left=self._sessions.busy)
+        try:
+            async with asyncio.timeout(limits.drain_limit_s):
+                await self._frontend.retire_idle()
+        except TimeoutError:
+            _log.warning("drain_limit_reached", limit_s=limits.drain_limit_s)
+        _log.info(
+            "drain_finished", left=self._frontend.connections, busy=self._sessions.busy
+        )
         await self.close()
 
     async def close(self) -> None:
         """Close everything at once."""
+        if self._closing:
+            return
+        self._closing = True
+        self._ready = False
+        try:
+            await self._close_parts()
+        finally:
+            self.stopped.set()
+
+    async def _close_parts(self) -> None:
         await self._frontend.close()
         # `drain` runs as one of the tasks and must not cancel itself.
         tasks = self._tasks - {asyncio.current_task()}
@@ -144,14 +171,15 @@
         if self._store is not None:
             await self._store.close()
         await self._status.close()
-        self.stopped.set()
 
     async def _start_directory(self):
         settings = self._settings
         if settings.store is None:
             self._directory = StaticDirectory(settings.groups or ())
             return StaticContracts(settings.contracts or ())
-        self._store = EtcdStore(settings.store.endpoints)
+        self._store = EtcdStore(
+            settings.store.endpoints, name=settings.vm, zone=settings.zone
+        )
         directory = StoreDirectory(
             self._store,
             clock=self._clock,
@@ -163,10 +191,10 @@
         contracts = StoreContracts(directory)
         self._start_task(directory.run())
         await directory.synced()
-        self._start_membership()
+        self._start_membership(directory)
         return contracts
 
-    def _start_membership(self) -> None:
+    def _start_membership(self, directory: StoreDirectory) -> None:
         settings = self._settings
         record = VmRecord(
             name=settings.vm,
@@ -176,11 +204,17 @@
             status_address=f"{settings.status.host}:{settings.status.port}",
             incarnation=int(self._clock.wall() * 1_000_000),
             started_at=self._clock.wall(),
+            applied_revision=directory.applied_revision,
         )
-        self._membership = Membership(
+        membership = Membership(
             self._store, record, clock=self._clock, random=self._random
         )
-        self._start_task(self._membership.run())
+        self._membership = membership
+        # The directory subscribed first, so it has applied the change by then.
+        directory.contracts_follower.subscribe(
+            lambda _: membership.update(applied_revision=directory.applied_revision)
+        )
+        self._start_task(membership.run())
 
     async def _start_servers(self) -> None:
         settings = self._settings
@@ -250,16 +284,31 @@
             "vm": self._settings.vm,
             "zone": self._settings.zone,
             "ready": self._ready,
+            "draining": self._draining,
+            **self._store_snapshot(),
             "clients": self._frontend.connections,
             "sessions": self._sessions.count,
             "busy": self._sessions.busy,
             "groups": {name: group.snapshot() for name, group in self._groups.items()},
         }
 
+    def _store_snapshot(self) -> dict[str, object]:
+        directory = self._directory
+        if not isinstance(directory, StoreDirectory):
+            return {}
+        return {
+            "applied_revision": directory.applied_revision,
+            "contracts": {
+                name: stored.revision for name, stored in directory.contracts.items()
+            },
+            "store_age_s": round(directory.age_s, 3),
+        }
+
     async def _maintain(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_S)
             for group in self._groups.values():
+                group.close_leaving()
                 for handle in group.handles.values():
                     handle.pool.close_idle()
 
@@ -279,7 +328,7 @@
     loop = asyncio.get_running_loop()
     await proxy.start()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, lambda: proxy._start_task(proxy.drain()))
+        loop.add_signal_handler(number, proxy.stop)
     await proxy.stopped.wait()
 
 
--- a/src/celeryjunction/group.py
+++ b/src/celeryjunction/group.py
@@ -98,6 +98,19 @@
             if handle is not None:
                 handle.pool.close()
             self.handles[name] = self._new_handle(endpoint)
+        self.close_leaving()
+
+    def close_leaving(self) -> None:
+        """Close the idle connections to endpoints that leave.
+
+        A leaving primary takes writes until operators promote another, so it keeps
+        its connections until then.
+        """
+        proof = self.monitor.proof
+        for name, handle in self.handles.items():
+            is_primary = proof is not None and proof.primary == name
+            if self.monitor.leaving(name) and not is_primary:
+                handle.pool.close_idle(older_than=float("-inf"))
 
     async def close(self) -> None:
         """Stop the probes and close the idle connections."""
--- a/src/celeryjunction/reads.py
+++ b/src/celeryjunction/reads.py
@@ -38,6 +38,12 @@
 REFRESH_PART = 0.25
 """A bounded read renews the proof in the background once it is older than this part
 of the staleness, so that the next reads need not wait."""
+LAST_WORD_S = 1.0
+"""While bounded reads run, the endpoints' own word (such as that one leaves) is at
+most about so old, however stale the reads may be."""
+LAST_WORD_WAIT_S = 0.1
+"""A bounded read after a quiet time waits no longer than this for the endpoints' word;
+without a majority it then goes on with what is known."""
 QUEUE_RECHECK_S = 0.02
 """A bounded read that waited longer than this for its slot proves its bound again."""
 BACKOFF_BASE_S = 0.01
@@ -129,7 +135,7 @@
 
     async def _describe_once(self, work: Work, step: Step) -> StatementShape:
         target = await self._target(work)
-        checkout = await self._enter(self._choose(target.names), work)
+        checkout = await self._enter(self._choose(target.names), work, target)
         try:
             timeout = work.deadline - self._clock.monotonic()
             return await checkout.connection.describe(
@@ -149,7 +155,7 @@
         target = await self._target(work)
         handle = self._choose(target.names)
         asked = self._clock.monotonic()
-        checkout = await self._enter(handle, work)
+        checkout = await self._enter(handle, work, target)
         started = self._clock.monotonic()
         try:
             if work.staleness_s > 0 and started - asked > QUEUE_RECHECK_S:
@@ -171,12 +177,19 @@
         if not target.primary:
             self._counts[f"replica_{kind}"] += 1
 
-    async def _enter(self, handle: EndpointHandle, work: Work) -> Checkout:
+    async def _enter(
+        self, handle: EndpointHandle, work: Work, target: Target
+    ) -> Checkout:
         try:
-            return await handle.enter(work)
+            checkout = await handle.enter(work)
         except (ConnectionLost, EndpointError):
             self._failed(handle)
             raise
+        # The endpoint may have begun to leave while the work waited in its queue.
+        if not target.primary and self._monitor.leaving(handle.name):
+            checkout.release(reusable=False)
+            raise ConnectionLost("the endpoint is leaving", sent=False)
+        return checkout
 
     def _failed(self, handle: EndpointHandle) -> None:
         self._balancer.observe(handle.name, 0.0, ok=False)
@@ -225,6 +238,7 @@
         monitor = self._monitor
         now = self._clock.monotonic()
         instant = now - work.staleness_s
+        await self._hear_endpoints(work, now)
         position = monitor.position_since(instant)
         proof = monitor.proof
         if position is None or proof is None:
@@ -234,10 +248,21 @@
                 position = proof.position
         if work.minimum is not None and work.minimum[0] == proof.term:
             position = max(position, work.minimum[1])
-        if now - proof.proven_at > work.staleness_s * REFRESH_PART:
+        if now - proof.proven_at > min(work.staleness_s * REFRESH_PART, LAST_WORD_S):
             self._start_refresh()
         return await self._replicas_or_primary(work, proof, position)
 
+    async def _hear_endpoints(self, work: Work, now: float) -> None:
+        """Ask the endpoints again when nobody has for some time.
+
+        A replica may have begun to leave since, which the record need not say yet.
+        """
+        proof = self._monitor.proof
+        if proof is not None and now - proof.proven_at > 2 * LAST_WORD_S:
+            deadline = min(work.deadline, now + LAST_WORD_WAIT_S)
+            with suppress(NoProof):
+                await self._monitor.prove(since=now, deadline=deadline)
+
     async def _replicas_or_primary(
         self, work: Work, proof: Proof, position: int
     ) -> Target:
--- /dev/null
+++ b/tests/test_daemon_operations.py
@@ -0,0 +1,249 @@
+"""Tests of a proxy in operation: contracts in force, leaving endpoints, shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import asyncpg
+import logbook
+import msgspec
+import pytest
+from _store_support import PATIENCE_S, eventually, running_store, write
+
+from celeryjunction.adapters.etcd import EtcdStore
+from celeryjunction.contracts_store import CONTRACTS, ContractEnvelope, ContractStore
+from celeryjunction.daemon import Proxy
+from celeryjunction.membership import VmRecord, list_vms
+from celeryjunction.ports import SystemClock
+from celeryjunction.settings import parse_settings
+from celeryjunction.standin.cli import _publisher
+from celeryjunction.standin.group import (
+    EndpointConfig,
+    GroupConfig,
+    RunningGroup,
+    serve_group,
+)
+from celeryjunction.standin.kv import RunningStore
+from tests.test_contract import values
+
+PASSWORD = "pencil"
+TABLE = "CREATE TABLE t (n int4)"
+
+
+def contract(**changes: object) -> str:
+    document = {
+        "databases": ["db1"],
+        "work": {"counter": {}, "old": {"staleness_ms": 60_000}},
+        "default_work": "counter",
+        "shares": {"interactive": 0.5},
+        "connections": 5,
+        **changes,
+    }
+    return json.dumps(values(**document))
+
+
+class Installation:
+    """A store, a group and a proxy in this process."""
+
+    def __init__(
+        self, server: RunningStore, store: EtcdStore, group: RunningGroup, proxy: Proxy
+    ) -> None:
+        self.server, self.store, self.group, self.proxy = server, store, group, proxy
+        self.contracts = ContractStore(
+            store, clock=SystemClock(), validate=lambda _: []
+        )
+
+    async def set(self, text: str, base: int, change_id: str) -> int:
+        outcome = await self.contracts.set(
+            "coop",
+            text,
+            base_revision=base,
+            change_id=change_id,
+            author="mei",
+            reason="test",
+        )
+        return outcome.revision
+
+    async def connect(self, user: str = "coop") -> asyncpg.Connection:
+        return await asyncpg.connect(
+            host="127.0.0.1",
+            port=self.proxy.port,
+            user=user,
+            password=PASSWORD,
+            database="db1",
+            ssl=False,
+        )
+
+    async def vm(self) -> VmRecord | None:
+        return next(iter(await list_vms(self.store)), None)
+
+    def statements(self, endpoint: str) -> int:
+        return self.group.state()[endpoint]["statements_run"]
+
+
+def settings(port: int, **limits: float):
+    document = {
+        "vm": "vm-1",
+        "zone": "a",
+        "listen": {"host": "127.0.0.1", "port": 0},
+        "status": {"host": "127.0.0.1", "port": 0},
+        "peers": {"host": "127.0.0.1", "port": 0, "keys": ["k" * 32]},
+        "store": {"endpoints": [f"127.0.0.1:{port}"]},
+        "limits": {"drain_notice_s": 0, **limits},
+    }
+    return parse_settings(json.dumps(document), directory=Path())
+
+
+@asynccontextmanager
+async def installation(**limits: float) -> AsyncIterator[Installation]:
+    async with running_store() as (server, store):
+        endpoints = tuple(EndpointConfig(name=n, zone=n) for n in "abc")
+        config = GroupConfig(name="db1", endpoints=endpoints, schema=(TABLE,))
+        group = await serve_group(config, _publisher(store))
+        proxy = Proxy(settings(server.port, **limits))
+        here = Installation(server, store, group, proxy)
+        try:
+            here.first = await here.set(contract(), 0, "c0")
+            await proxy.start()
+            yield here
+        finally:
+            await proxy.close()
+            await group.close()
+
+
+class TestContractsInForce:
+    async def test_the_applied_revision_is_reported(self) -> None:
+        # Guards against "in force" before the VM has taken the contract over.
+        async with installation() as here:
+            async with asyncio.timeout(PATIENCE_S):
+                while (vm := await here.vm()) is None:
+                    await asyncio.sleep(0.01)
+                assert vm.applied_revision == here.first
+                text = contract(idle_transaction_ms=5000)
+                second = await here.set(text, here.first, "c1")
+                while (await here.vm()).applied_revision < second:
+                    await asyncio.sleep(0.01)
+            contracts = here.proxy._sessions._contracts
+            assert contracts.contract("coop").idle_transaction_ms == 5000
+
+    @pytest.mark.parametrize("text", ["{", contract(connections=0)])
+    async def test_an_unreadable_contract_keeps_the_last_good_one(
+        self, text: str
+    ) -> None:
+        # Guards against a customer that is refused because of a bad record, and
+        # against a VM that reports it as in force.
+        logs = logbook.TestHandler()
+        with logs.applicationbound():
+            async with installation() as here:
+                envelope = ContractEnvelope("x", "mei", "test", 0.0, text)
+                value = msgspec.json.encode(envelope)
+                await write(here.store, CONTRACTS + "coop", value)
+                await eventually(
+                    lambda: any(
+                        "event=contract_ignored alarm=1" in r.message
+                        for r in logs.records
+                    )
+                )
+                client = await here.connect()
+                assert await client.fetchval("SELECT 1") == 1
+                await client.close()
+                assert here.proxy._membership.record.applied_revision == here.first
+
+
+class TestLeavingEndpoint:
+    @pytest.mark.parametrize("store_out", [False, True])
+    async def test_a_replica_gets_no_new_work(self, store_out: bool) -> None:
+        # Guards against reads that go on to a leaving endpoint, also when only its
+        # own status says so, and reads may be so stale that nobody need ask it.
+        async with installation() as here:
+            clients = [await here.connect(user) for user in ("coop.old", "coop")]
+            for client in clients:
+                await self.read(client)
+            if store_out:
+                here.server.outage()
+            for name in "bc":
+                here.group.endpoints[name].leaving = True
+            if not store_out:
+                await here.group.leaving("b")
+            # R7 allows 3 s for the word to arrive.
+            await asyncio.sleep(3.0)
+            before = [here.statements(name) for name in "abc"]
+            for client in clients:
+                await self.read(client)
+            after = [here.statements(name) for name in "abc"]
+            new = [b - a for a, b in zip(before, after, strict=True)]
+            assert new == [40, 0, 0]
+            group = here.proxy._groups["db1"]
+            await eventually(lambda: group.handles["b"].pool.idle == 0)
+            for client in clients:
+                await client.close()
+
+    async def read(self, client: asyncpg.Connection) -> None:
+        for _ in range(20):
+            await client.fetchval("SELECT count(*) FROM t")
+
+    async def test_a_primary_takes_writes_until_another_is_promoted(self) -> None:
+        # Guards against writes that are refused, although no other endpoint can.
+        async with installation() as here:
+            client = await here.connect()
+            await here.group.leaving("a")
+            await asyncio.sleep(0.1)
+            await client.execute("INSERT INTO t VALUES (1)")
+            await here.group.promote("b")
+            await client.execute("INSERT INTO t VALUES (2)")
+            before = here.statements("a")
+            for _ in range(10):
+                assert await client.fetchval("SELECT count(*) FROM t") == 2
+            assert here.statements("a") == before
+            await client.close()
+
+
+class TestDrain:
+    async def test_open_work_ends_before_the_proxy_stops(self) -> None:
+        # Guards against a transaction or an idle client that a shutdown cuts.
+        async with installation() as here:
+            busy, idle = await here.connect(), await here.connect()
+            transaction = busy.transaction()
+            await transaction.start()
+            await busy.execute("INSERT INTO t VALUES (1)")
+            here.proxy.stop()
+            await eventually(idle.is_closed)
+            with pytest.raises(OSError):
+                await here.connect()
+            assert not here.proxy.stopped.is_set()
+            await busy.execute("INSERT INTO t VALUES (2)")
+            await transaction.commit()
+            await asyncio.wait_for(here.proxy.stopped.wait(), PATIENCE_S)
+            assert len(here.group.log("a")) == 1
+            assert await here.vm() is None
+
+    async def test_connections_are_taken_during_the_notice(self) -> None:
+        # Guards against clients refused before the balancer knows.
+        async with installation(drain_notice_s=0.5) as here:
+            here.proxy.stop()
+            await asyncio.sleep(0)
+            assert not here.proxy._snapshot()["ready"]
+            client = await here.connect()
+            assert await client.fetchval("SELECT 1") == 1
+            await asyncio.wait_for(here.proxy.stopped.wait(), PATIENCE_S)
+            assert client.is_closed()
+
+    @pytest.mark.parametrize("again", [False, True])
+    async def test_the_limit_or_a_second_signal_ends_it(self, again: bool) -> None:
+        # Guards against a proxy that an abandoned transaction keeps from stopping.
+        limit = 3600.0 if again else 0.2
+        async with installation(drain_limit_s=limit) as here:
+            client = await here.connect()
+            await client.execute("BEGIN")
+            await client.execute("INSERT INTO t VALUES (1)")
+            here.proxy.stop()
+            await asyncio.sleep(0)
+            if again:
+                here.proxy.stop()
+            await asyncio.wait_for(here.proxy.stopped.wait(), PATIENCE_S)
+            assert here.group.log("a") == []
+            await client.close()
