Complete the contract commands

set waits for the VMs that apply a revision and names those that do not; edit, list, diff and status are new. A contract is checked against the groups and the other contracts in the service, and stored as plain JSON. A bad file used to end in a traceback, because ContractError is no ValueError.

--- a/src/celeryjunction/contract_cli.py
+++ b/src/celeryjunction/contract_cli.py
@@ -1,170 +1,512 @@
-"""Commands for contracts: ``celeryjunction contract get|set|list|history|diff``."""
+"""Commands for contracts: ``celeryjunction contract get|set|edit|list|…``.
+
+Exit codes: 0 for success, 1 when the key-value service or something else outside
+failed, 2 for a refused contract or wrong arguments, 3 for a conflict with another
+change, 4 when the change is accepted but not in force on every live VM.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import getpass
-import sys
+import json
+import os
+import shlex
+import subprocess
+import tempfile
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from contextlib import suppress
+from datetime import UTC, datetime
 from functools import singledispatch
 from pathlib import Path
-from typing import Annotated, TypeVar
+from typing import Annotated, NamedTuple, NoReturn, TypeVar
 
+import msgspec
 from typer import Argument, Exit, Option, Typer, echo
 
+from celeryjunction._documents import DocumentError, parse_document, read_file
 from celeryjunction.adapters.etcd import EtcdStore
-from celeryjunction.contract import parse_contract
+from celeryjunction.contract import Contract, check_against, parse_contract
 from celeryjunction.contracts_store import (
+    CONTRACTS,
     Accepted,
+    AuditRecord,
     Conflict,
     ContractStore,
     NotApplied,
     Rejected,
     SetOutcome,
+    StoredContract,
     Unknown,
+    Validate,
+    decode_envelope,
+    diff,
+    in_force,
+    stored_contract,
+)
+from celeryjunction.directory import GROUPS
+from celeryjunction.logs import format_event
+from celeryjunction.membership import VmRecord, list_vms
+from celeryjunction.ports import (
+    GroupRecord,
+    KeyValueStore,
+    StoreRefused,
+    StoreUnavailable,
+    SystemClock,
 )
-from celeryjunction.ports import StoreUnavailable, SystemClock
+from celeryjunction.settings import SettingsError, load_settings, split_address
+
+STORE_VARIABLE = "CELERYJUNCTION_STORE"
+POLL_S = 0.2
+"""Time between two looks at the VMs while `--wait` waits."""
+FAILED, REFUSED, CONFLICT, NOT_IN_FORCE = 1, 2, 3, 4
 
 app = Typer(no_args_is_help=True, help="Read and change contracts.")
 
 T = TypeVar("T")
 _Store = Annotated[
-    str, Option(help="Addresses of the key-value service, ip:port, comma between.")
+    str,
+    Option(
+        help="Addresses of the key-value service, ip:port, comma between; "
+        f"default: that of --config or of ${STORE_VARIABLE}."
+    ),
+]
+_Config = Annotated[
+    Path | None, Option(help="Settings file to take the service's addresses from.")
+]
+_Customer = Annotated[str, Argument(help="Name of the customer.")]
+_Reason = Annotated[str, Option(help="Why; kept in the audit trail.")]
+_Author = Annotated[str, Option(help="Who; kept in the audit trail.")]
+_Wait = Annotated[
+    float, Option(min=0, help="Seconds to wait until all live VMs apply the change.")
 ]
 
 
-def contract_problems(text: str) -> list[str]:
-    """Return what is wrong with a contract's text, one line each."""
-    try:
-        parse_contract(text)
-    except ValueError as error:
-        return [str(error)]
-    return []
+class _Change(NamedTuple):
+    text: str
+    base: int
+    change_id: str
+    author: str
+    reason: str
+    wait: float
 
 
 @app.command(name="set")
 def set_(
     file: Annotated[Path, Argument(help="Contract, JSON with comments.")],
-    store: _Store,
-    reason: Annotated[str, Option(help="Why; kept in the audit trail.")],
-    author: Annotated[str, Option(help="Who; kept in the audit trail.")] = "",
+    reason: _Reason,
+    store: _Store = "",
+    config: _Config = None,
+    author: _Author = "",
     base: Annotated[
         int, Option(help="Revision the change is based on; 0 for a new contract.")
     ] = 0,
     change_id: Annotated[
         str, Option(help="Id of the change; give it again to repeat a change.")
     ] = "",
+    wait: _Wait = 0,
 ) -> None:
     """Put a contract in force, if nobody changed it since the base revision."""
-    text = file.read_text()
     try:
-        customer = parse_contract(text).customer
-    except ValueError as error:
-        echo(f"{file}: {error}", err=True)
-        raise Exit(2) from None
-    outcome = _with_store(
-        store,
-        lambda contracts: contracts.set(
-            customer,
-            text,
-            base_revision=base,
-            change_id=change_id or str(uuid.uuid4()),
-            author=author or getpass.getuser(),
-            reason=reason,
-        ),
-    )
-    raise Exit(_report(outcome))
+        text = plain_text(read_file(file))
+    except DocumentError as error:
+        _fail(f"{file}: {error}", REFUSED)
+    change = _new_change(text, base, author, reason, wait, change_id)
+    raise Exit(_with_store(store, config, lambda one: _apply(one, change)))
+
+
+@app.command()
+def edit(
+    customer: _Customer,
+    reason: _Reason,
+    store: _Store = "",
+    config: _Config = None,
+    author: _Author = "",
+    wait: _Wait = 0,
+) -> None:
+    """Edit a contract with $EDITOR and put it in force."""
+    stored = _with_store(store, config, lambda one: _contracts(one).get(customer))
+    if stored is None:
+        _fail(f"customer {customer} has no contract; create one with set", FAILED)
+    path = _temporary_file(stored)
+    text = _edited(path)
+    if text == stored.text:
+        path.unlink()
+        echo("no change")
+        return
+    change = _new_change(text, stored.revision, author, reason, wait)
+    code = FAILED
+    try:
+        code = _with_store(
+            store, config, lambda one: _apply(one, change, customer=customer)
+        )
+    finally:
+        if code in (0, NOT_IN_FORCE):
+            path.unlink()
+        else:
+            echo(f"the edited contract is kept in {path}", err=True)
+            echo(f"it is based on revision {stored.revision}", err=True)
+    raise Exit(code)
 
 
 @app.command()
 def get(
-    customer: Annotated[str, Argument(help="Name of the customer.")], store: _Store
+    customer: _Customer,
+    store: _Store = "",
+    config: _Config = None,
 ) -> None:
     """Print a contract; its revision goes to standard error."""
-    stored = _with_store(store, lambda contracts: contracts.get(customer))
+    stored = _with_store(store, config, lambda one: _contracts(one).get(customer))
     if stored is None:
-        echo(f"customer {customer} has no contract", err=True)
-        raise Exit(1)
+        _fail(f"customer {customer} has no contract", FAILED)
     echo(f"revision {stored.revision}", err=True)
     echo(stored.text)
 
 
+@app.command(name="list")
+def list_(store: _Store = "", config: _Config = None) -> None:
+    """List the customers with the revisions of their contracts."""
+    listed = _with_store(store, config, lambda one: one.list(CONTRACTS))
+    for item in listed.items:
+        stored = stored_contract(item)
+        fields = {"customer": stored.customer, "revision": stored.revision}
+        with suppress(msgspec.MsgspecError, UnicodeDecodeError):
+            envelope = decode_envelope(item.value)
+            fields |= {"at": _moment(envelope.time), "author": envelope.author}
+            fields |= {"change_id": envelope.change_id}
+        echo(format_event("contract", fields))
+
+
 @app.command()
-def history(
-    customer: Annotated[str, Argument(help="Name of the customer.")], store: _Store
+def history(customer: _Customer, store: _Store = "", config: _Config = None) -> None:
+    """List the revisions of a contract that are still kept, oldest first."""
+    for record in _with_store(
+        store, config, lambda one: _contracts(one).audit(customer)
+    ):
+        echo(_audit_line(record))
+
+
+@app.command(name="diff")
+def diff_(
+    customer: _Customer,
+    rev1: Annotated[int, Argument(help="Older revision.")],
+    rev2: Annotated[int, Argument(help="Newer revision.")],
+    store: _Store = "",
+    config: _Config = None,
 ) -> None:
-    """List the revisions of a contract that are still kept."""
-    for stored in _with_store(store, lambda contracts: contracts.history(customer)):
-        echo(f"{stored.revision}\t{stored.change_id}")
+    """Print what changed from one kept revision of a contract to another."""
+    kept = {
+        one.revision: one.text
+        for one in _with_store(
+            store, config, lambda one: _contracts(one).history(customer)
+        )
+    }
+    for revision in (rev1, rev2):
+        if revision not in kept:
+            known = ", ".join(map(str, kept)) or "none"
+            _fail(f"revision {revision} is not kept; kept are: {known}", REFUSED)
+    echo(diff(kept[rev1], kept[rev2]))
+
+
+@app.command()
+def status(customer: _Customer, store: _Store = "", config: _Config = None) -> None:
+    """Tell whether the accepted contract is in force on every live VM."""
+    raise Exit(_with_store(store, config, lambda one: _show_status(one, customer)))
 
 
 def audit(
-    store: _Store,
+    store: _Store = "",
+    config: _Config = None,
     customer: Annotated[str, Option(help="Only this customer.")] = "",
 ) -> None:
     """Print the audit trail of contract changes."""
-    records = _with_store(store, lambda contracts: contracts.audit(customer or None))
-    for record in records:
-        entry = record.entry
-        echo(
-            f"time={entry.time} customer={entry.customer} revision={record.revision} "
-            f"author={entry.author!r} reason={entry.reason!r} "
-            f"change_id={entry.change_id}"
-        )
+    for record in _with_store(
+        store, config, lambda one: _contracts(one).audit(customer or None)
+    ):
+        echo(_audit_line(record))
+
 
+def plain_text(text: str) -> str:
+    """Return a contract's text as plain JSON, the form that the service holds.
+
+    Plain JSON is returned as it is. From JSON with comments the comments are lost.
+    Raises `DocumentError`.
+    """
+    try:
+        parse_document(text, comments=False)
+    except DocumentError:
+        values = parse_document(text).values
+        return json.dumps(values, indent=2, ensure_ascii=False)
+    return text
+
+
+def contract_problems(
+    text: str, others: Iterable[Contract], groups: Iterable[GroupRecord]
+) -> list[str]:
+    """Return what is wrong with a contract next to the others, one line each."""
+    try:
+        contract = parse_contract(text)
+    except DocumentError as error:
+        return [str(problem) for problem in error.problems]
+    problems = check_against(contract, others, groups)
+    return [str(problem) for problem in parse_document(text).locate(problems)]
+
+
+async def read_surroundings(
+    store: KeyValueStore,
+) -> tuple[list[Contract], list[GroupRecord]]:
+    """Read all contracts and groups; unreadable ones are named and left out."""
+    contracts, groups = [], []
+    for item in (await store.list(CONTRACTS)).items:
+        try:
+            contracts.append(parse_contract(stored_contract(item).text, comments=False))
+        except DocumentError:
+            echo(f"{item.key} cannot be read and is left out of the check", err=True)
+    for item in (await store.list(GROUPS)).items:
+        try:
+            groups.append(msgspec.json.decode(item.value, type=GroupRecord))
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            echo(f"{item.key} cannot be read and is left out of the check", err=True)
+    return contracts, groups
+
+
+async def _apply(
+    store: KeyValueStore, change: _Change, *, customer: str | None = None
+) -> int:
+    """Check and set a contract, wait for the VMs, and return the exit code."""
+    others, groups = await read_surroundings(store)
+    problems = contract_problems(change.text, others, groups)
+    if problems:
+        return _report(Rejected(tuple(problems)), change)
+    named = parse_contract(change.text).customer
+    if customer is not None and named != customer:
+        problem = f"customer: {named} is not {customer}, whose contract was edited"
+        return _report(Rejected((problem,)), change)
+    outcome = await _contracts(store).set(
+        named,
+        change.text,
+        base_revision=change.base,
+        change_id=change.change_id,
+        author=change.author,
+        reason=change.reason,
+    )
+    code = _report(outcome, change)
+    if isinstance(outcome, Accepted) and change.wait > 0:
+        return await _wait_in_force(store, outcome.revision, change.wait)
+    return code
+
+
+async def _wait_in_force(store: KeyValueStore, revision: int, seconds: float) -> int:
+    """Wait until every live VM applies the revision; return the exit code."""
+    clock = SystemClock()
+    end = clock.monotonic() + seconds
+    while True:
+        vms, failure = (), ""
+        try:
+            vms = await list_vms(store)
+        except StoreUnavailable as error:
+            failure = str(error)
+        late = in_force(revision, vms)
+        if not late and not failure:
+            echo(f"in force on {len(vms)} of {len(vms)} VMs")
+            return 0
+        if clock.monotonic() >= end:
+            break
+        await asyncio.sleep(POLL_S)
+    if failure:
+        echo(f"not known to be in force: {failure}", err=True)
+    _name_late(revision, vms)
+    return NOT_IN_FORCE
+
+
+async def _show_status(store: KeyValueStore, customer: str) -> int:
+    item = await store.get(CONTRACTS + customer)
+    if item is None:
+        echo(f"customer {customer} has no contract", err=True)
+        return FAILED
+    try:
+        envelope = decode_envelope(item.value)
+        parse_contract(envelope.document, comments=False)
+    except (msgspec.MsgspecError, UnicodeDecodeError, DocumentError):
+        echo(f"unreadable: revision {item.revision}; VMs keep the last good one")
+        return NOT_IN_FORCE
+    fields = {
+        "customer": customer,
+        "revision": item.revision,
+        "at": _moment(envelope.time),
+        "author": envelope.author,
+        "reason": envelope.reason,
+        "change_id": envelope.change_id,
+    }
+    echo(format_event("accepted", fields))
+    vms = await list_vms(store)
+    late = in_force(item.revision, vms)
+    echo(f"in force on {len(vms) - len(late)} of {len(vms)} VMs")
+    _name_late(item.revision, vms)
+    return NOT_IN_FORCE if late else 0
+
+
+def _name_late(revision: int, vms: Sequence[VmRecord]) -> None:
+    late = set(in_force(revision, vms))
+    for vm in sorted(vms, key=lambda vm: vm.name):
+        if vm.name in late:
+            echo(
+                f"not in force on {vm.name} (zone {vm.zone}, status at "
+                f"{vm.status_address}), which applies changes up to revision "
+                f"{vm.applied_revision}",
+                err=True,
+            )
+
+
+def _contracts(
+    store: KeyValueStore, validate: Validate = lambda _: []
+) -> ContractStore:
+    return ContractStore(store, clock=SystemClock(), validate=validate)
+
+
+def _new_change(
+    text: str, base: int, author: str, reason: str, wait: float, change_id: str = ""
+) -> _Change:
+    return _Change(
+        text,
+        base,
+        change_id or str(uuid.uuid4()),
+        author or getpass.getuser(),
+        reason,
+        wait,
+    )
+
+
+def _temporary_file(stored: StoredContract) -> Path:
+    handle, name = tempfile.mkstemp(prefix=f"{stored.customer}.", suffix=".json")
+    with os.fdopen(handle, "w", encoding="utf-8") as file:
+        file.write(stored.text)
+    return Path(name)
+
+
+def _edited(path: Path) -> str:
+    """Let the operator edit the file and return its text as plain JSON."""
+    editor = shlex.split(os.environ.get("EDITOR", "")) or ["vi"]
+    try:
+        subprocess.run([*editor, str(path)], check=True)
+        return plain_text(read_file(path))
+    except (OSError, subprocess.CalledProcessError) as error:
+        _fail(f"{editor[0]} failed, nothing was changed: {error}; see {path}", FAILED)
+    except DocumentError as error:
+        _fail(f"{error}\nthe edited contract is kept in {path}", REFUSED)
+
+
+def store_addresses(store: str, config: Path | None) -> tuple[str, ...]:
+    """Return the service's addresses: of the option, the settings or the variable.
+
+    Raises `ValueError` when there are none or one is not an address.
+    """
+    if not store and config is not None:
+        try:
+            settings = load_settings(config)
+        except SettingsError as error:
+            raise ValueError(f"{config}: {error}") from None
+        if settings.store is None:
+            raise ValueError(f"{config} names no key-value service (store)")
+        return settings.store.endpoints
+    text = store or os.environ.get(STORE_VARIABLE, "")
+    addresses = tuple(part.strip() for part in text.split(",") if part.strip())
+    if not addresses:
+        raise ValueError(f"give --store or --config, or set {STORE_VARIABLE}")
+    for address in addresses:
+        split_address(address)
+    return addresses
+
+
+def _with_store(
+    store: str, config: Path | None, call: Callable[[KeyValueStore], Awaitable[T]]
+) -> T:
+    try:
+        addresses = store_addresses(store, config)
+    except ValueError as error:
+        _fail(str(error), REFUSED)
 
-def _with_store(addresses: str, call: Callable[[ContractStore], Awaitable[T]]) -> T:
     async def run() -> T:
-        store = EtcdStore(tuple(part.strip() for part in addresses.split(",")))
-        contracts = ContractStore(
-            store, clock=SystemClock(), validate=contract_problems
-        )
+        connected = EtcdStore(addresses)
         try:
-            return await call(contracts)
+            return await call(connected)
         finally:
-            await store.close()
+            await connected.close()
 
     try:
         return asyncio.run(run())
-    except StoreUnavailable as error:
-        echo(f"the key-value service gave no answer: {error}", err=True)
-        sys.exit(1)
+    except (StoreUnavailable, StoreRefused) as error:
+        _fail(f"the key-value service gave no answer: {error}", FAILED)
+
+
+def _fail(message: str, code: int) -> NoReturn:
+    echo(message, err=True)
+    raise Exit(code)
+
+
+def _moment(seconds: float) -> str:
+    return datetime.fromtimestamp(seconds, UTC).isoformat(timespec="seconds")
+
+
+def _audit_line(record: AuditRecord) -> str:
+    entry = record.entry
+    fields = {
+        "at": _moment(entry.time),
+        "customer": entry.customer,
+        "revision": record.revision,
+        "base_revision": entry.base_revision,
+        "author": entry.author,
+        "reason": entry.reason,
+        "change_id": entry.change_id,
+    }
+    if entry.shed_signers:
+        fields["shed_signers"] = entry.shed_signers
+    return format_event("contract_changed", fields)
 
 
 @singledispatch
-def _report(outcome: SetOutcome) -> int:
+def _report(outcome: SetOutcome, change: _Change) -> int:
     """Print the outcome of a change and return the exit code."""
     raise TypeError(f"no report for {outcome!r}")
 
 
 @_report.register
-def _(outcome: Accepted) -> int:
+def _(outcome: Accepted, change: _Change) -> int:
     echo(f"accepted as revision {outcome.revision}")
     return 0
 
 
 @_report.register
-def _(outcome: Conflict) -> int:
-    echo("conflict: the contract was changed by somebody else", err=True)
+def _(outcome: Conflict, change: _Change) -> int:
+    revision = outcome.current.revision if outcome.current else 0
+    echo(
+        f"conflict: the contract is at revision {revision}, and the change is based "
+        f"on {change.base}; from the current contract to the refused one:",
+        err=True,
+    )
     echo(outcome.diff)
-    return 3
+    return CONFLICT
 
 
 @_report.register
-def _(outcome: Rejected) -> int:
+def _(outcome: Rejected, change: _Change) -> int:
     for problem in outcome.problems:
         echo(problem, err=True)
-    return 2
+    return REFUSED
 
 
 @_report.register
-def _(outcome: NotApplied) -> int:
-    echo("not applied; the change may be tried again", err=True)
-    return 1
+def _(outcome: NotApplied, change: _Change) -> int:
+    echo(f"not applied, and it will not be: {outcome.reason}", err=True)
+    return FAILED
 
 
 @_report.register
-def _(outcome: Unknown) -> int:
-    echo("unknown: repeat the change with the same --change-id", err=True)
-    return 1
+def _(outcome: Unknown, change: _Change) -> int:
+    echo(
+        f"unknown whether it was applied: {outcome.reason}; repeat it with "
+        f"--change-id {change.change_id} --base {change.base}",
+        err=True,
+    )
+    return FAILED
