--- a/src/celeryjunction/remote.py
+++ b/src/celeryjunction/remote.py
@@ -20,6 +20,7 @@
 from functools import singledispatch
 
 from celeryjunction.commit import MIN_RESOLVE_S, rolled_back, unknown
+from celeryjunction.endpoints import ROLLBACK_TIMEOUT_S
 from celeryjunction.errors import EndpointError, ErrorKind, ProxyError
 from celeryjunction.links import AnswerLost, NotSent, PeerConnection, PeerLink
 from celeryjunction.logs import get_logger
@@ -43,7 +44,6 @@
     terms_of,
 )
 from celeryjunction.ports import Clock, QueryResult, StatementShape, Step
-from celeryjunction.transaction import ROLLBACK_TIMEOUT_S
 from celeryjunction.work import Work
 
 CONNECT_S = 0.75
