--- a/src/celeryjunction/endpoints.py
+++ b/src/celeryjunction/endpoints.py
@@ -110,6 +110,11 @@
         """Name of the endpoint."""
         return self._handle.name
 
+    @property
+    def ended(self) -> bool:
+        """Whether the statement has ended."""
+        return not self._running
+
     @property
     def handle(self) -> EndpointHandle:
         """The endpoint's handle."""
--- a/src/celeryjunction/reads.py
+++ b/src/celeryjunction/reads.py
@@ -24,6 +24,7 @@
     ErrorKind,
     ProxyError,
 )
+from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
     EndpointStatus,
@@ -53,6 +54,10 @@
 without a majority it then goes on with what is known."""
 QUEUE_RECHECK_S = 0.02
 """A bounded read that waited longer than this for its slot proves its bound again."""
+SLOW_READ_S = 0.5
+"""After so long it is asked whether the read's endpoint is alive."""
+LIVENESS_S = 1.2
+"""Time for the answer; more than the probes' timeout of 1 s."""
 BACKOFF_BASE_S = 0.01
 BACKOFF_CAP_S = 0.25
 
@@ -68,6 +73,8 @@
 
 T = TypeVar("T")
 
+_log = get_logger("reads")
+
 
 class Target:
     """Endpoints proven fresh enough: `term` and `position` that they must have.
@@ -116,6 +123,7 @@
         self._clock = clock
         self._random = random
         self._refresh: asyncio.Task[None] | None = None
+        self._checks: set[asyncio.Task[None]] = set()
         self._counts = dict.fromkeys(
             ("replica_strict", "strict", "replica_bounded", "bounded"), 0
         )
@@ -198,6 +206,9 @@
         waited = started - asked
         if work.staleness_s > 0 and waited > QUEUE_RECHECK_S:
             self._recheck(checkout, work, target)
+        check = asyncio.get_running_loop().call_later(
+            SLOW_READ_S, self._start_liveness_check, checkout
+        )
         try:
             results = await self._run_checked(checkout, work, steps, target)
         except BaseException as error:
@@ -208,6 +219,8 @@
             if not answered and not isinstance(error, asyncio.CancelledError):
                 self._failed(handle)
             raise
+        finally:
+            check.cancel()
         self._balancer.observe(handle.name, self._clock.monotonic() - started, ok=True)
         self._count(work, target)
         return checkout, results
@@ -256,6 +269,27 @@
             raise ConnectionLost("the endpoint was not fresh enough", sent=True)
         return results
 
+    def _start_liveness_check(self, checkout: Checkout) -> None:
+        task = asyncio.create_task(self._check_liveness(checkout))
+        self._checks.add(task)
+        task.add_done_callback(self._checks.discard)
+
+    async def _check_liveness(self, checkout: Checkout) -> None:
+        """Break off a long read if its endpoint does not answer a status query.
+
+        A read that is long for its own reasons goes on; one at an endpoint that is
+        frozen or cut off is tried elsewhere instead of waiting for its deadline.
+        """
+        asked = self._clock.monotonic()
+        deadline = asked + LIVENESS_S
+        with suppress(NoProof):
+            await self._monitor.prove(since=asked, deadline=deadline)
+        await asyncio.sleep(deadline - self._clock.monotonic())
+        seen = self._monitor.observations.get(checkout.endpoint)
+        if (seen is None or seen.sent_at < asked) and not checkout.ended:
+            _log.warning("read_broken_off", endpoint=checkout.endpoint)
+            checkout.connection.close()
+
     def _recheck(self, checkout: Checkout, work: Work, target: Target) -> None:
         """Prove the staleness again after a wait in the queue."""
         instant = self._clock.monotonic() - work.staleness_s
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 from celeryjunction.errors import ERROR_TABLE, ErrorKind, ProxyError, Ran
 
 
@@ -24,3 +26,16 @@
         error = ProxyError(ErrorKind.UNSUPPORTED, {"feature": "COPY"})
         assert error.sqlstate == "0A000"
         assert error.message == "not run: COPY is not supported on shared connections"
+
+
+class TestDocumentation:
+    def test_page_shows_the_table_of_the_code(self) -> None:
+        # Guards against operators reading answers that the code no longer gives.
+        page = Path("docs/errors.md").read_text()
+        rows = [line for line in page.splitlines() if line.startswith("| `")]
+        expected = [
+            f"| `{kind.value}` | `{spec.sqlstate}` | {spec.message} | {spec.ran.value} "
+            f"| {'yes' if spec.retryable else 'no'} |"
+            for kind, spec in ERROR_TABLE.items()
+        ]
+        assert rows == expected
--- a/tests/test_reads.py
+++ b/tests/test_reads.py
@@ -183,6 +183,22 @@
         assert await read(fake, 1.0) is ErrorKind.READ_UNANSWERED
         assert fake.held() == 0
 
+    async def test_frozen_endpoint_is_left_for_another(self, fake: FakeGroup) -> None:
+        # Guards against a read that waits for its whole deadline at an endpoint that
+        # answers nothing any more.
+        await fake.prove()
+        frozen = [("SELECT v", wait(60)), ("SELECT term", wait(60))]
+        for each in (fake.b, fake.c):
+            each.script += [*frozen, *[("SELECT term", wait(60))] * 20]
+        began = fake.clock.monotonic()
+        assert await read(fake, 30.0, staleness_s=20.0) == ("a", 5)
+        assert fake.clock.monotonic() - began < 5.0
+
+    async def test_long_read_at_a_live_endpoint_goes_on(self, fake: FakeGroup) -> None:
+        for each in (fake.b, fake.c):
+            each.script.append(("SELECT v", wait(6)))
+        assert (await read(fake, 30.0))[0] in "bc"
+
     async def test_cancelled_read_closes_its_connection(self, fake: FakeGroup) -> None:
         # Guards R4: the late answer must not reach the next read.
         for each in (fake.b, fake.c):
