Never call a repeatable write 'not run' after an open first try

Cause: after a first try with unknown outcome, a second try that was proven rolled back gave 'not run', although the first may have taken effect. Change: the write remembers that a try stayed open and then answers outcome_unknown. Figures: the new test fails without the change and passes with it.

--- a/src/celeryjunction/group.py
+++ b/src/celeryjunction/group.py
@@ -16,9 +16,16 @@
     Committed,
     Committer,
     rolled_back,
+    unknown,
 )
 from celeryjunction.endpoints import Checkout, EndpointHandle
-from celeryjunction.errors import ConnectionLost, EndpointError, ErrorKind, ProxyError
+from celeryjunction.errors import (
+    ConnectionLost,
+    EndpointError,
+    ErrorKind,
+    ProxyError,
+    Ran,
+)
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
@@ -191,16 +198,21 @@
         """
         self._budget.count_request()
         attempt = 0
+        unknown_before = False
         while True:
             attempt += 1
             try:
                 return await self._write_once(work, step)
             except _NotSent:
-                await self.back_off(work, attempt)
+                pass
             except ProxyError as error:
+                unknown_before |= error.spec.ran is not Ran.NO
                 if not self._may_repeat(work, error):
-                    raise
+                    raise _honest(error, unknown_before) from None
+            try:
                 await self.back_off(work, attempt)
+            except ProxyError as error:
+                raise _honest(error, unknown_before) from None
 
     async def enter_primary(self, work: Work) -> tuple[Proof, Checkout]:
         """Wait for a trusted primary and check out a connection to it."""
@@ -325,6 +337,13 @@
         )
 
 
+def _honest(error: ProxyError, unknown_before: bool) -> ProxyError:
+    """Return what may be said: after an open try, "not run" would be untrue."""
+    if unknown_before and error.spec.ran is Ran.NO:
+        return unknown("an earlier try of the repeatable write was not answered")
+    return error
+
+
 def _same_place(a: EndpointRecord, b: EndpointRecord) -> bool:
     return (a.host, a.port, a.connections, a.slots, a.zone) == (
         b.host,
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -8,6 +8,7 @@
 import pytest
 from fakes import (
     INSERT,
+    FakeConnection,
     FakeGroup,
     event_loop_policy,  # noqa: F401
     lose,
@@ -16,7 +17,7 @@
 )
 from fakes import fake as fake
 
-from celeryjunction.errors import ErrorKind
+from celeryjunction.errors import ConnectionLost, ErrorKind
 
 ROLLED_BACK = ErrorKind.NOT_RUN_ROLLED_BACK
 NO_PRIMARY = ErrorKind.NOT_RUN_NO_PRIMARY
@@ -43,6 +44,22 @@
         assert await fake.write(repeatable=True) == "INSERT"
         assert fake.ran.count(INSERT.sql) == 2 and fake.a.applied == 1
 
+    async def test_open_first_try_is_never_called_not_run(
+        self, fake: FakeGroup
+    ) -> None:
+        # Guards R5: the first try's COMMIT took effect, its outcome cannot be found
+        # out, and the second try is then proven rolled back.
+        async def commit_and_forget(connection: FakeConnection) -> None:
+            connection.end("committed")
+            fake.a.outcomes.clear()
+            fake.a.script += [("INSERT", lose())] * 100
+            connection.close()
+            raise ConnectionLost("scripted", sent=True)
+
+        fake.a.script.append(("COMMIT", commit_and_forget))
+        result = await fake.write(repeatable=True)
+        assert fake.a.applied == 1 and result is ErrorKind.OUTCOME_UNKNOWN
+
     async def test_repeats_end_at_the_deadline_and_keep_a_budget(
         self, fake: FakeGroup
     ) -> None:
