--- a/src/celeryjunction/peers.py
+++ b/src/celeryjunction/peers.py
@@ -317,7 +317,8 @@
         return "malformed"
     except (IndexError, KeyError, TypeError):
         return "malformed"
-    return "malformed" if tag in _TAGS else "unknown_type"
+    known = not isinstance(tag, str) or tag in _TAGS
+    return "malformed" if known else "unknown_type"
 
 
 class PeerKeys:
--- /dev/null
+++ b/tests/test_peer_stream.py
@@ -0,0 +1,185 @@
+"""Tests of authenticated streams between proxies."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+from _store_support import eventually
+
+from celeryjunction.adapters import peer_stream
+from celeryjunction.adapters.peer_stream import PeerListener, dial_peer
+from celeryjunction.peers import (
+    Cancel,
+    Described,
+    Identity,
+    MessageTooLarge,
+    PeerKeys,
+    PeerLost,
+    Refused,
+)
+
+OLD, NEW, OTHER = ("o" * 32, "n" * 32, "x" * 32)
+
+
+class Listener:
+    """Answers each `Cancel` with a `Refused` of as many characters as its id."""
+
+    def __init__(self, *keys: str) -> None:
+        self.dropped: list[str] = []
+        self.streams: list[object] = []
+        self.listener = PeerListener(
+            self.serve,
+            me=Identity("home", 1),
+            keys=PeerKeys(keys),
+            on_drop=self.dropped.append,
+        )
+
+    async def serve(self, stream) -> None:
+        self.streams.append(stream)
+        try:
+            while True:
+                message = await stream.receive()
+                stream.send(Refused(message.id, "x" * message.id))
+                await stream.flush()
+        except PeerLost:
+            pass
+
+    async def dial(self, *keys: str, vm: str = "home", port: int = 0, drops=None):
+        return await dial_peer(
+            "127.0.0.1",
+            port or self.listener.port,
+            vm,
+            me=Identity("entry", 2),
+            keys=PeerKeys(keys),
+            timeout=20.0,
+            on_drop=(drops if drops is not None else []).append,
+        )
+
+
+@pytest.fixture
+async def listener() -> AsyncIterator[Listener]:
+    one = Listener(NEW, OLD)
+    await one.listener.start("127.0.0.1", 0)
+    yield one
+    await one.listener.close()
+    for stream in one.streams:
+        stream.close()
+
+
+class Relay:
+    """Passes bytes to the listener and keeps what the dialling side sent.
+
+    `change` may alter each chunk of the dialling side once `armed`.
+    """
+
+    def __init__(self, port: int) -> None:
+        self.port, self.sent, self.armed = port, [], False
+        self.tasks: list[asyncio.Task] = []
+
+    async def start(self) -> int:
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def accept(self, reader, writer) -> None:
+        back, forth = await asyncio.open_connection("127.0.0.1", self.port)
+        self.tasks.append(asyncio.create_task(self.pump(back, writer, False)))
+        await self.pump(reader, forth, True)
+
+    async def pump(self, reader, writer, dialling: bool) -> None:
+        while data := await reader.read(1 << 16):
+            if dialling:
+                self.sent.append(data)
+                if self.armed:
+                    data = data[:-1] + bytes([data[-1] ^ 1])
+            writer.write(data)
+        writer.close()
+
+
+class TestStreams:
+    async def test_messages_in_both_directions(self, listener: Listener) -> None:
+        # More than one frame, and the key that is being replaced.
+        stream = await listener.dial(OLD, NEW)
+        for size in (1, peer_stream.MAX_FRAME_BYTES + 5):
+            stream.send(Cancel(size))
+            answer = await stream.receive()
+            assert (answer.id, len(answer.reason)) == (size, size)
+        assert (stream.vm, stream.incarnation) == ("home", 1)
+        assert listener.streams[0].vm == "entry" and listener.dropped == []
+        stream.close()
+        with pytest.raises(PeerLost):
+            stream.send(Cancel(1))
+
+    async def test_foreign_peers_are_refused(self, listener: Listener) -> None:
+        for keys, vm in (((OTHER,), "home"), ((OLD, NEW), "other")):
+            with pytest.raises(PeerLost):
+                await listener.dial(*keys, vm=vm)
+        await eventually(lambda: len(listener.dropped) == 2)
+        assert listener.dropped == ["authentication", "foreign"]
+        assert listener.streams == []
+
+    @pytest.mark.parametrize(
+        ("data", "reason"),
+        [
+            (b"GET / HTTP/1.1\r\n\r\n", "oversized"),
+            (b"\x00\x00\x00\x01x", "malformed"),
+            (b"\x00\x00\x00\x20" + b"x" * 32, "authentication"),
+        ],
+    )
+    async def test_garbage(self, listener: Listener, data: bytes, reason: str) -> None:
+        good = await listener.dial(OLD, NEW)
+        _, writer = await asyncio.open_connection("127.0.0.1", listener.listener.port)
+        writer.write(data)
+        await eventually(lambda: listener.dropped == [reason])
+        good.send(Cancel(1))
+        assert (await good.receive()).id == 1
+        good.close()
+        writer.close()
+
+    async def test_a_changed_frame_ends_its_connection(
+        self, listener: Listener
+    ) -> None:
+        relay = Relay(listener.listener.port)
+        stream = await listener.dial(OLD, NEW, port=await relay.start())
+        stream.send(Cancel(1))
+        await stream.receive()
+        relay.armed = True
+        stream.send(Cancel(2))
+        with pytest.raises(PeerLost):
+            await stream.receive()
+        assert listener.dropped == ["authentication"]
+        relay.server.close()
+
+    async def test_a_replayed_connection_does_nothing(self, listener: Listener) -> None:
+        # Guards against recorded statements that run again.
+        relay = Relay(listener.listener.port)
+        stream = await listener.dial(OLD, NEW, port=await relay.start())
+        stream.send(Cancel(1))
+        await stream.receive()
+        _, writer = await asyncio.open_connection("127.0.0.1", listener.listener.port)
+        writer.write(b"".join(relay.sent))
+        await eventually(lambda: listener.dropped == ["authentication"])
+        assert len(listener.streams) == 1
+        stream.close()
+        writer.close()
+        relay.server.close()
+
+    async def test_messages_that_cannot_be_used(
+        self, listener: Listener, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        drops: list[str] = []
+        stream = await listener.dial(OLD, NEW, drops=drops)
+        await eventually(lambda: bool(listener.streams))
+        served = listener.streams[0]
+        served._writer.write(b"".join(served._frames(b"\x00")))
+        served._me = Identity("home", 9)
+        served.send(Described(1, None))
+        served._me = Identity("home", 1)
+        served.send(Described(2, None))
+        assert await stream.receive() == Described(2, None)
+        assert drops == ["malformed", "foreign"]
+        monkeypatch.setattr(peer_stream, "MAX_MESSAGE_BYTES", 100)
+        with pytest.raises(MessageTooLarge):
+            stream.send(Refused(1, "x" * 200))
+        stream.close()
