--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,7 +6,16 @@
 import importlib
 import sys
 
-SCENARIOS = ("demo", "roaming", "failover", "crossed", "overhead")
+SCENARIOS = (
+    "demo",
+    "roaming",
+    "failover",
+    "crossed",
+    "overhead",
+    "contract-change",
+    "drain",
+    "store-outage",
+)
 
 
 def main() -> int:
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -85,6 +85,11 @@
                 stdin=asyncio.subprocess.DEVNULL,
             )
 
+    async def wait(self) -> int:
+        """Wait for the end of the process and return its exit code."""
+        assert self._process is not None
+        return await self._process.wait()
+
     def send(self, number: int) -> None:
         """Send a signal, unless the process has ended."""
         if self._process is not None and self._process.returncode is None:
@@ -195,6 +200,24 @@
         """Call the control API of the key-value stand-in."""
         return await self._post(self._store_control, action, body)
 
+    async def store_state(self) -> dict:
+        """Return counts and rates of the key-value stand-in."""
+        return await self._get(self._store_control, "state")
+
+    @property
+    def store_address(self) -> str:
+        """Address of the key-value stand-in."""
+        return f"127.0.0.1:{self._store_port}"
+
+    async def ready(self, proxy: Proxy) -> bool:
+        """Ask a proxy as the platform's load balancer does."""
+        url = f"http://127.0.0.1:{proxy.status_port}/ready"
+        try:
+            async with self._http.get(url) as answer:
+                return answer.status == 200
+        except aiohttp.ClientError:
+            return False
+
     async def group_state(self, database: str) -> dict:
         """Return the state of a group's endpoints."""
         return await self._get(self._controls[database], "state")
