--- a/bench/drain.py
+++ b/bench/drain.py
@@ -40,7 +40,7 @@
 )
 
 
-class NotSent(asyncpg.InterfaceError):
+class NotSent(Exception):
     """The connection was found closed before a transaction's first statement."""
 
 
@@ -85,7 +85,7 @@
         kind = self._random.choice(("read", "read", "write", "transaction"))
         try:
             await getattr(self, f"_{kind}")(connection)
-        except CLIENT_ERRORS as error:
+        except (NotSent, *CLIENT_ERRORS) as error:
             self._failed(connection, kind, error)
         else:
             self._drain.counts[kind] += 1
