--- a/src/celeryjunction/contract_cli.py
+++ b/src/celeryjunction/contract_cli.py
@@ -84,6 +84,9 @@
 
 
 class _Change(NamedTuple):
+    """`source` is the document as the operator wrote it, `text` what is stored."""
+
+    source: str
     text: str
     base: int
     change_id: str
@@ -109,10 +112,11 @@
 ) -> None:
     """Put a contract in force, if nobody changed it since the base revision."""
     try:
-        text = plain_text(read_file(file))
+        source = read_file(file)
+        text = plain_text(source)
     except DocumentError as error:
         _fail(f"{file}: {error}", REFUSED)
-    change = _new_change(text, base, author, reason, wait, change_id)
+    change = _new_change(source, text, base, author, reason, wait, change_id)
     raise Exit(_with_store(store, config, lambda one: _apply(one, change)))
 
 
@@ -130,12 +134,12 @@
     if stored is None:
         _fail(f"customer {customer} has no contract; create one with set", FAILED)
     path = _temporary_file(stored)
-    text = _edited(path)
+    source, text = _edited(path)
     if text == stored.text:
         path.unlink()
         echo("no change")
         return
-    change = _new_change(text, stored.revision, author, reason, wait)
+    change = _new_change(source, text, stored.revision, author, reason, wait)
     code = FAILED
     try:
         code = _with_store(
@@ -276,7 +280,7 @@
 ) -> int:
     """Check and set a contract, wait for the VMs, and return the exit code."""
     others, groups = await read_surroundings(store)
-    problems = contract_problems(change.text, others, groups)
+    problems = contract_problems(change.source, others, groups)
     if problems:
         return _report(Rejected(tuple(problems)), change)
     named = parse_contract(change.text).customer
@@ -366,9 +370,16 @@
 
 
 def _new_change(
-    text: str, base: int, author: str, reason: str, wait: float, change_id: str = ""
+    source: str,
+    text: str,
+    base: int,
+    author: str,
+    reason: str,
+    wait: float,
+    change_id: str = "",
 ) -> _Change:
     return _Change(
+        source,
         text,
         base,
         change_id or str(uuid.uuid4()),
@@ -385,12 +396,13 @@
     return Path(name)
 
 
-def _edited(path: Path) -> str:
-    """Let the operator edit the file and return its text as plain JSON."""
+def _edited(path: Path) -> tuple[str, str]:
+    """Let the operator edit the file; return its text, and that as plain JSON."""
     editor = shlex.split(os.environ.get("EDITOR", "")) or ["vi"]
     try:
         subprocess.run([*editor, str(path)], check=True)
-        return plain_text(read_file(path))
+        source = read_file(path)
+        return source, plain_text(source)
     except (OSError, subprocess.CalledProcessError) as error:
         _fail(f"{editor[0]} failed, nothing was changed: {error}; see {path}", FAILED)
     except DocumentError as error:
--- a/tests/test_contract_cli.py
+++ b/tests/test_contract_cli.py
@@ -117,7 +117,9 @@
             code, _, errors = await one.set(connections=30, shares={"urgent": 1.5})
             assert code == 2 and "shares.urgent (line" in errors and "1.5" in errors
             code, _, errors = await one.set(connections=30)
-            assert code == 2 and "connections (line" in errors
+            lines = one.file(connections=30).read_text().splitlines()
+            line = lines.index(' "connections": 30') + 1
+            assert code == 2 and f"connections (line {line})" in errors
             assert "30 is more than the 20 connections of endpoint" in errors
             shares = {"urgent": 0.5, "interactive": 0.3}
             code, _, errors = await one.set(shares=shares)
