--- a/src/celeryjunction/adapters/pg_endpoint.py
+++ b/src/celeryjunction/adapters/pg_endpoint.py
@@ -67,7 +67,6 @@
         Raises `ConnectionLost` when the endpoint cannot be reached and
         `EndpointError` when it refuses the connection (53300: too many of them).
         """
-        opened_at = self._clock.monotonic()
         conninfo = make_conninfo(
             host=endpoint.host,
             port=endpoint.port,
@@ -89,7 +88,7 @@
         except BaseException:
             pgconn.finish()
             raise
-        return PgConnection(pgconn, opened_at=opened_at)
+        return PgConnection(pgconn, opened_at=self._clock.monotonic())
 
 
 async def _finish_connecting(pgconn: pq.PGconn) -> None:
--- a/src/celeryjunction/commit.py
+++ b/src/celeryjunction/commit.py
@@ -165,7 +165,9 @@
         self, endpoint: str, result: QueryResult, term: int, tag: str
     ) -> Committed:
         status = status_of(result)
-        if not status.is_primary or status.term < term:
+        # In a later term of the same endpoint the position alone does not tell whether
+        # a majority received this commit or an older entry at its place.
+        if not status.is_primary or status.term != term:
             raise unknown("the endpoint stopped being the primary during the commit")
         return Committed(
             endpoint=endpoint, term=status.term, position=status.applied, tag=tag
--- a/src/celeryjunction/group.py
+++ b/src/celeryjunction/group.py
@@ -79,7 +79,6 @@
         self._connections = connections
         self._random = random
         self._marks = {} if marks is None else marks
-        self._replicated: dict[str, bool] = {}
         balancer = Balancer(zone=zone, clock=clock, random=random)
         self._budget = RetryBudget(clock=clock)
         self.reader = Reader(
@@ -173,7 +172,6 @@
         mark = (committed.term, committed.position)
         if mark > self._marks.get(work.customer, (0, 0)):
             self._marks[work.customer] = mark
-            self._replicated[work.customer] = work.replicated
 
     def mark(self, customer: str) -> tuple[int, int] | None:
         """Return the highest (term, position) acknowledged to a customer here."""
@@ -184,11 +182,7 @@
         mark = self._marks.get(customer)
         if mark is None:
             return None
-        return self.monitor.dropped(
-            term=mark[0],
-            position=mark[1],
-            certain=self._replicated.get(customer, False),
-        )
+        return self.monitor.dropped(term=mark[0], position=mark[1])
 
     async def write(self, work: Work, step: Step) -> QueryResult:
         """Run a write by itself and return its answer once it is proven.
--- a/src/celeryjunction/ports.py
+++ b/src/celeryjunction/ports.py
@@ -134,7 +134,11 @@
     """A connection to an endpoint. One pipeline runs at a time."""
 
     opened_at: float
-    """Monotonic time before the connection attempt, seconds."""
+    """Monotonic time when the connection was established, seconds.
+
+    What the endpoint said before may be outdated on this connection, because it could
+    rewind its log while the connection was being opened.
+    """
     verified_term: int
     """Term in which a transaction that may write was last opened here; 0 for none."""
 
--- a/src/celeryjunction/rounds.py
+++ b/src/celeryjunction/rounds.py
@@ -210,6 +210,7 @@
         self._suspected_at = float("-inf")
         self._history = FreshnessHistory()
         self._term_starts: dict[int, int] = {}
+        self._majority_received: dict[int, int] = {}
         self._waiters: list[_Waiter] = []
         self._usual_waiters = 0.0
 
@@ -284,20 +285,26 @@
             return None
         return proof
 
-    def dropped(self, *, term: int, position: int, certain: bool) -> int | None:
-        """Return the later term whose start dropped a position of `term`, if any.
+    def dropped(self, *, term: int, position: int) -> int | None:
+        """Return the later term that may have dropped a position of `term`, if any.
 
-        A term that began and ended unseen leaves it open; that counts as dropped
-        unless the position was `certain` to survive (replicated to a majority).
+        A position that a majority was seen to have received in its own term is kept
+        by promotions; it counts as dropped only if a later term is known to begin
+        before it. Any other position may be gone after the next promotion.
         """
         newest = self._proof.term if self._proof is not None else term
-        for later in range(term + 1, newest + 1):
-            start = self._term_starts.get(later)
-            if start is None and not certain:
-                return newest
-            if start is not None and start < position:
-                return later
-        return None
+        if newest <= term:
+            return None
+        if self._majority_received.get(term, -1) < position:
+            return newest
+        return next(
+            (
+                later
+                for later, start in self._term_starts.items()
+                if later > term and start < position
+            ),
+            None,
+        )
 
     def leaving(self, endpoint: str) -> bool:
         """Whether the endpoint's own word or the record says that it leaves."""
@@ -340,7 +347,7 @@
                 return None
             if proof.term != term:
                 return False if proof.term > term else None
-            if replicated and not self._received_by_majority(term, position):
+            if replicated and self._majority_received.get(term, -1) < position:
                 return None
             return True
 
@@ -392,6 +399,7 @@
         """Take in an endpoint's answer to a query sent at `sent_at`."""
         self._failed.discard(name)
         self._observations[name] = Observation(status, sent_at)
+        self._note_received(status.term)
         self._update_proof()
         self._wake()
 
@@ -520,16 +528,23 @@
             candidates.append(self._platform[1])
         return max(candidates, default=None)
 
-    def _received_by_majority(self, term: int, position: int) -> bool:
+    def _note_received(self, term: int) -> None:
+        """Keep the highest position that a majority has received in a term."""
         record = self._record
         if record is None:
-            return False
-        count = sum(
-            1
-            for seen in self._observations.values()
-            if seen.status.term == term and seen.status.received >= position
+            return
+        received = sorted(
+            (
+                seen.status.received
+                for seen in self._observations.values()
+                if seen.status.term == term
+            ),
+            reverse=True,
         )
-        return count >= record.majority
+        if len(received) >= record.majority:
+            position = received[record.majority - 1]
+            known = self._majority_received.get(term, -1)
+            self._majority_received[term] = max(known, position)
 
     def _read_platform(self) -> None:
         if self._platform_task is None or self._platform_task.done():
