--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""Model of the core protocol, checked exhaustively: ``python -m model``."""
