Add the models of statements, contracts, quotas and lost writes, with tests

Cause: at-most-once, contract changes and quotas were argued, not checked. Change: four more models, and tests that check every verdict and drive the code through the counterexamples of the left-out rules.

--- a/model/all_checks.py
+++ b/model/all_checks.py
@@ -2,6 +2,21 @@
 
 from __future__ import annotations
 
-from model import acknowledgement, read_your_writes
+from model import (
+    acknowledgement,
+    at_most_once,
+    contracts,
+    lost_write,
+    quota,
+    read_your_writes,
+)
 
-CHECKS = [*acknowledgement.CHECKS, *read_your_writes.CHECKS]
+MODULES = (
+    acknowledgement,
+    read_your_writes,
+    lost_write,
+    at_most_once,
+    contracts,
+    quota,
+)
+CHECKS = [check for module in MODULES for check in module.CHECKS]
--- a/model/checks.py
+++ b/model/checks.py
@@ -85,4 +85,4 @@
 
 def put(values: tuple, index: int, value: object) -> tuple:
     """Return the tuple with one item replaced."""
-    return values[:index] + (value,) + values[index + 1 :]
+    return (*values[:index], value, *values[index + 1 :])
--- /dev/null
+++ b/tests/_model_support.py
@@ -0,0 +1,157 @@
+"""A proxy's side of one group, fed with statuses and scripted connections by hand."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from contextlib import asynccontextmanager
+from random import Random
+
+from celeryjunction.contract import Rank
+from celeryjunction.group import Group
+from celeryjunction.ports import (
+    EndpointRecord,
+    EndpointStatus,
+    GroupRecord,
+    QueryResult,
+    Step,
+    StoreUnavailable,
+)
+from celeryjunction.rounds import STATUS_STEP
+from celeryjunction.work import Work
+
+WRITE = Step("UPDATE stock SET n = n - 1")
+READ = Step("SELECT n FROM stock")
+COMMIT, ASK = "COMMIT", "SELECT pg_xact_status($1)"
+
+Script = Callable[[str, list[str]], Awaitable[list[QueryResult]]]
+
+
+def record(term: int = 1, *, primary: str = "e0", promotion: str = "majority"):
+    endpoints = tuple(
+        EndpointRecord(name=f"e{n}", host="127.0.0.1", port=1, zone="a")
+        for n in range(3)
+    )
+    return GroupRecord("stock", term, primary, endpoints, promotion)
+
+
+def row(*values: bytes) -> QueryResult:
+    return QueryResult("SELECT 1", (), [values])
+
+
+def status_row(term: int, position: int, role: bytes = b"primary") -> QueryResult:
+    position = b"%d" % position
+    return row(b"%d" % term, role, position, position, b"f", b"0")
+
+
+class Rig:
+    """`script(endpoint, statements)` answers each pipeline; probes get no answer."""
+
+    def __init__(self, promotion: str, script: Script | None) -> None:
+        self.now = 100.0
+        self.script = script
+        self.sent: list[tuple[str, str]] = []
+        self.on_connect: Callable[[], None] = lambda: None
+        self.group = Group(
+            "stock",
+            directory=self,
+            connector=self,
+            connections=lambda endpoint: 4,
+            zone="a",
+            clock=self,
+            random=Random(1),
+        )
+        self.monitor = self.group.monitor
+        self.group.follow(record(promotion=promotion))
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+    async def read_now(self, database: str, *, timeout: float) -> GroupRecord:
+        raise StoreUnavailable("none in this test")
+
+    async def connect(self, endpoint, database: str, *, timeout: float) -> Connection:
+        connection = Connection(self, endpoint.name)
+        self.on_connect()
+        return connection
+
+    def see(
+        self, name: str, term: int, applied: int = 0, *, primary=False, start: int = 0
+    ) -> None:
+        """Take in a status whose query is sent now."""
+        status = EndpointStatus(term, primary, applied, applied, False, start)
+        self.monitor.observe(name, status, self.now)
+
+    def prove(self, term: int = 1, position: int = 0, *, primary="e0", start=0) -> None:
+        """Let a second pass, then let two endpoints report the term."""
+        self.now += 1
+        self.see("e2", term, position)
+        self.see(primary, term, position, primary=True, start=start)
+
+    def confirm(self, *, replicated: bool = False) -> asyncio.Task[bool]:
+        """Begin to confirm a commit at position 1 of term 1."""
+        self.now += 1
+        return asyncio.create_task(
+            self.monitor.confirm(
+                term=1,
+                position=1,
+                since=self.now,
+                replicated=replicated,
+                deadline=self.now + 60,
+            )
+        )
+
+    def work(self, *, deadline_s: float = 60.0, **options) -> Work:
+        return Work(
+            customer="co-op",
+            rank=Rank.URGENT,
+            share=1.0,
+            begun=self.now,
+            deadline_s=deadline_s,
+            **options,
+        )
+
+    def count(self, sql: str) -> int:
+        return sum(1 for _, sent in self.sent if sent == sql)
+
+
+class Connection:
+    def __init__(self, rig: Rig, name: str) -> None:
+        self.rig = rig
+        self.name = name
+        self.opened_at = rig.now
+        self.verified_term = 1
+        self.usable = True
+        self.in_transaction = False
+
+    async def run(self, steps: Sequence[Step], *, timeout: float) -> list[QueryResult]:
+        if list(steps) == [STATUS_STEP]:
+            await asyncio.Event().wait()
+        statements = [step.sql for step in steps]
+        self.rig.sent += [(self.name, sql) for sql in statements]
+        try:
+            return await self.rig.script(self.name, statements)
+        except BaseException:
+            self.close()
+            raise
+
+    def close(self) -> None:
+        self.usable = False
+
+
+@asynccontextmanager
+async def rig(*, promotion: str = "majority", script: Script | None = None):
+    one = Rig(promotion, script)
+    try:
+        yield one
+    finally:
+        await one.group.close()
+
+
+async def settle() -> None:
+    """Let the tasks that can run do so."""
+    for _ in range(10):
+        await asyncio.sleep(0)
