Add tests of eight faults that the models found; all fail

Cause: the code follows these counterexamples of the models today. Change: one test for each, in TestFaults; no code is changed.

--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+from functools import partial
+from types import SimpleNamespace
+
 import pytest
 from _model_support import (
     ASK,
@@ -14,10 +18,17 @@
     settle,
     status_row,
 )
+from _store_support import FakeTime
 
-from celeryjunction.errors import ConnectionLost, ErrorKind, ProxyError
-from celeryjunction.ports import QueryResult
+from celeryjunction.adapters.pg_endpoint import EndpointLogin, PgConnector
+from celeryjunction.adapters.pg_server import ClientConnection
+from celeryjunction.commit import Committed
+from celeryjunction.contract import Acknowledgement, Contract, WorkClass
+from celeryjunction.errors import ConnectionLost, ErrorKind, ProxyError, Ran
+from celeryjunction.ports import EndpointRecord, QueryResult
 from celeryjunction.rounds import STATUS_STEP
+from celeryjunction.session import Session
+from celeryjunction.shapes import ShapeCache
 from model.all_checks import CHECKS
 from model.checks import run
 
@@ -158,3 +169,157 @@
         async with rig(script=lost_commit(b"aborted", term=2)) as one:
             error = await write(one)
             assert error.kind is ErrorKind.OUTCOME_UNKNOWN
+
+
+class TestFaults:
+    """Counterexamples that the code follows today; each fails until it is mended."""
+
+    async def test_a_later_term_in_the_commits_answer_is_not_confirmed(self) -> None:
+        # Guards against an entry of an old term that counts as received in a new one;
+        # the primary of a term in between, whose last entry is newer, drops it.
+        async def answer(name: str, statements: list[str]) -> list[QueryResult]:
+            if statements[0] == COMMIT:
+                asyncio.get_running_loop().call_soon(one.prove, 3, 1)
+                return [QueryResult("COMMIT", None, ()), status_row(3, 1)]
+            return [QueryResult("BEGIN", None, ()), row(b"7"), row(b"1")]
+
+        async with rig(script=answer) as one:
+            error = await write(one)
+            assert error.kind is ErrorKind.OUTCOME_UNKNOWN
+
+    async def test_age_of_a_connection_counts_from_its_establishment(
+        self,
+    ) -> None:
+        # Guards against a status and a rewind that both fall into a slow connect.
+        clock = FakeTime()
+
+        async def serve(reader, writer) -> None:
+            await reader.readexactly(8)
+            clock.advance(3)
+            writer.write(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I")
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        login = EndpointLogin(user="proxy", application_name="test")
+        endpoint = EndpointRecord(name="e0", host="127.0.0.1", port=port, zone="a")
+        async with server:
+            connector = PgConnector(login, clock=clock)
+            connection = await connector.connect(endpoint, "stock", timeout=10)
+            connection.close()
+        assert connection.opened_at >= clock.now
+
+    async def test_a_status_newer_than_the_choice_is_compared(self) -> None:
+        # Guards against a rewind between the choice of an endpoint and the read.
+        async def answer(name: str, statements: list[str]) -> list[QueryResult]:
+            if statements[0] == STATUS_STEP.sql:
+                return [status_row(2, 0, b"replica"), row(b"old")]
+            return [row(b"old")]
+
+        def reported_again() -> None:
+            one.now += 1
+            one.see("e2", 2, 0)
+
+        async with rig(script=answer) as one:
+            one.prove(1, 3)
+            one.on_connect = reported_again
+            with pytest.raises(ConnectionLost):
+                await one.group.reader.open(one.work(), [READ])
+
+    async def test_an_earlier_unknown_attempt_is_not_forgotten(self) -> None:
+        # Guards against "not run" for a repeatable statement whose first attempt
+        # may have run.
+        lost = lost_commit(b"committed", term=2, statements_fail_from=2)
+
+        async def answer(name: str, statements: list[str]) -> list[QueryResult]:
+            # Each distrusted proof is renewed, too soon to refill the retry budget.
+            renew = partial(one.prove, 2, 1, after_s=0.001)
+            asyncio.get_running_loop().call_soon(renew)
+            return await lost(name, statements)
+
+        async with rig(script=answer) as one:
+            error = await write(one, repeatable=True)
+            assert one.count(WRITE.sql) > 1
+            assert error.kind is ErrorKind.OUTCOME_UNKNOWN
+
+    async def test_a_statement_cancelled_after_commit_is_not_called_not_run(
+        self,
+    ) -> None:
+        # Guards against "canceled; it did not run" for a commit that took effect.
+        async def answer(name: str, statements: list[str]) -> list[QueryResult]:
+            if statements[0] == COMMIT:
+                client.request_cancel()
+                await asyncio.sleep(60)
+            return [QueryResult("BEGIN", None, ()), row(b"7"), row(b"1")]
+
+        async with rig(script=answer) as one:
+            client = ClientConnection(
+                SimpleNamespace(closed=False), SimpleNamespace(clock=one), 1
+            )
+            client._task = asyncio.current_task()
+            one.prove()
+            with pytest.raises(ProxyError) as caught:
+                await client._call(one.group.write, one.work(), WRITE)
+            assert one.count(COMMIT) == 1
+            assert caught.value.spec.ran is not Ran.NO
+
+    async def test_a_term_of_another_history_does_not_hide_a_lost_write(self) -> None:
+        # Term 1 went on alone to 11 at e0, term 2 acknowledged 11 at e1, and term 3
+        # starts at 11 from e0's history.
+        async with rig() as one:
+            one.prove(2, 11, primary="e1", start=10)
+            acknowledge(one, 2, 11)
+            one.prove(3, 11, start=11)
+            assert one.group.lost_term("co-op") == 3
+
+    async def test_an_unseen_term_does_not_hide_a_lost_write(self) -> None:
+        # Term 1 acknowledged 11; term 2 started at 10 and went on to 15, unseen by an
+        # idle proxy; term 3 starts at 15.
+        async with rig() as one:
+            one.prove(1, 11)
+            acknowledge(one, 1, 11)
+            one.prove(3, 15, primary="e1", start=15)
+            assert one.group.lost_term("co-op") == 3
+
+    async def test_the_read_that_proves_the_new_term_is_refused(self) -> None:
+        # Guards against a check that comes before the proof that the read uses.
+        async def answer(name: str, statements: list[str]) -> list[QueryResult]:
+            return [row(b"old")]
+
+        async with rig(script=answer) as one:
+            one.prove(1, 11)
+            acknowledge(one, 1, 11)
+            session = open_session(one)
+            one.now += 1
+            reading = asyncio.create_task(session.execute(READ))
+            await settle()
+            one.prove(2, 10, primary="e1", start=10)
+            with pytest.raises(ProxyError) as caught:
+                await reading
+            assert caught.value.kind is ErrorKind.ACKNOWLEDGED_WRITE_LOST
+
+
+def acknowledge(one, term: int, position: int) -> None:
+    committed = Committed(endpoint="e0", term=term, position=position, tag="COMMIT")
+    one.group.note_acknowledged(one.work(), committed)
+
+
+def open_session(one) -> Session:
+    contract = Contract(
+        customer="co-op",
+        databases=("stock",),
+        verifier="",
+        work={"counter": WorkClass(rank="urgent")},
+        default_work="counter",
+        shares={},
+        acknowledgement=Acknowledgement.PROVEN,
+    )
+    return Session(
+        group=one.group,
+        contract=lambda: contract,
+        customer="co-op",
+        work_name=None,
+        shapes=ShapeCache(clock=one),
+        clock=one,
+        on_close=lambda session: None,
+        observe=lambda work, seconds, ok: None,
+    )
