--- /dev/null
+++ b/model/all_checks.py
@@ -0,0 +1,22 @@
+"""The checks of all models, in the order in which they are reported."""
+
+from __future__ import annotations
+
+from model import (
+    acknowledgement,
+    at_most_once,
+    contracts,
+    lost_write,
+    quota,
+    read_your_writes,
+)
+
+MODULES = (
+    acknowledgement,
+    read_your_writes,
+    lost_write,
+    at_most_once,
+    contracts,
+    quota,
+)
+CHECKS = [check for module in MODULES for check in module.CHECKS]
