--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,7 +6,18 @@
 import importlib
 import sys
 
-SCENARIOS = ("demo", "roaming", "failover", "crossed", "overhead")
+SCENARIOS = (
+    "demo",
+    "roaming",
+    "failover",
+    "crossed",
+    "overhead",
+    "flood-background",
+    "flood-urgent",
+    "uneven",
+    "proxy-dies",
+    "brownout",
+)
 
 
 def main() -> int:
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -60,9 +60,12 @@
 class Process:
     """One process of the installation."""
 
-    def __init__(self, name: str, args: list[str], log: Path) -> None:
+    def __init__(
+        self, name: str, args: list[str], log: Path, module: str = "celeryjunction"
+    ) -> None:
         self.name = name
         self._args = args
+        self._module = module
         self._log = log
         self._process: asyncio.subprocess.Process | None = None
 
@@ -78,7 +81,7 @@
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "celeryjunction",
+                self._module,
                 *self._args,
                 stdout=log,
                 stderr=log,
@@ -145,6 +148,7 @@
         contracts: list[dict] | None = None,
         drain_notice_s: float = 0.0,
         connection_share: float | None = None,
+        proxy_module: str = "celeryjunction",
     ) -> None:
         self._dir = ROOT / name
         self._dir.mkdir(parents=True, exist_ok=True)
@@ -155,6 +159,7 @@
         self._contracts = contracts or [contract("coop", self.databases)]
         self._drain_notice_s = drain_notice_s
         self._share = connection_share or 1.0 / proxies
+        self._proxy_module = proxy_module
         self._store_port = free_port()
         self._store_control = free_port()
         self._controls: dict[str, int] = {}
@@ -314,7 +319,8 @@
         zone = self._zones[index % len(self._zones)]
         config = self._dir / f"{name}.json"
         args = ["proxy", "--config", str(config)]
-        return Proxy(name, zone, Process(name, args, self._dir / f"{name}.log"))
+        log = self._dir / f"{name}.log"
+        return Proxy(name, zone, Process(name, args, log, self._proxy_module))
 
     async def start_proxy(self, proxy: Proxy) -> None:
         """Start a proxy, at new ports, and wait until it is ready."""
--- /dev/null
+++ b/bench/flood_urgent.py
@@ -0,0 +1,50 @@
+"""A flood of urgent work: what interactive and background work keep.
+
+Five closed workers for each of the 6 slots of the two replicas offer urgent work, and
+two for each slot interactive and background work, so that both always have work
+waiting. All figures are over both replicas together; `utilization` counts the
+statements run at the replicas times their service time. Time that a statement takes
+at an endpoint beyond its nominal service time is not counted as busy.
+
+`refused_without_signature` counts statements that got an error, except those that
+waited until their deadline.
+"""
+
+from __future__ import annotations
+
+from bench.report import finish, table
+from bench.service import MISSED, REPLICAS, SLOTS, Load, service_cluster, spread
+
+PROXIES = 3
+URGENT = 5 * SLOTS * REPLICAS
+OTHERS = 2 * SLOTS * REPLICAS
+LOADED_S = 14.0
+
+
+async def _measure(*, baseline: bool) -> dict[str, object]:
+    cluster = service_cluster("flood-urgent", proxies=PROXIES, baseline=baseline)
+    async with cluster, Load(cluster, seed=2) as load:
+        load.closed("urgent", spread(cluster.proxies, URGENT))
+        load.closed("interactive", spread(cluster.proxies, OTHERS))
+        load.closed("background", spread(cluster.proxies, OTHERS))
+        phase = await load.run_phase(LOADED_S, warm_s=3.0)
+    kept = {rank: phase.kept(rank) for rank in ("interactive", "background")}
+    refused = sum(n for error, n in phase.errors.items() if error != MISSED)
+    return {
+        "min_share_kept": min(kept.values()),
+        "kept": kept,
+        "utilization": phase.utilization(),
+        "refused_without_signature": refused,
+        "shares": {rank: phase.share(rank) for rank in phase.answers},
+        "urgent_met": phase.met("urgent"),
+        "urgent_p99_ms": phase.p99_ms("urgent"),
+        "errors": dict(phase.errors),
+    }
+
+
+async def run() -> None:
+    """Run the scenario."""
+    result = await _measure(baseline=False)
+    result["baseline"] = await _measure(baseline=True)
+    print(table(result))
+    finish(result)
--- /dev/null
+++ b/bench/proxy_dies.py
@@ -0,0 +1,117 @@
+"""A proxy is killed, another paused for 15 s and resumed; both are the home.
+
+Five proxies and 48 closed workers of all ranks, which keep both replicas saturated. A
+client that lost its connection, or got no answer for 2 s, goes on through another
+proxy. First the home of the database is killed, then the proxy that became the home is
+paused. `capacity_back_s` is the longer of the two times until the answers a second,
+over the next 2 s, are back at 90% of those before. The baseline runs at the same time
+in a second installation; there no proxy is the home, and any two are taken. All
+figures are over both replicas together.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+from bench.cluster import Cluster, Proxy
+from bench.report import finish, table
+from bench.service import (
+    CALL_TIMEOUT_S,
+    Load,
+    Phase,
+    home_of,
+    over_limit,
+    peak_connections,
+    service_cluster,
+    spread,
+)
+
+PROXIES = 5
+WORKERS = {"urgent": 24, "interactive": 12, "background": 12}
+BEFORE_S = 4.0
+AFTER_KILL_S = 9.0
+PAUSE_S = 15.0
+AFTER_RESUME_S = 5.0
+WINDOW_S = 2.0
+BACK = 0.9
+
+
+def _back_s(phase: Phase, event: float, before: float, limit_s: float) -> float:
+    """Return the time from an event until the throughput is back, `limit_s` if not."""
+    steps = int((limit_s - WINDOW_S) / 0.1)
+    for step in range(steps):
+        if phase.window(event + step / 10, WINDOW_S) >= BACK * before:
+            return step / 10
+    return limit_s
+
+
+class _Events:
+    """Times of the faults, in monotonic seconds."""
+
+    killed = 0.0
+    paused = 0.0
+    resumed = 0.0
+
+
+async def _break_proxies(cluster: Cluster, *, baseline: bool) -> _Events:
+    events = _Events()
+    await asyncio.sleep(BEFORE_S)
+    first = cluster.proxies[0] if baseline else await home_of(cluster)
+    events.killed = time.monotonic()
+    await first.process.kill()
+    cluster.proxies.remove(first)
+    await asyncio.sleep(AFTER_KILL_S)
+    second: Proxy = cluster.proxies[0] if baseline else await home_of(cluster)
+    events.paused = time.monotonic()
+    second.process.send(signal.SIGSTOP)
+    try:
+        await asyncio.sleep(PAUSE_S)
+    finally:
+        second.process.send(signal.SIGCONT)
+    events.resumed = time.monotonic()
+    await asyncio.sleep(AFTER_RESUME_S)
+    return events
+
+
+async def _measure(*, baseline: bool) -> dict[str, object]:
+    cluster = service_cluster("proxy-dies", proxies=PROXIES, baseline=baseline)
+    async with cluster, Load(cluster, seed=4, timeout_s=CALL_TIMEOUT_S) as load:
+        for rank, count in WORKERS.items():
+            load.closed(rank, spread(cluster.proxies, count))
+        await asyncio.sleep(2.0)
+        phase = load.phase
+        events = await _break_proxies(cluster, baseline=baseline)
+        phase.ended = time.monotonic()
+        above, peak = await over_limit(cluster), await peak_connections(cluster)
+    before = phase.window(events.killed - 3.0, 3.0)
+    before_pause = phase.window(events.paused - 3.0, 3.0)
+    back = {
+        "kill": _back_s(phase, events.killed, before, AFTER_KILL_S),
+        "pause": _back_s(phase, events.paused, before_pause, PAUSE_S),
+        "resume": _back_s(phase, events.resumed, before, AFTER_RESUME_S),
+    }
+    return {
+        "over_limit": above,
+        "capacity_back_s": max(back.values()),
+        "back_s": back,
+        "peak_connections": peak,
+        "answers_per_s": {
+            "before_kill": round(before),
+            "before_pause": round(before_pause),
+            "while_paused": round(phase.window(events.paused + 6, PAUSE_S - 6)),
+            "after_resume": round(phase.window(events.resumed + 2, 3.0)),
+        },
+        "errors": dict(phase.errors),
+    }
+
+
+async def run() -> None:
+    """Run the scenario."""
+    result, baseline = await asyncio.gather(
+        _measure(baseline=False), _measure(baseline=True)
+    )
+    result["baseline"] = baseline
+    print(table(result))
+    finish(result)
--- /dev/null
+++ b/bench/service.py
@@ -0,0 +1,284 @@
+"""Load by rank, and what each rank got, for the measures of service.
+
+All statements are strict or bounded reads of one row with the same service time, so
+the endpoint time of a rank is its number of answers times the service time. Nothing
+writes, so the two replicas are always fresh and serve the reads: the capacity is their
+slots, and every figure is taken over both replicas together.
+
+A closed worker sends its next statement as soon as it has an answer; a demand of "10
+times the capacity" is ten such workers for each slot. A paced worker sends at fixed
+times, and its latency counts from the time at which the statement was due.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import Iterable
+
+import asyncpg
+
+from bench.cluster import Cluster, Proxy, contract
+from bench.ledger import SCHEMA, sqlstate
+from bench.report import percentile_ms
+
+BASELINE = "bench.baseline_proxy"
+SERVICE_S = 0.010
+SLOTS = 3
+REPLICAS = 2
+CONNECTIONS = 20
+SHARES = {"urgent": 0.5, "interactive": 0.3, "background": 0.1}
+USERS = {"urgent": "coop.lock", "interactive": "coop", "background": "coop.tally"}
+CAPACITY = SLOTS * REPLICAS / SERVICE_S
+"""Statements a second that the slots of both replicas can run at most."""
+READ = "SELECT n FROM counters WHERE id = 'a'"
+CALL_TIMEOUT_S = 2.0
+"""A client without an answer for so long (only used where proxies fail) goes on
+through another proxy."""
+MISSED = "CJ001"
+
+
+def service_cluster(name: str, *, proxies: int, baseline: bool = False) -> Cluster:
+    """Return a group of 3 endpoints with 3 slots each, behind so many proxies.
+
+    Urgent work has 250 ms to its deadline, as a person waits for it.
+    """
+    document = contract("coop", ["db1"], shares=SHARES)
+    document["work"]["lock"]["deadline_ms"] = 250
+    return Cluster(
+        f"{name}-baseline" if baseline else name,
+        proxies=proxies,
+        schema=[*SCHEMA, "INSERT INTO counters VALUES ('a', 0)"],
+        group_options={"statement_ms": SERVICE_S * 1000},
+        contracts=[document],
+        proxy_module=BASELINE if baseline else "celeryjunction",
+    )
+
+
+class Phase:
+    """Answers and errors of one phase of a run, by rank."""
+
+    def __init__(self) -> None:
+        self.started = time.monotonic()
+        self.ended = 0.0
+        self.run_before: dict[str, int] = {}
+        self.run_after: dict[str, int] = {}
+        self.answers: dict[str, list[tuple[float, float]]] = {r: [] for r in SHARES}
+        self.missed: Counter[str] = Counter()
+        self.errors: Counter[str] = Counter()
+
+    @property
+    def seconds(self) -> float:
+        """Length of the phase."""
+        return self.ended - self.started
+
+    def p99_ms(self, rank: str, *, since: float = 0.0) -> float:
+        """Return the p99 of a rank's latency, of answers from `since` on."""
+        return percentile_ms([t for at, t in self.answers[rank] if at >= since], 99)
+
+    def met(self, rank: str) -> float:
+        """Return the part of a rank's statements answered before their deadline."""
+        answered = len(self.answers[rank])
+        return round(answered / max(answered + self.missed[rank], 1), 4)
+
+    def rate(self, rank: str | None = None) -> float:
+        """Return the answers a second, of one rank or of all."""
+        ranks = SHARES if rank is None else (rank,)
+        return sum(len(self.answers[r]) for r in ranks) / self.seconds
+
+    def share(self, rank: str) -> float:
+        """Return the part of the capacity that a rank got."""
+        return round(self.rate(rank) / CAPACITY, 4)
+
+    def kept(self, rank: str, *, offered: float | None = None) -> float:
+        """Return what a rank got, over its contract's share or its smaller demand.
+
+        `offered` is the demand of paced workers in statements a second.
+        """
+        due = SHARES[rank] * CAPACITY
+        return round(self.rate(rank) / min(due, offered or due), 3)
+
+    def utilization(self) -> float:
+        """Return statements run at the replicas, as a part of what slots can run."""
+        run = sum(self.run_after.values()) - sum(self.run_before.values())
+        return round(run / self.seconds / CAPACITY, 3)
+
+    def window(self, begin: float, seconds: float) -> float:
+        """Return the answers a second of all ranks in a window of time."""
+        found = sum(
+            begin <= at < begin + seconds for a in self.answers.values() for at, _ in a
+        )
+        return found / seconds
+
+
+class Load:
+    """Clients of a cluster. They run until `stop`; answers go to the present phase."""
+
+    def __init__(
+        self, cluster: Cluster, *, seed: int, timeout_s: float | None = None
+    ) -> None:
+        self.phase = Phase()
+        self._cluster = cluster
+        self._timeout_s = timeout_s
+        self._random = random.Random(seed)
+        self._running = True
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> Load:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stop()
+
+    def closed(self, rank: str, entries: Iterable[Proxy]) -> None:
+        """Start one closed worker for each entry."""
+        for proxy in entries:
+            self._start(self._closed(rank, proxy))
+
+    def paced(self, rank: str, entries: Iterable[Proxy], interval_s: float) -> None:
+        """Start one paced worker for each entry, each at its own offset."""
+        for proxy in entries:
+            self._start(self._paced(rank, proxy, interval_s))
+
+    async def stop(self) -> None:
+        """End all workers and close their connections."""
+        self._running = False
+        tasks, self._tasks = self._tasks, set()
+        for task in tasks:
+            task.cancel()
+        for result in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(result, Exception):
+                raise result
+
+    async def run_phase(self, seconds: float, *, warm_s: float = 0.5) -> Phase:
+        """Measure for so long, after a time that lets queues fill or drain."""
+        await asyncio.sleep(warm_s)
+        phase = self.phase = Phase()
+        phase.run_before = await self.statements_run()
+        phase.started = time.monotonic()
+        await asyncio.sleep(seconds)
+        phase.ended = time.monotonic()
+        self.phase = Phase()
+        phase.run_after = await self.statements_run()
+        return phase
+
+    async def statements_run(self) -> dict[str, int]:
+        """Return the statements that each endpoint has run."""
+        state = await self._cluster.group_state("db1")
+        return {name: one["statements_run"] for name, one in state.items()}
+
+    def _start(self, worker) -> None:
+        self._tasks.add(asyncio.create_task(worker))
+
+    async def _closed(self, rank: str, proxy: Proxy) -> None:
+        client = _Client(self._cluster, rank, proxy, self._timeout_s)
+        try:
+            while self._running:
+                await self._once(client, rank, time.monotonic())
+        finally:
+            client.close()
+
+    async def _paced(self, rank: str, proxy: Proxy, interval_s: float) -> None:
+        client = _Client(self._cluster, rank, proxy, self._timeout_s)
+        due = time.monotonic() + 0.3 + interval_s * self._random.random()
+        try:
+            await client.connect()
+            while self._running:
+                await asyncio.sleep(max(0.0, due - time.monotonic()))
+                await self._once(client, rank, due)
+                due += interval_s
+        finally:
+            client.close()
+
+    async def _once(self, client: _Client, rank: str, due: float) -> None:
+        """Run one statement and note its answer.
+
+        An error counts as a missed deadline only when the statement did wait so long.
+        """
+        sent = time.monotonic()
+        try:
+            await client.read()
+        except (asyncpg.PostgresError, asyncpg.InterfaceError, OSError) as error:
+            state = sqlstate(error) or type(error).__name__
+            self.phase.missed[rank] += 1
+            early = state == MISSED and time.monotonic() - sent < 0.2
+            self.phase.errors[f"{state} early" if early else state] += 1
+            if not sqlstate(error):
+                client.move(self._random.choice(self._cluster.proxies))
+                await asyncio.sleep(0.05)
+        else:
+            now = time.monotonic()
+            self.phase.answers[rank].append((now, now - due))
+
+
+class _Client:
+    """One connection, opened again when it was lost."""
+
+    def __init__(
+        self, cluster: Cluster, rank: str, proxy: Proxy, timeout_s: float | None
+    ) -> None:
+        self._cluster = cluster
+        self._user = USERS[rank]
+        self._proxy = proxy
+        self._timeout_s = timeout_s
+        self._connection: asyncpg.Connection | None = None
+        self._statement = None
+
+    async def connect(self) -> None:
+        """Connect and prepare the statement."""
+        async with asyncio.timeout(self._timeout_s):
+            connection = await self._cluster.connect(self._proxy, user=self._user)
+            self._connection = connection
+            self._statement = await connection.prepare(READ)
+
+    async def read(self) -> None:
+        """Run the statement; raises `TimeoutError` (an `OSError`) without answer."""
+        if self._statement is None:
+            await self.connect()
+        async with asyncio.timeout(self._timeout_s):
+            await self._statement.fetch()
+
+    def move(self, proxy: Proxy) -> None:
+        """Go on through another proxy."""
+        self.close()
+        self._proxy = proxy
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        connection, self._connection = self._connection, None
+        self._statement = None
+        if connection is not None:
+            connection.terminate()
+
+
+def spread(proxies: list[Proxy], count: int) -> list[Proxy]:
+    """Return so many entries, evenly over the proxies."""
+    return [proxies[i % len(proxies)] for i in range(count)]
+
+
+async def over_limit(cluster: Cluster) -> int:
+    """Return by how many connections an endpoint was above its limit, at the most.
+
+    The stand-in refuses connections above the limit, so its peak alone would never
+    show any; the refused ones are added.
+    """
+    state = await cluster.group_state("db1")
+    return max(
+        max(0, one["peak_connections"] - CONNECTIONS) + one["refused_connections"]
+        for one in state.values()
+    )
+
+
+async def peak_connections(cluster: Cluster) -> int:
+    """Return the most connections that an endpoint ever had."""
+    state = await cluster.group_state("db1")
+    return max(one["peak_connections"] for one in state.values())
+
+
+async def home_of(cluster: Cluster) -> Proxy:
+    """Return the proxy that the first proxy takes for the home of the database."""
+    status = await cluster.status(cluster.proxies[0])
+    vm = status["forwarding"]["home"]["db1"]
+    return next(proxy for proxy in cluster.proxies if proxy.name == vm)
--- a/src/celeryjunction/standin/endpoint.py
+++ b/src/celeryjunction/standin/endpoint.py
@@ -56,6 +56,7 @@
 
     connections: int = 0
     peak_connections: int = 0
+    refused_connections: int = 0
     statements_run: int = 0
     running: int = 0
     peak_running: int = 0
@@ -185,6 +186,7 @@
         await stream.passable()
         counters = self.counters
         if counters.connections >= self._limit:
+            counters.refused_connections += 1
             await _refuse(stream)
             return
         counters.connections += 1
--- a/src/celeryjunction/standin/group.py
+++ b/src/celeryjunction/standin/group.py
@@ -520,6 +520,7 @@
         **endpoint.status_row(),
         "connections": counters.connections,
         "peak_connections": counters.peak_connections,
+        "refused_connections": counters.refused_connections,
         "statements_run": counters.statements_run,
         "running": counters.running,
         "peak_running": counters.peak_running,
