Spread each rank over the endpoints by itself

The balancer compared all waiting work, so background statements gathered in one replica's queue, which keeps their share only of its own time, while the other replica idled at times. It now compares the waiting work of the read's own rank.

--- a/bench/baseline_proxy.py
+++ b/bench/baseline_proxy.py
@@ -36,6 +36,10 @@
         """Number of statements that wait."""
         return sum(not future.done() for _, future in self._queue)
 
+    def waiting_of(self, rank: Rank) -> int:
+        """Return the number of waiting statements; all ranks share the queue."""
+        return self.queued
+
     @property
     def waiting(self) -> dict[Rank, int]:
         """Waiting statements of each rank."""
--- a/bench/flood_urgent.py
+++ b/bench/flood_urgent.py
@@ -36,6 +36,7 @@
         "utilization": phase.utilization(),
         "refused_without_signature": refused,
         "shares": {rank: phase.share(rank) for rank in phase.answers},
+        "statements_by_endpoint": phase.run_by(),
         "urgent_met": phase.met("urgent"),
         "urgent_p99_ms": phase.p99_ms("urgent"),
         "errors": dict(phase.errors),
--- a/bench/service.py
+++ b/bench/service.py
@@ -108,6 +108,10 @@
         """Return the part of the slots' time in which they were busy."""
         return round(self.busy_s / self.seconds / (SLOTS * REPLICAS), 3)
 
+    def run_by(self) -> list[int]:
+        """Return the statements that each endpoint ran, ascending."""
+        return sorted(n - self.run_before[e] for e, n in self.run_after.items())
+
     def window(self, begin: float, seconds: float) -> float:
         """Return the answers a second of all ranks in a window of time."""
         found = sum(
--- a/src/celeryjunction/admission.py
+++ b/src/celeryjunction/admission.py
@@ -292,6 +292,10 @@
         """Waiting statements of each rank."""
         return {queue.rank: queue.waiting for queue in self._queues}
 
+    def waiting_of(self, rank: Rank) -> int:
+        """Return the number of waiting statements of one rank."""
+        return self._queues[rank].waiting
+
     @property
     def oldest_wait_s(self) -> dict[Rank, float]:
         """Longest present wait of each rank in seconds; 0 when none waits."""
--- a/src/celeryjunction/balancer.py
+++ b/src/celeryjunction/balancer.py
@@ -52,8 +52,9 @@
 class Candidate(NamedTuple):
     """An endpoint that may serve a read.
 
-    `in_flight` and `waiting` are this proxy's statements at the endpoint and in the
-    queue for it.
+    `in_flight` counts this proxy's statements at the endpoint, and `waiting` those of
+    the read's rank in the queue for it. Each endpoint keeps a rank's share only of its
+    own time, so the ranks must be spread each by itself.
     """
 
     name: str
--- a/src/celeryjunction/reads.py
+++ b/src/celeryjunction/reads.py
@@ -177,7 +177,7 @@
         """Return a statement's shape, from an endpoint that a read could use."""
 
         async def run(target: Target) -> StatementShape:
-            checkout = await self._enter(self._choose(target), work, target)
+            checkout = await self._enter(self._choose(target, work), work, target)
             try:
                 timeout = work.deadline - self._clock.monotonic()
                 return await checkout.connection.describe(
@@ -191,7 +191,7 @@
     async def _open_at(
         self, target: Target, work: Work, steps: Sequence[Step]
     ) -> tuple[Checkout, list[QueryResult]]:
-        handle = self._choose(target)
+        handle = self._choose(target, work)
         asked = self._clock.monotonic()
         checkout = await self._enter(handle, work, target)
         started = self._clock.monotonic()
@@ -342,22 +342,24 @@
         with suppress(NoProof):
             await self._monitor.prove(since=now, deadline=now + 1.0)
 
-    def _choose(self, target: Target) -> EndpointHandle:
+    def _choose(self, target: Target, work: Work) -> EndpointHandle:
         if len(target.names) == 1:
             target.chosen = target.names[0]
         else:
-            candidates = [self._candidate(self._handle(name)) for name in target.names]
+            candidates = [
+                self._candidate(self._handle(name), work.rank) for name in target.names
+            ]
             target.chosen = self._balancer.choose(candidates).name
         return self._handle(target.chosen)
 
-    def _candidate(self, handle: EndpointHandle) -> Candidate:
+    def _candidate(self, handle: EndpointHandle, rank: Rank) -> Candidate:
         admission = handle.admission
         return Candidate(
             name=handle.name,
             zone=handle.record.zone,
             slots=handle.record.slots,
             in_flight=admission.running,
-            waiting=admission.queued,
+            waiting=admission.waiting_of(rank),
             leaving=self._monitor.leaving(handle.name),
         )
 
