Leave pauses of the process out of the measured service times

Cause: after a pause of 15 s the statements that were open looked 15 s long. They were charged to their ranks, made work count as long, and raised the latency estimates of both replicas, so that one replica idled while the other had all the queue.

--- a/bench/baseline_proxy.py
+++ b/bench/baseline_proxy.py
@@ -23,7 +23,7 @@
 class FirstComeAdmission:
     """One queue for the connections, without ranks, shares or a limit by slots."""
 
-    def __init__(self, *, slots: int, connections: int, clock: Clock) -> None:
+    def __init__(self, *, connections: int, clock: Clock, **_: object) -> None:
         self.concurrency = connections
         self.connections = connections
         self.running = 0
--- a/src/celeryjunction/admission.py
+++ b/src/celeryjunction/admission.py
@@ -55,6 +55,7 @@
 
 from celeryjunction._concurrency import ConcurrencyLimit
 from celeryjunction._fair_queue import MIN_SHARE, Flow, RankQueue
+from celeryjunction._pauses import PauseDetector
 from celeryjunction.contract import Rank, ShedOrder
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.ports import Clock
@@ -234,6 +235,7 @@
         "_held",
         "_limit",
         "_long_running",
+        "_pauses",
         "_queues",
         "_recheck",
         "_running",
@@ -242,8 +244,16 @@
         "_waiting",
     )
 
-    def __init__(self, *, slots: int, connections: int, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        slots: int,
+        connections: int,
+        clock: Clock,
+        pauses: PauseDetector | None = None,
+    ) -> None:
         self._clock = clock
+        self._pauses = pauses or PauseDetector()
         self._slots = slots
         self._connections = connections
         self._limit = ConcurrencyLimit(slots=slots)
@@ -369,9 +379,13 @@
         """Free the ticket's slot and charge `service_s` seconds of endpoint time.
 
         `ok` is False when the endpoint did not answer, or answered with an error; the
-        time is charged, but is no sign of the endpoint's speed.
+        time is charged, but is no sign of the endpoint's speed. A statement that was
+        open while this process was paused is charged the time expected of it.
         """
         now = self._clock.monotonic()
+        if self._pauses.touched(now - service_s, now):
+            service_s = min(service_s, ticket._charged_s)
+            ok = False
         flow = ticket._flow
         queue = flow.queue
         running = self._running
--- a/src/celeryjunction/balancer.py
+++ b/src/celeryjunction/balancer.py
@@ -13,6 +13,7 @@
 from statistics import median
 from typing import NamedTuple
 
+from celeryjunction._pauses import PauseDetector
 from celeryjunction.ports import Clock
 
 FIRST_LATENCY_S = 0.001
@@ -183,10 +184,18 @@
     A candidate that is the only one left is used even while ejected.
     """
 
-    __slots__ = ("_clock", "_random", "_states", "_zone")
+    __slots__ = ("_clock", "_pauses", "_random", "_states", "_zone")
 
-    def __init__(self, *, zone: str, clock: Clock, random: Random) -> None:
+    def __init__(
+        self,
+        *,
+        zone: str,
+        clock: Clock,
+        random: Random,
+        pauses: PauseDetector | None = None,
+    ) -> None:
         self._zone = zone
+        self._pauses = pauses or PauseDetector()
         self._clock = clock
         self._random = random
         self._states: dict[str, _State] = {}
@@ -234,9 +243,12 @@
         """Record an answer after `seconds`; `ok` is False for a failure.
 
         A failure counts as latency only when it was slower than the estimate, so that
-        an endpoint that fails fast does not look attractive.
+        an endpoint that fails fast does not look attractive. A time during which this
+        process was paused says nothing of the endpoint and is not recorded.
         """
         now = self._clock.monotonic()
+        if self._pauses.touched(now - seconds, now):
+            return
         state = self._state(endpoint)
         usual = self._usual(endpoint)
         slow = seconds > SLOW_FACTOR * usual
--- a/src/celeryjunction/endpoints.py
+++ b/src/celeryjunction/endpoints.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 
+from celeryjunction._pauses import PauseDetector
 from celeryjunction.admission import EndpointAdmission, Ticket
 from celeryjunction.errors import (
     ConnectionLost,
@@ -44,11 +45,12 @@
         connections: int,
         connector: EndpointConnector,
         clock: Clock,
+        pauses: PauseDetector | None = None,
     ) -> None:
         self.record = record
         self.clock = clock
         self.admission = EndpointAdmission(
-            slots=record.slots, connections=connections, clock=clock
+            slots=record.slots, connections=connections, clock=clock, pauses=pauses
         )
         self.pool = EndpointPool(record, database, connector=connector, clock=clock)
 
--- a/src/celeryjunction/group.py
+++ b/src/celeryjunction/group.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from random import Random
 
+from celeryjunction._pauses import PauseDetector
 from celeryjunction.balancer import Balancer, RetryBudget, backoff
 from celeryjunction.commit import (
     TRANSACTION_ID_STEP,
@@ -73,7 +74,8 @@
         self._random = random
         self._marks = {} if marks is None else marks
         self._replicated: dict[str, bool] = {}
-        balancer = Balancer(zone=zone, clock=clock, random=random)
+        self.pauses = PauseDetector()
+        balancer = Balancer(zone=zone, clock=clock, random=random, pauses=self.pauses)
         self._budget = RetryBudget(clock=clock)
         self.reader = Reader(
             self.monitor,
@@ -322,6 +324,7 @@
             connections=self._connections(endpoint),
             connector=self._connector,
             clock=self.clock,
+            pauses=self.pauses,
         )
 
 
--- a/src/celeryjunction/local.py
+++ b/src/celeryjunction/local.py
@@ -130,8 +130,13 @@
             self._group.follow(record)
 
     async def review(self, *, is_home: bool) -> None:
-        """Give up connections, and then the group, when the home is elsewhere."""
+        """Give up connections, and then the group, when the home is elsewhere.
+
+        Call it every 0.5 s; a late call shows that this process was paused.
+        """
         group = self._group
+        if group is not None:
+            group.pauses.beat(self._clock.monotonic())
         if group is None or is_home:
             self._was_home = is_home
             return
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -322,3 +322,20 @@
         seen = self.run(limits[0], lambda: 0.001 * limits[0].limit, 20)
         assert sum(seen) / len(seen) <= 2 and max(seen[10_000:]) <= 3
         assert self.run(limits[1], lambda: 0.003, 20)[-1] >= 3
+
+
+class TestWaitingOfARank:
+    @simulated
+    async def test_counts_only_that_rank(self) -> None:
+        # With all ranks counted, the balancer gathered background work at one endpoint,
+        # which keeps the rank's share only of its own time.
+        adm = admission(slots=1)
+        await adm.enter(ticket(URGENT))
+        tasks = [
+            asyncio.create_task(adm.enter(ticket(rank)))
+            for rank in (URGENT, BACKGROUND, BACKGROUND)
+        ]
+        await asyncio.sleep(0)
+        assert [adm.waiting_of(rank) for rank in Rank] == [1, 0, 2]
+        for task in tasks:
+            task.cancel()
