--- a/bench/flood_urgent.py
+++ b/bench/flood_urgent.py
@@ -18,7 +18,8 @@
 PROXIES = 3
 URGENT = 5 * SLOTS * REPLICAS
 OTHERS = 2 * SLOTS * REPLICAS
-LOADED_S = 14.0
+WARM_S = 9.0
+LOADED_S = 10.0
 
 
 async def _measure(*, baseline: bool) -> dict[str, object]:
@@ -27,7 +28,7 @@
         load.closed("urgent", spread(cluster.proxies, URGENT))
         load.closed("interactive", spread(cluster.proxies, OTHERS))
         load.closed("background", spread(cluster.proxies, OTHERS))
-        phase = await load.run_phase(LOADED_S, warm_s=3.0)
+        phase = await load.run_phase(LOADED_S, warm_s=WARM_S)
     kept = {rank: phase.kept(rank) for rank in ("interactive", "background")}
     refused = sum(n for error, n in phase.errors.items() if error != MISSED)
     return {
