--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,11 @@
     "contract-change",
     "drain",
     "store-outage",
+    "flood-background",
+    "flood-urgent",
+    "uneven",
+    "proxy-dies",
+    "brownout",
 )
 
 
--- a/src/celeryjunction/group.py
+++ b/src/celeryjunction/group.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from random import Random
 
+from celeryjunction._pauses import PauseDetector
 from celeryjunction.balancer import Balancer, RetryBudget, backoff
 from celeryjunction.commit import (
     TRANSACTION_ID_STEP,
@@ -79,7 +80,8 @@
         self._connections = connections
         self._random = random
         self._marks = {} if marks is None else marks
-        balancer = Balancer(zone=zone, clock=clock, random=random)
+        self.pauses = PauseDetector()
+        balancer = Balancer(zone=zone, clock=clock, random=random, pauses=self.pauses)
         self._budget = RetryBudget(clock=clock)
         self.reader = Reader(
             self.monitor,
@@ -328,6 +330,7 @@
             connections=self._connections(endpoint),
             connector=self._connector,
             clock=self.clock,
+            pauses=self.pauses,
         )
 
 
