Measure what a node costs for control alone

The bench control starts 5 to 40 proxies without clients, with up to 10,000 group records, 300 contracts and 2,300 listed VMs. EtcdStore and NngTransport count the bytes of their messages, and /status shows them. Ports of the bench now lie below the range of outgoing connections: with 40 proxies a connection took the port of a process still to start.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,7 +6,7 @@
 import importlib
 import sys
 
-SCENARIOS = ("demo", "roaming", "failover", "crossed", "overhead")
+SCENARIOS = ("demo", "roaming", "failover", "crossed", "overhead", "control")
 
 
 def main() -> int:
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -20,13 +21,26 @@
 STOP_TIMEOUT_S = 10.0
 PASSWORD = "bench"
 PEER_KEY = "bench-key-0123456789abcdef0123456789abcdef"
+_given: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a loopback port that is free at the moment."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a loopback port that is free at the moment.
+
+    It lies below the usual range of outgoing connections: with 40 proxies, one of them
+    took the port of a process that was still to start.
+    """
+    while True:
+        port = random.randrange(10_000, 32_768)
+        if port in _given:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given.add(port)
+        return port
 
 
 def contract(customer: str, databases: list[str], **changes: object) -> dict:
@@ -152,7 +166,9 @@
         self.databases = [f"db{i + 1}" for i in range(groups)]
         self._schema = schema or []
         self._group_options = group_options or {}
-        self._contracts = contracts or [contract("coop", self.databases)]
+        if contracts is None:
+            contracts = [contract("coop", self.databases)]
+        self._contracts = contracts
         self._drain_notice_s = drain_notice_s
         self._share = connection_share or 1.0 / proxies
         self._store_port = free_port()
@@ -187,6 +203,21 @@
         if self._http is not None:
             await self._http.close()
 
+    @property
+    def store_address(self) -> str:
+        """Address of the key-value stand-in."""
+        return f"127.0.0.1:{self._store_port}"
+
+    def add_proxy(self) -> Proxy:
+        """Add a proxy, which is not started yet."""
+        proxy = self._new_proxy(len(self.proxies))
+        self.proxies.append(proxy)
+        return proxy
+
+    async def store_state(self) -> dict:
+        """Return the counts of the key-value stand-in."""
+        return await self._get(self._store_control, "state")
+
     async def control(self, database: str, action: str, **body: object) -> dict:
         """Call the control API of a group's stand-in."""
         return await self._post(self._controls[database], action, body)
--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,323 @@
+"""What a node costs for control alone: no client is connected and no statement runs.
+
+The platform's state is put into the key-value stand-in by the bench: group records
+without endpoints behind them, contracts, and records of VMs that do not run. Bytes are
+those of encoded messages, without the headers of gRPC, HTTP/2, nng and TCP.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import statistics
+import time
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from bench.cluster import Cluster, Proxy, contract
+from bench.report import finish, table
+from celeryjunction.adapters.etcd import EtcdStore
+from celeryjunction.adapters.nng import NngTransport
+from celeryjunction.contracts_store import CONTRACTS, ContractEnvelope
+from celeryjunction.directory import GROUPS
+from celeryjunction.membership import VMS, VmRecord
+from celeryjunction.ports import EndpointRecord, GroupRecord, Put
+
+NODES = (5, 10, 20, 40)
+DATABASES = (10, 1_000, 10_000)
+CUSTOMERS = 300
+LISTED_VMS = 2_300
+"""VM records of the planned size. Heartbeats to the ones that do not run go to this
+process, each under a loopback address of its own; none come back."""
+WINDOW_S = 2.5
+SETTLE_S = 0.4
+CHANGES = 3
+CHANGE_NODES = (10, 40)
+OUTAGE_S = 2.5
+PEAK_S = 3.0
+START_SPREAD_S = 0.5
+PUTS_PER_CALL = 100
+
+_COUNTED = (
+    "store_bytes_sent",
+    "store_bytes_received",
+    "heartbeat_bytes_sent",
+    "heartbeat_bytes_received",
+)
+
+
+class _Sample:
+    """Totals of all running nodes at one moment."""
+
+    def __init__(self, at: float, cpu_s: float, calls: int, bytes_: int) -> None:
+        self.at = at
+        self.cpu_s = cpu_s
+        self.calls = calls
+        self.bytes = bytes_
+
+    def per_node(self, later: _Sample, nodes: int) -> dict[str, float]:
+        """Return rates of one node between two samples."""
+        seconds = (later.at - self.at) * nodes
+        return {
+            "calls_per_s": round((later.calls - self.calls) / seconds, 3),
+            "bytes_per_s": round((later.bytes - self.bytes) / seconds, 1),
+            "cpu_percent": round((later.cpu_s - self.cpu_s) / seconds * 100, 3),
+        }
+
+
+class _Run:
+    """The installation under measurement."""
+
+    def __init__(self, cluster: Cluster, store: EtcdStore) -> None:
+        self.cluster = cluster
+        self.store = store
+        self.databases = 0
+        self.listed = 0
+        self.started = time.perf_counter()
+        self._random = Random(7)
+        self._document = contract("customer-000", ["db00000"])
+        self._sink = NngTransport()
+        self._sink.start("0.0.0.0", 0, lambda _: None)
+
+    def step(self, name: str, **values: object) -> None:
+        """Print a line with the time since the start."""
+        at_s = round(time.perf_counter() - self.started, 1)
+        print(json.dumps({"step": name, "at_s": at_s, **values}), flush=True)
+
+    def close(self) -> None:
+        """Stop taking heartbeats."""
+        self._sink.close()
+
+    @property
+    def nodes(self) -> int:
+        """Proxies that run."""
+        return len(self.cluster.proxies)
+
+    async def grow(self, nodes: int) -> None:
+        """Start proxies until so many run."""
+        new = [self.cluster.add_proxy() for _ in range(nodes - self.nodes)]
+        await asyncio.gather(*(self.start(proxy) for proxy in new))
+
+    async def start(self, proxy: Proxy) -> None:
+        """Start a proxy after a random pause."""
+        await asyncio.sleep(self._random.uniform(0.0, START_SPREAD_S))
+        await self.cluster.start_proxy(proxy)
+
+    async def put_databases(self, count: int) -> None:
+        """Put group records until there are so many."""
+        await self._put([_group(index) for index in range(self.databases, count)])
+        self.databases = count
+
+    async def put_contracts(self, count: int) -> None:
+        """Put so many contracts."""
+        await self._put([self._contract(index, "set-up") for index in range(count)])
+
+    async def list_vms(self, count: int) -> None:
+        """Put records of VMs that do not run, until so many are listed."""
+        missing = range(self.nodes, count)
+        await self._put([_vm(index, self._sink.port) for index in missing])
+        self.listed = count
+
+    async def change_contracts(self, idle: dict[str, float]) -> dict[str, float]:
+        """Change contracts once a second; return the cost of one change on a node.
+
+        What the window `idle` shows for the same time is taken off.
+        """
+        before = await self.sample()
+        for number in range(CHANGES):
+            await self._put([self._contract(number, f"change-{number}")])
+            await asyncio.sleep(1.0)
+        after = await self.sample()
+        rates = before.per_node(after, self.nodes)
+        per_change = (after.at - before.at) / CHANGES
+        more = {name: (rates[name] - idle[name]) * per_change for name in rates}
+        return {
+            "nodes": self.nodes,
+            "listed_vms": max(self.listed, self.nodes),
+            "calls": round(more["calls_per_s"], 3),
+            "bytes": round(more["bytes_per_s"]),
+            "cpu_ms": round(more["cpu_percent"] * 10, 2),
+        }
+
+    async def window(self) -> dict[str, float]:
+        """Measure the nodes while nothing changes."""
+        await asyncio.sleep(SETTLE_S)
+        before = await self.sample()
+        await asyncio.sleep(WINDOW_S)
+        after = await self.sample()
+        state = await self.cluster.store_state()
+        memory = [proxy.process.rss_mb() for proxy in self.cluster.proxies]
+        result = {
+            "nodes": self.nodes,
+            "databases": self.databases,
+            "listed_vms": max(self.listed, self.nodes),
+            **before.per_node(after, self.nodes),
+            "rss_mb": round(statistics.median(memory), 1),
+            "watches": round(state["watches"] / self.nodes, 2),
+        }
+        self.step("window", **result)
+        return result
+
+    async def sample(self) -> _Sample:
+        """Read the counts of all nodes; processor time first."""
+        proxies = self.cluster.proxies
+        at = time.perf_counter()
+        cpu_s = sum(proxy.process.cpu_seconds() for proxy in proxies)
+        clients = (await self.cluster.store_state())["clients"]
+        calls = sum(sum(clients.get(p.name, {}).values()) for p in proxies)
+        statuses = await asyncio.gather(*(self.cluster.status(p) for p in proxies))
+        bytes_ = sum(status["control"][key] for status in statuses for key in _COUNTED)
+        return _Sample(at, cpu_s, calls, bytes_)
+
+    async def peak_calls(self, seconds: float) -> int:
+        """Return the largest number of calls in one second, watches included."""
+        totals: list[tuple[float, int]] = []
+        end = time.perf_counter() + seconds
+        while (now := time.perf_counter()) < end:
+            state = await self.cluster.store_state()
+            totals.append((now, sum(state["calls"].values())))
+            await asyncio.sleep(0.1)
+        return max(
+            later - total
+            for at, total in totals
+            for then, later in totals
+            if 0.0 <= then - at <= 1.05
+        )
+
+    async def _put(self, puts: list[Put]) -> None:
+        for first in range(0, len(puts), PUTS_PER_CALL):
+            batch = puts[first : first + PUTS_PER_CALL]
+            await self.store.compare_and_put([], batch, timeout=10.0)
+
+    def _contract(self, index: int, change: str) -> Put:
+        customer = f"customer-{index:03}"
+        document = {**self._document, "customer": customer}
+        text = json.dumps(document, indent=2)
+        envelope = ContractEnvelope(change, "bench", "bench", time.time(), text)
+        return Put(CONTRACTS + customer, msgspec.json.encode(envelope))
+
+
+def _group(index: int) -> Put:
+    name = f"db{index:05}"
+    endpoints = tuple(
+        EndpointRecord(
+            f"{name}-{one}", f"10.{one}.{index >> 8}.{index & 255}", 5432, f"zone-{one}"
+        )
+        for one in (1, 2, 3)
+    )
+    record = GroupRecord(name, 1, endpoints[0].name, endpoints)
+    return Put(GROUPS + name, msgspec.json.encode(record))
+
+
+def _vm(index: int, port: int) -> Put:
+    name, host = f"vm-listed-{index:04}", f"127.9.{index >> 8}.{index & 255}"
+    record = VmRecord(
+        name,
+        f"zone-{index % 20}",
+        f"{host}:7000",
+        f"{host}:5432",
+        f"{host}:8000",
+        1,
+        time.time(),
+        heartbeat_address=f"{host}:{port}",
+    )
+    return Put(VMS + name, msgspec.json.encode(record))
+
+
+async def _outage(run: _Run) -> dict[str, int]:
+    """Cut the service off from running nodes; return peaks of calls a second."""
+    run.step("outage")
+    await run.cluster.store_control("outage")
+    during = await run.peak_calls(OUTAGE_S)
+    await run.cluster.store_control("heal")
+    return {"during": during, "after": await run.peak_calls(PEAK_S)}
+
+
+async def _restart(run: _Run) -> int:
+    """Start all nodes at once while the service is out; return the peak afterwards."""
+    run.step("restart")
+    proxies = run.cluster.proxies
+    await run.cluster.store_control("outage")
+    await asyncio.gather(*(proxy.process.kill() for proxy in proxies))
+    starting = [
+        asyncio.create_task(run.cluster.start_proxy(proxy)) for proxy in proxies
+    ]
+    # The processes need this long to load; the nodes then wait for the service.
+    await asyncio.sleep(OUTAGE_S + len(proxies) * 0.08)
+    await run.cluster.store_control("heal")
+    peak = await run.peak_calls(PEAK_S)
+    await asyncio.gather(*starting)
+    return peak
+
+
+def _slopes(windows: list[dict], key: str, wanted: Callable[[dict], bool]) -> dict:
+    chosen = [one for one in windows if wanted(one)]
+    sizes = [one[key] for one in chosen]
+    slopes = {}
+    for name in ("calls_per_s", "bytes_per_s", "cpu_percent", "rss_mb"):
+        fit = statistics.linear_regression(sizes, [one[name] for one in chosen])
+        scale = 1 if key == "nodes" else 1000
+        slopes[name] = round(fit.slope * scale, 5)
+    return slopes
+
+
+async def _measure(run: _Run) -> dict[str, object]:
+    windows, changes = [], []
+    await run.put_contracts(CUSTOMERS)
+    await run.put_databases(DATABASES[0])
+    for count in NODES:
+        await run.grow(count)
+        windows.append(await run.window())
+        if count in CHANGE_NODES:
+            changes.append(await run.change_contracts(windows[-1]))
+    outage = await _outage(run)
+    await run.put_databases(DATABASES[1])
+    windows.append(await run.window())
+    restart = await _restart(run)
+    await run.put_databases(DATABASES[2])
+    windows.append(await run.window())
+    largest = windows[-1]
+    run.step("list VMs")
+    await run.list_vms(LISTED_VMS)
+    windows.append(await run.window())
+    changes.append(await run.change_contracts(windows[-1]))
+    return {
+        **largest,
+        "slopes": _all_slopes(windows),
+        "per_change_and_node": changes,
+        "outage_peak_calls_per_s": outage,
+        "restart_peak_calls_per_s": restart,
+    }
+
+
+def _all_slopes(windows: list[dict]) -> dict[str, dict]:
+    few, most = DATABASES[0], NODES[-1]
+    largest = [w for w in windows if w["nodes"] == most]
+    unlisted = [w for w in largest if w["listed_vms"] == most]
+    full = [w for w in largest if w["databases"] == DATABASES[-1]]
+    return {
+        "per_node": _slopes(windows, "nodes", lambda w: w["databases"] == few),
+        "per_1000_databases": _slopes(unlisted, "databases", lambda _: True),
+        "per_1000_listed_vms": _slopes(full, "listed_vms", lambda _: True),
+    }
+
+
+async def run() -> None:
+    """Run the scenario."""
+    started = time.perf_counter()
+    options = {"proxies": 0, "groups": 0, "contracts": [], "connection_share": 1.0}
+    async with Cluster("control", **options) as cluster:
+        store = EtcdStore([cluster.store_address], name="bench")
+        run = _Run(cluster, store)
+        try:
+            result = await _measure(run)
+        finally:
+            run.close()
+            await store.close()
+            # No node has work, so none needs a graceful end.
+            await asyncio.gather(*(p.process.kill() for p in cluster.proxies))
+    result["took_s"] = round(time.perf_counter() - started, 1)
+    print(table(result))
+    finish(result)
--- a/src/celeryjunction/adapters/etcd.py
+++ b/src/celeryjunction/adapters/etcd.py
@@ -77,6 +77,9 @@
     `calls` counts calls by method, a waiting watch as one. `name` and `zone` are
     sent along as metadata. Create it inside a running event loop.
 
+    `bytes_sent` and `bytes_received` count the encoded messages, without the headers
+    of gRPC, HTTP/2 and TCP.
+
     `progress_s` is the interval, in seconds, at which a quiet watch asks the service
     for a sign of life; a watch that stays mute for twice as long counts as broken.
     """
@@ -86,6 +89,8 @@
         "_members",
         "_metadata",
         "_progress_s",
+        "bytes_received",
+        "bytes_sent",
         "calls",
     )
 
@@ -105,6 +110,8 @@
         pairs = (("client-name", name), ("client-zone", zone))
         self._metadata = tuple(pair for pair in pairs if pair[1])
         self.calls: Counter[str] = Counter()
+        self.bytes_sent = 0
+        self.bytes_received = 0
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
         yield "addresses", [member.address for member in self._members]
@@ -185,8 +192,8 @@
         async def renew(member: _Member, left: float) -> bool:
             call = member.lease.LeaseKeepAlive(timeout=left, metadata=self._metadata)
             try:
-                await call.write(rpc.LeaseKeepAliveRequest(ID=lease))
-                answer = await call.read()
+                await call.write(self._sent(rpc.LeaseKeepAliveRequest(ID=lease)))
+                answer = self._received(await call.read())
             finally:
                 call.cancel()
             if answer is aio.EOF:
@@ -239,14 +246,14 @@
     async def _watch_on(
         self, call: aio.StreamStreamCall, request: rpc.WatchRequest, timeout: float
     ) -> AsyncIterator[WatchEvent]:
-        await call.write(request)
+        await call.write(self._sent(request))
         patience, asked = timeout, True
         reading = asyncio.ensure_future(call.read())
         try:
             while True:
                 await asyncio.wait({reading}, timeout=patience)
                 if reading.done():
-                    for event in _watch_events(reading.result()):
+                    for event in _watch_events(self._received(reading.result())):
                         yield event
                     reading = asyncio.ensure_future(call.read())
                     patience, asked = self._progress_s, False
@@ -254,7 +261,8 @@
                     raise StoreUnavailable("the watch gave no sign of life")
                 else:
                     progress = rpc.WatchProgressRequest()
-                    await call.write(rpc.WatchRequest(progress_request=progress))
+                    request = rpc.WatchRequest(progress_request=progress)
+                    await call.write(self._sent(request))
                     asked = True
         finally:
             call.cancel()
@@ -321,7 +329,18 @@
             self._current = (self._current + 1) % len(self._members)
 
     async def _unary(self, stub: Callable, request: object, timeout: float) -> object:
-        return await stub(request, timeout=timeout, metadata=self._metadata)
+        self._sent(request)
+        answer = await stub(request, timeout=timeout, metadata=self._metadata)
+        return self._received(answer)
+
+    def _sent(self, message: object) -> object:
+        self.bytes_sent += message.ByteSize()
+        return message
+
+    def _received(self, message: object) -> object:
+        if message is not aio.EOF:
+            self.bytes_received += message.ByteSize()
+        return message
 
     @contextlib.contextmanager
     def _translated(self) -> Iterator[None]:
--- a/src/celeryjunction/adapters/nng.py
+++ b/src/celeryjunction/adapters/nng.py
@@ -23,14 +23,27 @@
 
 
 class NngTransport:
-    """Implements `PeerTransport`."""
+    """Implements `PeerTransport`.
 
-    __slots__ = ("_loop", "_port", "_pull", "_push", "_receive")
+    `bytes_sent` and `bytes_received` count messages, without the headers of nng and TCP.
+    """
+
+    __slots__ = (
+        "_loop",
+        "_port",
+        "_pull",
+        "_push",
+        "_receive",
+        "bytes_received",
+        "bytes_sent",
+    )
 
     def __init__(self) -> None:
         self._pull: pynng.Pull0 | None = None
         self._push: OrderedDict[str, pynng.Push0] = OrderedDict()
         self._port = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
         yield "port", self._port
@@ -66,6 +79,7 @@
             socket.send(message, block=False)
         except pynng.NNGException:
             return False
+        self.bytes_sent += len(message)
         return True
 
     def close(self) -> None:
@@ -93,6 +107,7 @@
                 message = self._pull.recv(block=False)
             except pynng.NNGException:
                 return
+            self.bytes_received += len(message)
             self._receive(message)
             if self._pull is None:
                 return
--- a/src/celeryjunction/daemon.py
+++ b/src/celeryjunction/daemon.py
@@ -347,8 +347,23 @@
                 name: stored.revision for name, stored in directory.contracts.items()
             },
             "store_age_s": round(directory.age_s, 3),
+            "control": self._control_snapshot(),
         }
 
+    def _control_snapshot(self) -> dict[str, object]:
+        """Return calls to the key-value service and bytes of control messages."""
+        store = self._store
+        counts = {
+            "store_calls": dict(store.calls),
+            "store_bytes_sent": store.bytes_sent,
+            "store_bytes_received": store.bytes_received,
+        }
+        if self._forwarding is not None:
+            sent, received = self._forwarding.heartbeat_bytes
+            counts["heartbeat_bytes_sent"] = sent
+            counts["heartbeat_bytes_received"] = received
+        return counts
+
     async def _maintain(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_S)
--- a/src/celeryjunction/forwarding.py
+++ b/src/celeryjunction/forwarding.py
@@ -165,6 +165,12 @@
         """Address to which other proxies send heartbeats."""
         return _address(self._settings.host, self._transport.port)
 
+    @property
+    def heartbeat_bytes(self) -> tuple[int, int]:
+        """Bytes of heartbeats sent and received; zeros if the transport counts none."""
+        sent = getattr(self._transport, "bytes_sent", 0)
+        return sent, getattr(self._transport, "bytes_received", 0)
+
     @property
     def in_flight(self) -> int:
         """Forwarded statements that run here and forwarded transactions."""
