--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,6 +20,8 @@
     "uneven",
     "proxy-dies",
     "brownout",
+    "control",
+    "connections",
 )
 
 
--- a/src/celeryjunction/daemon.py
+++ b/src/celeryjunction/daemon.py
@@ -216,7 +216,7 @@
             me,
             settings.peers,
             make_group=self._new_group,
-            knows=lambda database: self._directory.group(database) is not None,
+            knows=directory.knows,
             clock=self._clock,
             random=self._random,
             metrics=self._metrics,
@@ -241,6 +241,7 @@
         directory.contracts_follower.subscribe(
             lambda _: membership.update(applied_revision=directory.applied_revision)
         )
+        membership.on_size(directory.spread_over)
         self._start_task(membership.run())
         await membership.follower.synced.wait()
         self._forwarding.join(membership)
@@ -347,8 +348,23 @@
                 name: stored.revision for name, stored in directory.contracts.items()
             },
             "store_age_s": round(directory.age_s, 3),
+            "control": self._control_snapshot(),
         }
 
+    def _control_snapshot(self) -> dict[str, object]:
+        """Return calls to the key-value service and bytes of control messages."""
+        store = self._store
+        counts = {
+            "store_calls": dict(store.calls),
+            "store_bytes_sent": store.bytes_sent,
+            "store_bytes_received": store.bytes_received,
+        }
+        if self._forwarding is not None:
+            sent, received = self._forwarding.heartbeat_bytes
+            counts["heartbeat_bytes_sent"] = sent
+            counts["heartbeat_bytes_received"] = received
+        return counts
+
     async def _maintain(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_S)
--- a/src/celeryjunction/membership.py
+++ b/src/celeryjunction/membership.py
@@ -5,13 +5,13 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from random import Random
 
 import msgspec
 from logbook import Logger
 
-from celeryjunction.directory import PrefixFollower, Sleep
+from celeryjunction.directory import RECONNECTS_PER_S, PrefixFollower, Sleep
 from celeryjunction.ports import (
     Clock,
     Compare,
@@ -25,9 +25,18 @@
 )
 
 VMS = "/vms/"
+ANNOUNCEMENTS_PER_S = 200
+"""VMs a second that ask for a new lease, and put their record, after an outage."""
 # Keeps two processes that share an incarnation by mistake from overwriting each other
 # without pause.
 _MISMATCH_PAUSE_S = 0.2
+PROMPT_VMS = 20
+"""With up to so many VMs, each puts its applied revision as soon as it changed."""
+REPORTS_PER_S = 5.0
+"""Puts of applied revisions a second that more VMs make together. Every VM reads the
+put of every other: one put after each change cost a VM 362 bytes and 0.47 ms of
+processor time for each VM, which is 116 KB/s and 15% of a core with 2,300 VMs and
+12,000 changes a day."""
 _log = Logger("membership")
 
 
@@ -65,7 +74,10 @@
     The lease is renewed every third of `ttl_s` seconds, with jitter. When it lapsed,
     for example because the process was paused, a new one is asked for after a random
     part of `spread_s` seconds, so that many VMs do not come back in the same moment.
-    Changes of the own record are put at most once in `put_interval_s` seconds.
+    Changes of the own record are put at most once in `put_interval_s` seconds, and an
+    applied revision later with more than `PROMPT_VMS` VMs, so that all together put
+    about `REPORTS_PER_S`. The record then lags, and the VM's status page tells what
+    is in force.
 
     The list counts as late: a peer whose record vanished stays as long as it is heard
     directly. Of two incarnations of one VM the newer one wins; the older one raises
@@ -75,10 +87,12 @@
     __slots__ = (
         "_clock",
         "_dirty",
+        "_due",
         "_failures",
         "_heard",
         "_last_put",
         "_lease",
+        "_on_size",
         "_peers",
         "_put_interval_s",
         "_random",
@@ -89,9 +103,11 @@
         "_spread_s",
         "_store",
         "_ttl_s",
+        "_urgent",
         "_vanished",
         "announced",
         "follower",
+        "peers_version",
         "superseded",
     )
 
@@ -121,8 +137,14 @@
         self._last_put = -math.inf
         self._failures = 0
         self._dirty = asyncio.Event()
+        self._due = 0.0
+        self._urgent = asyncio.Event()
+        self.peers_version = 0
+        """Grows when a peer comes or goes or its record changes, except for the
+        applied revision alone."""
         self._peers: dict[str, VmRecord] = {}
-        self._vanished: set[str] = set()
+        self._vanished: dict[str, float] = {}
+        self._on_size: list[Callable[[int], None]] = []
         self._heard: dict[str, float] = {}
         self.announced = asyncio.Event()
         self.superseded = asyncio.Event()
@@ -130,6 +152,7 @@
             store, VMS, clock=clock, random=random, sleep=sleep
         )
         self.follower.subscribe(self._vm_changed)
+        self.on_size(self.follower.spread_over)
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
         yield "name", self._record.name
@@ -165,12 +188,55 @@
             applied_revision=max(known.applied_revision, applied_revision or 0),
             leaving=known.leaving if leaving is None else leaving,
         )
-        if changed != known:
-            self._record = changed
+        if changed == known:
+            return
+        self._record = changed
+        spread_s = self._report_spread_s
+        if changed.leaving != known.leaving or not spread_s:
+            self._put_soon()
+        elif not self._dirty.is_set():
+            pause = spread_s * self._random.uniform(0.5, 1.5)
+            self._due = self._clock.monotonic() + pause
             self._dirty.set()
 
+    @property
+    def _report_spread_s(self) -> float:
+        """Mean seconds from an applied change to its put."""
+        return max(0.0, (len(self._peers) + 1 - PROMPT_VMS) / REPORTS_PER_S)
+
+    def _put_soon(self) -> None:
+        self._due = 0.0
+        self._dirty.set()
+        self._urgent.set()
+
     # Peers
 
+    def on_size(self, callback: Callable[[int], None]) -> None:
+        """Call back with the number of VMs whenever it changes."""
+        self._on_size.append(callback)
+
+    def _resized(self) -> None:
+        self.peers_version += 1
+        for callback in self._on_size:
+            callback(len(self._peers) + 1)
+
+    @property
+    def _return_s(self) -> float:
+        """Seconds over which lapsed VMs come back."""
+        return max(self._spread_s, (len(self._peers) + 1) / ANNOUNCEMENTS_PER_S)
+
+    @property
+    def _grace_s(self) -> float:
+        """Seconds for which a vanished VM stays in the list unheard.
+
+        After an outage longer than a lease the records of all VMs vanish until they
+        announced themselves again. With few VMs all of them are heard; with many,
+        too few are, and every database would change its home twice.
+        """
+        if len(self._peers) < PROMPT_VMS:
+            return 0.0
+        return self._return_s + self._put_interval_s
+
     def heard(self, vm: str) -> None:
         """Note that a peer was heard directly just now."""
         if vm in self._peers:
@@ -178,18 +244,22 @@
 
     def peers(self) -> dict[str, VmRecord]:
         """Return the other VMs by name."""
-        oldest = self._clock.monotonic() - self._ttl_s
-        silent = (
-            vm for vm in self._vanished if self._heard.get(vm, -math.inf) <= oldest
-        )
-        for vm in tuple(silent):
+        now, grace_s = self._clock.monotonic(), self._grace_s
+        oldest = now - self._ttl_s
+        silent = [
+            vm
+            for vm, vanished_at in self._vanished.items()
+            if self._heard.get(vm, -math.inf) <= oldest and now - vanished_at >= grace_s
+        ]
+        for vm in silent:
             self._forget(vm)
         return dict(self._peers)
 
     def _forget(self, vm: str) -> None:
-        self._vanished.discard(vm)
-        self._peers.pop(vm, None)
+        self._vanished.pop(vm, None)
         self._heard.pop(vm, None)
+        if self._peers.pop(vm, None) is not None:
+            self._resized()
 
     def _vm_changed(self, event: WatchEvent) -> None:
         name = event.key.removeprefix(VMS)
@@ -197,7 +267,7 @@
             if name == self._record.name:
                 self._own_record_vanished(event.revision)
             elif name in self._peers:
-                self._vanished.add(name)
+                self._vanished[name] = self._clock.monotonic()
             return
         record = _decode(event.key, event.value)
         if record is None:
@@ -218,7 +288,13 @@
             )
             return
         self._peers[record.name] = record
-        self._vanished.discard(record.name)
+        self._vanished.pop(record.name, None)
+        if known is None:
+            self._resized()
+        elif record != msgspec.structs.replace(
+            known, applied_revision=record.applied_revision
+        ):
+            self.peers_version += 1
 
     # Announcing
 
@@ -226,7 +302,7 @@
         # Usually the lease lapsed; renewing now instead of later shows it.
         if revision > self._revision and self._lease:
             self._renew_at = 0.0
-            self._dirty.set()
+            self._put_soon()
 
     def _check_incarnation(self, stored: VmRecord) -> None:
         if stored.incarnation <= self._record.incarnation:
@@ -265,15 +341,18 @@
         if not self._lease:
             self._lease = await self._store.grant_lease(self._ttl_s)
             self._schedule_renewal(now)
-            self._dirty.set()
+            self._put_soon()
         elif now >= self._renew_at:
             if not await self._store.renew_lease(self._lease):
                 raise LeaseLapsed("the lease was not renewed in time")
             self._schedule_renewal(now)
         if not self._dirty.is_set():
-            await self._wait_for_change(self._renew_at - self._clock.monotonic())
+            left = self._renew_at - self._clock.monotonic()
+            await self._wait_for(self._dirty, left)
         elif (early := self._last_put + self._put_interval_s - now) > 0:
             await self._sleep(min(early, max(0.0, self._renew_at - now)))
+        elif self._due > now:
+            await self._wait_for(self._urgent, min(self._due, self._renew_at) - now)
         else:
             await self._put()
 
@@ -283,6 +362,7 @@
     async def _put(self) -> None:
         """Put the record, unless a newer incarnation has put its own."""
         self._dirty.clear()
+        self._urgent.clear()
         record, key = self._record, VMS + self._record.name
         try:
             result = await self._store.compare_and_put(
@@ -312,16 +392,17 @@
         )
         self._lease = self._revision = 0
         self.announced.clear()
-        await self._sleep(self._random.uniform(0.0, self._spread_s))
+        await self._sleep(self._random.uniform(0.0, self._return_s))
 
     async def _back_off(self) -> None:
-        ceiling = min(self._spread_s, 0.2 * 2 ** min(self._failures, 16))
+        base = max(0.2, (len(self._peers) + 1) / RECONNECTS_PER_S)
+        ceiling = min(self._return_s, base * 2 ** min(self._failures, 16))
         self._failures += 1
         await self._sleep(self._random.uniform(ceiling / 2, ceiling))
 
-    async def _wait_for_change(self, seconds: float) -> None:
+    async def _wait_for(self, event: asyncio.Event, seconds: float) -> None:
         sleeping = asyncio.ensure_future(self._sleep(max(0.0, seconds)))
-        changing = asyncio.ensure_future(self._dirty.wait())
+        changing = asyncio.ensure_future(event.wait())
         waits = {sleeping, changing}
         try:
             await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
