--- a/tests/_peer_support.py
+++ b/tests/_peer_support.py
@@ -118,6 +118,8 @@
     `drop` names message types that vanish together with the connection.
     """
 
+    backlog = 0
+
     def __init__(self, vm: str, me: str) -> None:
         self.vm, self.incarnation = vm, 1
         self.me = Identity(me, 1)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -13,6 +13,7 @@
 import pytest
 from _store_support import FakeTime, eventually, running_store, write
 
+from celeryjunction._pauses import PauseDetector
 from celeryjunction.contract import parse_contract
 from celeryjunction.contracts_store import Accepted, ContractStore
 from celeryjunction.daemon import Proxy
@@ -208,6 +209,7 @@
 
 class FakeLocal:
     def __init__(self) -> None:
+        self.pauses = PauseDetector()
         self.handles = {"a": FakeHandle()}
         self.closed = False
 
