Write every module's events as one line of key=value pairs

Cause: directory, membership, contract store and client side used plain loggers, so their lines came out as event=log with the event quoted inside, and the log level of the settings did not apply to them. Change: they use the event logger, like the others.

--- a/src/celeryjunction/adapters/pg_server.py
+++ b/src/celeryjunction/adapters/pg_server.py
@@ -23,7 +23,6 @@
 from functools import singledispatch
 from typing import Any
 
-import logbook
 from pg_mimic import messages
 from pg_mimic.connection import Connection
 from pg_mimic.stream import ConnectionClosed
@@ -38,6 +37,7 @@
 from celeryjunction.adapters.scram import ScramAuthPlugin, Verifier
 from celeryjunction.classify import StatementInfo, StatementKind, classify, split
 from celeryjunction.errors import EndpointError, ErrorKind, ProxyError
+from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     TEXT_FORMAT,
     ClientSession,
@@ -93,7 +93,7 @@
     }
 )
 
-log = logbook.Logger("celeryjunction.clients")
+log = get_logger("clients")
 
 
 class _Interrupt(Enum):
@@ -283,13 +283,12 @@
         """Write the error that ends the connection."""
         fields = _error_fields(error)
         log.info(
-            "event=client_connection_ended peer={} user={!r} sqlstate={} logged_in={} "
-            "age_s={:.3f}",
-            self.stream.peer,
-            self.username,
-            fields.get("C"),
-            self._logged_in,
-            self.server.clock.monotonic() - self._opened_at,
+            "client_connection_ended",
+            peer=self.stream.peer,
+            user=self.username,
+            sqlstate=fields.get("C"),
+            logged_in=self._logged_in,
+            age_s=self.server.clock.monotonic() - self._opened_at,
         )
         self.stream.write(pg.make_error(fields, severity="FATAL"))
 
@@ -761,10 +760,10 @@
     frames = traceback.extract_tb(error.__traceback__)[-3:]
     places = ",".join(f"{frame.name}:{frame.lineno}" for frame in frames)
     log.error(
-        "event=client_internal_error reference={} error={} at={}",
-        reference,
-        type(error).__name__,
-        places,
+        "client_internal_error",
+        reference=reference,
+        error=type(error).__name__,
+        at=places,
     )
     return reference
 
--- a/src/celeryjunction/contracts_store.py
+++ b/src/celeryjunction/contracts_store.py
@@ -24,8 +24,8 @@
 
 import json5
 import msgspec
-from logbook import Logger
 
+from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
     Compare,
@@ -44,7 +44,7 @@
 _MAX_DELETES = 100
 _CALL_TIMEOUT_S = 2.0
 _RETRY_DELAY_S = 0.2
-_log = Logger("contracts_store")
+_log = get_logger("contracts_store")
 
 Validate = Callable[[str], list[str]]
 """Returns the problems of a contract document, each with its remedy."""
@@ -254,13 +254,12 @@
             return Rejected(tuple(problems))
         outcome = await self._settle(change, self._clock.monotonic() + timeout)
         _log.info(
-            "event=contract_set customer={} change={} author={} base_revision={} "
-            "outcome={}",
-            customer,
-            change_id,
-            author,
-            base_revision,
-            type(outcome).__name__,
+            "contract_set",
+            customer=customer,
+            change=change_id,
+            author=author,
+            base_revision=base_revision,
+            outcome=type(outcome).__name__,
         )
         return outcome
 
@@ -382,9 +381,7 @@
         try:
             entry = msgspec.json.decode(item.value, type=AuditEntry)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            _log.error(
-                "event=audit_entry_ignored alarm=1 key={} reason={!r}", item.key, error
-            )
+            _log.error("audit_entry_ignored", alarm=1, key=item.key, reason=error)
             continue
         yield AuditRecord(item.key, item.revision, entry)
 
--- a/src/celeryjunction/directory.py
+++ b/src/celeryjunction/directory.py
@@ -14,7 +14,6 @@
 from typing import NamedTuple
 
 import msgspec
-from logbook import Logger
 
 from celeryjunction.contracts_store import (
     CONTRACTS,
@@ -22,6 +21,7 @@
     Validate,
     decode_envelope,
 )
+from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
     GroupRecord,
@@ -45,7 +45,7 @@
 """Prefixes that each VM follows."""
 _DECODED_GROUPS = 256
 """Group records kept decoded, for the databases in use."""
-_log = Logger("directory")
+_log = get_logger("directory")
 
 OnChange = Callable[[WatchEvent], None]
 Sleep = Callable[[float], Awaitable[None]]
@@ -160,18 +160,18 @@
             except WatchCompacted as error:
                 self._needs_list = True
                 _log.warning(
-                    "event=watch_compacted prefix={} revision={} reason={!r}",
-                    self._prefix,
-                    self._revision,
-                    str(error),
+                    "watch_compacted",
+                    prefix=self._prefix,
+                    revision=self._revision,
+                    reason=str(error),
                 )
             except (StoreUnavailable, StoreRefused) as error:
                 _log.warning(
-                    "event=watch_broken prefix={} revision={} failures={} reason={!r}",
-                    self._prefix,
-                    self._revision,
-                    self._failures,
-                    str(error),
+                    "watch_broken",
+                    prefix=self._prefix,
+                    revision=self._revision,
+                    failures=self._failures,
+                    reason=str(error),
                 )
             await self._back_off()
 
@@ -194,10 +194,11 @@
         )
         if listed.revision < self._revision:
             _log.error(
-                "event=store_went_back alarm=1 prefix={} known={} listed={}",
-                self._prefix,
-                self._revision,
-                listed.revision,
+                "store_went_back",
+                alarm=1,
+                prefix=self._prefix,
+                known=self._revision,
+                listed=listed.revision,
             )
             raise StoreUnavailable("the service answered with an older revision")
         self._touch()
@@ -251,12 +252,14 @@
         for subscriber in self._subscribers:
             try:
                 subscriber(event)
-            except Exception:
+            except Exception as error:
                 # One bad record must not end the following of all others.
-                _log.exception(
-                    "event=subscriber_failed alarm=1 key={} revision={}",
-                    event.key,
-                    event.revision,
+                _log.error(
+                    "subscriber_failed",
+                    alarm=1,
+                    store_key=event.key,
+                    revision=event.revision,
+                    reason=repr(error),
                 )
 
 
@@ -436,11 +439,12 @@
         _, term, known_revision = stored or self._removed.get(name, _NO_GROUP)
         if record.term < term:
             _log.error(
-                "event=term_went_back alarm=1 group={} known={} term={} revision={}",
-                record.name,
-                term,
-                record.term,
-                revision,
+                "term_went_back",
+                alarm=1,
+                group=record.name,
+                known=term,
+                term=record.term,
+                revision=revision,
             )
         if record.term < term or revision < known_revision:
             return False
@@ -492,10 +496,11 @@
                 customer, envelope.document, event.revision, envelope.change_id
             )
         _log.error(
-            "event=contract_ignored alarm=1 customer={} revision={} reason={!r}",
-            customer,
-            event.revision,
-            problems[0],
+            "contract_ignored",
+            alarm=1,
+            customer=customer,
+            revision=event.revision,
+            reason=problems[0],
         )
         return None
 
@@ -514,7 +519,7 @@
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         reason = str(error)
     if reason:
-        _log.error("event=group_ignored alarm=1 key={} reason={!r}", key, reason)
+        _log.error("group_ignored", alarm=1, key=key, reason=reason)
         return None
     return record
 
--- a/src/celeryjunction/membership.py
+++ b/src/celeryjunction/membership.py
@@ -9,9 +9,9 @@
 from random import Random
 
 import msgspec
-from logbook import Logger
 
 from celeryjunction.directory import RECONNECTS_PER_S, PrefixFollower, Sleep
+from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
     Compare,
@@ -37,7 +37,7 @@
 put of every other: one put after each change cost a VM 362 bytes and 0.47 ms of
 processor time for each VM, which is 116 KB/s and 15% of a core with 2,300 VMs and
 12,000 changes a day."""
-_log = Logger("membership")
+_log = get_logger("membership")
 
 
 class VmRecord(msgspec.Struct, frozen=True):
@@ -281,10 +281,11 @@
         known = self._peers.get(record.name)
         if known is not None and record.incarnation < known.incarnation:
             _log.error(
-                "event=incarnation_went_back alarm=1 vm={} known={} incarnation={}",
-                record.name,
-                known.incarnation,
-                record.incarnation,
+                "incarnation_went_back",
+                alarm=1,
+                vm=record.name,
+                known=known.incarnation,
+                incarnation=record.incarnation,
             )
             return
         self._peers[record.name] = record
@@ -309,11 +310,12 @@
             return
         if not self.superseded.is_set():
             _log.error(
-                "event=vm_superseded alarm=1 vm={} incarnation={} newer={} address={}",
-                self._record.name,
-                self._record.incarnation,
-                stored.incarnation,
-                stored.peer_address,
+                "vm_superseded",
+                alarm=1,
+                vm=self._record.name,
+                incarnation=self._record.incarnation,
+                newer=stored.incarnation,
+                address=stored.peer_address,
             )
         self.superseded.set()
         self.announced.clear()
@@ -328,10 +330,10 @@
                 await self._lapsed()
             except (StoreUnavailable, StoreRefused) as error:
                 _log.warning(
-                    "event=announce_failed vm={} failures={} reason={!r}",
-                    self._record.name,
-                    self._failures,
-                    str(error),
+                    "announce_failed",
+                    vm=self._record.name,
+                    failures=self._failures,
+                    reason=str(error),
                 )
                 await self._back_off()
 
@@ -387,9 +389,7 @@
         await self._sleep(self._random.uniform(0.0, _MISMATCH_PAUSE_S))
 
     async def _lapsed(self) -> None:
-        _log.warning(
-            "event=lease_lapsed vm={} lease={}", self._record.name, self._lease
-        )
+        _log.warning("lease_lapsed", vm=self._record.name, lease=self._lease)
         self._lease = self._revision = 0
         self.announced.clear()
         await self._sleep(self._random.uniform(0.0, self._return_s))
@@ -419,6 +419,6 @@
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         reason = str(error)
     if reason:
-        _log.error("event=vm_record_ignored alarm=1 key={} reason={!r}", key, reason)
+        _log.error("vm_record_ignored", alarm=1, key=key, reason=reason)
         return None
     return record
