Share the decoding of named records; remove unused names

Cause: directory and membership decoded records with the same steps, a transaction's describe handled two errors by the same lines, the session looked up work classes beside Contract.work_class, and two names had no user. Change: directory.decode_named serves both; one handler; the contract's own look-up. Behaviour is the same.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -249,10 +249,6 @@
         """Return the state of a group's endpoints."""
         return await self._get(self._controls[database], "state")
 
-    async def group_log(self, database: str, endpoint: str) -> list[dict]:
-        """Return the committed log entries of an endpoint."""
-        return await self._get(self._controls[database], f"log?endpoint={endpoint}")
-
     async def status(self, proxy: Proxy) -> dict:
         """Return a proxy's status."""
         return await self._get(proxy.status_port, "status")
--- a/src/celeryjunction/classify.py
+++ b/src/celeryjunction/classify.py
@@ -295,7 +295,6 @@
 _WRITE = StatementInfo(kind=StatementKind.WRITE)
 _READ = StatementInfo(kind=StatementKind.READ)
 _EMPTY = StatementInfo(kind=StatementKind.EMPTY)
-_UNPROVEN = StatementInfo(kind=StatementKind.WRITE, needs_reset=True)
 
 
 def _unsupported(feature: str) -> StatementInfo:
--- a/src/celeryjunction/directory.py
+++ b/src/celeryjunction/directory.py
@@ -11,7 +11,7 @@
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from random import Random
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import msgspec
 
@@ -47,6 +47,7 @@
 """Group records kept decoded, for the databases in use."""
 _log = get_logger("directory")
 
+T = TypeVar("T")
 OnChange = Callable[[WatchEvent], None]
 Sleep = Callable[[float], Awaitable[None]]
 
@@ -512,14 +513,19 @@
     return msgspec.json.decode(stored.value, type=GroupRecord)
 
 
-def _decode_group(key: str, value: bytes) -> GroupRecord | None:
+def decode_named(prefix: str, key: str, value: bytes, kind: type[T]) -> T | str:
+    """Decode a record whose key is `prefix` and its name; return what is wrong else."""
     try:
-        record = msgspec.json.decode(value, type=GroupRecord)
-        reason = "" if GROUPS + record.name == key else f"it names {record.name}"
+        record = msgspec.json.decode(value, type=kind)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        reason = str(error)
-    if reason:
-        _log.error("group_ignored", alarm=1, key=key, reason=reason)
+        return str(error)
+    return record if prefix + record.name == key else f"it names {record.name}"
+
+
+def _decode_group(key: str, value: bytes) -> GroupRecord | None:
+    record = decode_named(GROUPS, key, value, GroupRecord)
+    if isinstance(record, str):
+        _log.error("group_ignored", alarm=1, key=key, reason=record)
         return None
     return record
 
--- a/src/celeryjunction/membership.py
+++ b/src/celeryjunction/membership.py
@@ -10,7 +10,12 @@
 
 import msgspec
 
-from celeryjunction.directory import RECONNECTS_PER_S, PrefixFollower, Sleep
+from celeryjunction.directory import (
+    RECONNECTS_PER_S,
+    PrefixFollower,
+    Sleep,
+    decode_named,
+)
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
@@ -413,12 +418,8 @@
 
 
 def _decode(key: str, value: bytes) -> VmRecord | None:
-    try:
-        record = msgspec.json.decode(value, type=VmRecord)
-        reason = "" if VMS + record.name == key else f"it names {record.name}"
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        reason = str(error)
-    if reason:
-        _log.error("vm_record_ignored", alarm=1, key=key, reason=reason)
+    record = decode_named(VMS, key, value, VmRecord)
+    if isinstance(record, str):
+        _log.error("vm_record_ignored", alarm=1, key=key, reason=record)
         return None
     return record
--- a/src/celeryjunction/session.py
+++ b/src/celeryjunction/session.py
@@ -293,10 +293,9 @@
         return contract
 
     def _work_class(self, contract: Contract) -> WorkClass:
-        name = self._work_name
-        if name is None or name not in contract.work:
-            name = contract.default_work
-        return contract.work[name]
+        # A class that a newer contract no longer has falls back to the default one.
+        known = self._work_name in contract.work
+        return contract.work_class(self._work_name if known else None)
 
     def _refuse_unsupported(self, info: StatementInfo) -> None:
         if info.kind is StatementKind.UNSUPPORTED:
--- a/src/celeryjunction/transaction.py
+++ b/src/celeryjunction/transaction.py
@@ -65,13 +65,12 @@
                 return await self._checkout.connection.describe(
                     step.sql, step.param_oids, timeout=timeout
                 )
-            except ConnectionLost as error:
-                self.failed = True
-                self._drop_broken()
-                raise rolled_back(f"the connection broke: {error.reason}") from None
-            except BaseException:
+            except BaseException as error:
                 self.failed = True
                 self._drop_broken()
+                if isinstance(error, ConnectionLost):
+                    reason = f"the connection broke: {error.reason}"
+                    raise rolled_back(reason) from None
                 raise
 
     async def commit(self, work: Work) -> str:
