--- a/src/celeryjunction/contract.py
+++ b/src/celeryjunction/contract.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Iterable, Iterator, Mapping
 from datetime import datetime, timedelta
-from enum import Enum, IntEnum
+from enum import Enum
 from functools import lru_cache
 from typing import Annotated, Any
 
@@ -26,6 +26,7 @@
     parse_document,
 )
 from celeryjunction.ports import GroupRecord
+from celeryjunction.rank import Rank
 from celeryjunction.scram import verifier_fault
 
 MAX_SHED_DAYS = 30
@@ -35,19 +36,6 @@
 _SHARE_TOLERANCE = 1e-9
 
 
-class Rank(IntEnum):
-    """How urgent a piece of work is. A smaller value is served first."""
-
-    URGENT = 0
-    INTERACTIVE = 1
-    BACKGROUND = 2
-
-    @property
-    def label(self) -> str:
-        """Name of the rank as contracts write it."""
-        return self.name.lower()
-
-
 class Acknowledgement(Enum):
     """What must be proven before a write is acknowledged.
 
--- /dev/null
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -0,0 +1,310 @@
+"""Which endpoint of a group runs a statement, in which order statements wait.
+
+A statement goes at once to the cheapest endpoint that has room. Otherwise it waits in
+order of priority, and is refused at once when the wait is expected to outlast its
+patience: a caller that is told early can ask another VM.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from bisect import insort
+from collections.abc import Callable, Iterator
+from itertools import count
+from random import Random
+
+from celeryjunction.dispatch.gates import EndpointGate
+from celeryjunction.errors import ErrorKind, ProxyError
+from celeryjunction.ports import Clock
+from celeryjunction.replication.ports import EndpointDialer, EndpointInfo, EndpointLink
+
+CROSS_ZONE_S = 0.003
+"""Round trip to another zone: two ways of 1.4 ms, from the users' pages."""
+LOWEST_PRIORITY = 2
+"""Priorities from here on never use the last slot of an endpoint from one VM."""
+RETRY_S = 0.02
+"""Pause before the queue is looked at again while endpoints are avoided or full."""
+
+
+class Demand:
+    """A statement that asks for an endpoint.
+
+    `only` names the one endpoint that may run it; otherwise any endpoint may that is
+    not in `excluded`. `give_up_at` is the time when it is refused, in seconds.
+    """
+
+    __slots__ = (
+        "_future",
+        "_order",
+        "arrived",
+        "excluded",
+        "give_up_at",
+        "only",
+        "priority",
+        "values",
+    )
+
+    def __init__(
+        self,
+        *,
+        priority: int,
+        arrived: float,
+        give_up_at: float,
+        only: str | None = None,
+        values: dict[bytes, bytes] | None = None,
+    ) -> None:
+        self.priority = priority
+        self.arrived = arrived
+        self.give_up_at = give_up_at
+        self.only = only
+        self.excluded: set[str] = set()
+        self.values = values or {}
+        self._order = (priority, arrived, 0)
+        self._future: asyncio.Future[EndpointGate] | None = None
+
+    def __rich_repr__(self) -> Iterator[tuple[str, object]]:
+        yield "priority", self.priority
+        yield "only", self.only, None
+        yield "excluded", self.excluded
+
+    def allows(self, endpoint: str) -> bool:
+        """Whether the endpoint may run the statement."""
+        if self.only is not None:
+            return endpoint == self.only
+        return endpoint not in self.excluded
+
+
+class Grant:
+    """A connection to an endpoint, with the slot of the statement that runs on it."""
+
+    __slots__ = ("_clock", "_dispatcher", "_since", "gate", "link")
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        gate: EndpointGate,
+        link: EndpointLink,
+        *,
+        clock: Clock,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._since: float | None = clock.monotonic()
+        self.gate = gate
+        self.link = link
+
+    @property
+    def endpoint(self) -> str:
+        """Id of the endpoint."""
+        return self.gate.info.id
+
+    def end_statement(self, *, answered: bool = True) -> None:
+        """Free the slot and keep the connection, between a transaction's statements."""
+        if self._since is None:
+            return
+        seconds = self._clock.monotonic() - self._since
+        self._since = None
+        self.gate.running -= 1
+        if answered:
+            self.gate.note_answer(seconds)
+        self._dispatcher.pump()
+
+    def next_statement(self) -> None:
+        """Take a slot for the next statement of a transaction, without waiting.
+
+        A transaction holds locks and a connection, so it goes before new work.
+        """
+        if self._since is None:
+            self.gate.running += 1
+            self._since = self._clock.monotonic()
+
+    def release(self, *, reusable: bool = True, answered: bool = True) -> None:
+        """Give the connection back, and the slot if it is still held."""
+        self.gate.give(self.link, reusable=reusable)
+        self.end_statement(answered=answered)
+        self._dispatcher.pump()
+
+
+class Dispatcher:
+    """Places the statements of this VM on the endpoints of one group."""
+
+    def __init__(
+        self,
+        *,
+        zone: str,
+        dialer: EndpointDialer,
+        clock: Clock,
+        random: Random,
+        max_links: Callable[[EndpointInfo], int],
+    ) -> None:
+        self.gates: dict[str, EndpointGate] = {}
+        self._zone = zone
+        self._dialer = dialer
+        self._clock = clock
+        self._random = random
+        self._max_links = max_links
+        self._waiting: list[Demand] = []
+        self._numbers = count(1)
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def waiting(self) -> int:
+        """Statements that wait for an endpoint."""
+        return len(self._waiting)
+
+    def follow(self, endpoints: dict[str, EndpointInfo]) -> None:
+        """Take over the endpoints that may be used."""
+        for name in [n for n in self.gates if n not in endpoints]:
+            self.gates.pop(name).close()
+        for name, info in endpoints.items():
+            gate = self.gates.get(name)
+            if gate is not None and not _same_process(gate.info, info):
+                gate.close()
+                gate = None
+            if gate is None:
+                gate = self.gates[name] = EndpointGate(
+                    info,
+                    dialer=self._dialer,
+                    clock=self._clock,
+                    random=self._random,
+                    max_links=1,
+                )
+            gate.info = info
+            gate.max_links = self._max_links(info)
+        self.pump()
+
+    async def acquire(self, demand: Demand) -> Grant:
+        """Wait for room at an endpoint and return a connection to it.
+
+        Raises `ProxyError` (not run) when the wait is or would be too long, and
+        `ConnectionLost` or `EndpointRefused` when the chosen endpoint gives no
+        connection; it is then in `demand.excluded`.
+        """
+        gate = None if self._must_queue(demand) else self._choose(demand)
+        if gate is None:
+            gate = await self._wait(demand)
+        else:
+            gate.running += 1
+        try:
+            link = await gate.take(demand.values)
+        except BaseException:
+            gate.running -= 1
+            demand.excluded.add(gate.info.id)
+            self.pump()
+            raise
+        return Grant(self, gate, link, clock=self._clock)
+
+    def close(self) -> None:
+        """Close all idle connections and refuse what waits."""
+        self.follow({})
+        for demand in self._waiting:
+            if not demand._future.done():
+                demand._future.set_exception(ProxyError(ErrorKind.SHUTTING_DOWN))
+
+    def _must_queue(self, demand: Demand) -> bool:
+        """Whether something as urgent waits already for what this could take."""
+        return any(
+            other.priority <= demand.priority and other.only == demand.only
+            for other in self._waiting
+        )
+
+    def _choose(self, demand: Demand) -> EndpointGate | None:
+        now = self._clock.monotonic()
+        best, best_cost = None, 0.0
+        for name, gate in self.gates.items():
+            if not demand.allows(name) or not self._has_room(gate, demand, now):
+                continue
+            cost = self._cost(gate)
+            if best is None or cost < best_cost:
+                best, best_cost = gate, cost
+        return best
+
+    def _has_room(self, gate: EndpointGate, demand: Demand, now: float) -> bool:
+        if now < gate.avoid_until or not gate.has_link(now):
+            return False
+        return gate.running < self._limit(gate, demand)
+
+    @staticmethod
+    def _limit(gate: EndpointGate, demand: Demand) -> int:
+        slots = max(gate.info.slots, 1)
+        if demand.priority == 0:
+            return slots + 1
+        if demand.priority >= LOWEST_PRIORITY:
+            return max(slots - 1, 1)
+        return slots
+
+    def _cost(self, gate: EndpointGate) -> float:
+        """Return the expected seconds until an answer: way, queue and service."""
+        way = 0.0 if gate.info.zone == self._zone else CROSS_ZONE_S
+        load = (gate.running + gate.others_busy) / max(gate.info.slots, 1)
+        return way + gate.service_s * (1.0 + load)
+
+    async def _wait(self, demand: Demand) -> EndpointGate:
+        now = self._clock.monotonic()
+        if now + self._expected_wait(demand) >= demand.give_up_at:
+            raise _not_in_time(demand)
+        demand._order = (demand.priority, demand.arrived, next(self._numbers))
+        demand._future = asyncio.get_running_loop().create_future()
+        insort(self._waiting, demand, key=lambda waiting: waiting._order)
+        self._look_again()
+        try:
+            async with asyncio.timeout(demand.give_up_at - now):
+                return await demand._future
+        except BaseException as error:
+            self._withdraw(demand)
+            if isinstance(error, TimeoutError):
+                raise _not_in_time(demand) from None
+            raise
+
+    def _withdraw(self, demand: Demand) -> None:
+        """Take a demand out of the queue; give back a place it just got."""
+        if demand in self._waiting:
+            self._waiting.remove(demand)
+        future = demand._future
+        if future.done() and not future.cancelled() and future.exception() is None:
+            future.result().running -= 1
+            self.pump()
+
+    def _expected_wait(self, demand: Demand) -> float:
+        """Return the expected seconds in the queue, from what is ahead of it."""
+        gates = [gate for name, gate in self.gates.items() if demand.allows(name)]
+        if not gates:
+            return 0.0
+        slots = sum(self._limit(gate, demand) for gate in gates)
+        service_s = sum(gate.service_s for gate in gates) / len(gates)
+        ahead = sum(other.priority <= demand.priority for other in self._waiting)
+        return ahead * service_s / slots
+
+    def pump(self) -> None:
+        """Give free room to the statements that wait, the most urgent first."""
+        for demand in list(self._waiting):
+            if demand._future.done():
+                continue
+            gate = self._choose(demand)
+            if gate is not None:
+                gate.running += 1
+                self._waiting.remove(demand)
+                demand._future.set_result(gate)
+
+    def _look_again(self) -> None:
+        if self._timer is None and self._waiting:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(RETRY_S, self._timer_fired)
+
+    def _timer_fired(self) -> None:
+        self._timer = None
+        self.pump()
+        self._look_again()
+
+
+def _same_process(known: EndpointInfo, info: EndpointInfo) -> bool:
+    return (known.host, known.port, known.started_ms) == (
+        info.host,
+        info.port,
+        info.started_ms,
+    )
+
+
+def _not_in_time(demand: Demand) -> ProxyError:
+    allowed_s = max(0.0, demand.give_up_at - demand.arrived)
+    return ProxyError(ErrorKind.NOT_RUN_DEADLINE, {"deadline_s": allowed_s})
--- /dev/null
+++ b/src/celeryjunction/dispatch/gates.py
@@ -0,0 +1,190 @@
+"""One endpoint as dispatch sees it: statements in flight, connections, failures."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from random import Random
+
+from celeryjunction.errors import ConnectionLost
+from celeryjunction.logs import get_logger
+from celeryjunction.ports import Clock
+from celeryjunction.replication.ports import (
+    EndpointDialer,
+    EndpointInfo,
+    EndpointLink,
+    EndpointRefused,
+    Fault,
+)
+
+CONNECT_TIMEOUT_S = 0.5
+"""A new connection takes 12 to 16 ms on a calm day; this allows a full queue."""
+IDLE_LIMIT_S = 8.0
+"""Idle connections are closed after this, so that other VMs can use the limit."""
+FAILURES = 2
+"""Failures in a row after which an endpoint is avoided."""
+FIRST_AVOID_S = 0.3
+LONGEST_AVOID_S = 3.0
+"""An avoided endpoint is tried again after this, doubling from the first."""
+FULL_PAUSE_S = 0.1
+"""Pause before another connection is tried at an endpoint that has too many."""
+SERVICE_WEIGHT = 0.1
+"""Weight of a new sample in the mean service time."""
+FIRST_SERVICE_S = 0.02
+"""Mean service time assumed before the first answer, from the users' work figures."""
+
+_log = get_logger("dispatch")
+
+
+class EndpointGate:
+    """Counts what this VM has at one endpoint and keeps its idle connections.
+
+    `max_links` bounds the connections that this VM opens for statements.
+    """
+
+    __slots__ = (
+        "_avoid_s",
+        "_clock",
+        "_dialer",
+        "_failures",
+        "_idle",
+        "_random",
+        "avoid_until",
+        "closed",
+        "full_until",
+        "info",
+        "links",
+        "max_links",
+        "others_busy",
+        "running",
+        "service_s",
+    )
+
+    def __init__(
+        self,
+        info: EndpointInfo,
+        *,
+        dialer: EndpointDialer,
+        clock: Clock,
+        random: Random,
+        max_links: int,
+    ) -> None:
+        self.info = info
+        self.max_links = max_links
+        self.running = 0
+        """Statements of this VM that are sent or about to be."""
+        self.links = 0
+        """Connections open or being opened."""
+        self.others_busy = 0
+        """Slots that other VMs kept busy at the last status."""
+        self.service_s = FIRST_SERVICE_S
+        self.avoid_until = 0.0
+        self.full_until = 0.0
+        self.closed = False
+        self._idle: list[tuple[EndpointLink, float]] = []
+        self._dialer = dialer
+        self._clock = clock
+        self._random = random
+        self._failures = 0
+        self._avoid_s = 0.0
+
+    def __rich_repr__(self) -> Iterator[tuple[str, object]]:
+        yield "id", self.info.id
+        yield "running", self.running
+        yield "links", self.links
+
+    def has_link(self, now: float) -> bool:
+        """Whether a connection is idle or may be opened now."""
+        if self._idle:
+            return True
+        return self.links < self.max_links and now >= self.full_until
+
+    async def take(self, values: dict[bytes, bytes]) -> EndpointLink:
+        """Return an idle connection, best one with these values, or open one.
+
+        Raises `ConnectionLost` (nothing sent) or `EndpointRefused`.
+        """
+        link = self._take_idle(values)
+        if link is not None:
+            return link
+        self.links += 1
+        try:
+            link = await self._dialer.connect(self.info, timeout=CONNECT_TIMEOUT_S)
+        except BaseException as error:
+            self.links -= 1
+            self._note_connect_failure(error)
+            raise
+        return link
+
+    def _take_idle(self, values: dict[bytes, bytes]) -> EndpointLink | None:
+        self._drop_broken()
+        for index in range(len(self._idle) - 1, -1, -1):
+            if self._idle[index][0].values == values:
+                return self._idle.pop(index)[0]
+        return self._idle.pop()[0] if self._idle else None
+
+    def _drop_broken(self) -> None:
+        kept = [entry for entry in self._idle if entry[0].usable]
+        self.links -= len(self._idle) - len(kept)
+        self._idle = kept
+
+    def _note_connect_failure(self, error: BaseException) -> None:
+        now = self._clock.monotonic()
+        if isinstance(error, EndpointRefused):
+            if error.fault is Fault.TOO_MANY_CONNECTIONS:
+                self.full_until = now + FULL_PAUSE_S * self._random.uniform(0.5, 1.5)
+            else:
+                self.note_failure("refused", weight=FAILURES)
+        elif isinstance(error, ConnectionLost):
+            self.note_failure(error.reason, weight=FAILURES)
+
+    def give(self, link: EndpointLink, *, reusable: bool) -> None:
+        """Take a connection back; one that is not reusable is closed."""
+        if self.closed or not reusable or not link.usable:
+            link.close()
+            self.links -= 1
+            return
+        self._idle.append((link, self._clock.monotonic()))
+
+    def close_idle(self, *, older_than: float = IDLE_LIMIT_S) -> None:
+        """Close the connections that were idle for so many seconds."""
+        limit = self._clock.monotonic() - older_than
+        kept = []
+        for link, since in self._idle:
+            if since >= limit and link.usable:
+                kept.append((link, since))
+            else:
+                link.close()
+                self.links -= 1
+        self._idle = kept
+
+    def close(self) -> None:
+        """Close the idle connections now and those in use when they come back."""
+        self.closed = True
+        self.close_idle(older_than=float("-inf"))
+
+    def note_answer(self, seconds: float) -> None:
+        """Note that a statement was answered after so many seconds."""
+        self._failures = 0
+        self._avoid_s = 0.0
+        self.service_s += SERVICE_WEIGHT * (seconds - self.service_s)
+
+    def note_failure(self, reason: str, *, weight: int = 1) -> None:
+        """Note that the endpoint gave no answer; repeated failures avoid it."""
+        self._failures += weight
+        if self._failures < FAILURES:
+            return
+        self._avoid_s = min(max(FIRST_AVOID_S, 2 * self._avoid_s), LONGEST_AVOID_S)
+        self.avoid_until = self._clock.monotonic() + self._avoid_s
+        _log.warning(
+            "endpoint_avoided",
+            endpoint=self.info.id,
+            group=self.info.group,
+            reason=reason,
+            for_s=self._avoid_s,
+        )
+
+    def note_alive(self) -> None:
+        """Use the endpoint again: its status was answered."""
+        if self.avoid_until > self._clock.monotonic():
+            self.avoid_until = 0.0
+            self._failures = 0
--- /dev/null
+++ b/src/celeryjunction/failover/claims.py
@@ -0,0 +1,126 @@
+"""The right to promote in a group: a leased key whose revision is the fencing token.
+
+The token grows with each claim, because the store's revision does. A claim is checked
+again at the store right before it is used, so that a holder whose key was taken away
+finds out, and its lease is counted from before it was asked for.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from celeryjunction.logs import get_logger
+from celeryjunction.ports import (
+    Clock,
+    Compare,
+    KeyValueStore,
+    LeaseLapsed,
+    Put,
+    StoreRefused,
+    StoreUnavailable,
+)
+
+CLAIMS = "failover/"
+LEASE_S = 5
+"""A claim lapses after this; a whole promotion takes about 1.5 s."""
+LEASE_MARGIN_S = 1.0
+"""A claim is not used in its last second: the call must arrive while it holds."""
+CALL_TIMEOUT_S = 0.5
+
+_log = get_logger("failover")
+
+
+class _Holder(msgspec.Struct, frozen=True):
+    vm: str
+    attempt: int
+
+
+class Claim:
+    """A VM's right to promote in one group, until `expires_at` (seconds)."""
+
+    __slots__ = ("expires_at", "fencing_token", "group", "lease")
+
+    def __init__(
+        self, *, group: str, lease: int, fencing_token: int, expires_at: float
+    ) -> None:
+        self.group = group
+        self.lease = lease
+        self.fencing_token = fencing_token
+        self.expires_at = expires_at
+
+
+class Claims:
+    """Takes, checks and gives back claims in the store."""
+
+    __slots__ = ("_attempts", "_clock", "_store", "_vm")
+
+    def __init__(self, store: KeyValueStore, *, vm: str, clock: Clock) -> None:
+        self._store = store
+        self._vm = vm
+        self._clock = clock
+        self._attempts = 0
+
+    async def take(self, group: str) -> Claim | None:
+        """Return a claim; None when another VM has it or the store is away."""
+        self._attempts += 1
+        started = self._clock.monotonic()
+        value = msgspec.json.encode(_Holder(self._vm, self._attempt(started)))
+        try:
+            lease = await self._store.grant_lease(LEASE_S, timeout=CALL_TIMEOUT_S)
+            revision = await self._put(group, lease, value)
+        except (StoreUnavailable, StoreRefused, LeaseLapsed) as error:
+            _log.warning("claim_failed", group=group, reason=str(error))
+            return None
+        if revision is None:
+            await self._revoke(lease)
+            return None
+        _log.info("claim_taken", group=group, fencing_token=revision, lease=lease)
+        return Claim(
+            group=group,
+            lease=lease,
+            fencing_token=revision,
+            expires_at=started + LEASE_S - LEASE_MARGIN_S,
+        )
+
+    def _attempt(self, started: float) -> int:
+        # Unique for this VM also across restarts: microseconds of the boot's clock.
+        return int(started * 1e6) * 1000 + self._attempts % 1000
+
+    async def _put(self, group: str, lease: int, value: bytes) -> int | None:
+        key = CLAIMS + group
+        try:
+            result = await self._store.compare_and_put(
+                [Compare(key, 0)],
+                [Put(key, value)],
+                lease=lease,
+                timeout=CALL_TIMEOUT_S,
+            )
+        except StoreUnavailable:
+            # The answer may have been lost after the put was done.
+            current = await self._store.get(key, timeout=CALL_TIMEOUT_S)
+            own = current is not None and current.value == value
+            return current.revision if own else None
+        return result.revision if result.succeeded else None
+
+    async def holds(self, claim: Claim) -> bool:
+        """Ask the store whether the claim still stands."""
+        if self._clock.monotonic() >= claim.expires_at:
+            return False
+        try:
+            key = CLAIMS + claim.group
+            current = await self._store.get(key, timeout=CALL_TIMEOUT_S)
+        except (StoreUnavailable, StoreRefused) as error:
+            _log.warning("claim_not_checked", group=claim.group, reason=str(error))
+            return False
+        stands = current is not None and current.revision == claim.fencing_token
+        return stands and self._clock.monotonic() < claim.expires_at
+
+    async def give_back(self, claim: Claim) -> None:
+        """End the claim, so that another VM need not wait for its lease."""
+        await self._revoke(claim.lease)
+
+    async def _revoke(self, lease: int) -> None:
+        try:
+            await self._store.revoke_lease(lease, timeout=CALL_TIMEOUT_S)
+        except (StoreUnavailable, StoreRefused) as error:
+            _log.info("lease_left_to_lapse", lease=lease, reason=str(error))
--- /dev/null
+++ b/src/celeryjunction/failover/coordinator.py
@@ -0,0 +1,237 @@
+"""Replaces the primary of a group: pause all replicas, choose, demote, promote.
+
+A holder of the claim that stops between any two steps harms nothing: the replicas stay
+paused until another holder finishes, and no step trusts what an earlier holder saw.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from celeryjunction.failover.claims import Claim, Claims
+from celeryjunction.failover.selection import choose_replica
+from celeryjunction.logs import get_logger
+from celeryjunction.ports import Clock
+from celeryjunction.replication.group import ReplicationGroup
+from celeryjunction.replication.ports import (
+    Demote,
+    EndpointStatus,
+    LogPosition,
+    PauseReceiving,
+    Promoter,
+    PromotionResult,
+    ResumeReceiving,
+)
+
+COMMAND_TIMEOUT_S = 0.3
+"""A pause or demotion takes a round trip; this allows for a lost packet."""
+INHERITED_WAIT_S = 1.5
+"""Wait for an earlier holder's promotion before another is asked for. Longer than its
+call may be on the way (0.4 s) and the promotion takes to have effect (1 s)."""
+TAKEOVER_LIMIT_S = 3.0
+"""A promotion without effect after this is given up; the next try chooses anew."""
+TAKEOVER_POLL_S = 0.04
+
+_log = get_logger("failover")
+
+
+class Coordinator:
+    """Runs the replacement of one group's primary."""
+
+    def __init__(
+        self,
+        group: ReplicationGroup,
+        *,
+        claims: Claims,
+        promoter: Promoter,
+        vm: str,
+        clock: Clock,
+        random: Random,
+        refresh_register: Callable[[], Awaitable[bool]],
+    ) -> None:
+        self._group = group
+        self._claims = claims
+        self._promoter = promoter
+        self._vm = vm
+        self._clock = clock
+        self._random = random
+        self._refresh_register = refresh_register
+
+    async def replace(self, reason: str, *, acknowledged: LogPosition) -> bool:
+        """Replace the primary; return whether a new one leads.
+
+        `acknowledged` is the highest position that VMs saw acknowledged.
+        """
+        group = self._group
+        claim = await self._claims.take(group.name)
+        if claim is None:
+            return False
+        _log.warning(
+            "failover_started",
+            group=group.name,
+            reason=reason,
+            primary=group.primary,
+            term=group.term,
+            fencing_token=claim.fencing_token,
+        )
+        started = self._clock.monotonic()
+        try:
+            done = await self._replace(claim, acknowledged)
+        finally:
+            await self._claims.give_back(claim)
+        _log.warning(
+            "failover_ended",
+            group=group.name,
+            done=done,
+            primary=group.primary,
+            term=group.term,
+            took_s=round(self._clock.monotonic() - started, 3),
+        )
+        return done
+
+    async def _replace(self, claim: Claim, acknowledged: LogPosition) -> bool:
+        group = self._group
+        if not await self._refresh_register():
+            return False
+        old, term = group.primary, group.term
+        before = await self._ask_all(group.replicas)
+        if group.term != term:
+            return True  # Another holder was faster.
+        inherited = any(
+            status is not None and status.held_term > term for status in before.values()
+        )
+        if inherited and await self._takeover(term, INHERITED_WAIT_S):
+            return True
+        paused = await self._pause_all(term)
+        if paused is None:
+            await self._give_up(inherited)
+            return False
+        if old is not None:
+            await self._command(old, Demote(term + 1))
+        chosen = choose_replica(paused, group.endpoints, acknowledged=acknowledged)
+        if chosen is None:
+            _log.error(
+                "no_replica_has_all",
+                alarm=1,
+                group=group.name,
+                acknowledged=str(acknowledged),
+                received={name: str(s.received) for name, s in paused.items()},
+            )
+            await self._give_up(inherited)
+            return False
+        if not await self._still_paused(paused, term):
+            await self._give_up(inherited)
+            return False
+        return await self._promote(claim, chosen, term, paused, inherited)
+
+    async def _ask_all(self, names: list[str]) -> dict[str, EndpointStatus | None]:
+        answers = await asyncio.gather(*(self._group.ask(name) for name in names))
+        return dict(zip(names, answers, strict=True))
+
+    async def _command(
+        self, endpoint: str, command: PauseReceiving | ResumeReceiving | Demote
+    ) -> EndpointStatus | None:
+        control = self._group.controls.get(endpoint)
+        if control is None:
+            return None
+        asked_at = self._clock.monotonic()
+        status = await control.ask(command, timeout=COMMAND_TIMEOUT_S)
+        if status is not None:
+            self._group.observe(endpoint, status, asked_at=asked_at)
+        _log.info(
+            "failover_command",
+            group=self._group.name,
+            endpoint=endpoint,
+            command=type(command).__name__,
+            answer=status,
+            failure=control.failure,
+        )
+        return status
+
+    async def _pause_all(self, term: int) -> dict[str, EndpointStatus] | None:
+        """Pause every replica; None if one could not be paused."""
+        replicas = self._group.replicas
+        await asyncio.gather(
+            *(self._command(name, PauseReceiving(term + 1)) for name in replicas)
+        )
+        statuses = await self._ask_all(replicas)
+        paused = {
+            name: status
+            for name, status in statuses.items()
+            if status is not None and status.held_term > term and not status.is_primary
+        }
+        if not replicas or len(paused) < len(replicas):
+            missing = sorted(set(replicas) - set(paused))
+            _log.warning(
+                "replica_not_paused", group=self._group.name, term=term, missing=missing
+            )
+            return None
+        return paused
+
+    async def _still_paused(self, paused: dict[str, EndpointStatus], term: int) -> bool:
+        """Look again: a replica that restarted has forgotten its pause."""
+        again = await self._ask_all(list(paused))
+        return all(
+            status is not None
+            and status.held_term > term
+            and status.received == paused[name].received
+            for name, status in again.items()
+        )
+
+    async def _give_up(self, inherited: bool) -> None:
+        """Let the replicas receive again, unless an earlier promotion may take effect.
+
+        Then a later try finishes what was begun.
+        """
+        if inherited:
+            return
+        replicas = self._group.replicas
+        await asyncio.gather(
+            *(self._command(name, ResumeReceiving()) for name in replicas)
+        )
+        self._group.refresh_soon()
+
+    async def _promote(
+        self,
+        claim: Claim,
+        chosen: str,
+        term: int,
+        paused: dict[str, EndpointStatus],
+        inherited: bool,
+    ) -> bool:
+        group = self._group
+        if not await self._claims.holds(claim):
+            _log.warning("claim_lost", group=group.name, token=claim.fencing_token)
+            return False
+        group.primary_due = self._clock.monotonic() + group.promotion_s
+        result = await self._promoter.promote(
+            group=group.name,
+            endpoint=chosen,
+            holder=self._vm,
+            fencing_token=claim.fencing_token,
+        )
+        _log.warning(
+            "promotion_asked",
+            group=group.name,
+            endpoint=chosen,
+            term=term + 1,
+            received={name: str(s.received) for name, s in paused.items()},
+            fencing_token=claim.fencing_token,
+            result=result,
+        )
+        if result is PromotionResult.REFUSED:
+            await self._give_up(inherited)
+            return False
+        return await self._takeover(term, TAKEOVER_LIMIT_S)
+
+    async def _takeover(self, term: int, limit_s: float) -> bool:
+        """Wait until an endpoint leads a later term."""
+        deadline = self._clock.monotonic() + limit_s
+        while self._clock.monotonic() < deadline:
+            await self._ask_all(list(self._group.endpoints))
+            if self._group.term > term and self._group.primary is not None:
+                return True
+            await asyncio.sleep(TAKEOVER_POLL_S)
+        return False
--- a/src/celeryjunction/freshness.py
+++ b/src/celeryjunction/freshness.py
@@ -9,6 +9,7 @@
 
 from bisect import bisect_left, bisect_right
 from collections import deque
+from typing import Generic, TypeVar
 
 FINE_STEP_S = 0.01
 FINE_LENGTH = 256
@@ -17,16 +18,20 @@
 """One entry a second for an hour, the longest staleness that a contract may accept."""
 
 
-class _Series:
+P = TypeVar("P", int, tuple[int, int])
+"""A log position: a number within one term, or term and number."""
+
+
+class _Series(Generic[P]):
     """Entries at least `step` seconds apart; the last one moves until then."""
 
     __slots__ = ("_entries", "_step")
 
     def __init__(self, *, step: float, length: int) -> None:
         self._step = step
-        self._entries: deque[tuple[float, int]] = deque(maxlen=length)
+        self._entries: deque[tuple[float, P]] = deque(maxlen=length)
 
-    def add(self, instant: float, position: int) -> None:
+    def add(self, instant: float, position: P) -> None:
         entries = self._entries
         if (entries and entries[-1][1] == position) or (
             len(entries) > 1 and instant - entries[-2][0] < self._step
@@ -35,17 +40,17 @@
         else:
             entries.append((instant, position))
 
-    def first_from(self, instant: float) -> int | None:
+    def first_from(self, instant: float) -> P | None:
         index = bisect_left(self._entries, instant, key=lambda entry: entry[0])
         return self._entries[index][1] if index < len(self._entries) else None
 
-    def last_at(self, position: int) -> float | None:
+    def last_at(self, position: P) -> float | None:
         if not self._entries:
             return None
         index = bisect_right(self._entries, position, key=lambda entry: entry[1])
         return self._entries[max(index - 1, 0)][0]
 
-    def holds(self, position: int) -> bool:
+    def holds(self, position: P) -> bool:
         return bool(self._entries) and self._entries[0][1] <= position
 
     def covers(self, instant: float) -> bool:
@@ -55,7 +60,7 @@
         self._entries.clear()
 
 
-class FreshnessHistory:
+class FreshnessHistory(Generic[P]):
     """Log positions by the instant that they cover, within one term.
 
     Recent instants are kept every 10 ms, older ones every second. Leaving entries out
@@ -68,17 +73,17 @@
         self._fine = _Series(step=FINE_STEP_S, length=FINE_LENGTH)
         self._coarse = _Series(step=COARSE_STEP_S, length=COARSE_LENGTH)
 
-    def add(self, instant: float, position: int) -> None:
+    def add(self, instant: float, position: P) -> None:
         """Note that `position` covers all that was acknowledged before `instant`."""
         self._fine.add(instant, position)
         self._coarse.add(instant, position)
 
-    def position_since(self, instant: float) -> int | None:
+    def position_since(self, instant: float) -> P | None:
         """Return the lowest position known to cover `instant` (monotonic seconds)."""
         series = self._fine if self._fine.covers(instant) else self._coarse
         return series.first_from(instant)
 
-    def last_covered(self, position: int) -> float | None:
+    def last_covered(self, position: P) -> float | None:
         """Return the latest known instant that `position` covers.
 
         A position older than the history gives the history's first instant, so the
--- /dev/null
+++ b/src/celeryjunction/gateway/gateway.py
@@ -0,0 +1,52 @@
+"""What sessions share: the routes in force, the groups and their dispatchers."""
+
+from __future__ import annotations
+
+from celeryjunction.dispatch.dispatcher import Dispatcher
+from celeryjunction.gateway.request_log import RequestLog
+from celeryjunction.gateway.routes import Route, RouteTable
+from celeryjunction.logs import get_logger
+from celeryjunction.metrics import Metrics
+from celeryjunction.ports import Clock
+from celeryjunction.replication.group import ReplicationGroup
+
+_log = get_logger("gateway")
+
+
+class Gateway:
+    """Routes, groups and counters of one VM."""
+
+    def __init__(self, *, clock: Clock, metrics: Metrics) -> None:
+        self.clock = clock
+        self.metrics = metrics
+        self.request_log = RequestLog(clock=clock)
+        self.table: RouteTable | None = None
+        self.groups: dict[str, ReplicationGroup] = {}
+        self.dispatchers: dict[str, Dispatcher] = {}
+        self.draining = False
+        self.open_transactions = 0
+        self.running = 0
+
+    def take_routes(self, table: RouteTable) -> bool:
+        """Put a newer version of the routes in force; an older one is ignored."""
+        known = self.table
+        if known is not None and table.version <= known.version:
+            return False
+        self.table = table
+        _log.info(
+            "routes_in_force",
+            version=table.version,
+            before=known.version if known else None,
+            routes=len(table.routes),
+            groups=len(table.groups),
+        )
+        return True
+
+    def route(self, database: str) -> Route | None:
+        """Return the route in force for a database name."""
+        return self.table.route(database) if self.table is not None else None
+
+    @property
+    def idle_transaction_s(self) -> float:
+        """Seconds after which an idle transaction is rolled back."""
+        return self.table.idle_transaction_s if self.table is not None else 0.0
--- /dev/null
+++ b/src/celeryjunction/gateway/session.py
@@ -0,0 +1,657 @@
+"""One caller's session: its transaction, values, prepared names and log position."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from functools import singledispatchmethod
+
+from msgspec.structs import replace
+
+from celeryjunction.dispatch.dispatcher import Demand, Grant
+from celeryjunction.errors import ConnectionLost, ErrorKind, ProxyError
+from celeryjunction.gateway.gateway import Gateway
+from celeryjunction.gateway.routes import Consistency, Route
+from celeryjunction.gateway.shared_state import (
+    bring_state,
+    shared_name,
+    state_commands,
+)
+from celeryjunction.gateway.statements import (
+    Begin,
+    Commit,
+    Deallocate,
+    Execute,
+    Prepare,
+    Read,
+    Request,
+    Rollback,
+    SetParameter,
+    Write,
+)
+from celeryjunction.rank import Rank
+from celeryjunction.replication.ports import (
+    NO_POSITION,
+    Answer,
+    ClearSession,
+    Command,
+    EndpointRefused,
+    Fault,
+    LogPosition,
+    OpenTransaction,
+    Relay,
+    RelayPrepared,
+    RollBack,
+    TransactionState,
+)
+
+MAX_TRIES = 4
+"""Endpoints that are tried for one statement that has not run."""
+RETRY_PAUSE_S = 0.02
+"""Pause before a primary that refused is looked up again."""
+ROLLBACK_TIMEOUT_S = 0.5
+"""A roll-back that takes longer closes the connection instead."""
+PATIENCE = 0.7
+"""Part of a route's goal that a statement waits for an endpoint. What waits longer
+would be answered late; a refusal lets the caller ask another VM in time."""
+LEAST_PATIENCE_S = 0.05
+"""Shortest wait for an endpoint, about two statements of 20 ms."""
+
+NOT_RUN_FAULTS = frozenset(
+    {
+        Fault.BUSY,
+        Fault.BEHIND,
+        Fault.NOT_PRIMARY,
+        Fault.UNKNOWN_STATEMENT,
+        Fault.WRONG_ENDPOINT,
+        Fault.TOO_MANY_CONNECTIONS,
+    }
+)
+"""Answers of an endpoint that did not run the statement."""
+
+_IDLE, _OPEN, _FAILED = TransactionState
+
+
+class _Transaction:
+    """An open transaction; `grant` is its connection once something was sent."""
+
+    __slots__ = ("arrived", "failed", "grant", "read_only", "state_sent", "wrote")
+
+    def __init__(self, *, read_only: bool, arrived: float) -> None:
+        self.read_only = read_only
+        self.arrived = arrived
+        self.grant: Grant | None = None
+        self.failed: ProxyError | None = None
+        self.state_sent = False
+        self.wrote = False
+
+
+class StatementSession:
+    """Runs one caller's statements, one at a time.
+
+    `execute` returns the endpoint's answer, or the session's own with the digest
+    ``-``. It raises `ProxyError` when the session itself refuses or gives up.
+    """
+
+    def __init__(self, database: str, *, gateway: Gateway) -> None:
+        self.database = database
+        self._gateway = gateway
+        self._clock = gateway.clock
+        self._values: dict[bytes, bytes] = {}
+        self._prepared: dict[bytes, Prepare] = {}
+        self._transaction: _Transaction | None = None
+        self._position = NO_POSITION
+        self._idle_timer: asyncio.TimerHandle | None = None
+        self._expiring: asyncio.Task[None] | None = None
+        self._endpoint = ""
+
+    def __rich_repr__(self) -> Iterator[tuple[str, object]]:
+        yield "database", self.database
+        yield "state", self.state
+
+    @property
+    def state(self) -> TransactionState:
+        """Idle, in a transaction, or in a failed transaction."""
+        if self._transaction is None:
+            return _IDLE
+        return _FAILED if self._transaction.failed is not None else _OPEN
+
+    async def execute(self, request: Request) -> Answer:
+        """Run one statement and log its outcome if it was not served."""
+        gateway = self._gateway
+        self._stop_idle_timer()
+        gateway.running += 1
+        self._endpoint = ""
+        route = gateway.route(self.database)
+        outcome = ""
+        try:
+            if self._expiring is not None:
+                await self._expiring
+            if route is None and self._transaction is None:
+                raise ProxyError(
+                    ErrorKind.UNKNOWN_DATABASE, {"database": self.database}
+                )
+            answer = await self._run(request.statement, request, route)
+            if answer.fault is not None:
+                outcome = answer.fault.value
+            return answer
+        except ProxyError as error:
+            outcome = error.kind.value
+            raise
+        finally:
+            gateway.running -= 1
+            self._start_idle_timer()
+            self._note_outcome(request, route, outcome)
+
+    def _note_outcome(
+        self, request: Request, route: Route | None, outcome: str
+    ) -> None:
+        seconds = self._clock.monotonic() - request.arrived
+        gateway = self._gateway
+        if route is not None:
+            rank = Rank(min(max(route.priority, 0), len(Rank) - 1))
+            gateway.metrics.record_latency(
+                rank=rank, customer=self.database, endpoint="", seconds=seconds
+            )
+        if not outcome:
+            return
+        gateway.metrics.count("failed_requests", outcome=outcome)
+        gateway.request_log.write(
+            "request_failed",
+            id=request.id.decode("latin-1"),
+            statement=type(request.statement).__name__,
+            database=self.database,
+            group=route.group if route else None,
+            consistency=route.consistency if route else None,
+            routes_version=gateway.table.version if gateway.table else None,
+            endpoint=self._endpoint or None,
+            session_position=str(self._position),
+            took_ms=round(seconds * 1000, 1),
+            outcome=outcome,
+        )
+
+    async def close(self) -> None:
+        """Roll back what is open and give the connection back."""
+        self._stop_idle_timer()
+        if self._expiring is not None:
+            await self._expiring
+        await self._end_transaction()
+
+    def abort(self, error: ProxyError) -> None:
+        """Roll back an idle open transaction; its next statement gets `error`."""
+        if self._transaction is not None and self._expiring is None:
+            self._expiring = asyncio.create_task(self._expire(error))
+
+    # Statements
+
+    @singledispatchmethod
+    async def _run(
+        self, statement: object, request: Request, route: Route | None
+    ) -> Answer:
+        raise ProxyError(ErrorKind.PROTOCOL_VIOLATION, {"reason": "unknown statement"})
+
+    @_run.register
+    async def _(
+        self, statement: Begin, request: Request, route: Route | None
+    ) -> Answer:
+        if self._transaction is not None:
+            raise ProxyError(
+                ErrorKind.PROTOCOL_VIOLATION, {"reason": "a transaction is open"}
+            )
+        self._transaction = _Transaction(
+            read_only=statement.read_only, arrived=request.arrived
+        )
+        self._gateway.open_transactions += 1
+        return self._own_answer()
+
+    @_run.register
+    async def _(
+        self, statement: Commit, request: Request, route: Route | None
+    ) -> Answer:
+        transaction = self._transaction
+        if transaction is None:
+            raise ProxyError(
+                ErrorKind.PROTOCOL_VIOLATION, {"reason": "no transaction is open"}
+            )
+        if transaction.failed is not None:
+            error = transaction.failed
+            await self._end_transaction()
+            raise error
+        return await self._commit(transaction, request, route)
+
+    @_run.register
+    async def _(
+        self, statement: Rollback, request: Request, route: Route | None
+    ) -> Answer:
+        await self._end_transaction()
+        return self._own_answer()
+
+    @_run.register
+    async def _(
+        self, statement: SetParameter, request: Request, route: Route | None
+    ) -> Answer:
+        self._refuse_in_failed()
+        self._values[statement.name] = statement.value
+        return self._own_answer()
+
+    @_run.register
+    async def _(
+        self, statement: Prepare, request: Request, route: Route | None
+    ) -> Answer:
+        self._refuse_in_failed()
+        self._prepared[statement.name] = statement
+        return self._own_answer()
+
+    @_run.register
+    async def _(
+        self, statement: Deallocate, request: Request, route: Route | None
+    ) -> Answer:
+        self._refuse_in_failed()
+        self._prepared.pop(statement.name, None)
+        return self._own_answer()
+
+    @_run.register
+    async def _(
+        self, statement: Execute, request: Request, route: Route | None
+    ) -> Answer:
+        prepared = self._prepared.get(statement.name)
+        if prepared is None:
+            raise ProxyError(
+                ErrorKind.UNKNOWN_STATEMENT, {"name": statement.name.decode("latin-1")}
+            )
+        relay = RelayPrepared(request.id, shared_name(prepared), statement.arguments)
+        if prepared.writes:
+            return await self._write(request, route, relay, prepared)
+        return await self._read(request, route, relay, prepared)
+
+    @_run.register
+    async def _(self, statement: Read, request: Request, route: Route | None) -> Answer:
+        return await self._read(request, route, Relay(request.id, request.text), None)
+
+    @_run.register
+    async def _(
+        self, statement: Write, request: Request, route: Route | None
+    ) -> Answer:
+        return await self._write(request, route, Relay(request.id, request.text), None)
+
+    def _own_answer(self) -> Answer:
+        return Answer((), b"-", self.state, None)
+
+    def _refuse_in_failed(self) -> None:
+        transaction = self._transaction
+        if transaction is not None and transaction.failed is not None:
+            raise ProxyError(ErrorKind.TRANSACTION_ABORTED)
+
+    # Single statements
+
+    async def _read(
+        self,
+        request: Request,
+        route: Route | None,
+        relay: Relay | RelayPrepared,
+        prepared: Prepare | None,
+    ) -> Answer:
+        if self._transaction is not None:
+            return await self._in_transaction(request, route, relay, prepared, False)
+        deadline = request.arrived + route.timeout_s
+        demand = self._demand(route, arrived=request.arrived)
+        answer: Answer | None = None
+        for _ in range(MAX_TRIES):
+            after = await self._read_terms(
+                route, demand, since=request.arrived, deadline=deadline
+            )
+            command = relay if after is None else replace(relay, after=after)
+            try:
+                grant = await self._dispatcher(route).acquire(demand)
+                answer = await self._run_once(grant, command, prepared, deadline)
+            except (ConnectionLost, EndpointRefused) as error:
+                self._endpoint_failed(route, demand, error)
+                continue
+            if answer.fault not in NOT_RUN_FAULTS:
+                return answer
+            self._not_run(route, demand, answer.fault)
+        if answer is not None and answer.fault is not None:
+            return answer
+        raise ProxyError(
+            ErrorKind.NOT_RUN_CONNECTION,
+            {"database": self.database, "reason": "no endpoint answered"},
+        )
+
+    async def _read_terms(
+        self, route: Route, demand: Demand, *, since: float, deadline: float
+    ) -> LogPosition | None:
+        """Prove what the route asks for; return the position that a read must see.
+
+        A read that must see everything goes to the proven primary and needs none.
+        """
+        group = self._gateway.groups[route.group]
+        if route.consistency is Consistency.PRIMARY:
+            demand.only = await group.proven_primary(since=since, deadline=deadline)
+            return None
+        position = await group.covered_position(
+            instant=since - route.staleness_s, deadline=deadline
+        )
+        if route.consistency is Consistency.READ_YOUR_WRITES:
+            position = max(position, self._position)
+        return position
+
+    async def _write(
+        self,
+        request: Request,
+        route: Route | None,
+        relay: Relay | RelayPrepared,
+        prepared: Prepare | None,
+    ) -> Answer:
+        if self._transaction is not None:
+            return await self._in_transaction(request, route, relay, prepared, True)
+        deadline = request.arrived + route.timeout_s
+        group = self._gateway.groups[route.group]
+        demand = self._demand(route, arrived=request.arrived)
+        fault = Fault.BUSY
+        for _ in range(MAX_TRIES):
+            demand.only = await group.primary_by(deadline)
+            try:
+                grant = await self._dispatcher(route).acquire(demand)
+                answer = await self._run_once(grant, relay, prepared, deadline)
+            except (ConnectionLost, EndpointRefused) as error:
+                if isinstance(error, ConnectionLost) and error.sent:
+                    raise _unknown(error.reason) from None
+                self._endpoint_failed(route, demand, error)
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            if answer.fault is None:
+                self._note_commit(group, answer.position)
+                return answer
+            if answer.fault not in NOT_RUN_FAULTS:
+                return answer
+            fault = answer.fault
+            self._not_run(route, demand, fault)
+            if fault is Fault.BUSY:
+                break
+            await asyncio.sleep(RETRY_PAUSE_S)
+        return Answer((), b"", _IDLE, None, fault, demand.only or "")
+
+    async def _run_once(
+        self, grant: Grant, command: Command, prepared: Prepare | None, deadline: float
+    ) -> Answer:
+        """Run a single statement and give the connection back.
+
+        A `ConnectionLost` says whether the statement itself was sent.
+        """
+        self._endpoint = grant.endpoint
+        answered = False
+        try:
+            left = deadline - self._clock.monotonic()
+            if left <= 0:
+                raise _too_late(deadline, left)
+            commands = state_commands(
+                grant.link,
+                values=self._values,
+                prepared=prepared,
+                in_transaction=False,
+            )
+            try:
+                await bring_state(grant.link, commands, timeout=left)
+            except ConnectionLost as error:
+                raise ConnectionLost(error.reason, sent=False) from None
+            (answer,) = await grant.link.run([command], timeout=left)
+            answered = True
+            return answer
+        finally:
+            grant.release(reusable=answered, answered=answered)
+
+    # Transactions
+
+    async def _in_transaction(
+        self,
+        request: Request,
+        route: Route | None,
+        relay: Relay | RelayPrepared,
+        prepared: Prepare | None,
+        writes: bool,
+    ) -> Answer:
+        transaction = self._transaction
+        self._refuse_in_failed()
+        route = self._transaction_route(transaction, route)
+        deadline = request.arrived + route.timeout_s
+        try:
+            if transaction.grant is None:
+                await self._open(transaction, route, deadline)
+            else:
+                transaction.grant.next_statement()
+            answer = await self._run_pinned(transaction, relay, prepared, deadline)
+        except ProxyError as error:
+            self._fail(transaction, error)
+            raise
+        except ConnectionLost as error:
+            failure = _rolled_back(error.reason)
+            self._fail(transaction, failure)
+            raise failure from None
+        transaction.wrote = transaction.wrote or writes
+        if answer.state is not _OPEN:
+            self._fail(transaction, _rolled_back("the endpoint ended it"))
+        return answer._replace(state=self.state)
+
+    def _transaction_route(
+        self, transaction: _Transaction, route: Route | None
+    ) -> Route:
+        if route is None:
+            error = ProxyError(
+                ErrorKind.NOT_RUN_ROLLED_BACK, {"reason": "its route was removed"}
+            )
+            self._fail(transaction, error)
+            raise error
+        return route
+
+    async def _open(
+        self, transaction: _Transaction, route: Route, deadline: float
+    ) -> None:
+        """Open the transaction at an endpoint that may run all of it."""
+        group = self._gateway.groups[route.group]
+        demand = self._demand(route, arrived=self._clock.monotonic())
+        fault: Fault | None = None
+        for _ in range(MAX_TRIES):
+            after = await self._read_terms(
+                route, demand, since=transaction.arrived, deadline=deadline
+            )
+            if not transaction.read_only:
+                demand.only = await group.primary_by(deadline)
+            try:
+                grant = await self._dispatcher(route).acquire(demand)
+            except (ConnectionLost, EndpointRefused) as error:
+                self._endpoint_failed(route, demand, error)
+                continue
+            self._endpoint = grant.endpoint
+            command = OpenTransaction(transaction.read_only, after)
+            try:
+                left = max(deadline - self._clock.monotonic(), 0.001)
+                commands = state_commands(
+                    grant.link, values=self._values, prepared=None, in_transaction=False
+                )
+                await bring_state(grant.link, commands, timeout=left)
+                (answer,) = await grant.link.run([command], timeout=left)
+            except ConnectionLost as error:
+                grant.release(reusable=False, answered=False)
+                self._endpoint_failed(route, demand, error)
+                continue
+            except BaseException:
+                grant.release(reusable=False, answered=False)
+                raise
+            if answer.fault is None and answer.state is _OPEN:
+                transaction.grant = grant
+                return
+            grant.release(reusable=answer.state is _IDLE, answered=False)
+            fault = answer.fault or Fault.OTHER
+            self._not_run(route, demand, fault)
+        reason = f"no endpoint opened it: {fault.value if fault else 'no answer'}"
+        raise _rolled_back(reason)
+
+    async def _run_pinned(
+        self,
+        transaction: _Transaction,
+        command: Command,
+        prepared: Prepare | None,
+        deadline: float,
+    ) -> Answer:
+        grant = transaction.grant
+        self._endpoint = grant.endpoint
+        left = max(deadline - self._clock.monotonic(), 0.001)
+        answered = False
+        try:
+            commands = state_commands(
+                grant.link, values=self._values, prepared=prepared, in_transaction=True
+            )
+            if commands:
+                transaction.state_sent = True
+                await bring_state(grant.link, commands, timeout=left)
+            (answer,) = await grant.link.run([command], timeout=left)
+            answered = True
+            return answer
+        finally:
+            grant.end_statement(answered=answered)
+
+    async def _commit(
+        self, transaction: _Transaction, request: Request, route: Route | None
+    ) -> Answer:
+        route = self._transaction_route(transaction, route)
+        deadline = request.arrived + route.timeout_s
+        try:
+            if transaction.grant is None:
+                await self._open(transaction, route, deadline)
+            else:
+                transaction.grant.next_statement()
+        except ProxyError:
+            self._forget_transaction()
+            raise
+        command = Relay(request.id, request.text)
+        try:
+            answer = await self._run_pinned(transaction, command, None, deadline)
+        except ConnectionLost as error:
+            if transaction.wrote and error.sent:
+                raise _unknown(error.reason) from None
+            raise _rolled_back(error.reason) from None
+        finally:
+            self._forget_transaction()
+        if answer.fault is None and transaction.wrote:
+            self._note_commit(self._gateway.groups[route.group], answer.position)
+        if answer.fault is Fault.NOT_PRIMARY:
+            self._gateway.groups[route.group].refresh_soon()
+        return answer._replace(state=_IDLE)
+
+    def _fail(self, transaction: _Transaction, error: ProxyError) -> None:
+        """Note that the transaction failed; its connection is closed if in doubt."""
+        transaction.failed = error
+        grant, transaction.grant = transaction.grant, None
+        if grant is not None:
+            grant.release(reusable=False, answered=False)
+
+    def _forget_transaction(self) -> None:
+        """End the transaction after its last statement."""
+        transaction, self._transaction = self._transaction, None
+        if transaction is None:
+            return
+        self._gateway.open_transactions -= 1
+        if transaction.grant is not None:
+            transaction.grant.release(reusable=not transaction.state_sent)
+
+    async def _end_transaction(self) -> None:
+        """Roll back and give the connection back."""
+        transaction, self._transaction = self._transaction, None
+        if transaction is None:
+            return
+        self._gateway.open_transactions -= 1
+        grant, transaction.grant = transaction.grant, None
+        if grant is None:
+            return
+        ended = False
+        commands: list[Command] = [RollBack()]
+        if transaction.state_sent:
+            # Whether the endpoint keeps values set in a rolled back transaction is
+            # not known, so the connection starts from none.
+            commands.append(ClearSession())
+        try:
+            answers = await grant.link.run(commands, timeout=ROLLBACK_TIMEOUT_S)
+            ended = all(answer.fault is None for answer in answers)
+            if transaction.state_sent:
+                grant.link.values.clear()
+                grant.link.prepared.clear()
+        except ConnectionLost:
+            pass
+        finally:
+            grant.release(reusable=ended, answered=False)
+
+    # Idle transactions
+
+    def _start_idle_timer(self) -> None:
+        limit_s = self._gateway.idle_transaction_s
+        if self._transaction is None or limit_s <= 0:
+            return
+        error = ProxyError(ErrorKind.IDLE_TRANSACTION, {"limit_s": limit_s})
+        loop = asyncio.get_running_loop()
+        self._idle_timer = loop.call_later(limit_s, self.abort, error)
+
+    def _stop_idle_timer(self) -> None:
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
+    async def _expire(self, error: ProxyError) -> None:
+        transaction = self._transaction
+        try:
+            await self._end_transaction()
+            if transaction is not None:
+                self._transaction = transaction
+                self._gateway.open_transactions += 1
+                transaction.failed = error
+        finally:
+            self._expiring = None
+
+    # Helpers
+
+    def _dispatcher(self, route: Route):
+        return self._gateway.dispatchers[route.group]
+
+    def _demand(self, route: Route, *, arrived: float) -> Demand:
+        patience_s = max(route.goal_s * PATIENCE, LEAST_PATIENCE_S)
+        return Demand(
+            priority=route.priority,
+            arrived=arrived,
+            give_up_at=arrived + min(patience_s, route.timeout_s),
+            values=self._values,
+        )
+
+    def _note_commit(self, group, position: LogPosition | None) -> None:
+        if position is not None:
+            self._position = max(self._position, position)
+            group.acknowledged = max(group.acknowledged, position)
+
+    def _not_run(self, route: Route, demand: Demand, fault: Fault) -> None:
+        """Learn from an endpoint's word that it did not run a statement."""
+        group = self._gateway.groups[route.group]
+        if demand.only is None:
+            demand.excluded.add(self._endpoint)
+        if fault in (Fault.NOT_PRIMARY, Fault.WRONG_ENDPOINT):
+            group.refresh_soon()
+
+    def _endpoint_failed(
+        self, route: Route, demand: Demand, error: ConnectionLost | EndpointRefused
+    ) -> None:
+        group = self._gateway.groups[route.group]
+        if isinstance(error, ConnectionLost):
+            gate = self._dispatcher(route).gates.get(self._endpoint)
+            if error.sent and gate is not None:
+                gate.note_failure(error.reason)
+            demand.excluded.add(self._endpoint)
+        group.refresh_soon()
+
+
+def _unknown(reason: str) -> ProxyError:
+    return ProxyError(ErrorKind.OUTCOME_UNKNOWN, {"reason": reason})
+
+
+def _rolled_back(reason: str) -> ProxyError:
+    return ProxyError(ErrorKind.NOT_RUN_ROLLED_BACK, {"reason": reason})
+
+
+def _too_late(deadline: float, left: float) -> ProxyError:
+    return ProxyError(ErrorKind.NOT_RUN_DEADLINE, {"deadline_s": deadline})
--- /dev/null
+++ b/src/celeryjunction/gateway/statements.py
@@ -0,0 +1,80 @@
+"""Statements that callers send, decoded once by the adapter."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Begin(msgspec.Struct, frozen=True):
+    """Opens a transaction."""
+
+    read_only: bool
+
+
+class Commit(msgspec.Struct, frozen=True):
+    """Commits the open transaction."""
+
+
+class Rollback(msgspec.Struct, frozen=True):
+    """Rolls the open transaction back."""
+
+
+class Read(msgspec.Struct, frozen=True):
+    """Reads an item."""
+
+
+class Write(msgspec.Struct, frozen=True):
+    """Writes an item."""
+
+
+class SetParameter(msgspec.Struct, frozen=True):
+    """Sets a session value."""
+
+    name: bytes
+    value: bytes
+
+
+class Prepare(msgspec.Struct, frozen=True):
+    """Gives a statement of a shape a name within the session."""
+
+    name: bytes
+    writes: bool
+    shape: bytes
+
+
+class Execute(msgspec.Struct, frozen=True):
+    """Runs a prepared statement; `arguments` is the text after the name."""
+
+    name: bytes
+    arguments: bytes
+
+
+class Deallocate(msgspec.Struct, frozen=True):
+    """Forgets a prepared name."""
+
+    name: bytes
+
+
+Statement = (
+    Begin
+    | Commit
+    | Rollback
+    | Read
+    | Write
+    | SetParameter
+    | Prepare
+    | Execute
+    | Deallocate
+)
+
+
+class Request(msgspec.Struct, frozen=True):
+    """A caller's statement with its id, its text and when its first byte came.
+
+    `arrived` is in seconds of the proofs' clock.
+    """
+
+    id: bytes
+    text: bytes
+    statement: Statement
+    arrived: float
--- /dev/null
+++ b/src/celeryjunction/log_stream.py
@@ -0,0 +1,67 @@
+"""A log stream that never blocks: lines go through a bounded queue to a thread."""
+
+from __future__ import annotations
+
+import os
+from queue import Empty, Full, Queue
+from threading import Thread
+
+MAX_LINES = 5000
+"""Lines kept while the reader of the output is slow; further ones are dropped."""
+_END = ""
+
+
+class BackgroundStream:
+    """Writes text to a file descriptor in the background, as far as it is read.
+
+    When lines were dropped, the next one that finds room is preceded by a line that
+    says how many.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._queue: Queue[str] = Queue(MAX_LINES)
+        self._dropped = 0
+        self._thread = Thread(target=self._run, name="log", daemon=True)
+        self._thread.start()
+
+    def write(self, text: str) -> int:
+        """Queue text, or drop it when the queue is full."""
+        try:
+            if self._dropped:
+                notice = f"level=warning event=lines_dropped count={self._dropped}\n"
+                self._queue.put_nowait(notice)
+                self._dropped = 0
+            self._queue.put_nowait(text)
+        except Full:
+            self._dropped += 1
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing: the thread writes as fast as it can."""
+
+    def close(self, *, timeout: float = 0.5) -> None:
+        """Write what is queued, for at most `timeout` seconds."""
+        try:
+            self._queue.put(_END, timeout=timeout)
+        except Full:
+            return
+        self._thread.join(timeout)
+
+    def _run(self) -> None:
+        while True:
+            text = self._queue.get()
+            ended = text == _END
+            parts = [text]
+            while not ended:
+                try:
+                    text = self._queue.get_nowait()
+                except Empty:
+                    break
+                ended = text == _END
+                parts.append(text)
+            data = "".join(parts).encode()
+            while data:
+                data = data[os.write(self._descriptor, data) :]
+            if ended:
+                return
--- a/src/celeryjunction/metrics.py
+++ b/src/celeryjunction/metrics.py
@@ -12,7 +12,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from celeryjunction.contract import Rank
+from celeryjunction.rank import Rank
 
 MAX_LATENCY_US = 3_600_000_000
 """Longer latencies count as 1 hour."""
--- /dev/null
+++ b/src/celeryjunction/platform/frontend.py
@@ -0,0 +1,218 @@
+"""Callers' connections over the platform's line protocol."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from celeryjunction.errors import ErrorKind, ProxyError
+from celeryjunction.gateway.session import StatementSession
+from celeryjunction.gateway.statements import Request
+from celeryjunction.logs import get_logger
+from celeryjunction.platform.lines import LineStream, LineTooLong
+from celeryjunction.platform.wire import (
+    ERROR_WORDS,
+    FAULT_WORDS,
+    STATE_WORDS,
+    UNKNOWN_OUTCOME_WORD,
+    MalformedStatement,
+    parse_statement,
+)
+from celeryjunction.ports import Clock
+from celeryjunction.replication.ports import Answer, TransactionState
+
+START_TIMEOUT_S = 5.0
+"""A connection that has not said what it wants after this is closed."""
+
+_log = get_logger("frontend")
+
+OpenSession = Callable[[str], StatementSession]
+"""Opens a session for a database name; raises `ProxyError`."""
+
+
+class CallerConnection:
+    """One caller's connection, served by one task."""
+
+    def __init__(
+        self, stream: LineStream, *, open_session: OpenSession, clock: Clock
+    ) -> None:
+        self._stream = stream
+        self._open_session = open_session
+        self._clock = clock
+        self.session: StatementSession | None = None
+        self.running = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether the connection can be closed without cutting a request."""
+        if self.running or self._stream.buffered:
+            return False
+        return self.session is None or self.session.state is TransactionState.IDLE
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._stream.close()
+
+    async def serve(self) -> None:
+        """Serve the caller until the connection ends."""
+        try:
+            await self._serve()
+        except LineTooLong:
+            error = ProxyError(
+                ErrorKind.STATEMENT_TOO_LARGE, {"size": "more", "limit": "1 MiB"}
+            )
+            self._stream.write(_encode_error(error))
+        finally:
+            self._stream.close()
+            if self.session is not None:
+                await self.session.close()
+
+    async def _serve(self) -> None:
+        async with asyncio.timeout(START_TIMEOUT_S):
+            line = await self._stream.read_line()
+        if line is None or not self._start(line):
+            return
+        while True:
+            line = await self._stream.read_line()
+            if line is None or line == b"RELEASE":
+                return
+            arrived = self._clock.monotonic()
+            self.running = True
+            try:
+                self._stream.write(await self._answer(line, arrived))
+                await self._stream.drain()
+            finally:
+                self.running = False
+
+    def _start(self, line: bytes) -> bool:
+        fields = line.split(b" ")
+        if len(fields) < 2 or fields[0] != b"CONNECT":
+            self._stream.write(b"ERROR MALFORMED a connection begins with CONNECT\r\n")
+            return False
+        try:
+            self.session = self._open_session(fields[1].decode("latin-1"))
+        except ProxyError as error:
+            self._stream.write(_encode_error(error))
+            return False
+        self._stream.write(b"READY I -\r\n")
+        return True
+
+    async def _answer(self, line: bytes, arrived: float) -> bytes:
+        word, _, rest = line.partition(b" ")
+        request_id, _, text = rest.partition(b" ")
+        try:
+            if word != b"QUERY" or not request_id:
+                raise MalformedStatement(word[:20].decode("latin-1"))
+            statement = parse_statement(text)
+        except MalformedStatement as error:
+            reason = {"reason": f"unknown statement {error}"}
+            failure = ProxyError(ErrorKind.PROTOCOL_VIOLATION, reason)
+            return _encode_error(failure) + self._ready()
+        request = Request(request_id, text, statement, arrived)
+        try:
+            answer = await self.session.execute(request)
+        except ProxyError as error:
+            return _encode_error(error) + self._ready()
+        return _encode_answer(answer)
+
+    def _ready(self) -> bytes:
+        return b"READY %b -\r\n" % STATE_WORDS[self.session.state]
+
+
+def _encode_error(error: ProxyError) -> bytes:
+    word = ERROR_WORDS.get(error.kind, UNKNOWN_OUTCOME_WORD)
+    return b"ERROR %b %b\r\n" % (word, _one_line(error.message))
+
+
+def _encode_answer(answer: Answer) -> bytes:
+    parts = [b"ROW %b\r\n" % row for row in answer.rows]
+    if answer.fault is None:
+        parts.append(b"COMPLETE %b\r\n" % answer.digest)
+    else:
+        word = FAULT_WORDS[answer.fault]
+        parts.append(b"ERROR %b %b\r\n" % (word, _one_line(answer.detail)))
+    position = b"-" if answer.position is None else b"%d.%d" % answer.position
+    parts.append(b"READY %b %b\r\n" % (STATE_WORDS[answer.state], position))
+    return b"".join(parts)
+
+
+def _one_line(text: str) -> bytes:
+    return text.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
+
+
+class LineFrontend:
+    """Accepts callers and keeps a task for each."""
+
+    def __init__(
+        self, *, host: str, port: int, open_session: OpenSession, clock: Clock
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._open_session = open_session
+        self._clock = clock
+        self._server: asyncio.Server | None = None
+        self._connections: dict[CallerConnection, asyncio.Task[None]] = {}
+
+    @property
+    def connections(self) -> list[CallerConnection]:
+        """Open connections."""
+        return list(self._connections)
+
+    @property
+    def port(self) -> int:
+        """Port that is listened on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self) -> None:
+        """Listen; raises `OSError`."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, self._host, self._port, backlog=512
+        )
+
+    def _accept(self) -> LineStream:
+        stream = _AcceptedStream()
+        stream.on_made = self._serve
+        return stream
+
+    def _serve(self, stream: LineStream) -> None:
+        connection = CallerConnection(
+            stream, open_session=self._open_session, clock=self._clock
+        )
+        task = asyncio.create_task(connection.serve())
+        self._connections[connection] = task
+        task.add_done_callback(lambda done: self._ended(connection, done))
+
+    def _ended(self, connection: CallerConnection, task: asyncio.Task[None]) -> None:
+        self._connections.pop(connection, None)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None and not isinstance(error, TimeoutError):
+            _log.error("connection_failed", reason=repr(error))
+
+    def stop_accepting(self) -> None:
+        """Refuse new connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> int:
+        """Close the connections that are between operations; return how many."""
+        idle = [connection for connection in self._connections if connection.idle]
+        for connection in idle:
+            connection.close()
+        return len(idle)
+
+    async def close(self) -> None:
+        """Close everything."""
+        self.stop_accepting()
+        tasks = list(self._connections.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class _AcceptedStream(LineStream):
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.on_made(self)
--- /dev/null
+++ b/src/celeryjunction/platform/records.py
@@ -0,0 +1,114 @@
+"""The operator's config and the register's entries as the product's types."""
+
+from __future__ import annotations
+
+import msgspec
+
+from celeryjunction.gateway.routes import Consistency, GroupTerms, Route, RouteTable
+from celeryjunction.logs import get_logger
+from celeryjunction.ports import KeyValue
+from celeryjunction.replication.ports import EndpointInfo
+
+CONFIG_PREFIX = "op/"
+CONFIG_KEY = "op/config"
+REGISTER_PREFIX = "servers/"
+
+_log = get_logger("records")
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    """Name of the database that callers ask for."""
+    service: str
+    kind: str
+    timeout_ms: float = 1000.0
+    """Limit of a single statement."""
+    goal_ms: float = 1000.0
+    """Objective for a whole operation."""
+    priority: int = 1
+    max_staleness_ms: float = 0.0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    conn_limit: int = 20
+    """Connections per endpoint, from all callers together."""
+    sync_replicas: int = 0
+
+
+class _Limits(msgspec.Struct):
+    tx_idle_ms: float = 0.0
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    db_role: str = ""
+    born: int = 0
+    """Unix milliseconds of the start of the endpoint's process."""
+
+
+def decode_config(value: bytes) -> RouteTable | None:
+    """Decode the operator's config; None (logged) when it can't be read."""
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+        routes = tuple(map(_route, config.routes))
+    except (msgspec.DecodeError, ValueError) as error:
+        _log.error("config_ignored", alarm=1, reason=str(error))
+        return None
+    groups = tuple(
+        GroupTerms(service.name, service.conn_limit, service.sync_replicas)
+        for service in config.services
+    )
+    return RouteTable(
+        version=config.version,
+        routes=routes,
+        groups=groups,
+        idle_transaction_s=config.limits.tx_idle_ms / 1000,
+    )
+
+
+def _route(route: _Route) -> Route:
+    return Route(
+        name=route.name,
+        database=route.host,
+        group=route.service,
+        consistency=Consistency(route.kind),
+        timeout_s=route.timeout_ms / 1000,
+        goal_s=route.goal_ms / 1000,
+        priority=route.priority,
+        staleness_s=route.max_staleness_ms / 1000,
+    )
+
+
+def decode_endpoint(item: KeyValue) -> EndpointInfo | str:
+    """Decode an entry of the register, or say why it names no endpoint."""
+    try:
+        entry = msgspec.json.decode(item.value, type=_Entry)
+        host, _, port = entry.address.rpartition(":")
+        info = EndpointInfo(
+            id=item.key.removeprefix(REGISTER_PREFIX),
+            group=entry.service,
+            host=host,
+            port=int(port),
+            zone=entry.zone,
+            slots=entry.slots,
+            draining=entry.state == "draining",
+            started_ms=entry.born,
+        )
+    except (msgspec.DecodeError, ValueError) as error:
+        return str(error)
+    if entry.state not in ("ready", "draining") or not host or entry.slots < 1:
+        return f"state {entry.state!r}, address {entry.address!r}, slots {entry.slots}"
+    return info
--- /dev/null
+++ b/src/celeryjunction/platform/wire.py
@@ -0,0 +1,243 @@
+"""The platform's line protocol: the words on the wire and the product's types."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+
+from celeryjunction.errors import ErrorKind
+from celeryjunction.gateway.statements import (
+    Begin,
+    Commit,
+    Deallocate,
+    Execute,
+    Prepare,
+    Read,
+    Rollback,
+    SetParameter,
+    Statement,
+    Write,
+)
+from celeryjunction.replication.ports import (
+    AskStatus,
+    ClearSession,
+    Command,
+    Demote,
+    EndpointStatus,
+    Fault,
+    LogPosition,
+    OpenTransaction,
+    PauseReceiving,
+    PrepareStatement,
+    Relay,
+    RelayPrepared,
+    ResumeReceiving,
+    RollBack,
+    SetValue,
+    TransactionState,
+)
+
+OWN_ID = b"-"
+"""Id of the statements that the proxy issues on its own account."""
+
+STATES = {
+    b"I": TransactionState.IDLE,
+    b"T": TransactionState.OPEN,
+    b"E": TransactionState.FAILED,
+}
+STATE_WORDS = {state: word for word, state in STATES.items()}
+
+FAULTS = {
+    b"BUSY": Fault.BUSY,
+    b"LAGGING": Fault.BEHIND,
+    b"READONLY": Fault.NOT_PRIMARY,
+    b"NOSTMT": Fault.UNKNOWN_STATEMENT,
+    b"MISROUTED": Fault.WRONG_ENDPOINT,
+    b"OVERLOAD": Fault.TOO_MANY_CONNECTIONS,
+    b"FAILED": Fault.FAILED,
+    b"TIMEOUT": Fault.TIMED_OUT,
+}
+FAULT_WORDS = {
+    **{fault: word for word, fault in FAULTS.items()},
+    # An endpoint's answer that the page gives no word for promises nothing.
+    Fault.OTHER: b"INDOUBT",
+}
+
+ERROR_WORDS: dict[ErrorKind, bytes] = {
+    ErrorKind.NOT_RUN_DEADLINE: b"BUSY",
+    ErrorKind.NOT_RUN_NO_PRIMARY: b"BUSY",
+    ErrorKind.NOT_RUN_SHED: b"BUSY",
+    ErrorKind.NOT_RUN_CONNECTION: b"BUSY",
+    ErrorKind.NOT_RUN_ROLLED_BACK: b"ABORTED",
+    ErrorKind.IDLE_TRANSACTION: b"ABORTED",
+    ErrorKind.SHUTTING_DOWN: b"ABORTED",
+    ErrorKind.FRESHNESS_UNPROVEN: b"LAGGING",
+    ErrorKind.READ_UNANSWERED: b"ABORTED",
+    ErrorKind.OUTCOME_UNKNOWN: b"INDOUBT",
+    ErrorKind.UNKNOWN_DATABASE: b"NODB",
+    ErrorKind.UNKNOWN_STATEMENT: b"NOSTMT",
+    ErrorKind.TRANSACTION_ABORTED: b"MALFORMED",
+    ErrorKind.PROTOCOL_VIOLATION: b"MALFORMED",
+    ErrorKind.STATEMENT_TOO_LARGE: b"TOOLARGE",
+}
+"""Word for each of the proxy's own errors; any other promises nothing."""
+UNKNOWN_OUTCOME_WORD = b"INDOUBT"
+
+
+class MalformedStatement(Exception):
+    """A caller's statement text is not one of the protocol's."""
+
+
+def parse_statement(text: bytes) -> Statement:
+    """Decode the text of a query; raises `MalformedStatement`."""
+    word, _, rest = text.partition(b" ")
+    parser = _PARSERS.get(word)
+    statement = parser(rest) if parser is not None else None
+    if statement is None:
+        raise MalformedStatement(word[:20].decode("latin-1"))
+    return statement
+
+
+def _parse_begin(rest: bytes) -> Statement | None:
+    return Begin(read_only=bool(rest)) if rest in (b"", b"READ") else None
+
+
+def _parse_set(rest: bytes) -> Statement | None:
+    name, _, value = rest.partition(b" ")
+    return SetParameter(name, value) if name else None
+
+
+def _parse_prepare(rest: bytes) -> Statement | None:
+    name, _, rest = rest.partition(b" ")
+    kind, _, shape = rest.partition(b" ")
+    if not name or not shape or kind not in (b"READ", b"WRITE"):
+        return None
+    return Prepare(name, kind == b"WRITE", shape)
+
+
+def _parse_execute(rest: bytes) -> Statement | None:
+    name, _, arguments = rest.partition(b" ")
+    return Execute(name, arguments) if name else None
+
+
+_PARSERS = {
+    b"BEGIN": _parse_begin,
+    b"COMMIT": lambda rest: None if rest else Commit(),
+    b"ROLLBACK": lambda rest: None if rest else Rollback(),
+    b"READ": lambda rest: Read() if rest else None,
+    b"WRITE": lambda rest: Write() if rest else None,
+    b"SETPARAM": _parse_set,
+    b"PREPARE": _parse_prepare,
+    b"EXECUTE": _parse_execute,
+    b"DEALLOC": lambda rest: Deallocate(rest) if rest else None,
+}
+
+
+@singledispatch
+def encode_command(command: Command) -> bytes:
+    """Return the line that asks an endpoint for a command."""
+    raise TypeError(f"no line for {command!r}")
+
+
+def _line(request_id: bytes, after: LogPosition | None, text: bytes) -> bytes:
+    prefix = b"" if after is None else b"AFTER %d.%d " % after
+    return b"QUERY %b %b%b\r\n" % (request_id, prefix, text)
+
+
+@encode_command.register
+def _(command: Relay) -> bytes:
+    return _line(command.request_id, command.after, command.text)
+
+
+@encode_command.register
+def _(command: RelayPrepared) -> bytes:
+    text = b"EXECUTE " + command.name
+    if command.arguments:
+        text += b" " + command.arguments
+    return _line(command.request_id, command.after, text)
+
+
+@encode_command.register
+def _(command: OpenTransaction) -> bytes:
+    text = b"BEGIN READ" if command.read_only else b"BEGIN"
+    return _line(OWN_ID, command.after, text)
+
+
+@encode_command.register
+def _(command: RollBack) -> bytes:
+    return _line(OWN_ID, None, b"ROLLBACK")
+
+
+@encode_command.register
+def _(command: ClearSession) -> bytes:
+    return _line(OWN_ID, None, b"RESET")
+
+
+@encode_command.register
+def _(command: SetValue) -> bytes:
+    return _line(OWN_ID, None, b"SETPARAM %b %b" % (command.name, command.value))
+
+
+@encode_command.register
+def _(command: PrepareStatement) -> bytes:
+    kind = b"WRITE" if command.writes else b"READ"
+    text = b"PREPARE %b %b %b" % (command.name, kind, command.shape)
+    return _line(OWN_ID, None, text)
+
+
+@encode_command.register
+def _(command: AskStatus) -> bytes:
+    return _line(OWN_ID, None, b"STATUS")
+
+
+@encode_command.register
+def _(command: PauseReceiving) -> bytes:
+    return _line(OWN_ID, None, b"PAUSE %d" % command.term)
+
+
+@encode_command.register
+def _(command: ResumeReceiving) -> bytes:
+    return _line(OWN_ID, None, b"RESUME")
+
+
+@encode_command.register
+def _(command: Demote) -> bytes:
+    return _line(OWN_ID, None, b"DEMOTE %d" % command.term)
+
+
+def parse_position(text: bytes) -> LogPosition | None:
+    """Decode ``TERM.NUMBER``; None for ``-`` and for what is neither."""
+    term, dot, number = text.partition(b".")
+    if not (dot and term.isdigit() and number.isdigit()):
+        return None
+    return LogPosition(int(term), int(number))
+
+
+def parse_status(row: bytes) -> EndpointStatus | None:
+    """Decode the row of a status answer; None when it is none.
+
+    Its fields are role, term, position received, term held, lag in ms, slots busy and
+    connections.
+    """
+    fields = row.split(b" ")
+    if len(fields) < 7 or fields[0] not in (b"primary", b"replica"):
+        return None
+    received = parse_position(fields[2])
+    try:
+        term, held, lag_ms, busy, connections = (
+            int(fields[1]),
+            int(fields[3]),
+            float(fields[4]),
+            int(fields[5]),
+            int(fields[6]),
+        )
+    except ValueError:
+        return None
+    return EndpointStatus(
+        is_primary=fields[0] == b"primary",
+        term=term,
+        received=received or LogPosition(term, 0),
+        held_term=held,
+        lag_s=lag_ms / 1000,
+        busy=busy,
+        connections=connections,
+    )
--- a/src/celeryjunction/ports.py
+++ b/src/celeryjunction/ports.py
@@ -41,6 +41,23 @@
     wall = staticmethod(time.time)
 
 
+class BootClock:
+    """Clocks for proofs that must not outlive a suspension of the VM, in seconds.
+
+    The steady clock of the event loop stands still while a VM is suspended;
+    ``CLOCK_BOOTTIME`` does not.
+    """
+
+    __slots__ = ()
+
+    @staticmethod
+    def monotonic() -> float:
+        """Seconds since the boot, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    wall = staticmethod(time.time)
+
+
 class EndpointRecord(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One endpoint as the platform's group record describes it."""
 
--- /dev/null
+++ b/src/celeryjunction/replication/control.py
@@ -0,0 +1,86 @@
+"""A control connection to an endpoint, for status and the commands of a failover."""
+
+from __future__ import annotations
+
+import asyncio
+
+from celeryjunction.errors import ConnectionLost
+from celeryjunction.ports import Clock
+from celeryjunction.replication.ports import (
+    AskStatus,
+    Command,
+    EndpointDialer,
+    EndpointInfo,
+    EndpointLink,
+    EndpointRefused,
+    EndpointStatus,
+)
+
+ASK_TIMEOUT_S = 0.3
+"""A status takes 0.5 ms of a slot; this allows for a queue of 30 ms statements."""
+
+
+class ControlLink:
+    """Asks one endpoint for its status, one command at a time.
+
+    The connection is opened when it is needed and kept. `settled_since` is the time
+    since when it has been open without a break.
+    """
+
+    __slots__ = ("_clock", "_dialer", "_link", "_lock", "failure", "info")
+
+    def __init__(
+        self, info: EndpointInfo, *, dialer: EndpointDialer, clock: Clock
+    ) -> None:
+        self.info = info
+        self.failure = ""
+        """Why the last command got no answer; empty when it got one."""
+        self._dialer = dialer
+        self._clock = clock
+        self._link: EndpointLink | None = None
+        self._lock = asyncio.Lock()
+
+    @property
+    def open_s(self) -> float:
+        """Seconds for which the connection has been open; 0 without one."""
+        if self._link is None or not self._link.usable:
+            return 0.0
+        return self._clock.monotonic() - self._link.opened_at
+
+    async def ask(
+        self, command: Command | None = None, *, timeout: float = ASK_TIMEOUT_S
+    ) -> EndpointStatus | None:
+        """Send a command, by default for the status; None without a good answer.
+
+        The reason is then in `failure`.
+        """
+        try:
+            async with asyncio.timeout(timeout), self._lock:
+                return await self._ask(command or AskStatus(), timeout)
+        except TimeoutError:
+            self.failure = "silent"
+        except ConnectionLost as error:
+            self.failure = error.reason
+        except EndpointRefused as error:
+            self.failure = error.fault.value
+        return None
+
+    async def _ask(self, command: Command, timeout: float) -> EndpointStatus | None:
+        link = self._link
+        if link is None or not link.usable:
+            self._link = None
+            link = await self._dialer.connect(self.info, timeout=timeout)
+            self._link = link
+        try:
+            (answer,) = await link.run([command], timeout=timeout)
+        except BaseException:
+            link.close()
+            raise
+        status = self._dialer.status(answer)
+        self.failure = "" if status else (answer.fault or answer.state).value
+        return status
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._link is not None:
+            self._link.close()
--- /dev/null
+++ b/src/celeryjunction/replication/group.py
@@ -0,0 +1,378 @@
+"""A replicated group as this VM knows it: primary, term, proofs and freshness.
+
+Every promotion first pauses all replicas under the new term. A replica that reports
+the known term and holds no later one therefore proves that no promotion had taken
+effect when it was asked (docs/platform.md, "How a primary is proven").
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+
+from celeryjunction.errors import ErrorKind, ProxyError
+from celeryjunction.freshness import FreshnessHistory
+from celeryjunction.logs import get_logger
+from celeryjunction.ports import Clock
+from celeryjunction.replication.control import ControlLink
+from celeryjunction.replication.ports import (
+    NO_POSITION,
+    EndpointDialer,
+    EndpointInfo,
+    EndpointStatus,
+    LogPosition,
+)
+
+SETTLED_S = 3.0
+"""Evidence on a younger connection counts only if all replicas agree: the endpoint may
+have restarted and lost a pause. Longer than a promotion and the news of it take."""
+HEDGE_S = 0.04
+"""A second replica is asked when the first has not answered evidence for so long."""
+ROUND_PAUSE_S = 0.03
+"""Pause between two attempts to find evidence."""
+HELD_MEMORY_S = 1.5
+"""A pause seen longer ago than this may have ended."""
+FIRST_PROMOTION_S = 1.2
+"""Expected time of the first promotion: 1 s on the slowest site, and the calls."""
+LEAST_PROMOTION_S = 0.3
+LONGEST_PROMOTION_S = 3.0
+PRIMARY_WAIT_S = 0.05
+"""Pause between two looks for a primary while none is known."""
+
+_log = get_logger("replication")
+
+
+class ReplicationGroup:
+    """Endpoints of one group, its primary and term, and what proves them."""
+
+    def __init__(
+        self, name: str, *, zone: str, dialer: EndpointDialer, clock: Clock
+    ) -> None:
+        self.name = name
+        self.term = 0
+        self.primary: str | None = None
+        self.endpoints: dict[str, EndpointInfo] = {}
+        self.controls: dict[str, ControlLink] = {}
+        self.statuses: dict[str, tuple[float, EndpointStatus]] = {}
+        self.acknowledged = NO_POSITION
+        """Highest position of a commit that this VM saw acknowledged."""
+        self.primary_due = 0.0
+        """Time when a promotion that is under way should have taken effect."""
+        self.proven_at = 0.0
+        """When a primary and its position were last proven; seconds."""
+        self.history: FreshnessHistory[LogPosition] = FreshnessHistory()
+        self.promotion_s = FIRST_PROMOTION_S
+        """Expected seconds from the pause of the replicas to the new primary."""
+        self._zone = zone
+        self._dialer = dialer
+        self._clock = clock
+        self._round: tuple[float, asyncio.Task[bool]] | None = None
+        self._refresh: asyncio.Task[None] | None = None
+        self._primary_known = asyncio.Event()
+        self._expected_term = 0
+
+    def __rich_repr__(self) -> Iterator[tuple[str, object]]:
+        yield "name", self.name
+        yield "term", self.term
+        yield "primary", self.primary
+
+    @property
+    def replicas(self) -> list[str]:
+        """Ids of the endpoints other than the primary."""
+        return [name for name in self.endpoints if name != self.primary]
+
+    def follow(self, endpoints: dict[str, EndpointInfo]) -> None:
+        """Take over the group's endpoints from the register."""
+        for name in [n for n in self.controls if n not in endpoints]:
+            self.controls.pop(name).close()
+            self.statuses.pop(name, None)
+        for name, info in endpoints.items():
+            known = self.endpoints.get(name)
+            if name in self.controls and known is not None and known != info:
+                moved = (known.host, known.port, known.started_ms) != (
+                    info.host,
+                    info.port,
+                    info.started_ms,
+                )
+                if moved:
+                    self.controls.pop(name).close()
+            if name not in self.controls:
+                self.controls[name] = ControlLink(
+                    info, dialer=self._dialer, clock=self._clock
+                )
+        self.endpoints = dict(endpoints)
+        if self.primary is not None and self.primary not in endpoints:
+            self.lose_primary("not_registered")
+
+    def close(self) -> None:
+        """Close the control connections."""
+        self.follow({})
+
+    # What endpoints say
+
+    async def ask(
+        self, endpoint: str, *, timeout: float | None = None
+    ) -> EndpointStatus | None:
+        """Ask an endpoint for its status and take over what it says."""
+        control = self.controls.get(endpoint)
+        if control is None:
+            return None
+        asked_at = self._clock.monotonic()
+        if timeout is None:
+            status = await control.ask()
+        else:
+            status = await control.ask(timeout=timeout)
+        if status is not None:
+            self.observe(endpoint, status, asked_at=asked_at)
+        return status
+
+    def observe(
+        self, endpoint: str, status: EndpointStatus, *, asked_at: float
+    ) -> None:
+        """Take over an endpoint's status, for example a newer primary."""
+        self.statuses[endpoint] = (asked_at, status)
+        if status.is_primary:
+            newer = status.term > self.term
+            back = status.term == self.term and self.primary is None and not self.held
+            if newer or back:
+                self._new_primary(endpoint, status.term)
+        elif endpoint == self.primary:
+            self.lose_primary("not_primary_any_more")
+        elif status.held_term > max(self.term, status.term):
+            self._expect_promotion(status.held_term)
+
+    @property
+    def held(self) -> bool:
+        """Whether a replica was lately seen to hold a later term."""
+        oldest = self._clock.monotonic() - HELD_MEMORY_S
+        return any(
+            asked_at >= oldest and status.held_term > self.term
+            for asked_at, status in self.statuses.values()
+            if not status.is_primary
+        )
+
+    def _expect_promotion(self, held_term: int) -> None:
+        if held_term <= self._expected_term:
+            return
+        self._expected_term = held_term
+        self.primary_due = self._clock.monotonic() + self.promotion_s
+        self.lose_primary("promotion_under_way")
+
+    def _new_primary(self, endpoint: str, term: int) -> None:
+        _log.info(
+            "primary_changed",
+            group=self.name,
+            primary=endpoint,
+            term=term,
+            before=self.primary,
+            before_term=self.term,
+        )
+        if term != self.term:
+            self.history.clear()
+            self._learn_promotion_time()
+        self.term = term
+        self.primary = endpoint
+        self.primary_due = 0.0
+        self._primary_known.set()
+
+    def _learn_promotion_time(self) -> None:
+        """Expect the next promotion to take as long as this one did."""
+        if self.primary_due:
+            began = self.primary_due - self.promotion_s
+            took = self._clock.monotonic() - began
+            self.promotion_s = min(max(took, LEAST_PROMOTION_S), LONGEST_PROMOTION_S)
+
+    def lose_primary(self, reason: str) -> None:
+        """Forget the primary; statements for it wait or are refused."""
+        if self.primary is None:
+            return
+        _log.warning(
+            "primary_lost",
+            group=self.name,
+            primary=self.primary,
+            term=self.term,
+            reason=reason,
+        )
+        self.primary = None
+        self._primary_known.clear()
+        self.refresh_soon()
+
+    def refresh_soon(self) -> None:
+        """Ask all endpoints for their role, unless that is being done."""
+        if self._refresh is None or self._refresh.done():
+            self._refresh = asyncio.create_task(self.refresh())
+
+    async def refresh(self) -> None:
+        """Ask all endpoints for their status."""
+        await asyncio.gather(*(self.ask(name) for name in list(self.controls)))
+
+    # Proofs
+
+    async def primary_by(self, deadline: float) -> str:
+        """Return the primary; waits for one that is due before the deadline.
+
+        Raises `ProxyError` (not run) at once when none is expected in time.
+        """
+        while self.primary is None:
+            now = self._clock.monotonic()
+            if (
+                now >= deadline
+                or now >= self.primary_due
+                or self.primary_due > deadline
+            ):
+                # One look at the roles is worth its time before refusing.
+                self.refresh_soon()
+                await asyncio.wait({self._refresh}, timeout=max(0.0, deadline - now))
+                if self.primary is not None:
+                    break
+                raise self._no_primary()
+            await self._wait_for_primary(min(deadline - now, PRIMARY_WAIT_S))
+        return self.primary
+
+    async def _wait_for_primary(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self._primary_known.wait()
+        except TimeoutError:
+            self.refresh_soon()
+
+    def _no_primary(self) -> ProxyError:
+        return ProxyError(ErrorKind.NOT_RUN_NO_PRIMARY, {"database": self.name})
+
+    async def proven_primary(self, *, since: float, deadline: float) -> str:
+        """Return the primary that led at `since` or later, with evidence for it.
+
+        All commits acknowledged before `since` are in its log. Raises `ProxyError`
+        (not run) when there is no evidence by the deadline.
+        """
+        while True:
+            primary = await self.primary_by(deadline)
+            term = self.term
+            if await self._evidence(since) and term == self.term and self.primary:
+                return self.primary
+            now = self._clock.monotonic()
+            if now + ROUND_PAUSE_S >= deadline:
+                raise ProxyError(ErrorKind.FRESHNESS_UNPROVEN, {"database": self.name})
+            _log.info("evidence_missing", group=self.name, primary=primary, term=term)
+            await asyncio.sleep(ROUND_PAUSE_S)
+
+    async def _evidence(self, since: float) -> bool:
+        """Return whether evidence asked for at `since` or later was found.
+
+        Callers share a round that started late enough.
+        """
+        running = self._round
+        if running is None or running[0] < since or running[1].done():
+            started = self._clock.monotonic()
+            running = (started, asyncio.create_task(self._run_round()))
+            self._round = running
+        return await asyncio.shield(running[1])
+
+    async def _run_round(self) -> bool:
+        """Ask replicas, the best placed first, until one gives evidence."""
+        term = self.term
+        settled = self._by_distance(
+            name for name in self.replicas if self._is_settled(name)
+        )
+        asked: dict[asyncio.Task[EndpointStatus | None], str] = {}
+        try:
+            for name in settled:
+                asked[asyncio.create_task(self.ask(name))] = name
+                done, _ = await asyncio.wait(
+                    asked, timeout=HEDGE_S, return_when=asyncio.FIRST_COMPLETED
+                )
+                if any(self._confirms(task.result(), term) for task in done):
+                    return True
+            if asked:
+                done, _ = await asyncio.wait(asked)
+                if any(self._confirms(task.result(), term) for task in done):
+                    return True
+            return await self._all_agree(term)
+        finally:
+            for task in asked:
+                task.cancel()
+
+    async def _all_agree(self, term: int) -> bool:
+        replicas = self.replicas
+        if not replicas:
+            return False
+        answers = await asyncio.gather(*(self.ask(name) for name in replicas))
+        return all(self._confirms(status, term) for status in answers)
+
+    def _is_settled(self, endpoint: str) -> bool:
+        return self.controls[endpoint].open_s >= SETTLED_S
+
+    def _by_distance(self, names: Iterator[str]) -> list[str]:
+        def distance(name: str) -> tuple[bool, int]:
+            known = self.statuses.get(name)
+            busy = known[1].busy if known else 0
+            return self.endpoints[name].zone != self._zone, busy
+
+        return sorted(names, key=distance)
+
+    def _confirms(self, status: EndpointStatus | None, term: int) -> bool:
+        if status is None or status.is_primary:
+            return False
+        if status.held_term > term or status.term > term:
+            self.refresh_soon()
+            return False
+        return status.term == term
+
+    # Freshness
+
+    async def sample(self) -> bool:
+        """Ask the primary and a replica together and note what that proves.
+
+        Returns whether the position is proven.
+        """
+        started = self._clock.monotonic()
+        primary, term = self.primary, self.term
+        if primary is None:
+            await self.refresh()
+            return await self._sample_without_primary(started)
+        status, proven = await asyncio.gather(
+            self.ask(primary), self._evidence(started)
+        )
+        if status is None or not proven or (primary, term) != (self.primary, self.term):
+            return False
+        if status.is_primary and status.received.term <= term:
+            self.history.add(started, status.received)
+            self.proven_at = started
+            return True
+        return False
+
+    async def _sample_without_primary(self, started: float) -> bool:
+        """Note the furthest replica's position while all replicas can be asked.
+
+        Every acknowledged commit is at one of them, and none may hold a later term.
+        """
+        known = [self.statuses.get(name) for name in self.endpoints]
+        fresh = [entry[1] for entry in known if entry and entry[0] >= started]
+        replicas = [status for status in fresh if not status.is_primary]
+        if not self.term or len(replicas) < max(len(self.endpoints) - 1, 2):
+            return False
+        if any(not self._confirms(status, self.term) for status in replicas):
+            return False
+        self.history.add(started, max(s.received for s in replicas))
+        return True
+
+    def position_since(self, instant: float) -> LogPosition | None:
+        """Return a position that covers all acknowledged before `instant`.
+
+        None when no sample is recent enough.
+        """
+        return self.history.position_since(instant)
+
+    async def covered_position(self, *, instant: float, deadline: float) -> LogPosition:
+        """Return a covering position, sampling until the deadline if need be."""
+        while True:
+            position = self.position_since(instant)
+            if position is not None:
+                return position
+            if not await self.sample():
+                now = self._clock.monotonic()
+                if now + ROUND_PAUSE_S >= deadline:
+                    raise ProxyError(
+                        ErrorKind.FRESHNESS_UNPROVEN, {"database": self.name}
+                    )
+                await asyncio.sleep(ROUND_PAUSE_S)
--- /dev/null
+++ b/src/celeryjunction/replication/register.py
@@ -0,0 +1,145 @@
+"""Which endpoints there are, from the platform's register of heartbeats.
+
+An endpoint's entry lapses when it is silent, and also while the store is away. An
+entry that is missing names a lost endpoint only once the store has answered for
+`RETURN_S`, because endpoints that live are back by then.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from random import Random
+
+from celeryjunction.logs import get_logger
+from celeryjunction.ports import (
+    Clock,
+    KeyValue,
+    KeyValueStore,
+    StoreRefused,
+    StoreUnavailable,
+)
+from celeryjunction.replication.ports import EndpointInfo
+
+POLL_S = 1.0
+"""Pause between two lists. Entries change with each heartbeat, so a watch would cost
+as many calls as there are heartbeats."""
+LIST_TIMEOUT_S = 1.5
+RETURN_S = 3.0
+"""Live endpoints are back about 2 s after the store's return, by the users' letter."""
+AWAY_S = 2.5
+"""Without an answer for so long the store counts as away: entries may have lapsed."""
+
+_log = get_logger("register")
+
+Decode = Callable[[KeyValue], EndpointInfo | str]
+OnEndpoints = Callable[[dict[str, EndpointInfo]], None]
+
+
+class EndpointRegister:
+    """Follows the register and keeps the last known entries while it is away."""
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        prefix: str,
+        *,
+        decode: Decode,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self.endpoints: dict[str, EndpointInfo] = {}
+        self.draining_since: dict[str, float] = {}
+        """When each draining endpoint was first seen so; 0 if it was from the start."""
+        self.synced = asyncio.Event()
+        self._store = store
+        self._prefix = prefix
+        self._decode = decode
+        self._clock = clock
+        self._random = random
+        self._revision = 0
+        self._answered_at = 0.0
+        self._steady_since = 0.0
+        self._listeners: list[OnEndpoints] = []
+        self._ignored: dict[str, str] = {}
+
+    def __rich_repr__(self) -> Iterator[tuple[str, object]]:
+        yield "endpoints", sorted(self.endpoints)
+        yield "revision", self._revision
+
+    def subscribe(self, listener: OnEndpoints) -> None:
+        """Call back with all endpoints after each change."""
+        self._listeners.append(listener)
+
+    async def run(self) -> None:
+        """List the register again and again until cancelled."""
+        while True:
+            await self.poll()
+            pause = POLL_S if self.synced.is_set() else POLL_S / 5
+            await asyncio.sleep(pause * self._random.uniform(0.8, 1.2))
+
+    async def poll(self) -> bool:
+        """List the register once; return whether the store answered."""
+        try:
+            listed = await self._store.list(self._prefix, timeout=LIST_TIMEOUT_S)
+        except (StoreUnavailable, StoreRefused) as error:
+            if self._steady_since:
+                _log.warning("register_unavailable", reason=str(error))
+            self._steady_since = 0.0
+            return False
+        now = self._clock.monotonic()
+        if listed.revision < self._revision:
+            return True
+        if not self._steady_since or now - self._answered_at > AWAY_S:
+            _log.info("register_available", revision=listed.revision)
+            self._steady_since = now
+        self._answered_at = now
+        self._revision = listed.revision
+        self._take(listed.items, now)
+        return True
+
+    def _take(self, items: tuple[KeyValue, ...], now: float) -> None:
+        found: dict[str, EndpointInfo] = {}
+        for item in items:
+            info = self._decode(item)
+            if isinstance(info, str):
+                self._ignore(item.key, info)
+            else:
+                found[info.id] = info
+        steady = now - self._steady_since >= RETURN_S
+        if not steady:
+            for name, info in self.endpoints.items():
+                found.setdefault(name, info)
+        if found != self.endpoints or not self.synced.is_set():
+            self._changed(found, now)
+
+    def _changed(self, found: dict[str, EndpointInfo], now: float) -> None:
+        for name in sorted(self.endpoints.keys() - found.keys()):
+            _log.info("endpoint_gone", endpoint=name, revision=self._revision)
+        for name, info in found.items():
+            known = self.endpoints.get(name)
+            if known != info:
+                _log.info(
+                    "endpoint_registered",
+                    endpoint=name,
+                    group=info.group,
+                    zone=info.zone,
+                    draining=info.draining,
+                    started_ms=info.started_ms,
+                    revision=self._revision,
+                )
+        first = not self.synced.is_set()
+        self.draining_since = {
+            name: self.draining_since.get(name, 0.0 if first else now)
+            for name, info in found.items()
+            if info.draining
+        }
+        self.endpoints = found
+        self.synced.set()
+        for listener in self._listeners:
+            listener(found)
+
+    def _ignore(self, key: str, reason: str) -> None:
+        if self._ignored.get(key) != reason and len(self._ignored) < 1000:
+            self._ignored[key] = reason
+            _log.warning("register_entry_ignored", entry=key, reason=reason)
