--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -62,6 +62,8 @@
 """A group without proof for so long does not count as served."""
 SETTINGS_POLL_S = 2.0
 """Interval at which the settings file is looked at; it may change without a signal."""
+SUMMARY_S = 10.0
+"""Interval of the log line that sums up what this process does."""
 EXIT_BAD_SETTINGS = 2
 
 _log = get_logger("edge")
@@ -277,13 +279,17 @@
             f'store_calls{{call="{name}"}} {calls}'
             for name, calls in sorted(self._store_client.calls.items())
         ]
+        lines += [
+            f'endpoint_commands{{command="{name}"}} {sent}'
+            for name, sent in sorted(self._dialer.sent.items())
+        ]
         lines.append(f"endpoint_connections_opened {self._dialer.opened}")
         return ("\n".join(lines) + "\n").encode()
 
     # Maintenance, reload, stop
 
     async def _maintain(self) -> None:
-        looked_at = 0.0
+        looked_at = summed_up_at = 0.0
         while True:
             await asyncio.sleep(MAINTENANCE_S)
             self._apply_endpoints()
@@ -298,6 +304,22 @@
             if now - looked_at >= SETTINGS_POLL_S:
                 looked_at = now
                 self.reload()
+            if now - summed_up_at >= SUMMARY_S:
+                summed_up_at = now
+                self._log_summary()
+
+    def _log_summary(self) -> None:
+        gateway = self._gateway
+        _log.info(
+            "summary",
+            callers=len(self._frontend.connections),
+            running=gateway.running,
+            open_transactions=gateway.open_transactions,
+            waiting=sum(one.waiting for one in gateway.dispatchers.values()),
+            endpoint_connections_opened=self._dialer.opened,
+            endpoint_commands=dict(self._dialer.sent),
+            store_calls=dict(self._store_client.calls),
+        )
 
     def reload(self) -> None:
         """Read the settings again; bounds change at once, addresses at a restart."""
--- a/src/celeryjunction/platform/endpoints.py
+++ b/src/celeryjunction/platform/endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Sequence
 
 from celeryjunction.errors import ConnectionLost
@@ -28,7 +29,10 @@
 class LineLink:
     """Implements `EndpointLink` on one connection."""
 
-    def __init__(self, stream: LineStream, *, opened_at: float) -> None:
+    def __init__(
+        self, stream: LineStream, *, opened_at: float, sent: Counter[str]
+    ) -> None:
+        self._sent = sent
         self.opened_at = opened_at
         self.values: dict[bytes, bytes] = {}
         self.prepared: set[bytes] = set()
@@ -46,6 +50,7 @@
             self.close()
             raise ConnectionLost("the connection was closed", sent=False)
         self._running = True
+        self._sent.update(type(command).__name__ for command in commands)
         self._stream.write(b"".join(map(encode_command, commands)))
         try:
             async with asyncio.timeout(timeout):
@@ -117,6 +122,8 @@
         self._clock = clock
         self.opened = 0
         """Connections opened since the start."""
+        self.sent: Counter[str] = Counter()
+        """Commands sent since the start, by kind."""
 
     async def connect(self, endpoint: EndpointInfo, *, timeout: float) -> LineLink:
         """Open a connection and wait until the endpoint is ready for statements."""
@@ -142,7 +149,7 @@
             raise
         self._check_ready(stream, line)
         self.opened += 1
-        return LineLink(stream, opened_at=self._clock.monotonic())
+        return LineLink(stream, opened_at=self._clock.monotonic(), sent=self.sent)
 
     @staticmethod
     def _check_ready(stream: LineStream, line: bytes | None) -> None:
