Write down the members of a term; take samples from evidence and ordinary answers

Change: a roster of each term's members in the store, all of which are paused first; samples come from evidence and the primary's ordinary answers; BEGIN keeps its caller's id.

--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -7,16 +7,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from random import Random
 
 from celeryjunction.failover.claims import Claim, Claims
 from celeryjunction.failover.selection import choose_replica
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import Clock
+from celeryjunction.replication.control import ControlLink
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import (
     Demote,
+    EndpointDialer,
+    EndpointInfo,
     EndpointStatus,
     LogPosition,
     PauseReceiving,
@@ -24,6 +27,7 @@
     PromotionResult,
     ResumeReceiving,
 )
+from celeryjunction.replication.roster import GroupRoster
 
 COMMAND_TIMEOUT_S = 0.3
 """A pause or demotion takes a round trip; this allows for a lost packet."""
@@ -44,20 +48,25 @@
         self,
         group: ReplicationGroup,
         *,
+        roster: GroupRoster,
         claims: Claims,
         promoter: Promoter,
         vm: str,
         clock: Clock,
         random: Random,
+        dialer: EndpointDialer,
         refresh_register: Callable[[], Awaitable[bool]],
     ) -> None:
         self._group = group
+        self._roster = roster
         self._claims = claims
         self._promoter = promoter
         self._vm = vm
         self._clock = clock
         self._random = random
+        self._dialer = dialer
         self._refresh_register = refresh_register
+        self._unregistered: dict[str, ControlLink] = {}
 
     async def replace(self, reason: str, *, acknowledged: LogPosition) -> bool:
         """Replace the primary; return whether a new one leads.
@@ -93,20 +102,32 @@
 
     async def _replace(self, claim: Claim, acknowledged: LogPosition) -> bool:
         group = self._group
-        if not await self._refresh_register():
+        stored = await self._roster.read()
+        if stored is None or not await self._refresh_register():
             return False
         old, term = group.primary, group.term
-        before = await self._ask_all(group.replicas)
+        needed = self._roster.to_pause(stored, term=term, registered=group.endpoints)
+        needed.pop(old or "", None)
+        before = await self._ask_all(needed)
         if group.term != term:
             return True  # Another holder was faster.
-        inherited = any(
-            status is not None and status.held_term > term for status in before.values()
-        )
+        if old is None:
+            # A primary of this term that came back may be among those asked.
+            leading = {
+                n for n, status in before.items() if status and status.is_primary
+            }
+            needed = {n: info for n, info in needed.items() if n not in leading}
+            old = next(iter(leading), None)
+        silent = sorted(name for name in needed if before[name] is None)
+        if silent or not needed:
+            _log.warning("replica_not_asked", group=group.name, term=term, names=silent)
+            return False
+        inherited = any(before[name].held_term > term for name in needed)
         if inherited and await self._takeover(term, INHERITED_WAIT_S):
             return True
-        paused = await self._pause_all(term)
+        paused = await self._pause_all(needed, term)
         if paused is None:
-            await self._give_up(inherited)
+            await self._give_up(needed, inherited)
             return False
         if old is not None:
             await self._command(old, Demote(term + 1))
@@ -119,51 +140,74 @@
                 acknowledged=str(acknowledged),
                 received={name: str(s.received) for name, s in paused.items()},
             )
-            await self._give_up(inherited)
+            await self._give_up(needed, inherited)
             return False
         if not await self._still_paused(paused, term):
-            await self._give_up(inherited)
+            await self._give_up(needed, inherited)
             return False
         return await self._promote(claim, chosen, term, paused, inherited)
 
-    async def _ask_all(self, names: list[str]) -> dict[str, EndpointStatus | None]:
-        answers = await asyncio.gather(*(self._group.ask(name) for name in names))
+    def _control(self, endpoint: str) -> ControlLink | None:
+        return self._group.controls.get(endpoint) or self._unregistered.get(endpoint)
+
+    async def _ask_all(
+        self, endpoints: Iterable[str] | dict[str, EndpointInfo]
+    ) -> dict[str, EndpointStatus | None]:
+        """Ask endpoints for their status, also those without an entry any more."""
+        if isinstance(endpoints, dict):
+            self._open_unregistered(endpoints)
+        names = list(endpoints)
+        answers = await asyncio.gather(*(self._command(name) for name in names))
         return dict(zip(names, answers, strict=True))
 
+    def _open_unregistered(self, endpoints: dict[str, EndpointInfo]) -> None:
+        for control in self._unregistered.values():
+            control.close()
+        self._unregistered = {
+            name: ControlLink(info, dialer=self._dialer, clock=self._clock)
+            for name, info in endpoints.items()
+            if name not in self._group.controls
+        }
+
     async def _command(
-        self, endpoint: str, command: PauseReceiving | ResumeReceiving | Demote
+        self,
+        endpoint: str,
+        command: PauseReceiving | ResumeReceiving | Demote | None = None,
     ) -> EndpointStatus | None:
-        control = self._group.controls.get(endpoint)
+        """Send a command, by default for the status, and take over the answer."""
+        control = self._control(endpoint)
         if control is None:
             return None
         asked_at = self._clock.monotonic()
         status = await control.ask(command, timeout=COMMAND_TIMEOUT_S)
         if status is not None:
             self._group.observe(endpoint, status, asked_at=asked_at)
-        _log.info(
-            "failover_command",
-            group=self._group.name,
-            endpoint=endpoint,
-            command=type(command).__name__,
-            answer=status,
-            failure=control.failure,
-        )
+        if command is not None or status is None:
+            _log.info(
+                "failover_command",
+                group=self._group.name,
+                endpoint=endpoint,
+                command=type(command).__name__,
+                answer=status,
+                failure=control.failure,
+            )
         return status
 
-    async def _pause_all(self, term: int) -> dict[str, EndpointStatus] | None:
+    async def _pause_all(
+        self, needed: dict[str, EndpointInfo], term: int
+    ) -> dict[str, EndpointStatus] | None:
         """Pause every replica; None if one could not be paused."""
-        replicas = self._group.replicas
         await asyncio.gather(
-            *(self._command(name, PauseReceiving(term + 1)) for name in replicas)
+            *(self._command(name, PauseReceiving(term + 1)) for name in needed)
         )
-        statuses = await self._ask_all(replicas)
+        statuses = await self._ask_all(list(needed))
         paused = {
             name: status
             for name, status in statuses.items()
             if status is not None and status.held_term > term and not status.is_primary
         }
-        if not replicas or len(paused) < len(replicas):
-            missing = sorted(set(replicas) - set(paused))
+        if len(paused) < len(needed):
+            missing = sorted(set(needed) - set(paused))
             _log.warning(
                 "replica_not_paused", group=self._group.name, term=term, missing=missing
             )
@@ -180,16 +224,15 @@
             for name, status in again.items()
         )
 
-    async def _give_up(self, inherited: bool) -> None:
+    async def _give_up(self, paused: Iterable[str], inherited: bool) -> None:
         """Let the replicas receive again, unless an earlier promotion may take effect.
 
         Then a later try finishes what was begun.
         """
         if inherited:
             return
-        replicas = self._group.replicas
         await asyncio.gather(
-            *(self._command(name, ResumeReceiving()) for name in replicas)
+            *(self._command(name, ResumeReceiving()) for name in paused)
         )
         self._group.refresh_soon()
 
@@ -222,7 +265,7 @@
             result=result,
         )
         if result is PromotionResult.REFUSED:
-            await self._give_up(inherited)
+            await self._give_up(paused, inherited)
             return False
         return await self._takeover(term, TAKEOVER_LIMIT_S)
 
--- a/src/celeryjunction/failover/detector.py
+++ b/src/celeryjunction/failover/detector.py
@@ -4,7 +4,7 @@
 
 from celeryjunction.ports import Clock
 from celeryjunction.replication.group import ReplicationGroup
-from celeryjunction.replication.ports import EndpointStatus, LogPosition
+from celeryjunction.replication.ports import LogPosition
 
 REFUSED_S = 0.25
 """A primary whose port refuses connections for so long is down: no process listens."""
@@ -53,14 +53,14 @@
         """Whether the last question to the primary got no answer."""
         return self._failures > 0
 
-    def note(self, primary: str, status: EndpointStatus | None) -> None:
-        """Note the outcome of a question to the primary."""
+    def note(self, primary: str, *, answered: bool) -> None:
+        """Note whether the primary answered lately, or else the last question."""
         if primary != self._primary:
             self._primary = primary
             self._reset()
         control = self._group.controls.get(primary)
         failure = control.failure if control is not None else "gone"
-        if status is not None or failure == "busy":
+        if answered or failure in ("", "busy"):
             self._failures = self._refused = 0
             self._failing_since = 0.0
             return
--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from random import Random
 
 from celeryjunction.failover.coordinator import Coordinator
@@ -13,16 +14,23 @@
 from celeryjunction.ports import Clock
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import Demote, LogPosition
-
-SAMPLE_S = 0.3
-"""Pause between samples. The shortest staleness bound is 1.5 s, so five samples may
-fail before reads find none that is recent enough."""
-SUSPECT_SAMPLE_S = 0.1
-"""Pause between samples while the primary does not answer."""
+from celeryjunction.replication.roster import GroupRoster
+
+LOOK_S = 0.25
+"""Interval at which the group is looked at; that asks nobody if statements told all."""
+SAMPLE_S = 0.7
+"""A sample is taken when the last one is so old. The shortest staleness bound is 1.5 s,
+so that one more may fail before reads find none that is recent enough."""
+HEARD_S = 0.5
+"""The primary is asked when it has not answered any statement for so long."""
+SUSPECT_S = 0.1
+"""Interval at which the group is looked at while its primary does not answer."""
 RETRY_S = 0.6
 """Pause after a failed replacement, up to twice as long at random."""
 ABANDONED_S = 2.5
 """Replicas that are held for so long were left by a holder that stopped."""
+ROSTER_SPREAD_S = 1.0
+"""VMs write a changed roster within this of each other, so that one write does."""
 UNKNOWN_S = 1.0
 """A group without any primary for so long gets one."""
 
@@ -38,6 +46,7 @@
         *,
         coordinator: Coordinator,
         suspicions: Suspicions,
+        roster: GroupRoster,
         live_vms: Callable[[], int],
         clock: Clock,
         random: Random,
@@ -45,6 +54,8 @@
         self._group = group
         self._coordinator = coordinator
         self._suspicions = suspicions
+        self._roster = roster
+        self._roster_due = 0.0
         self._live_vms = live_vms
         self._clock = clock
         self._random = random
@@ -55,8 +66,9 @@
         self._last_primary = ""
 
     async def run(self) -> None:
-        """Sample and judge until cancelled."""
+        """Look at the group again and again until cancelled."""
         while True:
+            self._group.nudged.clear()
             try:
                 await self.step()
             except Exception as error:
@@ -67,35 +79,82 @@
                     group=self._group.name,
                     reason=repr(error),
                 )
-            pause = SUSPECT_SAMPLE_S if self._uncertain else SAMPLE_S
-            await asyncio.sleep(pause * self._random.uniform(0.8, 1.2))
-
-    @property
-    def _uncertain(self) -> bool:
-        return self._watch.failing or self._group.primary is None
+            await self._pause()
+
+    async def _pause(self) -> None:
+        uncertain = self._watch.failing or self._group.primary is None
+        pause = SUSPECT_S if uncertain else LOOK_S
+        pause *= self._random.uniform(0.8, 1.2)
+        if uncertain:
+            await asyncio.sleep(pause)
+            return
+        with suppress(TimeoutError):
+            async with asyncio.timeout(pause):
+                await self._group.nudged.wait()
 
     async def step(self) -> None:
-        """Take one sample and act on it."""
+        """Ask what is not known from statements lately, and act on it."""
         group = self._group
-        primary = group.primary
         started = self._clock.monotonic()
-        await group.sample()
+        primary = group.primary
+        if primary is None or group.sampled_at < started - SAMPLE_S:
+            await group.sample()
+        elif self._watch.failing or group.heard_at(primary) < started - HEARD_S:
+            await group.ask(primary)
         if primary is not None:
             self._last_primary = primary
             self._note_primary(primary, started)
         await self._demote_old()
+        await self._keep_roster()
         reason = self._reason()
+        if reason == "stalled" and not await self._still_stalled():
+            reason = None
         if reason is None:
             await self._suspicions.withdraw(group.name)
         elif self._clock.monotonic() >= self._next_try:
             await self._replace(reason)
 
+    async def _still_stalled(self) -> bool:
+        """Ask all endpoints: the last word of some replicas may be old."""
+        group = self._group
+        if group.primary is None:
+            return False
+        started = self._clock.monotonic()
+        await group.refresh()
+        self._note_primary(group.primary, started)
+        return self._watch.verdict() == "stalled"
+
+    async def _keep_roster(self) -> None:
+        """Write down who takes part in the term; VMs take turns at random."""
+        group = self._group
+        if not group.term:
+            return
+        alive = {
+            name: group.endpoints[name]
+            for name, (_, status) in group.statuses.items()
+            if status.term == group.term and name in group.endpoints
+        }
+        self._roster.note(
+            term=group.term,
+            primary=group.primary,
+            alive=alive,
+            registered=group.endpoints,
+        )
+        now = self._clock.monotonic()
+        if not self._roster.outdated or now < self._roster_due:
+            return
+        if not self._roster_due:
+            self._roster_due = now + ROSTER_SPREAD_S * self._random.random()
+            return
+        self._roster_due = now + ROSTER_SPREAD_S * self._random.uniform(0.5, 1.5)
+        await self._roster.write()
+
     def _note_primary(self, primary: str, started: float) -> None:
         group = self._group
+        heard = group.heard_at(primary) >= started - HEARD_S
+        self._watch.note(primary, answered=heard)
         known = group.statuses.get(primary)
-        status = known[1] if known is not None and known[0] >= started else None
-        self._watch.note(primary, status)
-        if status is None:
+        if known is None or known[0] < started:
             return
         replicas = [
             group.statuses[name][1].received
@@ -103,7 +162,7 @@
             if name in group.statuses
         ]
         if len(replicas) == len(group.replicas):
-            self._watch.note_replication(status.received, replicas)
+            self._watch.note_replication(known[1].received, replicas)
 
     def _reason(self) -> str | None:
         group = self._group
@@ -139,7 +198,7 @@
         group = self._group
         primary = group.primary or self._last_primary or "-"
         term = group.term
-        self._next_try = self._clock.monotonic() + SUSPECT_SAMPLE_S
+        self._next_try = self._clock.monotonic() + SUSPECT_S
         stored = await self._suspicions.tell(
             group.name, term=term, primary=primary, acknowledged=group.acknowledged
         )
@@ -166,7 +225,7 @@
     async def _demote_old(self) -> None:
         """Tell endpoints that still lead an older term about the newer one."""
         group = self._group
-        oldest = self._clock.monotonic() - 2 * SAMPLE_S
+        oldest = self._clock.monotonic() - SAMPLE_S
         for name, (asked_at, status) in list(group.statuses.items()):
             if status.is_primary and status.term < group.term and asked_at >= oldest:
                 control = group.controls.get(name)
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -75,9 +75,18 @@
 class _Transaction:
     """An open transaction; `grant` is its connection once something was sent."""
 
-    __slots__ = ("arrived", "failed", "grant", "read_only", "state_sent", "wrote")
-
-    def __init__(self, *, read_only: bool, arrived: float) -> None:
+    __slots__ = (
+        "arrived",
+        "failed",
+        "grant",
+        "read_only",
+        "request_id",
+        "state_sent",
+        "wrote",
+    )
+
+    def __init__(self, *, request_id: bytes, read_only: bool, arrived: float) -> None:
+        self.request_id = request_id
         self.read_only = read_only
         self.arrived = arrived
         self.grant: Grant | None = None
@@ -199,7 +208,9 @@
                 ErrorKind.PROTOCOL_VIOLATION, {"reason": "a transaction is open"}
             )
         self._transaction = _Transaction(
-            read_only=statement.read_only, arrived=request.arrived
+            request_id=request.id,
+            read_only=statement.read_only,
+            arrived=request.arrived,
         )
         self._gateway.open_transactions += 1
         return self._own_answer()
@@ -394,7 +405,7 @@
                 await bring_state(grant.link, commands, timeout=left)
             except ConnectionLost as error:
                 raise ConnectionLost(error.reason, sent=False) from None
-            (answer,) = await grant.link.run([command], timeout=left)
+            answer = await self._ask(grant, command, left)
             answered = True
             return answer
         finally:
@@ -462,14 +473,16 @@
                 self._endpoint_failed(route, demand, error)
                 continue
             self._endpoint = grant.endpoint
-            command = OpenTransaction(transaction.read_only, after)
+            command = OpenTransaction(
+                transaction.request_id, transaction.read_only, after
+            )
             try:
                 left = max(deadline - self._clock.monotonic(), 0.001)
                 commands = state_commands(
                     grant.link, values=self._values, prepared=None, in_transaction=False
                 )
                 await bring_state(grant.link, commands, timeout=left)
-                (answer,) = await grant.link.run([command], timeout=left)
+                answer = await self._ask(grant, command, left)
             except ConnectionLost as error:
                 grant.release(reusable=False, answered=False)
                 self._endpoint_failed(route, demand, error)
@@ -504,12 +517,21 @@
             if commands:
                 transaction.state_sent = True
                 await bring_state(grant.link, commands, timeout=left)
-            (answer,) = await grant.link.run([command], timeout=left)
+            answer = await self._ask(grant, command, left)
             answered = True
             return answer
         finally:
             grant.end_statement(answered=answered)
 
+    async def _ask(self, grant: Grant, command: Command, timeout: float) -> Answer:
+        """Run a command and let the group learn from the answer."""
+        sent_at = self._clock.monotonic()
+        (answer,) = await grant.link.run([command], timeout=timeout)
+        group = self._gateway.groups.get(grant.gate.info.group)
+        if group is not None:
+            group.note_answer(grant.endpoint, answer.position, sent_at=sent_at)
+        return answer
+
     async def _commit(
         self, transaction: _Transaction, request: Request, route: Route | None
     ) -> Answer:
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -46,6 +46,7 @@
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import EndpointInfo
 from celeryjunction.replication.register import EndpointRegister
+from celeryjunction.replication.roster import GroupRoster
 
 MAINTENANCE_S = 0.5
 """Interval at which idle connections and usable endpoints are looked over."""
@@ -194,19 +195,23 @@
             random=self._random,
             max_links=self._max_links,
         )
+        roster = GroupRoster(name, self._store, clock=self._clock)
         coordinator = Coordinator(
             group,
+            roster=roster,
             claims=self._claims,
             promoter=self._promoter,
             vm=self._settings.node_name,
             clock=self._clock,
             random=self._random,
+            dialer=self._dialer,
             refresh_register=self._register.poll,
         )
         supervisor = Supervisor(
             group,
             coordinator=coordinator,
             suspicions=self._suspicions,
+            roster=roster,
             live_vms=self._live_vms,
             clock=self._clock,
             random=self._random,
--- a/src/celeryjunction/platform/wire.py
+++ b/src/celeryjunction/platform/wire.py
@@ -159,7 +159,7 @@
 @encode_command.register
 def _(command: OpenTransaction) -> bytes:
     text = b"BEGIN READ" if command.read_only else b"BEGIN"
-    return _line(OWN_ID, command.after, text)
+    return _line(command.request_id, command.after, text)
 
 
 @encode_command.register
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -36,6 +36,8 @@
 """Expected time of the first promotion: 1 s on the slowest site, and the calls."""
 LEAST_PROMOTION_S = 0.3
 LONGEST_PROMOTION_S = 3.0
+RECENT_S = 0.3
+"""An answer of the primary to a statement sent this long ago gives its position."""
 PRIMARY_WAIT_S = 0.05
 """Pause between two looks for a primary while none is known."""
 
@@ -70,6 +72,12 @@
         self._refresh: asyncio.Task[None] | None = None
         self._primary_known = asyncio.Event()
         self._expected_term = 0
+        self._heard: dict[str, float] = {}
+        self._primary_answer: tuple[float, LogPosition] | None = None
+        self.sampled_at = 0.0
+        """Instant that the newest entry of the history covers; seconds."""
+        self.nudged = asyncio.Event()
+        """Set when the primary should be looked at without delay."""
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
         yield "name", self.name
@@ -126,11 +134,30 @@
             self.observe(endpoint, status, asked_at=asked_at)
         return status
 
+    def heard_at(self, endpoint: str) -> float:
+        """Return when a command was sent that the endpoint answered last."""
+        return self._heard.get(endpoint, 0.0)
+
+    def note_answer(
+        self, endpoint: str, position: LogPosition | None, *, sent_at: float
+    ) -> None:
+        """Note an answer of an endpoint to a command sent at `sent_at`.
+
+        The primary's position covers all that was acknowledged before.
+        """
+        self._heard[endpoint] = max(sent_at, self._heard.get(endpoint, 0.0))
+        if endpoint == self.primary and position is not None:
+            known = self._primary_answer
+            if position.term <= self.term and (known is None or sent_at > known[0]):
+                self._primary_answer = (sent_at, position)
+
     def observe(
         self, endpoint: str, status: EndpointStatus, *, asked_at: float
     ) -> None:
         """Take over an endpoint's status, for example a newer primary."""
         self.statuses[endpoint] = (asked_at, status)
+        position = status.received if status.is_primary else None
+        self.note_answer(endpoint, position, sent_at=asked_at)
         if status.is_primary:
             newer = status.term > self.term
             back = status.term == self.term and self.primary is None and not self.held
@@ -169,9 +196,11 @@
         )
         if term != self.term:
             self.history.clear()
+            self.sampled_at = 0.0
             self._learn_promotion_time()
         self.term = term
         self.primary = endpoint
+        self._primary_answer = None
         self.primary_due = 0.0
         self._primary_known.set()
 
@@ -199,6 +228,7 @@
 
     def refresh_soon(self) -> None:
         """Ask all endpoints for their role, unless that is being done."""
+        self.nudged.set()
         if self._refresh is None or self._refresh.done():
             self._refresh = asyncio.create_task(self.refresh())
 
@@ -266,7 +296,20 @@
             started = self._clock.monotonic()
             running = (started, asyncio.create_task(self._run_round()))
             self._round = running
-        return await asyncio.shield(running[1])
+        found = await asyncio.shield(running[1])
+        if found:
+            self._note_covered(running[0])
+        return found
+
+    def _note_covered(self, proven_at: float) -> None:
+        """Note what an answer of the primary and evidence cover together."""
+        answer = self._primary_answer
+        if answer is None:
+            return
+        instant = min(answer[0], proven_at)
+        if instant > self.sampled_at:
+            self.sampled_at = self.proven_at = instant
+            self.history.add(instant, answer[1])
 
     async def _run_round(self) -> bool:
         """Ask replicas, the best placed first, until one gives evidence."""
@@ -321,25 +364,20 @@
     # Freshness
 
     async def sample(self) -> bool:
-        """Ask the primary and a replica together and note what that proves.
+        """Find evidence and the primary's position; return whether both were found.
 
-        Returns whether the position is proven.
+        The primary is asked only if it did not answer a statement lately.
         """
         started = self._clock.monotonic()
-        primary, term = self.primary, self.term
+        primary, before = self.primary, self.sampled_at
         if primary is None:
             await self.refresh()
             return await self._sample_without_primary(started)
-        status, proven = await asyncio.gather(
-            self.ask(primary), self._evidence(started)
-        )
-        if status is None or not proven or (primary, term) != (self.primary, self.term):
-            return False
-        if status.is_primary and status.received.term <= term:
-            self.history.add(started, status.received)
-            self.proven_at = started
-            return True
-        return False
+        if self.heard_at(primary) < started - RECENT_S or self._primary_answer is None:
+            await asyncio.gather(self.ask(primary), self._evidence(started))
+        else:
+            await self._evidence(started)
+        return self.sampled_at > before
 
     async def _sample_without_primary(self, started: float) -> bool:
         """Note the furthest replica's position while all replicas can be asked.
@@ -353,6 +391,7 @@
             return False
         if any(not self._confirms(status, self.term) for status in replicas):
             return False
+        self.sampled_at = started
         self.history.add(started, max(s.received for s in replicas))
         return True
 
--- a/src/celeryjunction/replication/ports.py
+++ b/src/celeryjunction/replication/ports.py
@@ -116,8 +116,9 @@
 
 
 class OpenTransaction(msgspec.Struct, frozen=True):
-    """Opens a transaction; only a primary opens one that may write."""
+    """Opens a caller's transaction; only a primary opens one that may write."""
 
+    request_id: bytes
     read_only: bool
     after: LogPosition | None = None
 
