Wait for every member of the term that may still receive

Change: a drained member counts until its port is closed; positions without a primary need all members of the roster.

--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -14,7 +14,7 @@
 from celeryjunction.failover.selection import choose_replica
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import Clock
-from celeryjunction.replication.control import ControlLink
+from celeryjunction.replication.control import NOT_LISTENING, ControlLink
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import (
     Demote,
@@ -118,6 +118,7 @@
             }
             needed = {n: info for n, info in needed.items() if n not in leading}
             old = next(iter(leading), None)
+        needed = {n: info for n, info in needed.items() if not self._ended(info)}
         silent = sorted(name for name in needed if before[name] is None)
         if silent or not needed:
             _log.warning("replica_not_asked", group=group.name, term=term, names=silent)
@@ -147,6 +148,15 @@
             return False
         return await self._promote(claim, chosen, term, paused, inherited)
 
+    def _ended(self, info: EndpointInfo) -> bool:
+        """Whether an endpoint drained and its process no longer runs."""
+        control = self._control(info.id)
+        ended = control is not None and control.failure in NOT_LISTENING
+        if not (info.draining and ended):
+            return False
+        self._roster.strike_off(info.id)
+        return True
+
     def _control(self, endpoint: str) -> ControlLink | None:
         return self._group.controls.get(endpoint) or self._unregistered.get(endpoint)
 
--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -12,8 +12,9 @@
 from celeryjunction.failover.suspicions import Suspicions
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import Clock
+from celeryjunction.replication.control import NOT_LISTENING, ControlLink
 from celeryjunction.replication.group import ReplicationGroup
-from celeryjunction.replication.ports import Demote, LogPosition
+from celeryjunction.replication.ports import Demote, EndpointDialer, LogPosition
 from celeryjunction.replication.roster import GroupRoster
 
 LOOK_S = 0.25
@@ -31,6 +32,8 @@
 """Replicas that are held for so long were left by a holder that stopped."""
 ROSTER_SPREAD_S = 1.0
 """VMs write a changed roster within this of each other, so that one write does."""
+LEAVERS_S = 1.0
+"""Interval at which members that drained are looked for at their address."""
 UNKNOWN_S = 1.0
 """A group without any primary for so long gets one."""
 
@@ -48,6 +51,7 @@
         suspicions: Suspicions,
         roster: GroupRoster,
         live_vms: Callable[[], int],
+        dialer: EndpointDialer,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -56,7 +60,9 @@
         self._suspicions = suspicions
         self._roster = roster
         self._roster_due = 0.0
+        self._leavers_due = 0.0
         self._live_vms = live_vms
+        self._dialer = dialer
         self._clock = clock
         self._random = random
         self._watch = PrimaryWatch(group, clock=clock)
@@ -140,6 +146,7 @@
             alive=alive,
             registered=group.endpoints,
         )
+        await self._look_for_leavers()
         now = self._clock.monotonic()
         if not self._roster.outdated or now < self._roster_due:
             return
@@ -149,6 +156,19 @@
         self._roster_due = now + ROSTER_SPREAD_S * self._random.uniform(0.5, 1.5)
         await self._roster.write()
 
+    async def _look_for_leavers(self) -> None:
+        """Strike off the members that drained and whose port is closed."""
+        now = self._clock.monotonic()
+        if now < self._leavers_due:
+            return
+        self._leavers_due = now + LEAVERS_S * self._random.uniform(0.8, 1.2)
+        for member in self._roster.absent_leavers():
+            control = ControlLink(member, dialer=self._dialer, clock=self._clock)
+            await control.ask()
+            control.close()
+            if control.failure in NOT_LISTENING:
+                self._roster.strike_off(member.id)
+
     def _note_primary(self, primary: str, started: float) -> None:
         group = self._group
         heard = group.heard_at(primary) >= started - HEARD_S
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -184,8 +184,13 @@
         return self._clock.monotonic() - since < bound_s
 
     def _add_group(self, name: str) -> ReplicationGroup:
+        roster = GroupRoster(name, self._store, clock=self._clock)
         group = ReplicationGroup(
-            name, zone=self._settings.zone, dialer=self._dialer, clock=self._clock
+            name,
+            zone=self._settings.zone,
+            dialer=self._dialer,
+            clock=self._clock,
+            roster=roster,
         )
         self._gateway.groups[name] = group
         self._gateway.dispatchers[name] = Dispatcher(
@@ -195,7 +200,6 @@
             random=self._random,
             max_links=self._max_links,
         )
-        roster = GroupRoster(name, self._store, clock=self._clock)
         coordinator = Coordinator(
             group,
             roster=roster,
@@ -213,6 +217,7 @@
             suspicions=self._suspicions,
             roster=roster,
             live_vms=self._live_vms,
+            dialer=self._dialer,
             clock=self._clock,
             random=self._random,
         )
--- a/src/celeryjunction/replication/control.py
+++ b/src/celeryjunction/replication/control.py
@@ -14,12 +14,17 @@
     EndpointLink,
     EndpointRefused,
     EndpointStatus,
+    Fault,
 )
 
 ASK_TIMEOUT_S = 0.3
 """A status takes 0.5 ms of a slot; this allows for a queue of 30 ms statements."""
 
 
+NOT_LISTENING = frozenset({"ConnectionRefusedError", Fault.WRONG_ENDPOINT.value})
+"""Failures that prove that the asked process no longer runs at its address."""
+
+
 class ControlLink:
     """Asks one endpoint for its status, one command at a time.
 
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -22,6 +22,7 @@
     EndpointStatus,
     LogPosition,
 )
+from celeryjunction.replication.roster import GroupRoster
 
 SETTLED_S = 3.0
 """Evidence on a younger connection counts only if all replicas agree: the endpoint may
@@ -48,7 +49,13 @@
     """Endpoints of one group, its primary and term, and what proves them."""
 
     def __init__(
-        self, name: str, *, zone: str, dialer: EndpointDialer, clock: Clock
+        self,
+        name: str,
+        *,
+        zone: str,
+        dialer: EndpointDialer,
+        clock: Clock,
+        roster: GroupRoster | None = None,
     ) -> None:
         self.name = name
         self.term = 0
@@ -68,6 +75,7 @@
         self._zone = zone
         self._dialer = dialer
         self._clock = clock
+        self._roster = roster
         self._round: tuple[float, asyncio.Task[bool]] | None = None
         self._refresh: asyncio.Task[None] | None = None
         self._primary_known = asyncio.Event()
@@ -380,14 +388,17 @@
         return self.sampled_at > before
 
     async def _sample_without_primary(self, started: float) -> bool:
-        """Note the furthest replica's position while all replicas can be asked.
+        """Note the furthest replica's position while all members can be asked.
 
-        Every acknowledged commit is at one of them, and none may hold a later term.
+        Every acknowledged commit is at one of the replicas that the roster names, and
+        none of them may hold a later term.
         """
-        known = [self.statuses.get(name) for name in self.endpoints]
-        fresh = [entry[1] for entry in known if entry and entry[0] >= started]
-        replicas = [status for status in fresh if not status.is_primary]
-        if not self.term or len(replicas) < max(len(self.endpoints) - 1, 2):
+        holders = self._roster.holders(self.term) if self._roster is not None else None
+        if not self.term or not holders:
+            return False
+        known = [self.statuses.get(name) for name in holders]
+        replicas = [entry[1] for entry in known if entry and entry[0] >= started]
+        if len(replicas) < len(holders):
             return False
         if any(not self._confirms(status, self.term) for status in replicas):
             return False
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -3,8 +3,9 @@
 An entry of the platform's register lapses when an endpoint is cut off from the store,
 although it goes on receiving, and VMs forget what they saw when they restart. Before a
 promotion every replica that took part in the term must be paused, so the members of a
-term are written down as they are seen. A member is struck off when it left after a
-drain, or was absent for `FORGET_S`.
+term are written down as they are seen. A member is struck off when it drained and its
+port was then found closed, or when it was absent for `FORGET_S`. That its entry lapsed
+is not enough: it may be cut off together with the primary and go on receiving.
 """
 
 from __future__ import annotations
@@ -89,9 +90,7 @@
         for member in self._seen.members:
             entry = registered.get(member.id)
             if entry is None:
-                since = self._absent.setdefault(member.id, now)
-                if member.draining and since == now:
-                    self._left.add(member.id)
+                self._absent.setdefault(member.id, now)
             else:
                 self._absent.pop(member.id, None)
                 self._left.discard(member.id)
@@ -100,6 +99,31 @@
             members=tuple(registered.get(m.id, m) for m in self._seen.members),
         )
 
+    def holders(self, term: int) -> list[str] | None:
+        """Return the replicas that may hold acknowledged commits of a term.
+
+        None while the store's roster of that term is not known.
+        """
+        known = self._known
+        if known is None or known.term != term or not known.primary:
+            return None
+        members = _by_id(self._merged(known))
+        members.pop(known.primary, None)
+        return list(members)
+
+    def absent_leavers(self) -> list[EndpointInfo]:
+        """Return the members that drained and have no entry any more."""
+        return [
+            member
+            for member in self._seen.members
+            if member.draining and member.id in self._absent
+        ]
+
+    def strike_off(self, name: str) -> None:
+        """Note that a member that drained has ended: its log is gone with it."""
+        self._left.add(name)
+        _log.info("member_struck_off", entry=self._key, endpoint=name)
+
     def _gone(self, name: str) -> bool:
         since = self._absent.get(name)
         absent = since is not None and self._clock.monotonic() - since >= FORGET_S
@@ -113,10 +137,10 @@
             return False
         if known is None or known.term < seen.term:
             return True
-        names = _by_id(known).keys()
-        return names != _by_id(seen).keys() or (
-            bool(seen.primary) and known.primary != seen.primary
-        )
+        changed = {(member.id, member.draining) for member in known.members} != {
+            (member.id, member.draining) for member in seen.members
+        }
+        return changed or (bool(seen.primary) and known.primary != seen.primary)
 
     async def read(self) -> Roster | None:
         """Read the store's roster; None when the store is away."""
