Test the replacement of a primary without a network; learn the term from replicas too

Cause: a test with a holder that stopped after the pause showed that a VM which never saw the primary took no term over from the replicas. Change: any endpoint's later term is taken over; fakes of a replicated group and of the store.

--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -166,11 +166,12 @@
         self.statuses[endpoint] = (asked_at, status)
         position = status.received if status.is_primary else None
         self.note_answer(endpoint, position, sent_at=asked_at)
+        if status.term > self.term:
+            self._enter_term(status.term)
         if status.is_primary:
-            newer = status.term > self.term
-            back = status.term == self.term and self.primary is None and not self.held
-            if newer or back:
-                self._new_primary(endpoint, status.term)
+            leads = status.term == self.term and self.primary is None
+            if leads and not self.held:
+                self._new_primary(endpoint)
         elif endpoint == self.primary:
             self.lose_primary("not_primary_any_more")
         elif status.held_term > max(self.term, status.term):
@@ -193,22 +194,18 @@
         self.primary_due = self._clock.monotonic() + self.promotion_s
         self.lose_primary("promotion_under_way")
 
-    def _new_primary(self, endpoint: str, term: int) -> None:
-        _log.info(
-            "primary_changed",
-            group=self.name,
-            primary=endpoint,
-            term=term,
-            before=self.primary,
-            before_term=self.term,
-        )
-        if term != self.term:
-            self.history.clear()
-            self.sampled_at = 0.0
-            self._learn_promotion_time()
+    def _enter_term(self, term: int) -> None:
+        """Note that an endpoint is in a later term: nothing known of roles holds."""
+        self.lose_primary("later_term")
         self.term = term
-        self.primary = endpoint
+        self.history.clear()
+        self.sampled_at = 0.0
         self._primary_answer = None
+
+    def _new_primary(self, endpoint: str) -> None:
+        _log.info("primary_changed", group=self.name, primary=endpoint, term=self.term)
+        self._learn_promotion_time()
+        self.primary = endpoint
         self.primary_due = 0.0
         self._primary_known.set()
 
--- /dev/null
+++ b/tests/replicated_fakes.py
@@ -0,0 +1,376 @@
+"""A replicated group and a store behind the ports of `replication` and `failover`.
+
+The group follows the platform's rules: a commit is acknowledged once a replica received
+it, a paused replica receives nothing, and a promoted one leads with what it had.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from celeryjunction.errors import ConnectionLost
+from celeryjunction.ports import (
+    Compare,
+    KeyValue,
+    KeyValueList,
+    LeaseLapsed,
+    Put,
+    PutResult,
+    StoreUnavailable,
+)
+from celeryjunction.replication.ports import (
+    Answer,
+    AskStatus,
+    ClearSession,
+    Command,
+    Demote,
+    EndpointInfo,
+    EndpointRefused,
+    EndpointStatus,
+    Fault,
+    LogPosition,
+    OpenTransaction,
+    PauseReceiving,
+    PrepareStatement,
+    PromotionResult,
+    Relay,
+    RelayPrepared,
+    ResumeReceiving,
+    RollBack,
+    SetValue,
+    TransactionState,
+)
+
+DELAY_S = 0.0005
+"""Half a round trip."""
+WORK_S = 0.01
+PROMOTION_S = 1.0
+SYNC_LIMIT_S = 30.0
+
+
+class FakeEndpoint:
+    """One endpoint; `silent` and `refusing` make it unreachable for this VM."""
+
+    def __init__(self, name: str, *, zone: str = "a", primary: bool = False) -> None:
+        self.info = EndpointInfo(name, "g", "10.0.0.1", 1, zone, 3)
+        self.is_primary = primary
+        self.term = 1
+        self.log: list[LogPosition] = []
+        self.held = 0
+        self.silent = False
+        self.refusing = False
+        self.deaf = False
+        self.applied = 10**9
+        self.faults: list[Fault | str] = []
+        """What happens to the next statements: a fault, "lose" or "lose after"."""
+        self.ran: list[tuple[bytes, bytes]] = []
+        self.asked: list[Command] = []
+        self.links: list[FakeLink] = []
+
+    @property
+    def received(self) -> LogPosition:
+        return self.log[-1] if self.log else LogPosition(1, 0)
+
+    @property
+    def visible(self) -> LogPosition:
+        seen = self.log[: self.applied]
+        return seen[-1] if seen else LogPosition(1, 0)
+
+    def restart(self) -> None:
+        """Restart the process: connections break, and a pause is forgotten."""
+        self.held = 0
+        for link in self.links:
+            link.close()
+        self.links.clear()
+
+
+class FakeCluster:
+    """Endpoints of one group; implements `EndpointDialer` and `Promoter`."""
+
+    def __init__(self, *names: str, limit: int = 22) -> None:
+        self.endpoints = {
+            name: FakeEndpoint(name, zone=name[0], primary=index == 0)
+            for index, name in enumerate(names or ("a1", "b1", "c1"))
+        }
+        self.limit = limit
+        self.promotions: list[tuple[str, str, int]] = []
+        self.promotion_answers: list[PromotionResult] = []
+        self.acknowledged: list[LogPosition] = []
+        self.opened = 0
+
+    def __getitem__(self, name: str) -> FakeEndpoint:
+        return self.endpoints[name]
+
+    @property
+    def infos(self) -> dict[str, EndpointInfo]:
+        return {name: one.info for name, one in self.endpoints.items()}
+
+    # EndpointDialer
+
+    async def connect(self, endpoint: EndpointInfo, *, timeout: float) -> FakeLink:
+        one = self.endpoints.get(endpoint.id)
+        if one is not None and one.silent:
+            await asyncio.sleep(timeout)
+            raise ConnectionLost("silent", sent=False)
+        await asyncio.sleep(2 * DELAY_S)
+        if one is None or one.refusing:
+            raise ConnectionLost("ConnectionRefusedError", sent=False)
+        open_links = [link for link in one.links if link.usable or link.running]
+        if len(open_links) >= self.limit:
+            raise EndpointRefused(Fault.TOO_MANY_CONNECTIONS)
+        link = FakeLink(self, one)
+        one.links.append(link)
+        self.opened += 1
+        return link
+
+    def status(self, answer: Answer) -> EndpointStatus | None:
+        return answer.rows[0] if answer.rows else None  # type: ignore[return-value]
+
+    # Promoter
+
+    async def promote(
+        self, *, group: str, endpoint: str, holder: str, fencing_token: int
+    ) -> PromotionResult:
+        self.promotions.append((endpoint, holder, fencing_token))
+        answer = PromotionResult.ACCEPTED
+        if self.promotion_answers:
+            answer = self.promotion_answers.pop(0)
+        if answer is PromotionResult.REFUSED:
+            return answer
+        loop = asyncio.get_running_loop()
+        loop.call_later(PROMOTION_S, self.take_over, endpoint)
+        return answer
+
+    def take_over(self, name: str) -> None:
+        """Let a promotion take effect: the others follow and are rolled back."""
+        leader = self.endpoints[name]
+        leader.term = max(one.term for one in self.endpoints.values()) + 1
+        leader.is_primary, leader.held = True, 0
+        for one in self.endpoints.values():
+            if one is not leader and not one.silent and not one.is_primary:
+                one.term, one.held = leader.term, 0
+                one.log = list(leader.log)
+
+    async def commit(self, primary: FakeEndpoint) -> LogPosition | None:
+        """Commit at a primary; None if no replica ever received it."""
+        position = LogPosition(primary.term, primary.received.number + 1)
+        primary.log.append(position)
+        waited = 0.0
+        while waited < SYNC_LIMIT_S:
+            receivers = [
+                one
+                for one in self.endpoints.values()
+                if not one.is_primary
+                and one.held <= one.term
+                and not (one.deaf or one.refusing)
+            ]
+            for one in receivers:
+                one.log = list(primary.log)
+            if receivers:
+                self.acknowledged.append(position)
+                return position
+            await asyncio.sleep(0.05)
+            waited += 0.05
+        return None
+
+
+class FakeLink:
+    """Implements `EndpointLink`."""
+
+    def __init__(self, cluster: FakeCluster, endpoint: FakeEndpoint) -> None:
+        self.opened_at = asyncio.get_running_loop().time()
+        self.values: dict[bytes, bytes] = {}
+        self.prepared: set[bytes] = set()
+        self.server_values: dict[bytes, bytes] = {}
+        self.server_prepared: set[bytes] = set()
+        self.running = False
+        self._cluster = cluster
+        self._endpoint = endpoint
+        self._state = TransactionState.IDLE
+        self._wrote = False
+        self._closed = False
+
+    @property
+    def usable(self) -> bool:
+        return not self._closed and not self.running
+
+    def close(self) -> None:
+        self._closed = True
+        self.running = False
+
+    async def run(self, commands: Sequence[Command], *, timeout: float) -> list[Answer]:
+        if not self.usable:
+            raise ConnectionLost("closed", sent=False)
+        self.running = True
+        try:
+            async with asyncio.timeout(timeout):
+                return [await self._run(command) for command in commands]
+        except TimeoutError:
+            self._closed = True
+            raise ConnectionLost("no answer in time", sent=True) from None
+        except BaseException:
+            self._closed = True
+            raise
+        finally:
+            self.running = False
+
+    async def _run(self, command: Command) -> Answer:
+        one = self._endpoint
+        if one.silent:
+            await asyncio.sleep(3600)
+        await asyncio.sleep(2 * DELAY_S)
+        if one.refusing or self._closed:
+            raise ConnectionLost("the endpoint closed the connection", sent=True)
+        one.asked.append(command)
+        if isinstance(command, Relay | RelayPrepared):
+            return await self._relay(command)
+        return self._control(command)
+
+    def _answer(self, rows: tuple = (), *, fault: Fault | None = None) -> Answer:
+        one = self._endpoint
+        return Answer(rows, b"-", self._state, one.visible, fault)
+
+    def _control(self, command: Command) -> Answer:
+        one = self._endpoint
+        if isinstance(command, OpenTransaction):
+            if command.after is not None and one.visible < command.after:
+                return self._answer(fault=Fault.BEHIND)
+            if not command.read_only and not one.is_primary:
+                return self._answer(fault=Fault.NOT_PRIMARY)
+            self._state, self._wrote = TransactionState.OPEN, False
+        elif isinstance(command, RollBack):
+            self._state = TransactionState.IDLE
+        elif isinstance(command, ClearSession):
+            self.server_values.clear()
+            self.server_prepared.clear()
+        elif isinstance(command, SetValue):
+            self.server_values[command.name] = command.value
+        elif isinstance(command, PrepareStatement):
+            self.server_prepared.add(command.name)
+        elif isinstance(command, PauseReceiving):
+            if command.term > one.term and not one.is_primary:
+                one.held = command.term
+        elif isinstance(command, ResumeReceiving):
+            one.held = 0
+        elif isinstance(command, Demote) and command.term > one.term:
+            one.is_primary = False
+        if isinstance(command, AskStatus | PauseReceiving | ResumeReceiving | Demote):
+            status = EndpointStatus(
+                one.is_primary, one.term, one.received, one.held, 0.0, 0, 1
+            )
+            return self._answer((status,))
+        return self._answer()
+
+    async def _relay(self, command: Relay | RelayPrepared) -> Answer:
+        one = self._endpoint
+        fault = one.faults.pop(0) if one.faults else None
+        if fault == "lose":
+            raise ConnectionLost("scripted", sent=True)
+        if isinstance(fault, Fault):
+            return self._answer(fault=fault)
+        if isinstance(command, RelayPrepared):
+            if command.name not in self.server_prepared:
+                return self._answer(fault=Fault.UNKNOWN_STATEMENT)
+            writes = command.name.startswith(b"pw")
+            text = b"EXECUTE"
+        else:
+            writes = command.text.startswith(b"WRITE")
+            text = command.text
+        if command.after is not None and one.visible < command.after:
+            return self._answer(fault=Fault.BEHIND)
+        if writes and not one.is_primary:
+            return self._answer(fault=Fault.NOT_PRIMARY)
+        await asyncio.sleep(WORK_S)
+        one.ran.append((command.request_id, text))
+        commit = text == b"COMMIT"
+        if writes:
+            self._wrote = True
+        if commit:
+            self._state = TransactionState.IDLE
+        single = self._state is TransactionState.IDLE and not commit
+        if (writes and single) or (commit and self._wrote):
+            self._wrote = False
+            if await self._cluster.commit(one) is None:
+                raise ConnectionLost("never replicated", sent=True)
+        if fault == "lose after":
+            raise ConnectionLost("scripted", sent=True)
+        rows = () if writes or commit else (one.info.id.encode(),)
+        digest = one.info.id.encode() + b":" + command.request_id
+        return Answer(rows, digest, self._state, one.visible)
+
+
+class FakeStore:
+    """Implements what claims, suspicions and rosters need of `KeyValueStore`."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, KeyValue] = {}
+        self.leases: dict[int, set[str]] = {}
+        self.revision = 10
+        self.away = False
+        self.lose_answers = 0
+        """So many puts are done without an answer."""
+        self.calls = 0
+
+    async def _call(self) -> None:
+        self.calls += 1
+        await asyncio.sleep(0.004)
+        if self.away:
+            raise StoreUnavailable("away")
+
+    async def get(self, key: str, *, timeout: float = 2.0) -> KeyValue | None:
+        await self._call()
+        return self.items.get(key)
+
+    async def list(self, prefix: str, *, timeout: float = 2.0) -> KeyValueList:
+        await self._call()
+        found = [item for key, item in self.items.items() if key.startswith(prefix)]
+        return KeyValueList(tuple(found), self.revision)
+
+    async def compare_and_put(
+        self,
+        compares: Sequence[Compare],
+        puts: Sequence[Put],
+        *,
+        lease: int = 0,
+        timeout: float = 2.0,
+    ) -> PutResult:
+        await self._call()
+        if lease and lease not in self.leases:
+            raise LeaseLapsed("gone")
+        current = tuple(self.items.get(one.key) for one in compares)
+        found = [item.revision if item else 0 for item in current]
+        if found != [one.revision for one in compares]:
+            return PutResult(False, self.revision, current)
+        self.revision += 1
+        for put in puts:
+            self.put(put.key, put.value)
+            if lease:
+                self.leases[lease].add(put.key)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreUnavailable("the answer was lost")
+        after = tuple(self.items.get(one.key) for one in compares)
+        return PutResult(True, self.revision, after)
+
+    def put(self, key: str, value: bytes | None) -> None:
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = KeyValue(key, value, self.revision)
+
+    async def grant_lease(self, ttl: int, *, timeout: float = 2.0) -> int:
+        await self._call()
+        lease = len(self.leases) + 1
+        self.leases[lease] = set()
+        loop = asyncio.get_running_loop()
+        loop.call_later(ttl, self.end_lease, lease)
+        return lease
+
+    def end_lease(self, lease: int) -> None:
+        for key in self.leases.pop(lease, ()):
+            self.items.pop(key, None)
+
+    async def revoke_lease(self, lease: int, *, timeout: float = 2.0) -> None:
+        await self._call()
+        self.end_lease(lease)
