--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -15,6 +15,7 @@
 
 from celeryjunction.dispatch.gates import EndpointGate
 from celeryjunction.errors import ErrorKind, ProxyError
+from celeryjunction.logs import get_logger
 from celeryjunction.ports import Clock
 from celeryjunction.replication.ports import EndpointDialer, EndpointInfo, EndpointLink
 
@@ -22,9 +23,13 @@
 """Round trip to another zone: two ways of 1.4 ms, from the users' pages."""
 LOWEST_PRIORITY = 2
 """Priorities from here on never use the last slot of an endpoint from one VM."""
+WATCH_S = 0.05
+"""Interval at which endpoints are looked at that have statements to answer."""
 RETRY_S = 0.02
 """Pause before the queue is looked at again while endpoints are avoided or full."""
 
+_log = get_logger("dispatch")
+
 
 class Demand:
     """A statement that asks for an endpoint.
@@ -77,7 +82,7 @@
 class Grant:
     """A connection to an endpoint, with the slot of the statement that runs on it."""
 
-    __slots__ = ("_clock", "_dispatcher", "_since", "gate", "link")
+    __slots__ = ("_clock", "_dispatcher", "_since", "gate", "interruptible", "link")
 
     def __init__(
         self,
@@ -92,18 +97,29 @@
         self._since: float | None = clock.monotonic()
         self.gate = gate
         self.link = link
+        self.interruptible = False
 
     @property
     def endpoint(self) -> str:
         """Id of the endpoint."""
         return self.gate.info.id
 
+    def sent(self, *, interruptible: bool) -> None:
+        """Note that the statement is sent now.
+
+        An interruptible one is broken off when the endpoint answers nothing at all.
+        """
+        self.interruptible = interruptible
+        self.gate.note_sent(self)
+        self._dispatcher.watch()
+
     def end_statement(self, *, answered: bool = True) -> None:
         """Free the slot and keep the connection, between a transaction's statements."""
         if self._since is None:
             return
         seconds = self._clock.monotonic() - self._since
         self._since = None
+        self.gate.note_ended(self)
         self.gate.running -= 1
         if answered:
             self.gate.note_answer(seconds)
@@ -146,6 +162,9 @@
         self._waiting: list[Demand] = []
         self._numbers = count(1)
         self._timer: asyncio.TimerHandle | None = None
+        self._watch: asyncio.TimerHandle | None = None
+        self.on_stuck: Callable[[str], None] = lambda endpoint: None
+        """Called with the id of an endpoint that answers nothing."""
 
     @property
     def waiting(self) -> int:
@@ -220,7 +239,7 @@
         return best
 
     def _has_room(self, gate: EndpointGate, demand: Demand, now: float) -> bool:
-        if now < gate.avoid_until or not gate.has_link(now):
+        if now < gate.avoid_until or gate.stuck(now) or not gate.has_link(now):
             return False
         return gate.running < self._limit(gate, demand)
 
@@ -286,6 +305,29 @@
                 self._waiting.remove(demand)
                 demand._future.set_result(gate)
 
+    def watch(self) -> None:
+        """Look for stuck endpoints while statements wait for their answers."""
+        if self._watch is None:
+            loop = asyncio.get_running_loop()
+            self._watch = loop.call_later(WATCH_S, self._look_for_stuck)
+
+    def _look_for_stuck(self) -> None:
+        self._watch = None
+        now = self._clock.monotonic()
+        for gate in self.gates.values():
+            if gate.stuck(now):
+                interrupted = gate.interrupt()
+                if interrupted:
+                    _log.warning(
+                        "endpoint_stuck",
+                        endpoint=gate.info.id,
+                        group=gate.info.group,
+                        interrupted=interrupted,
+                    )
+                self.on_stuck(gate.info.id)
+        if any(gate.running for gate in self.gates.values()):
+            self.watch()
+
     def _look_again(self) -> None:
         if self._timer is None and self._waiting:
             loop = asyncio.get_running_loop()
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 from random import Random
+from typing import Protocol
 
 from celeryjunction.errors import ConnectionLost
 from celeryjunction.logs import get_logger
@@ -25,6 +26,10 @@
 FIRST_AVOID_S = 0.3
 LONGEST_AVOID_S = 3.0
 """An avoided endpoint is tried again after this, doubling from the first."""
+STUCK_S = 0.2
+"""An endpoint that answered none of its statements for so long counts as stuck. The
+longest statements take 45 ms (220 ms for the least urgent kind), and while an endpoint
+is busy some statement ends every few ms."""
 FULL_PAUSE_S = 0.1
 """Pause before another connection is tried at an endpoint that has too many."""
 SERVICE_WEIGHT = 0.1
@@ -35,6 +40,14 @@
 _log = get_logger("dispatch")
 
 
+class Sent(Protocol):
+    """A statement that was sent on a connection."""
+
+    interruptible: bool
+    """Whether it changes nothing that a broken connection does not undo."""
+    link: EndpointLink
+
+
 class EndpointGate:
     """Counts what this VM has at one endpoint and keeps its idle connections.
 
@@ -48,6 +61,8 @@
         "_failures",
         "_idle",
         "_random",
+        "_sent",
+        "answered_at",
         "avoid_until",
         "closed",
         "full_until",
@@ -86,6 +101,9 @@
         self._random = random
         self._failures = 0
         self._avoid_s = 0.0
+        self._sent: dict[Sent, float] = {}
+        self.answered_at = 0.0
+        """When the last answer came; seconds."""
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
         yield "id", self.info.id
@@ -162,8 +180,34 @@
         self.closed = True
         self.close_idle(older_than=float("-inf"))
 
+    # Statements that wait for their answer
+
+    def note_sent(self, sent: Sent) -> None:
+        """Note that a statement was sent."""
+        self._sent[sent] = self._clock.monotonic()
+
+    def note_ended(self, sent: Sent) -> None:
+        """Note that a statement no longer waits for its answer."""
+        self._sent.pop(sent, None)
+
+    def stuck(self, now: float) -> bool:
+        """Whether statements wait for an endpoint that answers none at all."""
+        if not self._sent:
+            return False
+        oldest = next(iter(self._sent.values()))
+        return now - max(oldest, self.answered_at) >= STUCK_S
+
+    def interrupt(self) -> int:
+        """Break off the statements that may run again elsewhere; return how many."""
+        interrupted = [sent for sent in self._sent if sent.interruptible]
+        for sent in interrupted:
+            self.note_ended(sent)
+            sent.link.close()
+        return len(interrupted)
+
     def note_answer(self, seconds: float) -> None:
         """Note that a statement was answered after so many seconds."""
+        self.answered_at = self._clock.monotonic()
         self._failures = 0
         self._avoid_s = 0.0
         self.service_s += SERVICE_WEIGHT * (seconds - self.service_s)
@@ -183,8 +227,8 @@
             for_s=self._avoid_s,
         )
 
-    def note_alive(self) -> None:
-        """Use the endpoint again: its status was answered."""
-        if self.avoid_until > self._clock.monotonic():
+    def note_alive(self, heard_at: float) -> None:
+        """Use an avoided endpoint again that answered something sent at `heard_at`."""
+        if self.avoid_until and heard_at > self.avoid_until - self._avoid_s:
             self.avoid_until = 0.0
             self._failures = 0
--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -34,6 +34,8 @@
 INHERITED_WAIT_S = 1.5
 """Wait for an earlier holder's promotion before another is asked for. Longer than its
 call may be on the way (0.4 s) and the promotion takes to have effect (1 s)."""
+DEMOTE_WAIT_S = 0.05
+"""Wait for the old primary to stop: a few round trips to another zone."""
 TAKEOVER_LIMIT_S = 3.0
 """A promotion without effect after this is given up; the next try chooses anew."""
 TAKEOVER_POLL_S = 0.04
@@ -124,14 +126,17 @@
             _log.warning("replica_not_asked", group=group.name, term=term, names=silent)
             return False
         inherited = any(before[name].held_term > term for name in needed)
-        if inherited and await self._takeover(term, INHERITED_WAIT_S):
+        if inherited and await self._takeover(needed, term, INHERITED_WAIT_S):
             return True
         paused = await self._pause_all(needed, term)
         if paused is None:
             await self._give_up(needed, inherited)
             return False
         if old is not None:
-            await self._command(old, Demote(term + 1))
+            # A primary that answers stops before the next one starts; one that does
+            # not is not waited for.
+            demotion = asyncio.create_task(self._command(old, Demote(term + 1)))
+            await asyncio.wait({demotion}, timeout=DEMOTE_WAIT_S)
         chosen = choose_replica(paused, group.endpoints, acknowledged=acknowledged)
         if chosen is None:
             _log.error(
@@ -277,13 +282,14 @@
         if result is PromotionResult.REFUSED:
             await self._give_up(paused, inherited)
             return False
-        return await self._takeover(term, TAKEOVER_LIMIT_S)
+        return await self._takeover([chosen], term, TAKEOVER_LIMIT_S)
 
-    async def _takeover(self, term: int, limit_s: float) -> bool:
-        """Wait until an endpoint leads a later term."""
+    async def _takeover(self, names: Iterable[str], term: int, limit_s: float) -> bool:
+        """Wait until one of the endpoints leads a later term."""
+        names = list(names)
         deadline = self._clock.monotonic() + limit_s
         while self._clock.monotonic() < deadline:
-            await self._ask_all(list(self._group.endpoints))
+            await self._ask_all(names)
             if self._group.term > term and self._group.primary is not None:
                 return True
             await asyncio.sleep(TAKEOVER_POLL_S)
--- a/src/celeryjunction/failover/detector.py
+++ b/src/celeryjunction/failover/detector.py
@@ -8,9 +8,9 @@
 
 REFUSED_S = 0.25
 """A primary whose port refuses connections for so long is down: no process listens."""
-SILENT_S = 0.9
-"""A primary that is silent for so long is suspected. Shorter than the time in which a
-caller's statement gives up (0.8 s and more), longer than two lost packets take."""
+SILENT_S = 0.7
+"""A primary that answers no question for so long is suspected. Shorter than the time in
+which a caller's statement gives up (0.8 s and more), longer than two lost packets."""
 STALLED_S = 1.0
 """Commits that reach no replica for so long cannot be acknowledged."""
 LEAST_FAILURES = 2
@@ -53,8 +53,8 @@
         """Whether the last question to the primary got no answer."""
         return self._failures > 0
 
-    def note(self, primary: str, *, answered: bool) -> None:
-        """Note whether the primary answered lately, or else the last question."""
+    def note(self, primary: str, *, answered: bool, asked_at: float) -> None:
+        """Note whether the primary answered lately, or the question of `asked_at`."""
         if primary != self._primary:
             self._primary = primary
             self._reset()
@@ -64,10 +64,9 @@
             self._failures = self._refused = 0
             self._failing_since = 0.0
             return
-        now = self._clock.monotonic()
         self._failures += 1
         self._refused += failure in REFUSALS
-        self._failing_since = self._failing_since or now
+        self._failing_since = self._failing_since or asked_at
 
     def note_replication(
         self, primary: LogPosition, replicas: list[LogPosition]
--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -74,9 +74,10 @@
     async def run(self) -> None:
         """Look at the group again and again until cancelled."""
         while True:
+            nudged = self._group.nudged.is_set()
             self._group.nudged.clear()
             try:
-                await self.step()
+                await self.step(nudged=nudged)
             except Exception as error:
                 # One bad answer must not end the supervision of the group.
                 _log.error(
@@ -98,14 +99,16 @@
             async with asyncio.timeout(pause):
                 await self._group.nudged.wait()
 
-    async def step(self) -> None:
+    async def step(self, *, nudged: bool = False) -> None:
         """Ask what is not known from statements lately, and act on it."""
         group = self._group
         started = self._clock.monotonic()
         primary = group.primary
         if primary is None or group.sampled_at < started - SAMPLE_S:
             await group.sample()
-        elif self._watch.failing or group.heard_at(primary) < started - HEARD_S:
+        elif (
+            self._watch.failing or nudged or group.heard_at(primary) < started - HEARD_S
+        ):
             await group.ask(primary)
         if primary is not None:
             self._last_primary = primary
@@ -171,8 +174,11 @@
 
     def _note_primary(self, primary: str, started: float) -> None:
         group = self._group
-        heard = group.heard_at(primary) >= started - HEARD_S
-        self._watch.note(primary, answered=heard)
+        control = group.controls.get(primary)
+        failed = control is not None and control.failure
+        since = started if failed else started - HEARD_S
+        heard = group.heard_at(primary) >= since
+        self._watch.note(primary, answered=heard, asked_at=started)
         known = group.statuses.get(primary)
         if known is None or known[0] < started:
             return
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -314,7 +314,9 @@
             command = relay if after is None else replace(relay, after=after)
             try:
                 grant = await self._dispatcher(route).acquire(demand)
-                answer = await self._run_once(grant, command, prepared, deadline)
+                answer = await self._run_once(
+                    grant, command, prepared, deadline, reads=True
+                )
             except (ConnectionLost, EndpointRefused) as error:
                 self._endpoint_failed(route, demand, error)
                 continue
@@ -363,7 +365,9 @@
             demand.only = await group.primary_by(deadline)
             try:
                 grant = await self._dispatcher(route).acquire(demand)
-                answer = await self._run_once(grant, relay, prepared, deadline)
+                answer = await self._run_once(
+                    grant, relay, prepared, deadline, reads=False
+                )
             except (ConnectionLost, EndpointRefused) as error:
                 if isinstance(error, ConnectionLost) and error.sent:
                     raise _unknown(error.reason) from None
@@ -383,7 +387,13 @@
         return Answer((), b"", _IDLE, None, fault, demand.only or "")
 
     async def _run_once(
-        self, grant: Grant, command: Command, prepared: Prepare | None, deadline: float
+        self,
+        grant: Grant,
+        command: Command,
+        prepared: Prepare | None,
+        deadline: float,
+        *,
+        reads: bool,
     ) -> Answer:
         """Run a single statement and give the connection back.
 
@@ -405,7 +415,7 @@
                 await bring_state(grant.link, commands, timeout=left)
             except ConnectionLost as error:
                 raise ConnectionLost(error.reason, sent=False) from None
-            answer = await self._ask(grant, command, left)
+            answer = await self._ask(grant, command, left, interruptible=reads)
             answered = True
             return answer
         finally:
@@ -482,7 +492,7 @@
                     grant.link, values=self._values, prepared=None, in_transaction=False
                 )
                 await bring_state(grant.link, commands, timeout=left)
-                answer = await self._ask(grant, command, left)
+                answer = await self._ask(grant, command, left, interruptible=True)
             except ConnectionLost as error:
                 grant.release(reusable=False, answered=False)
                 self._endpoint_failed(route, demand, error)
@@ -505,6 +515,8 @@
         command: Command,
         prepared: Prepare | None,
         deadline: float,
+        *,
+        commits: bool = False,
     ) -> Answer:
         grant = transaction.grant
         self._endpoint = grant.endpoint
@@ -517,15 +529,18 @@
             if commands:
                 transaction.state_sent = True
                 await bring_state(grant.link, commands, timeout=left)
-            answer = await self._ask(grant, command, left)
+            answer = await self._ask(grant, command, left, interruptible=not commits)
             answered = True
             return answer
         finally:
             grant.end_statement(answered=answered)
 
-    async def _ask(self, grant: Grant, command: Command, timeout: float) -> Answer:
+    async def _ask(
+        self, grant: Grant, command: Command, timeout: float, *, interruptible: bool
+    ) -> Answer:
         """Run a command and let the group learn from the answer."""
         sent_at = self._clock.monotonic()
+        grant.sent(interruptible=interruptible)
         (answer,) = await grant.link.run([command], timeout=timeout)
         group = self._gateway.groups.get(grant.gate.info.group)
         if group is not None:
@@ -547,7 +562,9 @@
             raise
         command = Relay(request.id, request.text)
         try:
-            answer = await self._run_pinned(transaction, command, None, deadline)
+            answer = await self._run_pinned(
+                transaction, command, None, deadline, commits=transaction.wrote
+            )
         except ConnectionLost as error:
             if transaction.wrote and error.sent:
                 raise _unknown(error.reason) from None
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -59,8 +59,11 @@
 DRAIN_MARGIN_S = 1.5
 """A draining primary gets nothing new so long before the platform's bound: the
 register is listed once a second, and a statement is on its way for a while."""
-PROVEN_S = 2.0
-"""A group without proof for so long does not count as served."""
+PROVEN_S = 1.5
+"""A group without proof for so long does not count as served: two samples failed."""
+MOVE_AWAY_S = 2.4
+"""Callers of a VM that cannot serve are closed after this, when the balancer has taken
+it out: they come back elsewhere."""
 SETTINGS_POLL_S = 2.0
 """Interval at which the settings file is looked at; it may change without a signal."""
 SUMMARY_S = 10.0
@@ -103,6 +106,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._draining = False
         self._was_ready: bool | None = None
+        self._unready_since = 0.0
         self.stopped = asyncio.Event()
 
     def _new_membership(self) -> Membership:
@@ -193,13 +197,15 @@
             roster=roster,
         )
         self._gateway.groups[name] = group
-        self._gateway.dispatchers[name] = Dispatcher(
+        dispatcher = Dispatcher(
             zone=self._settings.zone,
             dialer=self._dialer,
             clock=self._clock,
             random=self._random,
             max_links=self._max_links,
         )
+        dispatcher.on_stuck = lambda _: group.nudged.set()
+        self._gateway.dispatchers[name] = dispatcher
         coordinator = Coordinator(
             group,
             roster=roster,
@@ -272,6 +278,7 @@
         ready = self.ready
         if ready != self._was_ready:
             self._was_ready = ready
+            self._unready_since = 0.0 if ready else self._clock.monotonic()
             _log.info("readiness_changed", ready=ready, draining=self._draining)
         return (200, b"ready\n") if ready else (503, b"not ready\n")
 
@@ -307,10 +314,13 @@
                 statuses = self._gateway.groups[name].statuses
                 for endpoint, gate in dispatcher.gates.items():
                     gate.close_idle()
+                    gate.note_alive(self._gateway.groups[name].heard_at(endpoint))
                     known = statuses.get(endpoint)
                     if known is not None:
                         gate.others_busy = max(0, known[1].busy - gate.running)
             now = self._clock.monotonic()
+            if self._unready_since and now - self._unready_since >= MOVE_AWAY_S:
+                self._frontend.close_idle()
             if now - looked_at >= SETTINGS_POLL_S:
                 looked_at = now
                 self.reload()
--- a/src/celeryjunction/platform/http.py
+++ b/src/celeryjunction/platform/http.py
@@ -10,6 +10,9 @@
 
 MAX_IDLE = 4
 """Idle connections that a client keeps."""
+CONNECT_TIMEOUT_S = 0.7
+"""A connection takes a round trip of a few ms; a lost first packet is sent again after
+a second, by when another attempt is as good."""
 
 
 class HttpFailure(Exception):
@@ -82,6 +85,7 @@
         self._host = host
         self._port = port
         self._idle: list[_Connection] = []
+        self._waiting: set[_Connection] = set()
         self.calls: dict[str, int] = {}
         """Requests sent, by the first words of their path."""
         self.bytes_sent = 0
@@ -96,10 +100,13 @@
         headers: Mapping[str, str] | None = None,
         timeout: float,
         fresh: bool = False,
+        waits: bool = False,
     ) -> HttpResponse:
         """Send a request; raises `HttpFailure` without a response in `timeout` seconds.
 
-        With `fresh` it goes over a connection of its own.
+        With `fresh` it goes over a connection of its own. With `waits` the response
+        may take long by intent; such a request is given up when another one gets no
+        response, because its connection is then likely to be dead as well.
         """
         name = path.partition("?")[0]
         self.calls[name] = self.calls.get(name, 0) + 1
@@ -117,11 +124,15 @@
         try:
             async with asyncio.timeout(timeout):
                 connection = await self._connection(fresh)
+                if waits:
+                    self._waiting.add(connection)
                 response = await connection.request(data)
         except (TimeoutError, OSError) as error:
+            self._abandon()
             raise HttpFailure(f"{name}: {type(error).__name__}") from None
         finally:
             if connection is not None:
+                self._waiting.discard(connection)
                 self._put_back(connection)
         self.bytes_received += len(response.body)
         return response
@@ -132,11 +143,18 @@
             if not connection.closed:
                 return connection
         loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(
-            _Connection, self._host, self._port
-        )
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, connection = await loop.create_connection(
+                _Connection, self._host, self._port
+            )
         return connection
 
+    def _abandon(self) -> None:
+        """Drop the connections that may have died with the one that gave nothing."""
+        for connection in list(self._waiting):
+            connection.abort()
+        self.close()
+
     def _put_back(self, connection: _Connection) -> None:
         done = connection._done
         answered = done is not None and done.done() and not done.cancelled()
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -78,6 +78,7 @@
         self._roster = roster
         self._round: tuple[float, asyncio.Task[bool]] | None = None
         self._refresh: asyncio.Task[None] | None = None
+        self._retries: dict[str, asyncio.Task[EndpointStatus | None]] = {}
         self._primary_known = asyncio.Event()
         self._expected_term = 0
         self._heard: dict[str, float] = {}
@@ -238,8 +239,20 @@
             self._refresh = asyncio.create_task(self.refresh())
 
     async def refresh(self) -> None:
-        """Ask all endpoints for their status."""
-        await asyncio.gather(*(self.ask(name) for name in list(self.controls)))
+        """Ask all endpoints for their status.
+
+        Those that did not answer the last time are not waited for.
+        """
+        answering = []
+        for name, control in list(self.controls.items()):
+            if not control.failure:
+                answering.append(self.ask(name))
+            elif name not in self._retries:
+                self._retries[name] = asyncio.create_task(self.ask(name))
+                self._retries[name].add_done_callback(
+                    lambda _, name=name: self._retries.pop(name, None)
+                )
+        await asyncio.gather(*answering)
 
     # Proofs
 
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -161,33 +161,33 @@
     async def test_one_missing_answer_is_no_verdict(self, cluster: FakeCluster) -> None:
         watch, group = self._watch(cluster)
         group.controls["a1"].failure = "silent"
-        watch.note("a1", answered=False)
+        watch.note("a1", answered=False, asked_at=ManualClock().monotonic())
         await asyncio.sleep(SILENT_S * 2)
         assert watch.verdict() is None
 
     async def test_silence_counts_after_its_time(self, cluster: FakeCluster) -> None:
         watch, group = self._watch(cluster)
         group.controls["a1"].failure = "silent"
-        watch.note("a1", answered=False)
+        watch.note("a1", answered=False, asked_at=ManualClock().monotonic())
         await asyncio.sleep(SILENT_S + MARGIN_S)
-        watch.note("a1", answered=False)
+        watch.note("a1", answered=False, asked_at=ManualClock().monotonic())
         assert watch.verdict() == "silent"
 
     async def test_a_closed_port_counts_sooner(self, cluster: FakeCluster) -> None:
         watch, group = self._watch(cluster)
         group.controls["a1"].failure = "ConnectionRefusedError"
-        watch.note("a1", answered=False)
+        watch.note("a1", answered=False, asked_at=ManualClock().monotonic())
         await asyncio.sleep(REFUSED_S + MARGIN_S)
-        watch.note("a1", answered=False)
+        watch.note("a1", answered=False, asked_at=ManualClock().monotonic())
         assert watch.verdict() == "refused"
 
     async def test_an_answer_clears_the_suspicion(self, cluster: FakeCluster) -> None:
         watch, group = self._watch(cluster)
         group.controls["a1"].failure = "silent"
-        watch.note("a1", answered=False)
-        watch.note("a1", answered=True)
+        watch.note("a1", answered=False, asked_at=ManualClock().monotonic())
+        watch.note("a1", answered=True, asked_at=ManualClock().monotonic())
         await asyncio.sleep(SILENT_S + MARGIN_S)
-        watch.note("a1", answered=False)
+        watch.note("a1", answered=False, asked_at=ManualClock().monotonic())
         assert watch.verdict() is None
 
     async def test_commits_that_reach_no_replica_are_a_stall(
