Ask all members of the term where one alone is too young to be evidence

Cause: tests/test_platform_edge.py: right after a failover no primary read was proven, because the dead old primary was asked as well. Change: all members of the roster must agree, instead of all registered endpoints.

--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -25,7 +25,7 @@
 from celeryjunction.replication.roster import GroupRoster
 
 SETTLED_S = 3.0
-"""Evidence on a younger connection counts only if all replicas agree: the endpoint may
+"""Evidence on a younger connection counts only if all members agree: the endpoint may
 have restarted and lost a pause. Longer than a promotion and the news of it take."""
 HEDGE_S = 0.04
 """A second replica is asked when the first has not answered evidence for so long."""
@@ -374,10 +374,15 @@
                 task.cancel()
 
     async def _all_agree(self, term: int) -> bool:
-        replicas = self.replicas
-        if not replicas:
+        """Ask all that could be promoted; one that was would say so itself.
+
+        This holds whatever pause a restart has lost.
+        """
+        holders = self._roster.holders(term) if self._roster is not None else None
+        candidates = self.replicas if holders is None else holders
+        if not candidates:
             return False
-        answers = await asyncio.gather(*(self.ask(name) for name in replicas))
+        answers = await asyncio.gather(*(self.ask(name) for name in candidates))
         return all(self._confirms(status, term) for status in answers)
 
     def _is_settled(self, endpoint: str) -> bool:
