--- /dev/null
+++ b/src/celeryjunction/node.py
@@ -0,0 +1,400 @@
+"""One VM of the system behind a platform's adapter: groups, readiness, drain.
+
+The adapter gives the ports and the limits; what the VM does with them is decided here.
+It follows the register and the routes, keeps a dispatcher and a supervisor for each
+group, tells the balancer whether callers are welcome, and stops without cutting work.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
+from math import ceil
+from random import Random
+from typing import Protocol
+
+from celeryjunction.dispatch.dispatcher import Dispatcher
+from celeryjunction.errors import ErrorKind, ProxyError
+from celeryjunction.failover.claims import Claims
+from celeryjunction.failover.coordinator import Coordinator
+from celeryjunction.failover.supervisor import Supervisor
+from celeryjunction.failover.suspicions import Suspicions
+from celeryjunction.gateway.gateway import Gateway
+from celeryjunction.gateway.routes import RouteTable
+from celeryjunction.gateway.session import StatementSession
+from celeryjunction.logs import get_logger
+from celeryjunction.membership import Membership
+from celeryjunction.metrics import Metrics
+from celeryjunction.ports import Clock, KeyValueStore
+from celeryjunction.replication.group import ReplicationGroup
+from celeryjunction.replication.ports import EndpointDialer, EndpointInfo, Promoter
+from celeryjunction.replication.register import EndpointRegister
+from celeryjunction.replication.roster import GroupRoster
+
+MAINTENANCE_S = 0.5
+"""Interval at which idle connections and usable endpoints are looked over."""
+SUMMARY_S = 10.0
+"""Interval of the log line that sums up what this process does."""
+NOTICE_S = 2.4
+"""Time from the order to stop until idle callers are closed: the balancer asks once a
+second and takes a VM out after two misses."""
+DRAIN_POLL_S = 0.05
+EXIT_MARGIN_S = 0.6
+"""The program ends so long before it would be killed."""
+DRAIN_MARGIN_S = 1.5
+"""A draining primary gets nothing new so long before the platform's bound: the
+register is listed once a second, and a statement is on its way for a while."""
+PROVEN_S = 1.5
+"""A group without proof for so long does not count as served: two samples failed."""
+ISOLATED_SHARE = 0.6
+"""Part of the other zones' endpoints that do not answer a VM that is cut off. The loss
+of one zone of three takes half of them."""
+MISSES = 2
+"""Questions without a good answer after which the balancer takes a VM out."""
+
+_log = get_logger("node")
+
+
+class NodeLimits:
+    """Bounds that the platform sets, in seconds."""
+
+    __slots__ = ("drain_s", "grace_s")
+
+    def __init__(self, *, drain_s: float, grace_s: float) -> None:
+        self.drain_s = drain_s
+        """Time after which a draining endpoint must get nothing new."""
+        self.grace_s = grace_s
+        """Time from the order to stop until the process is killed."""
+
+
+class CallerConnections(Protocol):
+    """A caller's connection, as the drain sees it."""
+
+    running: bool
+    session: StatementSession | None
+
+
+class Frontend(Protocol):
+    """Accepts callers."""
+
+    @property
+    def connections(self) -> Sequence[CallerConnections]:
+        """Open connections."""
+        ...
+
+    def stop_accepting(self) -> None:
+        """Refuse new connections."""
+        ...
+
+    def close_idle(self) -> int:
+        """Close the connections that are between operations; return how many."""
+        ...
+
+    async def close(self) -> None:
+        """Close everything."""
+        ...
+
+
+class Node:
+    """Runs the groups of one VM."""
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        zone: str,
+        limits: NodeLimits,
+        store: KeyValueStore,
+        dialer: EndpointDialer,
+        promoter: Promoter,
+        register: EndpointRegister,
+        membership: Membership,
+        counters: Callable[[], dict[str, object]],
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self.limits = limits
+        self.metrics = Metrics()
+        self.gateway = Gateway(clock=clock, metrics=self.metrics)
+        self.stopped = asyncio.Event()
+        self._vm = vm
+        self._zone = zone
+        self._store = store
+        self._dialer = dialer
+        self._promoter = promoter
+        self._register = register
+        self._membership = membership
+        self._counters = counters
+        self._clock = clock
+        self._random = random
+        self._claims = Claims(store, vm=vm, clock=clock)
+        self._suspicions = Suspicions(store, vm=vm)
+        self._frontend: Frontend | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._draining = False
+        self._was_ready: bool | None = None
+        self._misses = 0
+        register.subscribe(lambda _: self._apply_endpoints())
+
+    def start(self, frontend: Frontend) -> None:
+        """Follow the platform and serve what `frontend` accepts."""
+        self._frontend = frontend
+        for work in (
+            self._register.run(),
+            self._membership.run(),
+            self._maintain(),
+        ):
+            self.start_task(work)
+        _log.info("started", vm=self._vm, zone=self._zone)
+
+    # Routes and endpoints
+
+    def take_routes(self, table: RouteTable, *, revision: int) -> None:
+        """Put a newer version of the routes in force."""
+        if self.gateway.take_routes(table):
+            self._membership.update(applied_revision=revision)
+            self._apply_endpoints()
+
+    def _apply_endpoints(self) -> None:
+        """Give each group its endpoints, and each dispatcher those it may use."""
+        gateway = self.gateway
+        by_group: dict[str, dict[str, EndpointInfo]] = {
+            name: {} for name in gateway.groups
+        }
+        if gateway.table is not None:
+            by_group.update({name: {} for name in gateway.table.groups})
+        for info in self._register.endpoints.values():
+            by_group.setdefault(info.group, {})[info.id] = info
+        for name, endpoints in by_group.items():
+            group = gateway.groups.get(name) or self._add_group(name)
+            if endpoints != group.endpoints:
+                group.follow(endpoints)
+                group.refresh_soon()
+            gateway.dispatchers[name].follow(
+                {key: info for key, info in endpoints.items() if self._usable(info)}
+            )
+
+    def _usable(self, info: EndpointInfo) -> bool:
+        """Whether an endpoint may get statements.
+
+        A draining one gets none, unless it is the primary and the bound is not near.
+        """
+        if not info.draining:
+            return True
+        if self.gateway.groups[info.group].primary != info.id:
+            return False
+        since = self._register.draining_since.get(info.id, 0.0)
+        return self._clock.monotonic() - since < self.limits.drain_s - DRAIN_MARGIN_S
+
+    def _add_group(self, name: str) -> ReplicationGroup:
+        roster = GroupRoster(name, self._store, clock=self._clock)
+        group = ReplicationGroup(
+            name,
+            zone=self._zone,
+            dialer=self._dialer,
+            clock=self._clock,
+            roster=roster,
+        )
+        dispatcher = Dispatcher(
+            zone=self._zone,
+            dialer=self._dialer,
+            clock=self._clock,
+            random=self._random,
+            max_links=self._max_links,
+        )
+        dispatcher.on_stuck = lambda _: group.nudged.set()
+        self.gateway.groups[name] = group
+        self.gateway.dispatchers[name] = dispatcher
+        self.start_task(self._new_supervisor(group, roster).run())
+        return group
+
+    def _new_supervisor(
+        self, group: ReplicationGroup, roster: GroupRoster
+    ) -> Supervisor:
+        coordinator = Coordinator(
+            group,
+            roster=roster,
+            claims=self._claims,
+            promoter=self._promoter,
+            vm=self._vm,
+            clock=self._clock,
+            random=self._random,
+            dialer=self._dialer,
+            refresh_register=self._register.poll,
+        )
+        return Supervisor(
+            group,
+            coordinator=coordinator,
+            suspicions=self._suspicions,
+            roster=roster,
+            live_vms=self._live_vms,
+            dialer=self._dialer,
+            clock=self._clock,
+            random=self._random,
+        )
+
+    def _live_vms(self) -> int:
+        return len(self._membership.peers()) + 1
+
+    def _max_links(self, info: EndpointInfo) -> int:
+        """Return this VM's part of the connections that an endpoint accepts.
+
+        Each VM keeps one more for status.
+        """
+        table = self.gateway.table
+        terms = table.groups.get(info.group) if table is not None else None
+        if terms is None:
+            return 1
+        vms = self._live_vms()
+        return max(1, ceil((terms.connection_limit - vms) / vms))
+
+    # Callers and the balancer
+
+    def open_session(self, database: str) -> StatementSession:
+        """Open a caller's session; raises `ProxyError`."""
+        if self.gateway.table is None:
+            raise ProxyError(
+                ErrorKind.NOT_RUN_CONNECTION,
+                {"database": database, "reason": "no config yet"},
+            )
+        if self.gateway.route(database) is None:
+            raise ProxyError(ErrorKind.UNKNOWN_DATABASE, {"database": database})
+        return StatementSession(database, gateway=self.gateway)
+
+    @property
+    def ready(self) -> bool:
+        """Whether new callers are welcome: half of the groups at least are served."""
+        gateway = self.gateway
+        synced = self._register.synced.is_set()
+        if self._draining or gateway.table is None or not synced or self._isolated:
+            return False
+        oldest = self._clock.monotonic() - PROVEN_S
+        groups = [gateway.groups[name] for name in gateway.table.groups]
+        served = sum(group.proven_at >= oldest for group in groups)
+        return bool(groups) and 2 * served >= len(groups)
+
+    @property
+    def _isolated(self) -> bool:
+        """Whether most endpoints of other zones do not answer this VM any more."""
+        now = self._clock.monotonic()
+        failing = [
+            gate.failing or gate.stuck(now)
+            for dispatcher in self.gateway.dispatchers.values()
+            for gate in dispatcher.gates.values()
+            if gate.info.zone != self._zone
+        ]
+        return bool(failing) and sum(failing) >= ISOLATED_SHARE * len(failing)
+
+    def answer_balancer(self) -> bool:
+        """Answer the balancer's question whether this VM is ready."""
+        ready = self.ready
+        if ready != self._was_ready:
+            self._was_ready = ready
+            _log.info(
+                "readiness_changed",
+                ready=ready,
+                draining=self._draining,
+                isolated=self._isolated,
+            )
+        self._misses = 0 if ready else self._misses + 1
+        return ready
+
+    # Maintenance and stop
+
+    async def _maintain(self) -> None:
+        summed_up_at = 0.0
+        while True:
+            await asyncio.sleep(MAINTENANCE_S)
+            self._apply_endpoints()
+            for name, dispatcher in self.gateway.dispatchers.items():
+                self._look_over(self.gateway.groups[name], dispatcher)
+            if self._misses >= MISSES and not self._draining:
+                # Callers come back elsewhere, where they can be served.
+                self._frontend.close_idle()
+            now = self._clock.monotonic()
+            if now - summed_up_at >= SUMMARY_S:
+                summed_up_at = now
+                self._log_summary()
+
+    @staticmethod
+    def _look_over(group: ReplicationGroup, dispatcher: Dispatcher) -> None:
+        for endpoint, gate in dispatcher.gates.items():
+            gate.close_idle()
+            gate.note_alive(group.heard_at(endpoint))
+            known = group.statuses.get(endpoint)
+            if known is not None:
+                gate.others_busy = max(0, known[1].busy - gate.running)
+
+    def _log_summary(self) -> None:
+        gateway = self.gateway
+        _log.info(
+            "summary",
+            callers=len(self._frontend.connections),
+            running=gateway.running,
+            open_transactions=gateway.open_transactions,
+            waiting=sum(one.waiting for one in gateway.dispatchers.values()),
+            **self._counters(),
+        )
+
+    def stop(self) -> None:
+        """Start to drain; further calls change nothing."""
+        if not self._draining:
+            self._draining = True
+            self.start_task(self._drain())
+
+    async def _drain(self) -> None:
+        grace_s = self.limits.grace_s
+        frontend = self._frontend
+        started = self._clock.monotonic()
+        _log.info("drain_started", connections=len(frontend.connections))
+        await asyncio.sleep(min(NOTICE_S, grace_s / 2))
+        frontend.stop_accepting()
+        while frontend.connections:
+            elapsed = self._clock.monotonic() - started
+            if elapsed >= grace_s - EXIT_MARGIN_S:
+                break
+            frontend.close_idle()
+            if elapsed >= grace_s / 2:
+                self._abort_idle_transactions()
+            await asyncio.sleep(DRAIN_POLL_S)
+        _log.info("drain_finished", connections=len(frontend.connections))
+        await self._close()
+
+    def _abort_idle_transactions(self) -> None:
+        error = ProxyError(ErrorKind.SHUTTING_DOWN)
+        for connection in self._frontend.connections:
+            if not connection.running and connection.session is not None:
+                connection.session.abort(error)
+
+    async def _close(self) -> None:
+        await self._frontend.close()
+        current = asyncio.current_task()
+        tasks = [task for task in self._tasks if task is not current]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for dispatcher in self.gateway.dispatchers.values():
+            dispatcher.close()
+        for group in self.gateway.groups.values():
+            group.close()
+        try:
+            async with asyncio.timeout(EXIT_MARGIN_S / 2):
+                await self._membership.leave()
+        except TimeoutError:
+            _log.warning("lease_left_to_lapse", vm=self._vm)
+        _log.info("stopped", vm=self._vm)
+        self.stopped.set()
+
+    def start_task(
+        self, coroutine: Coroutine[object, object, None]
+    ) -> asyncio.Task[None]:
+        """Run a coroutine until the node stops; a failure is logged."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_done)
+        return task
+
+    def _task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            _log.error("task_failed", alarm=1, reason=repr(error))
--- a/src/celeryjunction/platform/endpoints.py
+++ b/src/celeryjunction/platform/endpoints.py
@@ -6,8 +6,8 @@
 from collections import Counter
 from collections.abc import Sequence
 
+from celeryjunction.adapters.line_stream import LineStream, LineTooLong
 from celeryjunction.errors import ConnectionLost
-from celeryjunction.platform.lines import LineStream, LineTooLong
 from celeryjunction.platform.wire import (
     FAULTS,
     STATES,
--- a/src/celeryjunction/platform/frontend.py
+++ b/src/celeryjunction/platform/frontend.py
@@ -5,11 +5,11 @@
 import asyncio
 from collections.abc import Callable
 
+from celeryjunction.adapters.line_stream import LineStream, LineTooLong
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.gateway.session import StatementSession
 from celeryjunction.gateway.statements import Request
 from celeryjunction.logs import get_logger
-from celeryjunction.platform.lines import LineStream, LineTooLong
 from celeryjunction.platform.wire import (
     ERROR_WORDS,
     FAULT_WORDS,
--- a/src/celeryjunction/platform/promotion.py
+++ b/src/celeryjunction/platform/promotion.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from celeryjunction.platform.http import HttpClient, HttpFailure
+from celeryjunction.adapters.http_client import HttpClient, HttpFailure
 from celeryjunction.replication.ports import PromotionResult
 
 CALL_TIMEOUT_S = 0.4
--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -16,7 +16,7 @@
 
 from httptools import HttpParserError, HttpRequestParser
 
-from celeryjunction.platform.lines import LineStream
+from celeryjunction.adapters.line_stream import LineStream
 
 PROMOTION_S = 0.2
 APPLY_S = 0.005
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from celeryjunction.platform.http import HttpClient, HttpFailure, HttpResponse
+from celeryjunction.adapters.http_client import HttpClient, HttpFailure, HttpResponse
 from celeryjunction.ports import (
     Compare,
     KeyValue,
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from celeryjunction.adapters.http_client import HttpClient
 from celeryjunction.gateway.routes import Consistency
-from celeryjunction.platform.http import HttpClient
 from celeryjunction.platform.promotion import PromotionCall
 from celeryjunction.platform.records import decode_config, decode_endpoint
 from celeryjunction.platform.settings import SettingsError, split_address
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from celeryjunction.adapters.line_stream import MAX_LINE_BYTES, LineStream, LineTooLong
 from celeryjunction.errors import ERROR_TABLE as TABLE
 from celeryjunction.errors import ConnectionLost, ErrorKind, Ran
 from celeryjunction.gateway.statements import (
@@ -20,7 +21,6 @@
     Write,
 )
 from celeryjunction.platform.endpoints import LineDialer
-from celeryjunction.platform.lines import MAX_LINE_BYTES, LineStream, LineTooLong
 from celeryjunction.platform.standin import StandinGroup
 from celeryjunction.platform.wire import (
     ERROR_WORDS,
