Log what a failed request's decision rested on; do not wait long for a proof

Change: those inputs in the line; a proof is waited for as long as an endpoint is; evidence and suspicions are logged when their state changes.

--- a/src/celeryjunction/failover/suspicions.py
+++ b/src/celeryjunction/failover/suspicions.py
@@ -37,12 +37,13 @@
 class Suspicions:
     """Writes this VM's suspicions and counts those of all VMs."""
 
-    __slots__ = ("_store", "_vm", "_written")
+    __slots__ = ("_reachable", "_store", "_vm", "_written")
 
     def __init__(self, store: KeyValueStore, *, vm: str) -> None:
         self._store = store
         self._vm = vm
         self._written: dict[str, Suspicion] = {}
+        self._reachable = True
 
     async def tell(
         self, group: str, *, term: int, primary: str, acknowledged: LogPosition
@@ -69,10 +70,17 @@
         try:
             await self._store.compare_and_put([], [put], timeout=CALL_TIMEOUT_S)
         except (StoreUnavailable, StoreRefused, LeaseLapsed) as error:
-            _log.warning("suspicion_not_stored", entry=put.key, reason=str(error))
+            self._note_store(False, str(error))
             return False
+        self._note_store(True)
         return True
 
+    def _note_store(self, reachable: bool, reason: str = "") -> None:
+        """Log when suspicions can't be stored or read, and when they can again."""
+        if reachable != self._reachable:
+            self._reachable = reachable
+            _log.warning("suspicions_shared", possible=reachable, reason=reason)
+
     async def of_all(
         self, group: str, *, term: int, primary: str
     ) -> list[Suspicion] | None:
@@ -81,7 +89,7 @@
         try:
             listed = await self._store.list(prefix, timeout=CALL_TIMEOUT_S)
         except (StoreUnavailable, StoreRefused) as error:
-            _log.warning("suspicions_not_read", group=group, reason=str(error))
+            self._note_store(False, str(error))
             return None
         found = []
         for item in listed.items:
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -178,9 +178,24 @@
             endpoint=self._endpoint or None,
             session_position=str(self._position),
             took_ms=round(seconds * 1000, 1),
+            **self._group_inputs(route),
             outcome=outcome,
         )
 
+    def _group_inputs(self, route: Route | None) -> dict[str, object]:
+        """Return what the decisions on a route's statements rest on, for the log."""
+        group = self._gateway.groups.get(route.group) if route is not None else None
+        if group is None:
+            return {}
+        dispatcher = self._gateway.dispatchers[group.name]
+        return {
+            "primary": group.primary,
+            "term": group.term,
+            "proof_age_ms": round((self._clock.monotonic() - group.proven_at) * 1000),
+            "waiting": dispatcher.waiting,
+            "failing": [n for n, gate in dispatcher.gates.items() if gate.failing],
+        }
+
     async def close(self) -> None:
         """Roll back what is open and give the connection back."""
         self._stop_idle_timer()
@@ -310,9 +325,7 @@
         demand = self._demand(route, arrived=request.arrived)
         answer: Answer | None = None
         for _ in range(MAX_TRIES):
-            after = await self._read_terms(
-                route, demand, since=request.arrived, deadline=deadline
-            )
+            after = await self._read_terms(route, demand, since=request.arrived)
             command = relay if after is None else replace(relay, after=after)
             try:
                 grant = await self._dispatcher(route).acquire(demand)
@@ -333,13 +346,15 @@
         )
 
     async def _read_terms(
-        self, route: Route, demand: Demand, *, since: float, deadline: float
+        self, route: Route, demand: Demand, *, since: float
     ) -> LogPosition | None:
         """Prove what the route asks for; return the position that a read must see.
 
-        A read that must see everything goes to the proven primary and needs none.
+        A read that must see everything goes to the proven primary and needs none. A
+        proof that is not found as soon as an endpoint must be is not waited for.
         """
         group = self._gateway.groups[route.group]
+        deadline = demand.give_up_at
         if route.consistency is Consistency.PRIMARY:
             demand.only = await group.proven_primary(since=since, deadline=deadline)
             return None
@@ -476,9 +491,7 @@
         demand = self._demand(route, arrived=self._clock.monotonic())
         fault: Fault | None = None
         for _ in range(MAX_TRIES):
-            after = await self._read_terms(
-                route, demand, since=transaction.arrived, deadline=deadline
-            )
+            after = await self._read_terms(route, demand, since=transaction.arrived)
             if not transaction.read_only:
                 demand.only = await group.primary_by(deadline)
             try:
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -81,6 +81,7 @@
         self._retries: dict[str, asyncio.Task[EndpointStatus | None]] = {}
         self._primary_known = asyncio.Event()
         self._expected_term = 0
+        self._has_evidence = True
         self._heard: dict[str, float] = {}
         self._primary_answer: tuple[float, LogPosition] | None = None
         self.sampled_at = 0.0
@@ -314,16 +315,30 @@
         (not run) when there is no evidence by the deadline.
         """
         while True:
-            primary = await self.primary_by(deadline)
+            await self.primary_by(deadline)
             term = self.term
-            if await self._evidence(since) and term == self.term and self.primary:
+            found = await self._evidence(since)
+            self._note_evidence(found)
+            if found and term == self.term and self.primary:
                 return self.primary
             now = self._clock.monotonic()
             if now + ROUND_PAUSE_S >= deadline:
                 raise ProxyError(ErrorKind.FRESHNESS_UNPROVEN, {"database": self.name})
-            _log.info("evidence_missing", group=self.name, primary=primary, term=term)
             await asyncio.sleep(ROUND_PAUSE_S)
 
+    def _note_evidence(self, found: bool) -> None:
+        """Log when evidence begins to be missing, and when it is found again."""
+        if found == self._has_evidence:
+            return
+        self._has_evidence = found
+        _log.info(
+            "evidence_found" if found else "evidence_missing",
+            group=self.name,
+            primary=self.primary,
+            term=self.term,
+            replicas={n: self.controls[n].failure or "ok" for n in self.replicas},
+        )
+
     async def _evidence(self, since: float) -> bool:
         """Return whether evidence asked for at `since` or later was found.
 
