--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -124,7 +124,10 @@
 
     def close(self) -> None:
         """Close the control connections."""
-        self.follow({})
+        for control in self.controls.values():
+            control.close()
+        self.controls.clear()
+        self.endpoints = {}
 
     # What endpoints say
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -404,6 +404,13 @@
 
 
 class TestFailoverSeenByCallers:
+    async def test_closing_a_group_does_not_lose_its_primary(
+        self, proxy: Proxy
+    ) -> None:
+        """The bench's incident inc-396f: a stopping VM logged lost primaries."""
+        proxy.group.close()
+        assert proxy.group.primary == "a1"
+
     async def test_positions_of_the_old_term_are_dropped(self, proxy: Proxy) -> None:
         await proxy.group.sample()
         assert proxy.group.position_since(0.0) is not None
