--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -30,8 +30,9 @@
 """Pause after a failed replacement, up to twice as long at random."""
 ABANDONED_S = 2.5
 """Replicas that are held for so long were left by a holder that stopped."""
-ROSTER_SPREAD_S = 1.0
-"""VMs write a changed roster within this of each other, so that one write does."""
+ROSTER_SPREAD_S = 0.4
+"""VMs write a changed roster within this of each other, so that one write does. Until a
+VM has read the new one, only settled connections give it evidence."""
 LEAVERS_S = 1.0
 """Interval at which members that drained are looked for at their address."""
 UNKNOWN_S = 1.0
@@ -133,7 +134,7 @@
         self._note_primary(group.primary, started)
         return self._watch.verdict() == "stalled"
 
-    async def _keep_roster(self) -> None:
+    async def _keep_roster(self, *, at_once: bool = False) -> None:
         """Write down who takes part in the term; VMs take turns at random."""
         group = self._group
         if not group.term:
@@ -151,13 +152,14 @@
         )
         await self._look_for_leavers()
         now = self._clock.monotonic()
-        if not self._roster.outdated or now < self._roster_due:
+        if not self._roster.outdated:
+            self._roster_due = 0.0
             return
-        if not self._roster_due:
+        if not self._roster_due and not at_once:
             self._roster_due = now + ROSTER_SPREAD_S * self._random.random()
-            return
-        self._roster_due = now + ROSTER_SPREAD_S * self._random.uniform(0.5, 1.5)
-        await self._roster.write()
+        if at_once or now >= self._roster_due:
+            self._roster_due = now + ROSTER_SPREAD_S * self._random.uniform(1.0, 2.0)
+            await self._roster.write()
 
     async def _look_for_leavers(self) -> None:
         """Strike off the members that drained and whose port is closed."""
@@ -217,7 +219,8 @@
             if agreed is None:
                 return
             acknowledged = max(acknowledged, agreed)
-        await self._coordinator.replace(reason, acknowledged=acknowledged)
+        if await self._coordinator.replace(reason, acknowledged=acknowledged):
+            await self._keep_roster(at_once=True)
 
     async def _agreed(self, reason: str) -> LogPosition | None:
         """Return the highest acknowledged position if half of the VMs agree."""
