--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -8,7 +8,7 @@
 
 from msgspec.structs import replace
 
-from celeryjunction.dispatch.dispatcher import Demand, Grant
+from celeryjunction.dispatch.dispatcher import Demand, Dispatcher, Grant
 from celeryjunction.errors import ConnectionLost, ErrorKind, ProxyError
 from celeryjunction.gateway.gateway import Gateway
 from celeryjunction.gateway.routes import Consistency, Route
@@ -30,6 +30,7 @@
     Write,
 )
 from celeryjunction.rank import Rank
+from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import (
     NO_POSITION,
     Answer,
@@ -392,6 +393,7 @@
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             if answer.fault is None:
+                await self._confirm(group, deadline)
                 self._note_commit(group, answer.position)
                 return answer
             if answer.fault not in NOT_RUN_FAULTS:
@@ -589,7 +591,9 @@
         finally:
             self._forget_transaction()
         if answer.fault is None and transaction.wrote:
-            self._note_commit(self._gateway.groups[route.group], answer.position)
+            group = self._gateway.groups[route.group]
+            await self._confirm(group, deadline)
+            self._note_commit(group, answer.position)
         if answer.fault is Fault.NOT_PRIMARY:
             self._gateway.groups[route.group].refresh_soon()
         return answer._replace(state=_IDLE)
@@ -664,7 +668,7 @@
 
     # Helpers
 
-    def _dispatcher(self, route: Route):
+    def _dispatcher(self, route: Route) -> Dispatcher:
         return self._gateway.dispatchers[route.group]
 
     def _demand(self, route: Route, *, arrived: float) -> Demand:
@@ -676,7 +680,27 @@
             values=self._values,
         )
 
-    def _note_commit(self, group, position: LogPosition | None) -> None:
+    async def _confirm(self, group: ReplicationGroup, deadline: float) -> None:
+        """Prove that the primary had not been replaced when it committed.
+
+        With synchronous replicas the acknowledgement proves it: a paused replica
+        receives nothing. Without them evidence is needed; raises `ProxyError`
+        (outcome unknown) when there is none.
+        """
+        terms = self._gateway.table.groups.get(group.name)
+        if terms is not None and terms.synchronous_replicas:
+            return
+        term, now = group.term, self._clock.monotonic()
+        try:
+            await group.proven_primary(since=now, deadline=deadline)
+        except ProxyError as error:
+            raise _unknown(f"the commit's primary is not proven: {error}") from None
+        if group.term != term:
+            raise _unknown("the primary was replaced meanwhile")
+
+    def _note_commit(
+        self, group: ReplicationGroup, position: LogPosition | None
+    ) -> None:
         if position is not None:
             self._position = max(self._position, position)
             group.acknowledged = max(group.acknowledged, position)
--- a/tests/replicated_fakes.py
+++ b/tests/replicated_fakes.py
@@ -98,6 +98,7 @@
         self.promotion_answers: list[PromotionResult] = []
         self.acknowledged: list[LogPosition] = []
         self.opened = 0
+        self.waits_for_replicas = True
 
     def __getitem__(self, name: str) -> FakeEndpoint:
         return self.endpoints[name]
@@ -167,7 +168,7 @@
             ]
             for one in receivers:
                 one.log = list(primary.log)
-            if receivers:
+            if receivers or not self.waits_for_replicas:
                 self.acknowledged.append(position)
                 return position
             await asyncio.sleep(0.05)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -43,7 +43,7 @@
 IDLE_S = 3.0
 
 
-def table(version: int = 1, **changes: object) -> RouteTable:
+def table(version: int = 1, *, synchronous: int = 1, **changes: object) -> RouteTable:
     terms = {"timeout_s": 0.8, "goal_s": 0.25} | changes
     routes = tuple(
         Route(kind.value, kind.value, "g", kind, staleness_s=1.5, **terms)
@@ -52,7 +52,7 @@
     return RouteTable(
         version=version,
         routes=routes,
-        groups=(GroupTerms("g", 22, 1),),
+        groups=(GroupTerms("g", 22, synchronous),),
         idle_transaction_s=IDLE_S,
     )
 
@@ -250,6 +250,21 @@
         assert not proxy.cluster["a1"].ran
 
 
+class TestWithoutSynchronousReplicas:
+    async def test_a_commit_needs_evidence_after_it(self, proxy: Proxy) -> None:
+        proxy.gateway.take_routes(table(2, synchronous=0))
+        answer = await proxy.run(proxy.session(), Write())
+        assert answer.fault is None
+
+    async def test_a_replaced_primary_acknowledges_nothing(self, proxy: Proxy) -> None:
+        proxy.gateway.take_routes(table(2, synchronous=0))
+        for name in ("b1", "c1"):
+            proxy.cluster[name].held = 2
+        proxy.cluster.waits_for_replicas = False
+        outcome = await kind_of(proxy.run(proxy.session(), Write()))
+        assert outcome is ErrorKind.OUTCOME_UNKNOWN
+
+
 class TestTransactions:
     async def test_statements_keep_their_connection(self, proxy: Proxy) -> None:
         session = proxy.session()
