--- a/bench/platform_cluster.py
+++ b/bench/platform_cluster.py
@@ -83,6 +83,7 @@
         self.front = free_port()
         self.ready = free_port()
         self.process: Process | None = None
+        self.restarting = False
         self.output = b""
 
     async def start(self, *, zone: int = 0) -> None:
@@ -104,6 +105,11 @@
         async for line in self.process.stdout:
             self.output += line
 
+    @property
+    def running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self.process is not None and self.process.returncode is None
+
     async def probe(self, path: str = "/readiness") -> tuple[int, str]:
         """Ask the ready address; return status and body."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.ready)
--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -19,6 +19,8 @@
 from celeryjunction.adapters.line_stream import LineStream
 
 PROMOTION_S = 0.2
+OLD_PRIMARY_S = 0.5
+"""Time after which a replaced primary that was not demoted hears of the new one."""
 APPLY_S = 0.005
 """Time until a replica applies what it received."""
 SYNC_LIMIT_S = 10.0
@@ -37,9 +39,11 @@
         self.log: list[tuple[tuple[int, int], dict[bytes, bytes]]] = []
         self.applied = 0
         self.silent = False
+        self.down = False
+        self.deaf = False
         self.statements: list[bytes] = []
         self._server: asyncio.Server | None = None
-        self._streams: set[LineStream] = set()
+        self.streams: set[LineStream] = set()
 
     @property
     def port(self) -> int:
@@ -64,23 +68,26 @@
         return b"-"
 
     async def start(self, port: int = 0) -> None:
-        """Listen on loopback."""
+        """Listen on loopback, with the log of before."""
         loop = asyncio.get_running_loop()
+        self.down = False
+        self.group.rejoin(self)
         self._server = await loop.create_server(self._accept, "127.0.0.1", port)
 
     async def stop(self) -> None:
         """Close the port and all connections, as a crash does."""
+        self.down = True
         self._server.close()
         self.held = 0
-        for stream in list(self._streams):
+        for stream in list(self.streams):
             stream.abort()
 
     def _accept(self) -> LineStream:
         return _Stream(self._serve)
 
     def _serve(self, stream: LineStream) -> None:
-        self._streams.add(stream)
-        stream.on_lost = lambda: self._streams.discard(stream)
+        self.streams.add(stream)
+        stream.on_lost = lambda: self.streams.discard(stream)
         task = asyncio.create_task(_Caller(self, stream).serve())
         self.group.tasks.add(task)
         task.add_done_callback(self.group.tasks.discard)
@@ -97,7 +104,7 @@
     def status(self) -> bytes:
         """Return the row that a status command answers."""
         role = b"primary" if self.is_primary else b"replica"
-        fields = (role, self.term, *self.position, self.held, len(self._streams))
+        fields = (role, self.term, *self.position, self.held, len(self.streams))
         return b"%b %d %d.%d %d 0 0 %d" % fields
 
 
@@ -196,6 +203,7 @@
     async def _demote(self, request_id: bytes, rest: bytes) -> None:
         if int(rest) > self._endpoint.term:
             self._endpoint.is_primary = False
+            self._endpoint.group.rejoin(self._endpoint)
         await self._status(request_id, rest)
 
     async def _begin(self, request_id: bytes, rest: bytes) -> None:
@@ -278,38 +286,65 @@
     async def commit(self, primary: StandinEndpoint, changes: dict) -> bool:
         """Commit at a primary; False if it lost the lead before it was replicated."""
         term, number = primary.term, primary.position[1] + 1
-        primary.log.append(((term, number), changes))
+        entry = ((term, number), changes)
+        primary.log.append(entry)
         primary.applied = len(primary.log)
         deadline = time.monotonic() + SYNC_LIMIT_S
-        while time.monotonic() < deadline and primary.is_primary:
+        while time.monotonic() < deadline and primary.is_primary and not primary.down:
             receivers = [
                 one
                 for one in self.endpoints
-                if one is not primary and not one.held and one.term == primary.term
+                if one is not primary
+                and one.term == primary.term
+                and not (one.held or one.down or one.deaf)
             ]
             for one in receivers:
                 one.receive(primary.log)
             if receivers:
-                return True
+                return not primary.down
             await asyncio.sleep(0.01)
+        if primary.log and primary.log[-1] is entry:
+            # Nobody received it, and its caller is told that it did not run.
+            primary.log.pop()
+            primary.applied = min(primary.applied, len(primary.log))
         return False
 
     def promote(self, name: str) -> int:
         """Let an endpoint lead the next term a little later; return the status."""
         chosen = next((one for one in self.endpoints if one.id == name), None)
-        if chosen is None:
+        if chosen is None or chosen.down:
             return 409
         if not chosen.is_primary:
             loop = asyncio.get_running_loop()
             loop.call_later(PROMOTION_S, self._take_over, chosen)
         return 200
 
+    def rejoin(self, one: StandinEndpoint) -> None:
+        """Let a demoted or restarted endpoint follow the present primary, if any."""
+        leader = next((other for other in self.endpoints if other.is_primary), None)
+        if leader is not None and leader.term > one.term:
+            self._follow(one, leader)
+
     def _take_over(self, chosen: StandinEndpoint) -> None:
-        term = max(one.term for one in self.endpoints) + 1
+        """Let the chosen one lead; the old primary hears of it a little later."""
+        old = [one for one in self.endpoints if one.is_primary]
+        chosen.term = max(one.term for one in self.endpoints) + 1
+        chosen.is_primary, chosen.held = True, 0
         for one in self.endpoints:
-            one.is_primary, one.held, one.term = one is chosen, 0, term
-            one.log = list(chosen.log)
-            one.applied = len(one.log)
+            if one is not chosen and one not in old:
+                self._follow(one, chosen)
+        loop = asyncio.get_running_loop()
+        for one in old:
+            loop.call_later(OLD_PRIMARY_S, self._follow, one, chosen)
+
+    def _follow(self, one: StandinEndpoint, leader: StandinEndpoint) -> None:
+        if one.term >= leader.term or not leader.is_primary:
+            return
+        one.is_primary, one.held, one.term = False, 0, leader.term
+        one.log = list(leader.log)
+        one.applied = len(one.log)
+        for stream in list(one.streams):
+            stream.abort()
 
 
 class StandinStore:
@@ -321,7 +356,11 @@
         self.revision = 1
         self.leases: dict[int, float] = {}
         self.groups: dict[str, StandinGroup] = {}
+        self.ports: dict[str, int] = {}
+        """Ports to register for endpoints that are reached through another one."""
         self.promotions: list[tuple[str, str, str]] = []
+        self.lose_answers = 0
+        """So many changes are done without an answer."""
         self.refuse: int = 0
         """Status that all calls get; 0 serves them."""
         self._changed = asyncio.Event()
@@ -372,9 +411,10 @@
 
     def register(self, endpoint: StandinEndpoint, **changes: object) -> None:
         """Write an endpoint's entry of the register."""
+        port = self.ports.get(endpoint.id, endpoint.port)
         entry = {
             "service": endpoint.group.name,
-            "address": f"127.0.0.1:{endpoint.port}",
+            "address": f"127.0.0.1:{port}",
             "zone": endpoint.zone,
             "version": "v1",
             "slots": 3,
@@ -519,6 +559,10 @@
         self, method: str, target: str, headers: dict[str, str], body: bytes
     ) -> None:
         status, answer = await self._store.answer(method, target, headers, body)
+        if method == "POST" and self._store.lose_answers:
+            self._store.lose_answers -= 1
+            self._transport.abort()
+            return
         data = json.dumps(answer).encode()
         head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
         self._transport.write(head.encode() + data)
@@ -533,6 +577,8 @@
         self.groups = {name: StandinGroup(name, self.zones) for name in groups}
         self.store.groups = self.groups
         self._version = 0
+        self.store_address = ""
+        """Address of the store for edges, if not its own."""
 
     async def start(self) -> None:
         """Start everything and write the first config."""
@@ -590,6 +636,7 @@
 
     def settings(self, name: str, *, front: int, ready: int, zone: int = 0) -> dict:
         """Return the settings of an edge process on loopback ports."""
+        address = self.store_address or self.store.address
         return {
             "node_name": name,
             "zone": self.zones[zone],
@@ -598,7 +645,7 @@
                 "ready": f"127.0.0.1:{ready}",
                 "control": "",
             },
-            "platform": {"address": self.store.address},
-            "cloud_api": {"address": self.store.address},
+            "platform": {"address": address},
+            "cloud_api": {"address": address},
             "bounds": {"drain_ms": 7000, "grace_s": 6},
         }
