--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from celeryjunction.dispatch.dispatcher import Dispatcher
+from celeryjunction.dispatch.gates import IDLE_LIMIT_S
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.failover.claims import Claims
 from celeryjunction.failover.coordinator import Coordinator
@@ -46,6 +47,10 @@
 register is listed once a second, and a statement is on its way for a while."""
 PROVEN_S = 1.5
 """A group without proof for so long does not count as served: two samples failed."""
+LEAST_LINKS = 3
+"""Connections that each VM may open at an endpoint, however many VMs there are."""
+CROWDED_IDLE_S = 1.5
+"""Idle connections are closed after this while endpoints accept too few for all VMs."""
 ISOLATED_SHARE = 0.6
 """Part of the other zones' endpoints that do not answer a VM that is cut off. The loss
 of one zone of three takes half of them."""
@@ -193,6 +198,7 @@
             zone=self._zone,
             dialer=self._dialer,
             clock=self._clock,
+            vm=self._vm,
             roster=roster,
         )
         dispatcher = Dispatcher(
@@ -237,16 +243,27 @@
         return len(self._membership.peers()) + 1
 
     def _max_links(self, info: EndpointInfo) -> int:
-        """Return this VM's part of the connections that an endpoint accepts.
+        """Return how many connections for statements this VM may open at an endpoint.
 
-        Each VM keeps one more for status.
+        That is its part of what the endpoint accepts, less one for status. With many
+        VMs the parts are too small for open transactions; then each may open a few,
+        the endpoint refuses what is too much, and idle ones are closed soon.
         """
         table = self.gateway.table
         terms = table.groups.get(info.group) if table is not None else None
         if terms is None:
             return 1
         vms = self._live_vms()
-        return max(1, ceil((terms.connection_limit - vms) / vms))
+        return max(LEAST_LINKS, ceil((terms.connection_limit - vms) / vms))
+
+    @property
+    def _crowded(self) -> bool:
+        """Whether the VMs together may open more connections than endpoints accept."""
+        table = self.gateway.table
+        if table is None or not table.groups:
+            return False
+        limit = min(terms.connection_limit for terms in table.groups.values())
+        return limit < (LEAST_LINKS + 1) * self._live_vms()
 
     # Callers and the balancer
 
@@ -316,10 +333,12 @@
                 summed_up_at = now
                 self._log_summary()
 
-    @staticmethod
-    def _look_over(group: ReplicationGroup, dispatcher: Dispatcher) -> None:
+    def _look_over(self, group: ReplicationGroup, dispatcher: Dispatcher) -> None:
+        idle_s = CROWDED_IDLE_S if self._crowded else IDLE_LIMIT_S
+        for control in group.controls.values():
+            control.close_idle()
         for endpoint, gate in dispatcher.gates.items():
-            gate.close_idle()
+            gate.close_idle(older_than=idle_s)
             gate.note_alive(group.heard_at(endpoint))
             known = group.statuses.get(endpoint)
             if known is not None:
--- a/src/celeryjunction/replication/control.py
+++ b/src/celeryjunction/replication/control.py
@@ -21,6 +21,9 @@
 """A status takes 0.5 ms of a slot; this allows for a queue of 30 ms statements."""
 
 
+IDLE_LIMIT_S = 4.0
+"""An unused connection is closed after this. Evidence is asked for more often, so the
+connections that give it stay open."""
 REFUSED = "ConnectionRefusedError"
 """Failure of a connection that nobody accepts at the address."""
 REPLACED = Fault.WRONG_ENDPOINT.value
@@ -34,7 +37,7 @@
     since when it has been open without a break.
     """
 
-    __slots__ = ("_clock", "_dialer", "_link", "_lock", "failure", "info")
+    __slots__ = ("_clock", "_dialer", "_link", "_lock", "_used_at", "failure", "info")
 
     def __init__(
         self, info: EndpointInfo, *, dialer: EndpointDialer, clock: Clock
@@ -45,6 +48,7 @@
         self._dialer = dialer
         self._clock = clock
         self._link: EndpointLink | None = None
+        self._used_at = 0.0
         self._lock = asyncio.Lock()
 
     @property
@@ -73,6 +77,7 @@
         return None
 
     async def _ask(self, command: Command, timeout: float) -> EndpointStatus | None:
+        self._used_at = self._clock.monotonic()
         link = self._link
         if link is None or not link.usable:
             self._link = None
@@ -91,3 +96,14 @@
         """Close the connection."""
         if self._link is not None:
             self._link.close()
+
+    def close_idle(self) -> None:
+        """Close a connection that was not used lately: endpoints accept only so many."""
+        idle_s = self._clock.monotonic() - self._used_at
+        if (
+            self._link is not None
+            and idle_s >= IDLE_LIMIT_S
+            and not self._lock.locked()
+        ):
+            self._link.close()
+            self._link = None
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from zlib import crc32
 
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.freshness import FreshnessHistory
@@ -55,6 +56,7 @@
         zone: str,
         dialer: EndpointDialer,
         clock: Clock,
+        vm: str = "",
         roster: GroupRoster | None = None,
     ) -> None:
         self.name = name
@@ -73,6 +75,7 @@
         self.promotion_s = FIRST_PROMOTION_S
         """Expected seconds from the pause of the replicas to the new primary."""
         self._zone = zone
+        self._vm = vm
         self._dialer = dialer
         self._clock = clock
         self._roster = roster
@@ -406,11 +409,16 @@
     def _is_settled(self, endpoint: str) -> bool:
         return self.controls[endpoint].open_s >= SETTLED_S
 
-    def _by_distance(self, names: Iterator[str]) -> list[str]:
+    def _by_distance(self, names: Iterable[str]) -> list[str]:
+        """Order endpoints for evidence: this zone's first, then always the same one.
+
+        A VM keeps a connection for evidence to one replica, and all VMs together
+        spread over the replicas.
+        """
+
         def distance(name: str) -> tuple[bool, int]:
-            known = self.statuses.get(name)
-            busy = known[1].busy if known else 0
-            return self.endpoints[name].zone != self._zone, busy
+            place = crc32(f"{self._vm} {name}".encode())
+            return self.endpoints[name].zone != self._zone, place
 
         return sorted(names, key=distance)
 
