--- a/bench/platform_cluster.py
+++ b/bench/platform_cluster.py
@@ -84,6 +84,8 @@
         self.ready = free_port()
         self.process: Process | None = None
         self.restarting = False
+        self.spoke = False
+        """Whether the program has written anything since its start."""
         self.output = b""
 
     async def start(self, *, zone: int = 0) -> None:
@@ -99,17 +101,29 @@
             env={**os.environ, "CELERYJUNCTION_CONFIG": str(self.path)},
             stdout=PIPE,
         )
+        self.spoke = False
         self._reading = asyncio.create_task(self._read())
 
     async def _read(self) -> None:
         async for line in self.process.stdout:
             self.output += line
+            self.spoke = True
 
     @property
     def running(self) -> bool:
         """Whether the process was started and has not ended."""
         return self.process is not None and self.process.returncode is None
 
+    def describe(self) -> str:
+        """Return the process's state, and ask it to write its stacks to stderr."""
+        if not self.running:
+            return f"ended with {self.process.returncode}"
+        self.process.send_signal(signal.SIGUSR1)
+        stat = Path(f"/proc/{self.process.pid}/stat").read_text()
+        return (
+            f"process {self.process.pid} in state {stat.rpartition(')')[2].split()[0]}"
+        )
+
     async def probe(self, path: str = "/readiness") -> tuple[int, str]:
         """Ask the ready address; return status and body."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.ready)
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import faulthandler
 import gc
 import os
 import signal
@@ -190,6 +191,7 @@
     except SettingsError as error:
         print(f"celeryjunction: {error}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    faulthandler.register(signal.SIGUSR1)  # Writes the stacks to standard error.
     stream = BackgroundStream(sys.stdout.fileno())
     set_up_logs("info", stream=stream)
     # libuv may use io_uring, which the platform refuses.
--- a/src/celeryjunction/replication/control.py
+++ b/src/celeryjunction/replication/control.py
@@ -98,7 +98,7 @@
             self._link.close()
 
     def close_idle(self) -> None:
-        """Close a connection that was not used lately: endpoints accept only so many."""
+        """Close a connection that was not used lately: endpoints limit their number."""
         idle_s = self._clock.monotonic() - self._used_at
         if (
             self._link is not None
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from bench.platform_cluster import Caller, EdgeProcess
+from bench.platform_cluster import START_LIMIT_S, Caller, EdgeProcess
 from celeryjunction.platform.standin import StandinPlatform
 
 RETRY_S = 0.1
@@ -19,6 +19,13 @@
 """The platform's bound on the config."""
 
 
+def _ignores_hup(status: Path) -> bool:
+    (mask,) = (
+        line.split()[1] for line in status.read_text().splitlines() if "SigIgn" in line
+    )
+    return bool(int(mask, 16) & 1 << (signal.SIGHUP - 1))
+
+
 @pytest.fixture
 async def platform() -> AsyncIterator[StandinPlatform]:
     platform = StandinPlatform()
@@ -171,6 +178,20 @@
         assert (await caller.send("READ 7"))[0].startswith("ROW")
         assert edge.process.returncode is None
 
+    async def test_hup_during_the_start_is_survived(
+        self, platform: StandinPlatform, tmp_path: Path
+    ) -> None:
+        """The soak's seed 103: a reload before the handlers ended the process."""
+        edge = EdgeProcess(platform, tmp_path, "edge-2")
+        await edge.start()
+        status = Path(f"/proc/{edge.process.pid}/status")
+        async with asyncio.timeout(START_LIMIT_S):
+            while not _ignores_hup(status):
+                await asyncio.sleep(0.002)
+        edge.process.send_signal(signal.SIGHUP)
+        await edge.until_ready()
+        assert await edge.stop() == 0
+
     async def test_bad_settings_end_the_start(
         self, platform: StandinPlatform, tmp_path: Path
     ) -> None:
