Close connections whose transaction is still open; send busy commits again

Change: the pool closes such connections; a transaction's statement that was not run because the endpoint was busy is tried three times more on its connection.

--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -158,8 +158,11 @@
             self.note_failure(error.reason, weight=FAILURES)
 
     def give(self, link: EndpointLink, *, reusable: bool) -> None:
-        """Take a connection back; one that is not reusable is closed."""
-        if self.closed or not reusable or not link.usable:
+        """Take a connection back; one that is not reusable is closed.
+
+        So is one with an open transaction: the next statement would run inside it.
+        """
+        if self.closed or not reusable or not link.usable or link.in_transaction:
             link.close()
             self.links -= 1
             return
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -52,6 +52,10 @@
 """Pause before a primary that refused is looked up again."""
 ROLLBACK_TIMEOUT_S = 0.5
 """A roll-back that takes longer closes the connection instead."""
+BUSY_TRIES = 3
+"""Further tries of a transaction's statement that an endpoint was too busy to run."""
+BUSY_PAUSE_S = 0.02
+"""Pause before such a try: about one statement's work."""
 PATIENCE = 0.7
 """Part of a route's goal that a statement waits for an endpoint. What waits longer
 would be answered late; a refusal lets the caller ask another VM in time."""
@@ -549,6 +553,14 @@
                 transaction.state_sent = True
                 await bring_state(grant.link, commands, timeout=left)
             answer = await self._ask(grant, command, left, interruptible=not commits)
+            for _ in range(BUSY_TRIES):
+                if answer.fault is not Fault.BUSY or answer.state is not _OPEN:
+                    break
+                # It did not run, and the transaction's earlier work would be lost.
+                await asyncio.sleep(BUSY_PAUSE_S)
+                answer = await self._ask(
+                    grant, command, left, interruptible=not commits
+                )
             answered = True
             return answer
         finally:
--- a/src/celeryjunction/platform/endpoints.py
+++ b/src/celeryjunction/platform/endpoints.py
@@ -23,6 +23,7 @@
     EndpointRefused,
     EndpointStatus,
     Fault,
+    TransactionState,
 )
 
 
@@ -38,12 +39,18 @@
         self.prepared: set[bytes] = set()
         self._stream = stream
         self._running = False
+        self._state = TransactionState.IDLE
 
     @property
     def usable(self) -> bool:
         """Whether the connection is open, with nothing left unread or unanswered."""
         return not (self._stream.closed or self._running or self._stream.buffered)
 
+    @property
+    def in_transaction(self) -> bool:
+        """Whether the last answer left a transaction open."""
+        return self._state is not TransactionState.IDLE
+
     async def run(self, commands: Sequence[Command], *, timeout: float) -> list[Answer]:
         """Send the commands in one go and return one answer each."""
         if not self.usable:
@@ -62,6 +69,7 @@
             self.close()
             raise
         self._running = False
+        self._state = answers[-1].state
         return answers
 
     async def _read_answer(self) -> Answer:
--- a/src/celeryjunction/replication/ports.py
+++ b/src/celeryjunction/replication/ports.py
@@ -196,6 +196,11 @@
         """False once the connection is closed or its state is in doubt."""
         ...
 
+    @property
+    def in_transaction(self) -> bool:
+        """Whether the last answer left a transaction open, or failed and not ended."""
+        ...
+
     async def run(self, commands: Sequence[Command], *, timeout: float) -> list[Answer]:
         """Send the commands in one go and return one answer each.
 
--- a/tests/replicated_fakes.py
+++ b/tests/replicated_fakes.py
@@ -197,6 +197,10 @@
     def usable(self) -> bool:
         return not self._closed and not self.running
 
+    @property
+    def in_transaction(self) -> bool:
+        return self._state is not TransactionState.IDLE
+
     def close(self) -> None:
         self._closed = True
         self._gone.set()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -362,6 +362,34 @@
         assert proxy.gateway.open_transactions == 0
 
 
+class TestBusyEndpoints:
+    async def test_a_commit_that_was_not_run_is_sent_again(self, proxy: Proxy) -> None:
+        session = proxy.session()
+        await proxy.run(session, Begin(read_only=False))
+        await proxy.run(session, Write())
+        proxy.cluster["a1"].faults = [Fault.BUSY, Fault.BUSY]
+        answer = await proxy.run(session, Commit())
+        assert answer.fault is None
+        assert len(proxy.cluster.acknowledged) == 1
+
+    async def test_a_transaction_that_stays_open_ends_with_its_connection(
+        self, proxy: Proxy
+    ) -> None:
+        """The bench's apdd-pedidos-grown, quiet-1: PINNED after a busy commit."""
+        session = proxy.session()
+        await proxy.run(session, Begin(read_only=False))
+        await proxy.run(session, Write())
+        proxy.cluster["a1"].faults = [Fault.BUSY] * 10
+        answer = await proxy.run(session, Commit())
+        assert answer.fault is Fault.BUSY
+        assert session.state is TransactionState.IDLE
+        proxy.cluster["a1"].faults = []
+        links = proxy.cluster["a1"].links
+        assert not any(link.usable and link.in_transaction for link in links)
+        await proxy.run(proxy.session(), Write())
+        assert len(proxy.cluster.acknowledged) == 1
+
+
 class TestSharedState:
     async def test_values_follow_the_session(self, proxy: Proxy) -> None:
         first, second = proxy.session(), proxy.session()
