--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -154,10 +154,12 @@
 
     # Routes and endpoints
 
-    def take_routes(self, table: RouteTable, *, revision: int) -> None:
-        """Put a newer version of the routes in force."""
+    def take_routes(self, table: RouteTable) -> None:
+        """Put a newer version of the routes in force.
+
+        It is not told to the other VMs: each change would cost a call for each pair.
+        """
         if self.gateway.take_routes(table):
-            self._membership.update(applied_revision=revision)
             self._apply_endpoints()
 
     def _apply_endpoints(self) -> None:
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -53,11 +53,16 @@
         self._clock = clock
         self._dialer = LineDialer(caller=settings.node_name, clock=clock)
         self._store_client = HttpClient(*split_address(settings.platform.address))
-        store = HttpStore(self._store_client)
+        store = HttpStore(self._store_client, urgent_prefix=CONFIG_PREFIX)
         self._config = PrefixFollower(store, CONFIG_PREFIX, clock=clock, random=random)
         self._config.subscribe(self._config_changed)
         register = EndpointRegister(
-            store, REGISTER_PREFIX, decode=decode_endpoint, clock=clock, random=random
+            store,
+            REGISTER_PREFIX,
+            decode=decode_endpoint,
+            clock=clock,
+            random=random,
+            list_stale=store.list_stale,
         )
         duties = HttpClient(*split_address(settings.cloud_api.address))
         self.node = Node(
@@ -97,7 +102,7 @@
             return
         table = decode_config(event.value)
         if table is not None:
-            self.node.take_routes(table, revision=event.revision)
+            self.node.take_routes(table)
 
     def _answer(self, path: str) -> tuple[int, bytes]:
         if path.startswith("/metrics"):
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -22,9 +22,12 @@
     WatchEvent,
 )
 
-WATCH_WAIT_MS = 2500
-"""A watch is asked anew after this. A connection that went silent is then noticed in
-time for the platform's bound on the config (3 s after 4 s without contact)."""
+URGENT_WAIT_MS = 2500
+"""A watch of an urgent prefix is asked anew after this. A connection that went silent
+is then noticed in time for the platform's bound on the config (3 s after 4 s without
+contact)."""
+WATCH_WAIT_MS = 15_000
+"""Any other watch is asked anew after this: each call is priced."""
 WATCH_SLACK_S = 0.5
 """A watch without an answer for so much longer is broken."""
 
@@ -60,10 +63,14 @@
 
 
 class HttpStore:
-    """Implements `KeyValueStore`. Watches use connections of their own."""
+    """Implements `KeyValueStore`. Watches use connections of their own.
 
-    def __init__(self, client: HttpClient) -> None:
+    `urgent_prefix` is the one whose changes have a bound.
+    """
+
+    def __init__(self, client: HttpClient, *, urgent_prefix: str = "") -> None:
         self._client = client
+        self._urgent_prefix = urgent_prefix
 
     async def _call(
         self,
@@ -104,8 +111,17 @@
         Pages are not a snapshot: a change during the list is seen by a watch that
         starts at that revision.
         """
+        return await self._list({"prefix": prefix}, timeout)
+
+    async def list_stale(self, prefix: str, *, timeout: float = 2.0) -> KeyValueList:
+        """Read all keys under a prefix as they may have been seconds ago.
+
+        That costs a tenth of a linearizable read.
+        """
+        return await self._list({"prefix": prefix, "allow_stale": 1}, timeout)
+
+    async def _list(self, query: dict[str, object], timeout: float) -> KeyValueList:
         items: list[KeyValue] = []
-        query: dict[str, object] = {"prefix": prefix}
         revision = 0
         while True:
             response = await self._call(
@@ -171,13 +187,15 @@
     ) -> AsyncIterator[WatchEvent]:
         """Yield the changes under a prefix from a revision on."""
         after = start_revision - 1
+        urgent = prefix == self._urgent_prefix
+        wait_ms = URGENT_WAIT_MS if urgent else WATCH_WAIT_MS
         while True:
-            query = {"prefix": prefix, "after": after, "wait_ms": WATCH_WAIT_MS}
+            query = {"prefix": prefix, "after": after, "wait_ms": wait_ms}
             response = await self._call(
                 "GET",
                 "/kv-watch",
                 query=query,
-                timeout=WATCH_WAIT_MS / 1000 + WATCH_SLACK_S,
+                timeout=wait_ms / 1000 + WATCH_SLACK_S,
                 accept=(200, 410),
                 waits=True,
             )
--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from random import Random
 
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
     KeyValue,
+    KeyValueList,
     KeyValueStore,
     StoreRefused,
     StoreUnavailable,
@@ -24,6 +25,10 @@
 POLL_S = 1.0
 """Pause between two lists. Entries change with each heartbeat, so a watch would cost
 as many calls as there are heartbeats."""
+FRESH_S = 2.8
+"""Every list after so long is a linearizable one, which costs ten times a stale one.
+With the poll's pause, a draining endpoint is known well within the shortest bound of
+7 s, however old the stale lists are."""
 LIST_TIMEOUT_S = 1.5
 RETURN_S = 3.0
 """Live endpoints are back about 2 s after the store's return, by the users' letter."""
@@ -33,6 +38,7 @@
 _log = get_logger("register")
 
 Decode = Callable[[KeyValue], EndpointInfo | str]
+ListStale = Callable[..., Awaitable[KeyValueList]]
 OnEndpoints = Callable[[dict[str, EndpointInfo]], None]
 
 
@@ -47,6 +53,7 @@
         decode: Decode,
         clock: Clock,
         random: Random,
+        list_stale: ListStale | None = None,
     ) -> None:
         self.endpoints: dict[str, EndpointInfo] = {}
         self.draining_since: dict[str, float] = {}
@@ -57,6 +64,8 @@
         self._decode = decode
         self._clock = clock
         self._random = random
+        self._list_stale = list_stale
+        self._fresh_at = 0.0
         self._revision = 0
         self._answered_at = 0.0
         self._steady_since = 0.0
@@ -74,20 +83,29 @@
     async def run(self) -> None:
         """List the register again and again until cancelled."""
         while True:
-            await self.poll()
+            fresh = self._clock.monotonic() - self._fresh_at >= FRESH_S
+            await self.poll(stale=not fresh)
             pause = POLL_S if self.synced.is_set() else POLL_S / 5
             await asyncio.sleep(pause * self._random.uniform(0.8, 1.2))
 
-    async def poll(self) -> bool:
-        """List the register once; return whether the store answered."""
+    async def poll(self, *, stale: bool = False) -> bool:
+        """List the register once; return whether the store answered.
+
+        A `stale` list is cheaper and may be seconds old.
+        """
+        stale_list = self._list_stale if stale else None
+        call = stale_list or self._store.list
+        started = self._clock.monotonic()
         try:
-            listed = await self._store.list(self._prefix, timeout=LIST_TIMEOUT_S)
+            listed = await call(self._prefix, timeout=LIST_TIMEOUT_S)
         except (StoreUnavailable, StoreRefused) as error:
             if self._steady_since:
                 _log.warning("register_unavailable", reason=str(error))
             self._steady_since = 0.0
             return False
         now = self._clock.monotonic()
+        if stale_list is None:
+            self._fresh_at = started
         if listed.revision < self._revision:
             return True
         if not self._steady_since or now - self._answered_at > AWAY_S:
