--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,6 +1,6 @@
 """A randomized soak: real edge processes, faults from outside, promises checked.
 
-``python -m bench.soak --seed 7 --count 50`` plays fifty seeds. Edges run as processes
+``python -m bench.soak --seed 7 --seeds 50`` plays fifty seeds. Edges run as processes
 before the platform's stand-in; each endpoint and the store are reached through a
 loopback proxy that delays, resets, cuts one way or silences. Signals stop, pause, kill
 and restart the edges, the store refuses, loses answers or is away. Callers check what
@@ -15,6 +15,7 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from itertools import count
 from pathlib import Path
 from random import Random
 from typing import Annotated
@@ -300,7 +301,7 @@
         """Start faults in series; they overlap at random."""
         end = time.monotonic() + self._seconds
         running: list[asyncio.Task[None]] = []
-        faults: list[Callable[[float], Awaitable[None]]] = [
+        faults: list[Callable[[Random, float], Awaitable[None]]] = [
             self._block_endpoint,
             self._reset_endpoint,
             self._delay_endpoint,
@@ -314,33 +315,38 @@
             self._change_config,
             self._hup_edge,
         ]
-        while time.monotonic() < end:
-            fault = self._random.choice(faults)
+        for number in count():
+            if time.monotonic() >= end:
+                break
+            # Each fault draws from its own numbers, so that a seed's faults come again.
+            random = Random(f"{self.seed} {number}")
+            fault = random.choice(faults)
             self.faults[fault.__name__.lstrip("_")] += 1
-            seconds = self._random.uniform(0.2, 2.5)
-            running.append(asyncio.create_task(fault(seconds)))
-            await asyncio.sleep(self._random.uniform(0.1, 1.2))
+            seconds = random.uniform(0.2, 2.5)
+            pause = random.uniform(0.1, 1.2)
+            running.append(asyncio.create_task(fault(random, seconds)))
+            await asyncio.sleep(pause)
         await asyncio.gather(*running)
 
-    def _some_endpoint(self) -> StandinEndpoint:
-        return self._random.choice(self._endpoints)
+    def _some_endpoint(self, random: Random) -> StandinEndpoint:
+        return random.choice(self._endpoints)
 
-    async def _block_endpoint(self, seconds: float) -> None:
-        proxy = self._proxies[self._some_endpoint().id]
-        proxy.block(*self._random.choice([("up",), ("down",), ("up", "down")]))
+    async def _block_endpoint(self, random: Random, seconds: float) -> None:
+        proxy = self._proxies[self._some_endpoint(random).id]
+        proxy.block(*random.choice([("up",), ("down",), ("up", "down")]))
         await asyncio.sleep(seconds)
         proxy.unblock()
 
-    async def _reset_endpoint(self, seconds: float) -> None:
-        self._proxies[self._some_endpoint().id].reset()
+    async def _reset_endpoint(self, random: Random, seconds: float) -> None:
+        self._proxies[self._some_endpoint(random).id].reset()
 
-    async def _delay_endpoint(self, seconds: float) -> None:
-        proxy = self._proxies[self._some_endpoint().id]
-        proxy.delay_s = self._random.uniform(0.005, 0.1)
+    async def _delay_endpoint(self, random: Random, seconds: float) -> None:
+        proxy = self._proxies[self._some_endpoint(random).id]
+        proxy.delay_s = random.uniform(0.005, 0.1)
         await asyncio.sleep(seconds)
         proxy.delay_s = 0.0
 
-    async def _crash_primary(self, seconds: float) -> None:
+    async def _crash_primary(self, random: Random, seconds: float) -> None:
         primaries = [one for one in self._endpoints if one.is_primary and not one.down]
         if not primaries or any(one.down for one in self._endpoints):
             return
@@ -349,35 +355,35 @@
         await asyncio.sleep(seconds)
         await primaries[0].start(port)
 
-    async def _deafen_replica(self, seconds: float) -> None:
-        one = self._some_endpoint()
+    async def _deafen_replica(self, random: Random, seconds: float) -> None:
+        one = self._some_endpoint(random)
         one.deaf = True
         await asyncio.sleep(seconds)
         one.deaf = False
 
-    async def _block_store(self, seconds: float) -> None:
+    async def _block_store(self, random: Random, seconds: float) -> None:
         self._proxies["store"].block("up", "down")
         await asyncio.sleep(seconds)
         self._proxies["store"].unblock()
 
-    async def _refuse_store(self, seconds: float) -> None:
-        self._platform.store.refuse = self._random.choice([429, 503])
+    async def _refuse_store(self, random: Random, seconds: float) -> None:
+        self._platform.store.refuse = random.choice([429, 503])
         await asyncio.sleep(seconds)
         self._platform.store.refuse = 0
 
-    async def _lose_answers(self, seconds: float) -> None:
-        self._platform.store.lose_answers = self._random.randint(1, 5)
+    async def _lose_answers(self, random: Random, seconds: float) -> None:
+        self._platform.store.lose_answers = random.randint(1, 5)
 
-    async def _pause_edge(self, seconds: float) -> None:
-        edge = self._random.choice(self._edges)
+    async def _pause_edge(self, random: Random, seconds: float) -> None:
+        edge = random.choice(self._edges)
         if edge.running:
             edge.process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(seconds)
             if edge.running:
                 edge.process.send_signal(signal.SIGCONT)
 
-    async def _restart_edge(self, seconds: float) -> None:
-        number = self._random.randrange(EDGES)
+    async def _restart_edge(self, random: Random, seconds: float) -> None:
+        number = random.randrange(EDGES)
         edge = self._edges[number]
         if edge.restarting:
             return
@@ -386,19 +392,19 @@
             edge.process.send_signal(signal.SIGCONT)
         # Before its first line a program has served nobody, and may just end.
         allowed = {0, -signal.SIGKILL} | (set() if edge.spoke else {-signal.SIGTERM})
-        code = await edge.stop(self._random.choice([signal.SIGTERM, signal.SIGKILL]))
+        code = await edge.stop(random.choice([signal.SIGTERM, signal.SIGKILL]))
         if code not in allowed:
             self.journal.fail(f"{edge.name} ended with {code}")
         await asyncio.sleep(seconds / 4)
         await edge.start(zone=number)
         edge.restarting = False
 
-    async def _change_config(self, seconds: float) -> None:
+    async def _change_config(self, random: Random, seconds: float) -> None:
         self._platform.configure()
 
-    async def _hup_edge(self, seconds: float) -> None:
+    async def _hup_edge(self, random: Random, seconds: float) -> None:
         # The interpreter itself ends on this signal until the program's first line.
-        edge = self._random.choice(self._edges)
+        edge = random.choice(self._edges)
         if edge.running and edge.spoke:
             edge.process.send_signal(signal.SIGHUP)
 
@@ -458,7 +464,7 @@
 
 def main(
     seed: Annotated[int, typer.Option(help="First seed.")] = 1,
-    count: Annotated[int, typer.Option(help="Seeds to play.")] = 1,
+    seeds: Annotated[int, typer.Option(help="Seeds to play.")] = 1,
     seconds: Annotated[float, typer.Option(help="Seconds of faults a seed.")] = 12.0,
     keep: Annotated[Path, typer.Option(help="Folder for failures.")] = Path(".bench"),
 ) -> None:
@@ -466,7 +472,7 @@
     faults: Counter[str] = Counter()
     counts: Counter[str] = Counter()
     failed: list[int] = []
-    for number in range(seed, seed + count):
+    for number in range(seed, seed + seeds):
         soak = asyncio.run(play(number, seconds))
         faults += soak.faults
         counts += soak.journal.counts
@@ -474,7 +480,7 @@
             failed.append(number)
             keep_logs(soak, keep)
         print(f"seed={number} violations={soak.journal.violations[:4]}", flush=True)
-    finish({"seeds": count, "failed": failed, "faults": faults, "answers": counts})
+    finish({"seeds": seeds, "failed": failed, "faults": faults, "answers": counts})
 
 
 if __name__ == "__main__":
--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -154,6 +154,8 @@
         max_links: Callable[[EndpointInfo], int],
     ) -> None:
         self.gates: dict[str, EndpointGate] = {}
+        self.lends = False
+        """Whether idle connections also serve for commands to the endpoints."""
         self._zone = zone
         self._dialer = dialer
         self._clock = clock
@@ -213,6 +215,27 @@
             raise
         return Grant(self, gate, link, clock=self._clock)
 
+    # Lending idle connections for commands
+
+    def borrow(self, endpoint: str) -> EndpointLink | None:
+        """Lend an idle connection, where VMs must share the endpoint's limit."""
+        gate = self.gates.get(endpoint)
+        return gate.borrow() if gate is not None and self.lends else None
+
+    def give_back(self, endpoint: str, link: EndpointLink) -> None:
+        """Take a lent connection back."""
+        gate = self.gates.get(endpoint)
+        if gate is None:
+            link.close()
+            return
+        gate.give(link, reusable=True)
+        self.pump()
+
+    def oldest_idle_s(self, endpoint: str) -> float:
+        """Return how long the connection that is lent next has been open, seconds."""
+        gate = self.gates.get(endpoint)
+        return gate.oldest_idle_s if gate is not None and self.lends else 0.0
+
     def close(self) -> None:
         """Close all idle connections and refuse what waits."""
         self.follow({})
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -168,6 +168,21 @@
             return
         self._idle.append((link, self._clock.monotonic()))
 
+    def borrow(self) -> EndpointLink | None:
+        """Lend the oldest idle connection for a command; None without one."""
+        self._drop_broken()
+        if not self._idle:
+            return None
+        oldest = min(self._idle, key=lambda entry: entry[0].opened_at)
+        self._idle.remove(oldest)
+        return oldest[0]
+
+    @property
+    def oldest_idle_s(self) -> float:
+        """Seconds for which the connection that `borrow` lends has been open."""
+        opened = [link.opened_at for link, _ in self._idle if link.usable]
+        return self._clock.monotonic() - min(opened) if opened else 0.0
+
     def close_idle(self, *, older_than: float = IDLE_LIMIT_S) -> None:
         """Close the connections that were idle for so many seconds."""
         limit = self._clock.monotonic() - older_than
@@ -233,6 +248,18 @@
             for_s=self._avoid_s,
         )
 
+    def describe(self) -> str:
+        """Return what decides whether a statement may be sent, for the log."""
+        now = self._clock.monotonic()
+        words = [f"running:{self.running}", f"links:{self.links}/{self.max_links}"]
+        if self.stuck(now):
+            words.append("stuck")
+        if self.failing:
+            words.append("failing")
+        if now < self.avoid_until:
+            words.append("avoided")
+        return ",".join(words)
+
     @property
     def failing(self) -> bool:
         """Whether the last statements or connections got no answer."""
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -198,7 +198,7 @@
             "term": group.term,
             "proof_age_ms": round((self._clock.monotonic() - group.proven_at) * 1000),
             "waiting": dispatcher.waiting,
-            "failing": [n for n, gate in dispatcher.gates.items() if gate.failing],
+            "endpoints": {n: gate.describe() for n, gate in dispatcher.gates.items()},
         }
 
     async def close(self) -> None:
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -47,7 +47,7 @@
 register is listed once a second, and a statement is on its way for a while."""
 PROVEN_S = 1.5
 """A group without proof for so long does not count as served: two samples failed."""
-LEAST_LINKS = 3
+LEAST_LINKS = 2
 """Connections that each VM may open at an endpoint, however many VMs there are."""
 CROWDED_IDLE_S = 1.5
 """Idle connections are closed after this while endpoints accept too few for all VMs."""
@@ -195,20 +195,21 @@
 
     def _add_group(self, name: str) -> ReplicationGroup:
         roster = GroupRoster(name, self._store, clock=self._clock)
-        group = ReplicationGroup(
-            name,
+        dispatcher = Dispatcher(
             zone=self._zone,
             dialer=self._dialer,
             clock=self._clock,
-            vm=self._vm,
-            roster=roster,
+            random=self._random,
+            max_links=self._max_links,
         )
-        dispatcher = Dispatcher(
+        group = ReplicationGroup(
+            name,
             zone=self._zone,
             dialer=self._dialer,
             clock=self._clock,
-            random=self._random,
-            max_links=self._max_links,
+            vm=self._vm,
+            roster=roster,
+            spare=dispatcher,
         )
         dispatcher.on_stuck = lambda _: group.nudged.set()
         self.gateway.groups[name] = group
@@ -336,6 +337,7 @@
                 self._log_summary()
 
     def _look_over(self, group: ReplicationGroup, dispatcher: Dispatcher) -> None:
+        dispatcher.lends = self._crowded
         idle_s = CROWDED_IDLE_S if self._crowded else IDLE_LIMIT_S
         for control in group.controls.values():
             control.close_idle()
--- a/src/celeryjunction/replication/control.py
+++ b/src/celeryjunction/replication/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Protocol
 
 from celeryjunction.errors import ConnectionLost
 from celeryjunction.ports import Clock
@@ -30,18 +31,49 @@
 """Failure of a connection that another process accepts at the address."""
 
 
+class SparePool(Protocol):
+    """Idle connections for statements, which may carry a command in between."""
+
+    def borrow(self, endpoint: str) -> EndpointLink | None:
+        """Return the oldest idle connection; None if there is none to spare."""
+        ...
+
+    def give_back(self, endpoint: str, link: EndpointLink) -> None:
+        """Take a borrowed connection back."""
+        ...
+
+    def oldest_idle_s(self, endpoint: str) -> float:
+        """Return for how long the connection that `borrow` gives has been open."""
+        ...
+
+
 class ControlLink:
     """Asks one endpoint for its status, one command at a time.
 
-    The connection is opened when it is needed and kept. `settled_since` is the time
-    since when it has been open without a break.
+    The connection is opened when it is needed and kept, unless `spare` lends one:
+    where many VMs share an endpoint's limit, one connection serves for both.
     """
 
-    __slots__ = ("_clock", "_dialer", "_link", "_lock", "_used_at", "failure", "info")
+    __slots__ = (
+        "_clock",
+        "_dialer",
+        "_link",
+        "_lock",
+        "_spare",
+        "_used_at",
+        "failure",
+        "info",
+    )
 
     def __init__(
-        self, info: EndpointInfo, *, dialer: EndpointDialer, clock: Clock
+        self,
+        info: EndpointInfo,
+        *,
+        dialer: EndpointDialer,
+        clock: Clock,
+        spare: SparePool | None = None,
     ) -> None:
+        self._spare = spare
         self.info = info
         self.failure = ""
         """Why the last command got no answer; empty when it got one."""
@@ -55,7 +87,8 @@
     def open_s(self) -> float:
         """Seconds for which the connection has been open; 0 without one."""
         if self._link is None or not self._link.usable:
-            return 0.0
+            spare = self._spare
+            return spare.oldest_idle_s(self.info.id) if spare is not None else 0.0
         return self._clock.monotonic() - self._link.opened_at
 
     async def ask(
@@ -79,15 +112,21 @@
     async def _ask(self, command: Command, timeout: float) -> EndpointStatus | None:
         self._used_at = self._clock.monotonic()
         link = self._link
+        lent = None
         if link is None or not link.usable:
             self._link = None
-            link = await self._dialer.connect(self.info, timeout=timeout)
-            self._link = link
+            if self._spare is not None:
+                lent = self._spare.borrow(self.info.id)
+            link = lent or await self._dialer.connect(self.info, timeout=timeout)
+            self._link = None if lent else link
         try:
             (answer,) = await link.run([command], timeout=timeout)
         except BaseException:
             link.close()
             raise
+        finally:
+            if lent is not None:
+                self._spare.give_back(self.info.id, lent)
         status = self._dialer.status(answer)
         self.failure = "" if status else (answer.fault or answer.state).value
         return status
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -15,7 +15,7 @@
 from celeryjunction.freshness import FreshnessHistory
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import Clock
-from celeryjunction.replication.control import REFUSED, REPLACED, ControlLink
+from celeryjunction.replication.control import REFUSED, REPLACED, ControlLink, SparePool
 from celeryjunction.replication.ports import (
     NO_POSITION,
     EndpointDialer,
@@ -58,6 +58,7 @@
         clock: Clock,
         vm: str = "",
         roster: GroupRoster | None = None,
+        spare: SparePool | None = None,
     ) -> None:
         self.name = name
         self.term = 0
@@ -79,6 +80,7 @@
         self._dialer = dialer
         self._clock = clock
         self._roster = roster
+        self._spare = spare
         self._round: tuple[float, asyncio.Task[bool]] | None = None
         self._refresh: asyncio.Task[None] | None = None
         self._retries: dict[str, asyncio.Task[EndpointStatus | None]] = {}
@@ -119,7 +121,7 @@
                     self.controls.pop(name).close()
             if name not in self.controls:
                 self.controls[name] = ControlLink(
-                    info, dialer=self._dialer, clock=self._clock
+                    info, dialer=self._dialer, clock=self._clock, spare=self._spare
                 )
         self.endpoints = dict(endpoints)
         if self.primary is not None and self.primary not in endpoints:
