--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -231,6 +231,14 @@
         gate.give(link, reusable=True)
         self.pump()
 
+    def adopt(self, endpoint: str, link: EndpointLink) -> bool:
+        """Take over a connection that was opened for a command, if VMs must share."""
+        gate = self.gates.get(endpoint)
+        adopted = self.lends and gate is not None and gate.adopt(link)
+        if adopted:
+            self.pump()
+        return adopted
+
     def oldest_idle_s(self, endpoint: str) -> float:
         """Return how long the connection that is lent next has been open, seconds."""
         gate = self.gates.get(endpoint)
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -177,6 +177,14 @@
         self._idle.remove(oldest)
         return oldest[0]
 
+    def adopt(self, link: EndpointLink) -> bool:
+        """Take over a connection that was opened for a command, if there is room."""
+        if self.closed or not link.usable or self.links >= self.max_links:
+            return False
+        self.links += 1
+        self.give(link, reusable=True)
+        return True
+
     @property
     def oldest_idle_s(self) -> float:
         """Seconds for which the connection that `borrow` lends has been open."""
--- a/src/celeryjunction/failover/detector.py
+++ b/src/celeryjunction/failover/detector.py
@@ -4,7 +4,7 @@
 
 from celeryjunction.ports import Clock
 from celeryjunction.replication.group import ReplicationGroup
-from celeryjunction.replication.ports import LogPosition
+from celeryjunction.replication.ports import Fault, LogPosition
 
 REFUSED_S = 0.25
 """A primary that refuses connections for so long is suspected: no process listens, or
@@ -16,6 +16,8 @@
 """Commits that reach no replica for so long cannot be acknowledged."""
 LEAST_FAILURES = 2
 REFUSALS = frozenset({"ConnectionRefusedError", "ConnectionResetError"})
+ALIVE = frozenset({"", Fault.BUSY.value, Fault.TOO_MANY_CONNECTIONS.value})
+"""Failures that only a living endpoint answers."""
 CLOSED = REFUSALS | {"the endpoint closed the connection", "closed while connecting"}
 """Failures that come at once: the first of them may be a connection that breaks."""
 
@@ -63,7 +65,7 @@
             self._reset()
         control = self._group.controls.get(primary)
         failure = control.failure if control is not None else "gone"
-        if answered or failure in ("", "busy"):
+        if answered or failure in ALIVE:
             self._failures = self._refused = 0
             self._failing_since = 0.0
             return
--- a/src/celeryjunction/replication/control.py
+++ b/src/celeryjunction/replication/control.py
@@ -42,6 +42,10 @@
         """Take a borrowed connection back."""
         ...
 
+    def adopt(self, endpoint: str, link: EndpointLink) -> bool:
+        """Take over a new connection, if it may serve for statements as well."""
+        ...
+
     def oldest_idle_s(self, endpoint: str) -> float:
         """Return for how long the connection that `borrow` gives has been open."""
         ...
@@ -127,6 +131,8 @@
         finally:
             if lent is not None:
                 self._spare.give_back(self.info.id, lent)
+            elif self._spare is not None and self._spare.adopt(self.info.id, link):
+                self._link = None
         status = self._dialer.status(answer)
         self.failure = "" if status else (answer.fault or answer.state).value
         return status
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -190,6 +190,17 @@
         watch.note("a1", answered=False, asked_at=ManualClock().monotonic())
         assert watch.verdict() is None
 
+    @pytest.mark.parametrize("failure", ["busy", "too_many_connections"])
+    async def test_a_refusal_for_load_is_a_sign_of_life(
+        self, cluster: FakeCluster, failure: str
+    ) -> None:
+        watch, group = self._watch(cluster)
+        group.controls["a1"].failure = failure
+        for _ in range(5):
+            watch.note("a1", answered=False, asked_at=ManualClock().monotonic())
+            await asyncio.sleep(SILENT_S)
+        assert watch.verdict() is None
+
     async def test_commits_that_reach_no_replica_are_a_stall(
         self, cluster: FakeCluster
     ) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -390,6 +390,27 @@
         assert len(proxy.cluster.acknowledged) == 1
 
 
+class TestSharedLimit:
+    async def test_one_connection_serves_statements_and_status(self) -> None:
+        """The bench's kkdn-buylist-grown: 36 VMs before a limit of 46."""
+        proxy = Proxy()
+        proxy.dispatcher.lends = True
+        proxy.group = ReplicationGroup(
+            "g",
+            zone="a",
+            dialer=proxy.cluster,
+            clock=proxy.clock,
+            spare=proxy.dispatcher,
+        )
+        proxy.gateway.groups["g"] = proxy.group
+        await proxy.start()
+        for _ in range(5):
+            await proxy.run(proxy.session(), Read())
+            await proxy.group.ask("a1")
+        assert len([x for x in proxy.cluster["a1"].links if x.usable]) == 1
+        proxy.dispatcher.close()
+
+
 class TestSharedState:
     async def test_values_follow_the_session(self, proxy: Proxy) -> None:
         first, second = proxy.session(), proxy.session()
