Say truthfully that a read was sent but not answered; share what was written twice

Cause: reading the diff: a read that an endpoint had got without answering ended as "not run". Change: such a read ends as READ_UNANSWERED. One comparison of an endpoint's process, unused parameters removed. Figures: the new test failed before, passes now.

--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -46,6 +46,7 @@
         "give_up_at",
         "only",
         "priority",
+        "unanswered",
         "values",
     )
 
@@ -63,6 +64,8 @@
         self.give_up_at = give_up_at
         self.only = only
         self.excluded: set[str] = set()
+        self.unanswered = False
+        """Whether it was sent before and not answered: then it may have run."""
         self.values = values or {}
         self._order = (priority, arrived, 0)
         self._future: asyncio.Future[EndpointGate] | None = None
@@ -179,7 +182,7 @@
             self.gates.pop(name).close()
         for name, info in endpoints.items():
             gate = self.gates.get(name)
-            if gate is not None and not _same_process(gate.info, info):
+            if gate is not None and not gate.info.is_same_process(info):
                 gate.close()
                 gate = None
             if gate is None:
@@ -370,14 +373,6 @@
         self._look_again()
 
 
-def _same_process(known: EndpointInfo, info: EndpointInfo) -> bool:
-    return (known.host, known.port, known.started_ms) == (
-        info.host,
-        info.port,
-        info.started_ms,
-    )
-
-
 def _not_in_time(demand: Demand) -> ProxyError:
     allowed_s = max(0.0, demand.give_up_at - demand.arrived)
     return ProxyError(ErrorKind.NOT_RUN_DEADLINE, {"deadline_s": allowed_s})
--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
-from random import Random
 
 from celeryjunction.failover.claims import Claim, Claims
 from celeryjunction.failover.selection import choose_replica
@@ -55,7 +54,6 @@
         promoter: Promoter,
         vm: str,
         clock: Clock,
-        random: Random,
         dialer: EndpointDialer,
         refresh_register: Callable[[], Awaitable[bool]],
     ) -> None:
@@ -65,7 +63,6 @@
         self._promoter = promoter
         self._vm = vm
         self._clock = clock
-        self._random = random
         self._dialer = dialer
         self._refresh_register = refresh_register
         self._unregistered: dict[str, ControlLink] = {}
--- a/src/celeryjunction/gateway/gateway.py
+++ b/src/celeryjunction/gateway/gateway.py
@@ -23,7 +23,6 @@
         self.table: RouteTable | None = None
         self.groups: dict[str, ReplicationGroup] = {}
         self.dispatchers: dict[str, Dispatcher] = {}
-        self.draining = False
         self.open_transactions = 0
         self.running = 0
 
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -9,7 +9,7 @@
 from msgspec.structs import replace
 
 from celeryjunction.dispatch.dispatcher import Demand, Dispatcher, Grant
-from celeryjunction.errors import ConnectionLost, ErrorKind, ProxyError
+from celeryjunction.errors import ConnectionLost, ErrorKind, ProxyError, Ran
 from celeryjunction.gateway.gateway import Gateway
 from celeryjunction.gateway.routes import Consistency, Route
 from celeryjunction.gateway.shared_state import (
@@ -326,8 +326,24 @@
     ) -> Answer:
         if self._transaction is not None:
             return await self._in_transaction(request, route, relay, prepared, False)
-        deadline = request.arrived + route.timeout_s
         demand = self._demand(route, arrived=request.arrived)
+        try:
+            return await self._read_somewhere(request, route, relay, prepared, demand)
+        except ProxyError as error:
+            if demand.unanswered and error.spec.ran is Ran.NO:
+                raise ProxyError(ErrorKind.READ_UNANSWERED) from None
+            raise
+
+    async def _read_somewhere(
+        self,
+        request: Request,
+        route: Route,
+        relay: Relay | RelayPrepared,
+        prepared: Prepare | None,
+        demand: Demand,
+    ) -> Answer:
+        """Run a read at one endpoint after the other until one answers."""
+        deadline = request.arrived + route.timeout_s
         answer: Answer | None = None
         for _ in range(MAX_TRIES):
             after = await self._read_terms(route, demand, since=request.arrived)
@@ -731,6 +747,7 @@
         group = self._gateway.groups[route.group]
         if isinstance(error, ConnectionLost):
             gate = self._dispatcher(route).gates.get(self._endpoint)
+            demand.unanswered = demand.unanswered or error.sent
             if error.sent and gate is not None:
                 gate.note_failure(error.reason)
             demand.excluded.add(self._endpoint)
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -227,7 +227,6 @@
             promoter=self._promoter,
             vm=self._vm,
             clock=self._clock,
-            random=self._random,
             dialer=self._dialer,
             refresh_register=self._register.poll,
         )
--- a/src/celeryjunction/platform/frontend.py
+++ b/src/celeryjunction/platform/frontend.py
@@ -158,11 +158,6 @@
         """Open connections."""
         return list(self._connections)
 
-    @property
-    def port(self) -> int:
-        """Port that is listened on."""
-        return self._server.sockets[0].getsockname()[1]
-
     async def start(self) -> None:
         """Listen; raises `OSError`."""
         loop = asyncio.get_running_loop()
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -111,14 +111,8 @@
             self.statuses.pop(name, None)
         for name, info in endpoints.items():
             known = self.endpoints.get(name)
-            if name in self.controls and known is not None and known != info:
-                moved = (known.host, known.port, known.started_ms) != (
-                    info.host,
-                    info.port,
-                    info.started_ms,
-                )
-                if moved:
-                    self.controls.pop(name).close()
+            if known is not None and not known.is_same_process(info):
+                self.controls.pop(name).close()
             if name not in self.controls:
                 self.controls[name] = ControlLink(
                     info, dialer=self._dialer, clock=self._clock, spare=self._spare
--- a/src/celeryjunction/replication/ports.py
+++ b/src/celeryjunction/replication/ports.py
@@ -39,6 +39,14 @@
     started_ms: int = 0
     """Unix milliseconds of the start of its process; 0 if unknown."""
 
+    def is_same_process(self, other: EndpointInfo) -> bool:
+        """Whether both describe one run of a process at one address."""
+        return (self.host, self.port, self.started_ms) == (
+            other.host,
+            other.port,
+            other.started_ms,
+        )
+
 
 class EndpointStatus(NamedTuple):
     """An endpoint's own word about itself, as its answer to a status command."""
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -63,7 +63,6 @@
             promoter=cluster,
             vm=name,
             clock=clock,
-            random=random,
             dialer=cluster,
             refresh_register=self.refresh,
         )
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -208,6 +208,15 @@
         answer = await proxy.run(session, Read())
         assert answer.rows == (b"c1",)
 
+    async def test_a_read_that_was_sent_is_not_called_not_run(
+        self, proxy: Proxy
+    ) -> None:
+        for one in proxy.cluster.endpoints.values():
+            one.faults = ["lose"] * 9
+        session = proxy.session(Consistency.BOUNDED_STALENESS)
+        outcome = await kind_of(proxy.run(session, Read()))
+        assert outcome is ErrorKind.READ_UNANSWERED
+
     async def test_a_read_at_a_silent_endpoint_goes_elsewhere_soon(
         self, proxy: Proxy
     ) -> None:
