Tidy after a last read: one word for faults that ran, one wake-up a release, no dead parameter

Cause: reading the whole change: NOT_RUN_FAULTS listed again what Fault.ran says, a released statement woke the queue twice, ReplicationGroup.ask had a timeout that nobody gave.

--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -118,6 +118,10 @@
 
     def end_statement(self, *, answered: bool = True) -> None:
         """Free the slot and keep the connection, between a transaction's statements."""
+        self._free_slot(answered)
+        self._dispatcher.pump()
+
+    def _free_slot(self, answered: bool) -> None:
         if self._since is None:
             return
         seconds = self._clock.monotonic() - self._since
@@ -126,7 +130,6 @@
         self.gate.running -= 1
         if answered:
             self.gate.note_answer(seconds)
-        self._dispatcher.pump()
 
     def next_statement(self) -> None:
         """Take a slot for the next statement of a transaction, without waiting.
@@ -141,7 +144,6 @@
         """Give the connection back, and the slot if it is still held."""
         self.gate.give(self.link, reusable=reusable)
         self.end_statement(answered=answered)
-        self._dispatcher.pump()
 
 
 class Dispatcher:
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -62,18 +62,6 @@
 LEAST_PATIENCE_S = 0.05
 """Shortest wait for an endpoint, about two statements of 20 ms."""
 
-NOT_RUN_FAULTS = frozenset(
-    {
-        Fault.BUSY,
-        Fault.BEHIND,
-        Fault.NOT_PRIMARY,
-        Fault.UNKNOWN_STATEMENT,
-        Fault.WRONG_ENDPOINT,
-        Fault.TOO_MANY_CONNECTIONS,
-    }
-)
-"""Answers of an endpoint that did not run the statement."""
-
 _IDLE, _OPEN, _FAILED = TransactionState
 
 
@@ -356,7 +344,7 @@
             except (ConnectionLost, EndpointRefused) as error:
                 self._endpoint_failed(route, demand, error)
                 continue
-            if answer.fault not in NOT_RUN_FAULTS:
+            if answer.fault is None or answer.fault.ran:
                 return answer
             self._not_run(route, demand, answer.fault)
         if answer is not None and answer.fault is not None:
@@ -416,7 +404,7 @@
                 await self._confirm(group, deadline)
                 self._note_commit(group, answer.position)
                 return answer
-            if answer.fault not in NOT_RUN_FAULTS:
+            if answer.fault.ran:
                 return answer
             fault = answer.fault
             self._not_run(route, demand, fault)
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -72,7 +72,7 @@
         """Time from the order to stop until the process is killed."""
 
 
-class CallerConnections(Protocol):
+class CallerConnection(Protocol):
     """A caller's connection, as the drain sees it."""
 
     running: bool
@@ -83,7 +83,7 @@
     """Accepts callers."""
 
     @property
-    def connections(self) -> Sequence[CallerConnections]:
+    def connections(self) -> Sequence[CallerConnection]:
         """Open connections."""
         ...
 
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -130,18 +130,13 @@
 
     # What endpoints say
 
-    async def ask(
-        self, endpoint: str, *, timeout: float | None = None
-    ) -> EndpointStatus | None:
+    async def ask(self, endpoint: str) -> EndpointStatus | None:
         """Ask an endpoint for its status and take over what it says."""
         control = self.controls.get(endpoint)
         if control is None:
             return None
         asked_at = self._clock.monotonic()
-        if timeout is None:
-            status = await control.ask()
-        else:
-            status = await control.ask(timeout=timeout)
+        status = await control.ask()
         if status is not None:
             self.observe(endpoint, status, asked_at=asked_at)
         return status
@@ -372,10 +367,10 @@
         settled = self._by_distance(
             name for name in self.replicas if self._is_settled(name)
         )
-        asked: dict[asyncio.Task[EndpointStatus | None], str] = {}
+        asked: list[asyncio.Task[EndpointStatus | None]] = []
         try:
             for name in settled:
-                asked[asyncio.create_task(self.ask(name))] = name
+                asked.append(asyncio.create_task(self.ask(name)))
                 done, _ = await asyncio.wait(
                     asked, timeout=HEDGE_S, return_when=asyncio.FIRST_COMPLETED
                 )
