--- /dev/null
+++ b/src/celeryjunction/platform/standin.py
@@ -0,0 +1,604 @@
+"""A small stand-in of the users' platform, for tests and the demo.
+
+It serves endpoints of database groups on the line protocol, the metadata store and the
+promotion call over HTTP, all in one process on loopback. It follows the pages where
+the product depends on it, and is no measure of speed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import time
+from collections.abc import Callable
+from urllib.parse import parse_qs, urlsplit
+
+from httptools import HttpParserError, HttpRequestParser
+
+from celeryjunction.platform.lines import LineStream
+
+PROMOTION_S = 0.2
+APPLY_S = 0.005
+"""Time until a replica applies what it received."""
+SYNC_LIMIT_S = 10.0
+
+
+class StandinEndpoint:
+    """One endpoint of a group: an in-memory table with a log."""
+
+    def __init__(self, group: StandinGroup, name: str, zone: str) -> None:
+        self.group = group
+        self.id = name
+        self.zone = zone
+        self.is_primary = False
+        self.term = 1
+        self.held = 0
+        self.log: list[tuple[tuple[int, int], dict[bytes, bytes]]] = []
+        self.applied = 0
+        self.silent = False
+        self.statements: list[bytes] = []
+        self._server: asyncio.Server | None = None
+        self._streams: set[LineStream] = set()
+
+    @property
+    def port(self) -> int:
+        """Port that is listened on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """End of the log."""
+        return self.log[-1][0] if self.log else (1, 0)
+
+    @property
+    def visible(self) -> tuple[int, int]:
+        """Position that reads see."""
+        return self.log[self.applied - 1][0] if self.applied else (1, 0)
+
+    def value(self, item: bytes) -> bytes:
+        """Return an item as reads see it."""
+        for _, changes in reversed(self.log[: self.applied]):
+            if item in changes:
+                return changes[item]
+        return b"-"
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on loopback."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._accept, "127.0.0.1", port)
+
+    async def stop(self) -> None:
+        """Close the port and all connections, as a crash does."""
+        self._server.close()
+        self.held = 0
+        for stream in list(self._streams):
+            stream.abort()
+
+    def _accept(self) -> LineStream:
+        return _Stream(self._serve)
+
+    def _serve(self, stream: LineStream) -> None:
+        self._streams.add(stream)
+        stream.on_lost = lambda: self._streams.discard(stream)
+        task = asyncio.create_task(_Caller(self, stream).serve())
+        self.group.tasks.add(task)
+        task.add_done_callback(self.group.tasks.discard)
+
+    def receive(self, log: list) -> None:
+        """Take a log over and apply it a little later."""
+        self.log = list(log)
+        loop = asyncio.get_running_loop()
+        loop.call_later(APPLY_S, self._apply)
+
+    def _apply(self) -> None:
+        self.applied = len(self.log)
+
+    def status(self) -> bytes:
+        """Return the row that a status command answers."""
+        role = b"primary" if self.is_primary else b"replica"
+        fields = (role, self.term, *self.position, self.held, len(self._streams))
+        return b"%b %d %d.%d %d 0 0 %d" % fields
+
+
+class _Stream(LineStream):
+    def __init__(self, serve: Callable[[LineStream], None]) -> None:
+        super().__init__()
+        self._serve = serve
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._serve(self)
+
+
+class _Caller:
+    """One connection to an endpoint."""
+
+    def __init__(self, endpoint: StandinEndpoint, stream: LineStream) -> None:
+        self._endpoint = endpoint
+        self._stream = stream
+        self._state = b"I"
+        self._writes: dict[bytes, bytes] = {}
+        self._prepared: dict[bytes, bytes] = {}
+
+    async def serve(self) -> None:
+        one = self._endpoint
+        line = await self._stream.read_line()
+        fields = (line or b"").split(b" ")
+        if len(fields) < 2 or fields[0] != b"CONNECT":
+            self._stream.close()
+            return
+        wrong_id = len(fields) > 3 and fields[3].decode() != one.id
+        if fields[1].decode() != one.group.name or wrong_id:
+            self._stream.write(b"ERROR MISROUTED %b\r\n" % one.id.encode())
+            self._stream.close()
+            return
+        self._ready()
+        while (line := await self._stream.read_line()) is not None:
+            if one.silent:
+                continue
+            _, _, rest = line.partition(b" ")
+            request_id, _, text = rest.partition(b" ")
+            await self._run(request_id, text)
+            self._ready()
+
+    def _ready(self) -> None:
+        position = self._endpoint.visible
+        self._stream.write(b"READY %b %d.%d\r\n" % (self._state, *position))
+
+    def _done(self, digest: bytes = b"-", *rows: bytes) -> None:
+        answer = b"".join(b"ROW %b\r\n" % row for row in rows)
+        self._stream.write(answer + b"COMPLETE %b\r\n" % digest)
+
+    def _error(self, code: bytes) -> None:
+        if self._state == b"T":
+            self._state = b"E"
+        self._stream.write(b"ERROR %b %b\r\n" % (code, self._endpoint.id.encode()))
+
+    async def _run(self, request_id: bytes, text: bytes) -> None:
+        one = self._endpoint
+        if request_id != b"-":
+            one.statements.append(text)
+        word, _, rest = text.partition(b" ")
+        if word == b"AFTER":
+            wanted, _, text = rest.partition(b" ")
+            term, _, number = wanted.partition(b".")
+            if one.visible < (int(term), int(number)):
+                return self._error(b"LAGGING")
+            word, _, rest = text.partition(b" ")
+        if word == b"EXECUTE":
+            name, _, rest = rest.partition(b" ")
+            kind = self._prepared.get(name)
+            if kind is None:
+                return self._error(b"NOSTMT")
+            word = kind
+        handler = _HANDLERS.get(word)
+        if handler is None:
+            return self._error(b"MALFORMED")
+        await handler(self, request_id, rest)
+        return None
+
+    def _digest(self, request_id: bytes) -> bytes:
+        return b"d.%b.%b" % (self._endpoint.id.encode(), request_id)
+
+    async def _status(self, request_id: bytes, rest: bytes) -> None:
+        self._done(b"-", self._endpoint.status())
+
+    async def _pause(self, request_id: bytes, rest: bytes) -> None:
+        if not self._endpoint.is_primary and int(rest) > self._endpoint.term:
+            self._endpoint.held = int(rest)
+        await self._status(request_id, rest)
+
+    async def _resume(self, request_id: bytes, rest: bytes) -> None:
+        self._endpoint.held = 0
+        await self._status(request_id, rest)
+
+    async def _demote(self, request_id: bytes, rest: bytes) -> None:
+        if int(rest) > self._endpoint.term:
+            self._endpoint.is_primary = False
+        await self._status(request_id, rest)
+
+    async def _begin(self, request_id: bytes, rest: bytes) -> None:
+        if rest != b"READ" and not self._endpoint.is_primary:
+            return self._error(b"READONLY")
+        self._state = b"T"
+        self._done()
+        return None
+
+    async def _rollback(self, request_id: bytes, rest: bytes) -> None:
+        self._state, self._writes = b"I", {}
+        self._done()
+
+    async def _commit(self, request_id: bytes, rest: bytes) -> None:
+        writes, self._writes = self._writes, {}
+        self._state = b"I"
+        if writes and not await self._endpoint.group.commit(self._endpoint, writes):
+            return self._error(b"READONLY")
+        self._done(self._digest(request_id))
+        return None
+
+    async def _read(self, request_id: bytes, rest: bytes) -> None:
+        item = rest.split(b" ")[0]
+        value = self._writes.get(item) or self._endpoint.value(item)
+        self._done(self._digest(request_id), value)
+
+    async def _write(self, request_id: bytes, rest: bytes) -> None:
+        if not self._endpoint.is_primary:
+            return self._error(b"READONLY")
+        item, _, data = rest.partition(b" ")
+        if self._state == b"T":
+            self._writes[item] = data
+        elif not await self._endpoint.group.commit(self._endpoint, {item: data}):
+            return self._error(b"READONLY")
+        self._done(self._digest(request_id))
+        return None
+
+    async def _prepare(self, request_id: bytes, rest: bytes) -> None:
+        name, kind, *_ = rest.split(b" ")
+        self._prepared[name] = kind
+        self._done()
+
+    async def _reset(self, request_id: bytes, rest: bytes) -> None:
+        self._prepared.clear()
+        self._done()
+
+    async def _nothing(self, request_id: bytes, rest: bytes) -> None:
+        self._done()
+
+
+_HANDLERS = {
+    b"STATUS": _Caller._status,
+    b"PAUSE": _Caller._pause,
+    b"RESUME": _Caller._resume,
+    b"DEMOTE": _Caller._demote,
+    b"BEGIN": _Caller._begin,
+    b"ROLLBACK": _Caller._rollback,
+    b"COMMIT": _Caller._commit,
+    b"READ": _Caller._read,
+    b"WRITE": _Caller._write,
+    b"PREPARE": _Caller._prepare,
+    b"RESET": _Caller._reset,
+    b"SETPARAM": _Caller._nothing,
+    b"DEALLOC": _Caller._nothing,
+}
+
+
+class StandinGroup:
+    """A group of endpoints; commits are acknowledged once a replica received them."""
+
+    def __init__(self, name: str, zones: list[str]) -> None:
+        self.name = name
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.endpoints = [
+            StandinEndpoint(self, f"i-{name}{number}", zone)
+            for number, zone in enumerate(zones)
+        ]
+        self.endpoints[0].is_primary = True
+
+    async def commit(self, primary: StandinEndpoint, changes: dict) -> bool:
+        """Commit at a primary; False if it lost the lead before it was replicated."""
+        term, number = primary.term, primary.position[1] + 1
+        primary.log.append(((term, number), changes))
+        primary.applied = len(primary.log)
+        deadline = time.monotonic() + SYNC_LIMIT_S
+        while time.monotonic() < deadline and primary.is_primary:
+            receivers = [
+                one
+                for one in self.endpoints
+                if one is not primary and not one.held and one.term == primary.term
+            ]
+            for one in receivers:
+                one.receive(primary.log)
+            if receivers:
+                return True
+            await asyncio.sleep(0.01)
+        return False
+
+    def promote(self, name: str) -> int:
+        """Let an endpoint lead the next term a little later; return the status."""
+        chosen = next((one for one in self.endpoints if one.id == name), None)
+        if chosen is None:
+            return 409
+        if not chosen.is_primary:
+            loop = asyncio.get_running_loop()
+            loop.call_later(PROMOTION_S, self._take_over, chosen)
+        return 200
+
+    def _take_over(self, chosen: StandinEndpoint) -> None:
+        term = max(one.term for one in self.endpoints) + 1
+        for one in self.endpoints:
+            one.is_primary, one.held, one.term = one is chosen, 0, term
+            one.log = list(chosen.log)
+            one.applied = len(one.log)
+
+
+class StandinStore:
+    """The metadata store and the promotion call over HTTP."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, dict] = {}
+        self.changes: list[dict] = []
+        self.revision = 1
+        self.leases: dict[int, float] = {}
+        self.groups: dict[str, StandinGroup] = {}
+        self.promotions: list[tuple[str, str, str]] = []
+        self.refuse: int = 0
+        """Status that all calls get; 0 serves them."""
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def address(self) -> str:
+        """Address that is listened on."""
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def start(self) -> None:
+        """Listen on loopback."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _HttpCaller(self), "127.0.0.1", 0
+        )
+
+    async def close(self) -> None:
+        """Stop serving."""
+        self._server.close()
+        for task in list(self.tasks):
+            task.cancel()
+
+    def put(self, key: str, value: bytes | None, *, lease: int = 0) -> None:
+        """Write a key, or delete it."""
+        self.revision += 1
+        if value is None:
+            self.items.pop(key, None)
+            change = {"key": key, "revision": self.revision, "tombstone": True}
+        else:
+            text = base64.b64encode(value).decode()
+            change = {
+                "key": key,
+                "value": text,
+                "revision": self.revision,
+                "created": self.items.get(key, {}).get("created", self.revision),
+                "lease": lease,
+            }
+            self.items[key] = change
+        self.changes.append(change)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def put_json(self, key: str, value: object) -> None:
+        """Write a key as the operator and the endpoints do."""
+        self.put(key, json.dumps(value).encode())
+
+    def register(self, endpoint: StandinEndpoint, **changes: object) -> None:
+        """Write an endpoint's entry of the register."""
+        entry = {
+            "service": endpoint.group.name,
+            "address": f"127.0.0.1:{endpoint.port}",
+            "zone": endpoint.zone,
+            "version": "v1",
+            "slots": 3,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "db_role": "primary" if endpoint.is_primary else "replica",
+            "sequence": self.revision,
+            "born": 1,
+        }
+        self.put_json(f"servers/{endpoint.id}", entry | changes)
+
+    def _drop_lapsed(self) -> None:
+        now = time.monotonic()
+        for lease in [n for n, ends in self.leases.items() if ends <= now]:
+            self.end_lease(lease)
+
+    def end_lease(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        self.leases.pop(lease, None)
+        for key, item in list(self.items.items()):
+            if item["lease"] == lease:
+                self.put(key, None)
+
+    async def answer(
+        self, method: str, target: str, headers: dict[str, str], body: bytes
+    ) -> tuple[int, object]:
+        """Answer one call with status and body."""
+        if self.refuse:
+            return self.refuse, {}
+        self._drop_lapsed()
+        url = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        data = json.loads(body) if body else {}
+        if url.path == "/promotion":
+            token = headers.get("x-fence-token", "")
+            self.promotions.append((data["service"], data["id"], token))
+            return self.groups[data["service"]].promote(data["id"]), {}
+        if url.path == "/kv-key":
+            item = self.items.get(query["key"])
+            return (200, item | {"current_rev": self.revision}) if item else (404, {})
+        if url.path == "/kv-range":
+            found = [
+                i
+                for k, i in sorted(self.items.items())
+                if k.startswith(query["prefix"]) and k > query.get("after", "")
+            ]
+            return 200, {
+                "items": found[:500],
+                "has_more": len(found) > 500,
+                "current_rev": self.revision,
+            }
+        if url.path == "/kv-watch":
+            return 200, await self._watch(query)
+        if url.path == "/kv-txn":
+            return self._transact(data)
+        return self._lease_call(method, url.path, data)
+
+    async def _watch(self, query: dict[str, str]) -> object:
+        deadline = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            events = [
+                change
+                for change in self.changes
+                if change["revision"] > int(query["after"])
+                and change["key"].startswith(query["prefix"])
+            ]
+            left = deadline - time.monotonic()
+            if events or left <= 0:
+                return {"events": events, "current_rev": self.revision}
+            changed = asyncio.ensure_future(self._changed.wait())
+            await asyncio.wait({changed}, timeout=left)
+            changed.cancel()
+
+    def _transact(self, data: dict) -> tuple[int, object]:
+        rows = data.get("expected_rev", [])
+        found = [self.items.get(row["key"]) for row in rows]
+        revisions = [item["revision"] if item else 0 for item in found]
+        if revisions != [row["revision"] for row in rows]:
+            return 412, {"items": [item for item in found if item]}
+        leases = {put.get("lease", 0) for put in data.get("put_items", [])} - {0}
+        if leases - self.leases.keys():
+            return 404, {}
+        for put in data.get("put_items", []):
+            value = base64.b64decode(put["value"])
+            self.put(put["key"], value, lease=put.get("lease", 0))
+        for key in data.get("delete_keys", []):
+            self.put(key, None)
+        return 200, {"revision": self.revision}
+
+    def _lease_call(self, method: str, path: str, data: dict) -> tuple[int, object]:
+        if path == "/kv-lease":
+            lease = max(self.leases, default=100) + 1
+            self.leases[lease] = time.monotonic() + data["ttl_ms"] / 1000
+            return 200, {"lease": lease, "ttl_ms": data["ttl_ms"]}
+        lease = int(path.rpartition("/")[2])
+        if lease not in self.leases:
+            return 404, {}
+        if method == "DELETE":
+            self.end_lease(lease)
+        else:
+            self.leases[lease] = time.monotonic() + 10
+        return 200, {}
+
+
+class _HttpCaller(asyncio.Protocol):
+    """One HTTP connection to the store; one call at a time."""
+
+    def __init__(self, store: StandinStore) -> None:
+        self._store = store
+        self._parser = HttpRequestParser(self)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except HttpParserError:
+            self._transport.abort()
+
+    def on_message_begin(self) -> None:
+        self._headers: dict[str, str] = {}
+        self._body = b""
+
+    def on_url(self, url: bytes) -> None:
+        self._target = url.decode()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        method = self._parser.get_method().decode()
+        call = self._answer(method, self._target, self._headers, self._body)
+        task = asyncio.create_task(call)
+        self._store.tasks.add(task)
+        task.add_done_callback(self._store.tasks.discard)
+
+    async def _answer(
+        self, method: str, target: str, headers: dict[str, str], body: bytes
+    ) -> None:
+        status, answer = await self._store.answer(method, target, headers, body)
+        data = json.dumps(answer).encode()
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
+        self._transport.write(head.encode() + data)
+
+
+class StandinPlatform:
+    """Groups, store and promotion, with the operator's config in place."""
+
+    def __init__(self, *, groups: tuple[str, ...] = ("db",), zones: int = 3) -> None:
+        self.zones = [f"zone-{number}" for number in range(zones)]
+        self.store = StandinStore()
+        self.groups = {name: StandinGroup(name, self.zones) for name in groups}
+        self.store.groups = self.groups
+        self._version = 0
+
+    async def start(self) -> None:
+        """Start everything and write the first config."""
+        await self.store.start()
+        for group in self.groups.values():
+            for endpoint in group.endpoints:
+                await endpoint.start()
+                self.store.register(endpoint)
+        self.configure()
+
+    async def close(self) -> None:
+        """Stop everything."""
+        for group in self.groups.values():
+            for endpoint in group.endpoints:
+                await endpoint.stop()
+            for task in list(group.tasks):
+                task.cancel()
+        await self.store.close()
+
+    def configure(self, *, routes: list[dict] | None = None) -> int:
+        """Write a newer config; return its version."""
+        self._version += 1
+        kinds = {
+            "lock": ("primary", 0, 0),
+            "sheet": ("bounded_staleness", 2, 1500),
+            "tally": ("read_your_writes", 1, 2500),
+        }
+        if routes is None:
+            routes = [
+                {
+                    "name": f"{name}-{group}",
+                    "host": f"{name}-{group}",
+                    "prefix": "/",
+                    "kind": kind,
+                    "timeout_ms": 2000,
+                    "goal_ms": 500,
+                    "priority": priority,
+                    "service": group,
+                    "max_staleness_ms": staleness_ms,
+                }
+                for group in self.groups
+                for name, (kind, priority, staleness_ms) in kinds.items()
+            ]
+        services = [
+            {"name": name, "conn_limit": 22, "sync_replicas": 1} for name in self.groups
+        ]
+        config = {
+            "version": self._version,
+            "routes": routes,
+            "services": services,
+            "limits": {"tx_idle_ms": 3000},
+        }
+        self.store.put_json("op/config", config)
+        return self._version
+
+    def settings(self, name: str, *, front: int, ready: int, zone: int = 0) -> dict:
+        """Return the settings of an edge process on loopback ports."""
+        return {
+            "node_name": name,
+            "zone": self.zones[zone],
+            "listen": {
+                "front": f"127.0.0.1:{front}",
+                "ready": f"127.0.0.1:{ready}",
+                "control": "",
+            },
+            "platform": {"address": self.store.address},
+            "cloud_api": {"address": self.store.address},
+            "bounds": {"drain_ms": 7000, "grace_s": 6},
+        }
--- /dev/null
+++ b/tests/platform_support.py
@@ -0,0 +1,129 @@
+"""A caller of the line protocol and edge processes, for the platform's tests."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from asyncio.subprocess import PIPE, Process, create_subprocess_exec
+from pathlib import Path
+
+from celeryjunction.platform.standin import StandinPlatform
+
+ROOT = Path(__file__).resolve().parent.parent
+START_LIMIT_S = 20.0
+"""Bound for the start of a process on a busy machine."""
+ANSWER_LIMIT_S = 10.0
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Caller:
+    """One caller's session."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._number = 0
+
+    async def open(self, database: str) -> str:
+        self._reader, self._writer = await asyncio.open_connection(
+            "127.0.0.1", self._port
+        )
+        self._writer.write(f"CONNECT {database} c1\r\n".encode())
+        return await self._line()
+
+    async def _line(self) -> str:
+        try:
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                line = await self._reader.readline()
+        except ConnectionError:
+            return ""
+        return line.decode().rstrip("\r\n")
+
+    async def send(self, text: str) -> list[str]:
+        """Send a statement; return its answer's lines up to READY."""
+        self._number += 1
+        return await self.send_raw(f"QUERY q{self._number} {text}\r\n".encode())
+
+    async def send_raw(self, data: bytes) -> list[str]:
+        self._writer.write(data)
+        lines = []
+        while True:
+            line = await self._line()
+            lines.append(line)
+            if not line or line.startswith("READY"):
+                return lines
+
+    async def closed(self) -> bool:
+        """Whether the other side closes the connection without a word."""
+        return await self._line() == ""
+
+    def close(self) -> None:
+        self._writer.close()
+
+
+class EdgeProcess:
+    """One edge program on loopback."""
+
+    def __init__(self, platform: StandinPlatform, folder: Path, name: str) -> None:
+        self._platform = platform
+        self.path = folder / f"{name}.json"
+        self.name = name
+        self.front = free_port()
+        self.ready = free_port()
+        self.process: Process | None = None
+        self.output = b""
+
+    async def start(self, *, zone: int = 0) -> None:
+        settings = self._platform.settings(
+            self.name, front=self.front, ready=self.ready, zone=zone
+        )
+        self.path.write_text(json.dumps(settings))
+        self.process = await create_subprocess_exec(
+            sys.executable,
+            "deploy/edge.py",
+            cwd=ROOT,
+            env={**os.environ, "CELERYJUNCTION_CONFIG": str(self.path)},
+            stdout=PIPE,
+        )
+        self._reading = asyncio.create_task(self._read())
+
+    async def _read(self) -> None:
+        async for line in self.process.stdout:
+            self.output += line
+
+    async def probe(self, path: str = "/readiness") -> tuple[int, str]:
+        """Ask the ready address; return status and body."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.ready)
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        length = int(head.split("Content-Length: ")[1].split("\r\n")[0])
+        body = (await reader.readexactly(length)).decode()
+        writer.close()
+        return int(head.split(" ")[1]), body
+
+    async def until_ready(self) -> None:
+        async with asyncio.timeout(START_LIMIT_S):
+            while True:
+                try:
+                    if (await self.probe())[0] == 200:
+                        return
+                except OSError:
+                    pass
+                await asyncio.sleep(0.05)
+
+    async def stop(self, number: int = signal.SIGTERM) -> int:
+        """Signal the process and return its exit code."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+        async with asyncio.timeout(START_LIMIT_S):
+            code = await self.process.wait()
+        await self._reading
+        return code
--- /dev/null
+++ b/tests/test_platform_edge.py
@@ -0,0 +1,195 @@
+"""The edge program as a process, in front of the platform's stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+from platform_support import Caller, EdgeProcess
+
+from celeryjunction.platform.standin import StandinPlatform
+
+RETRY_S = 0.1
+FAILOVER_LIMIT_S = 15.0
+"""Detection, the calls and the promotion, on a busy machine."""
+CONFIG_LIMIT_S = 3.0
+"""The platform's bound on the config."""
+
+
+@pytest.fixture
+async def platform() -> AsyncIterator[StandinPlatform]:
+    platform = StandinPlatform()
+    await platform.start()
+    yield platform
+    await platform.close()
+
+
+@pytest.fixture
+async def edge(platform: StandinPlatform, tmp_path: Path) -> AsyncIterator[EdgeProcess]:
+    edge = EdgeProcess(platform, tmp_path, "edge-1")
+    await edge.start()
+    await edge.until_ready()
+    yield edge
+    await edge.stop(signal.SIGKILL)
+
+
+async def connected(edge: EdgeProcess, database: str) -> Caller:
+    caller = Caller(edge.front)
+    assert await caller.open(database) == "READY I -"
+    return caller
+
+
+async def until_served(caller: Caller, text: str) -> None:
+    async with asyncio.timeout(FAILOVER_LIMIT_S):
+        while not any(line.startswith("COMPLETE") for line in await caller.send(text)):
+            await asyncio.sleep(RETRY_S)
+
+
+class TestServing:
+    async def test_reads_its_own_writes(self, edge: EdgeProcess) -> None:
+        caller = await connected(edge, "tally-db")
+        assert (await caller.send("WRITE 7 x1"))[0].startswith("COMPLETE d.")
+        row, digest, ready = await caller.send("READ 7")
+        assert row == "ROW x1"
+        assert digest.startswith("COMPLETE d.")
+        assert ready.startswith("READY I ")
+
+    async def test_a_transaction(self, edge: EdgeProcess) -> None:
+        caller = await connected(edge, "lock-db")
+        assert await caller.send("BEGIN") == ["COMPLETE -", "READY T -"]
+        assert (await caller.send("WRITE 7 x2"))[-1].startswith("READY T")
+        assert (await caller.send("COMMIT"))[0].startswith("COMPLETE d.")
+        assert (await caller.send("READ 7"))[0] == "ROW x2"
+
+    async def test_an_unknown_database(self, edge: EdgeProcess) -> None:
+        caller = Caller(edge.front)
+        assert (await caller.open("nowhere")).startswith("ERROR NODB")
+        assert await caller.closed()
+
+    async def test_a_malformed_statement_harms_nothing_else(
+        self, edge: EdgeProcess
+    ) -> None:
+        caller = await connected(edge, "lock-db")
+        assert (await caller.send("JUMP 7"))[0].startswith("ERROR MALFORMED")
+        assert (await caller.send("READ 7"))[0].startswith("ROW")
+
+    async def test_an_oversized_line_ends_its_connection_only(
+        self, edge: EdgeProcess
+    ) -> None:
+        caller = await connected(edge, "lock-db")
+        other = await connected(edge, "lock-db")
+        lines = await caller.send_raw(b"QUERY q1 WRITE 7 " + b"x" * (2 << 20))
+        assert lines[0].startswith("ERROR TOOLARGE") or lines == [""]
+        assert (await other.send("READ 7"))[0].startswith("ROW")
+
+    async def test_a_config_is_in_force_in_time(
+        self, edge: EdgeProcess, platform: StandinPlatform
+    ) -> None:
+        caller = await connected(edge, "lock-db")
+        platform.configure(routes=[])
+        async with asyncio.timeout(CONFIG_LIMIT_S):
+            while not (await caller.send("READ 7"))[0].startswith("ERROR NODB"):
+                await asyncio.sleep(RETRY_S)
+
+    async def test_entries_of_other_writers_stop_nothing(
+        self, edge: EdgeProcess, platform: StandinPlatform
+    ) -> None:
+        platform.store.put("servers/odd", b"\xff\x00")
+        platform.store.put_json("servers/less", {"service": "db"})
+        await asyncio.sleep(1.5)
+        caller = await connected(edge, "lock-db")
+        assert (await caller.send("READ 7"))[0].startswith("ROW")
+        assert edge.process.returncode is None
+
+    async def test_metrics_count_what_failed(self, edge: EdgeProcess) -> None:
+        caller = await connected(edge, "lock-db")
+        await caller.send("EXECUTE none 7")
+        status, text = await edge.probe("/metrics")
+        assert status == 200
+        assert 'failed_requests{outcome="unknown_statement"} 1' in text
+
+
+class TestFailover:
+    async def test_a_crashed_primary_is_replaced(
+        self, edge: EdgeProcess, platform: StandinPlatform
+    ) -> None:
+        caller = await connected(edge, "lock-db")
+        assert (await caller.send("WRITE 7 before"))[0].startswith("COMPLETE d.")
+        old = platform.groups["db"].endpoints[0]
+        await old.stop()
+        await until_served(caller, "WRITE 8 after")
+        assert (await caller.send("READ 7"))[0] == "ROW before"
+        assert len(platform.store.promotions) == 1
+
+    async def test_a_draining_primary_is_replaced(
+        self, edge: EdgeProcess, platform: StandinPlatform
+    ) -> None:
+        caller = await connected(edge, "lock-db")
+        await caller.send("WRITE 7 before")
+        old = platform.groups["db"].endpoints[0]
+        platform.store.register(old, state="draining")
+        async with asyncio.timeout(FAILOVER_LIMIT_S):
+            while old.is_primary:
+                await asyncio.sleep(RETRY_S)
+        await until_served(caller, "WRITE 8 after")
+        assert (await caller.send("READ 7"))[0] == "ROW before"
+
+
+class TestStop:
+    async def test_term_lets_open_work_end(
+        self, edge: EdgeProcess, platform: StandinPlatform
+    ) -> None:
+        idle = await connected(edge, "lock-db")
+        busy = await connected(edge, "lock-db")
+        await busy.send("BEGIN")
+        await busy.send("WRITE 7 x3")
+        edge.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        assert (await edge.probe())[0] == 503
+        assert (await idle.send("READ 7"))[0].startswith("ROW")
+        assert (await busy.send("COMMIT"))[0].startswith("COMPLETE d.")
+        assert await idle.closed()
+        assert await busy.closed()
+        assert await edge.stop() == 0
+        assert b"event=stopped" in edge.output
+
+    async def test_a_transaction_that_stays_open_is_rolled_back(
+        self, edge: EdgeProcess, platform: StandinPlatform
+    ) -> None:
+        caller = await connected(edge, "lock-db")
+        await caller.send("BEGIN")
+        await caller.send("WRITE 7 never")
+        assert await edge.stop() == 0
+        assert platform.groups["db"].endpoints[0].value(b"7") == b"-"
+
+    async def test_hup_keeps_serving(self, edge: EdgeProcess) -> None:
+        caller = await connected(edge, "lock-db")
+        edge.process.send_signal(signal.SIGHUP)
+        assert (await caller.send("READ 7"))[0].startswith("ROW")
+        assert edge.process.returncode is None
+
+    async def test_bad_settings_end_the_start(
+        self, platform: StandinPlatform, tmp_path: Path
+    ) -> None:
+        edge = EdgeProcess(platform, tmp_path, "edge-2")
+        await edge.start()
+        await edge.stop(signal.SIGKILL)
+        edge.path.write_text('{"node_name": "edge-2"}')
+        platform.settings = lambda *args, **kwargs: {"node_name": "edge-2"}
+        await edge.start()
+        assert await asyncio.wait_for(edge.process.wait(), 20) == 2
+
+
+class TestStoreAway:
+    async def test_statements_go_on(
+        self, edge: EdgeProcess, platform: StandinPlatform
+    ) -> None:
+        caller = await connected(edge, "tally-db")
+        platform.store.refuse = 503
+        await asyncio.sleep(2.0)
+        assert (await caller.send("WRITE 7 x4"))[0].startswith("COMPLETE d.")
+        assert (await caller.send("READ 7"))[0] == "ROW x4"
+        assert (await edge.probe())[0] == 200
--- /dev/null
+++ b/tests/test_platform_names.py
@@ -0,0 +1,36 @@
+"""Only the adapter's folder knows the platform's names."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+SOURCE = Path(__file__).resolve().parent.parent / "src" / "celeryjunction"
+LINES = 1500
+"""Most lines that the adapter may have, without its stand-in."""
+NAMES = re.compile(
+    r"kv-(key|range|watch|txn|lease|keep)|op/config|servers/|X-Duty-Holder"
+    r"|X-Fence-Token|/promotion|max_staleness_ms|conn_limit|tx_idle_ms"
+    r"|\b(MISROUTED|LAGGING|INDOUBT|DEALLOC|SETPARAM|NOSTMT)\b"
+    r"|fleetbench|CELERYJUNCTION_CONFIG"
+)
+
+
+class TestNames:
+    @pytest.mark.parametrize(
+        "path",
+        [path for path in SOURCE.rglob("*.py") if "platform" not in path.parts],
+        ids=lambda path: str(path.relative_to(SOURCE)),
+    )
+    def test_stay_in_the_adapter(self, path: Path) -> None:
+        assert not NAMES.search(path.read_text())
+
+    def test_the_adapter_stays_small(self) -> None:
+        files = [
+            path
+            for path in (SOURCE / "platform").glob("*.py")
+            if path.name != "standin.py"
+        ]
+        assert sum(len(path.read_text().splitlines()) for path in files) < LINES
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,201 @@
+"""The platform's store over HTTP, its records, and the promotion call."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+
+import pytest
+
+from celeryjunction.gateway.routes import Consistency
+from celeryjunction.platform.http import HttpClient
+from celeryjunction.platform.promotion import PromotionCall
+from celeryjunction.platform.records import decode_config, decode_endpoint
+from celeryjunction.platform.settings import SettingsError, split_address
+from celeryjunction.platform.standin import StandinPlatform
+from celeryjunction.platform.store import HttpStore
+from celeryjunction.ports import (
+    Compare,
+    KeyValue,
+    LeaseLapsed,
+    Put,
+    StoreUnavailable,
+)
+from celeryjunction.replication.ports import PromotionResult
+
+
+@pytest.fixture
+async def platform() -> AsyncIterator[StandinPlatform]:
+    platform = StandinPlatform()
+    await platform.start()
+    yield platform
+    await platform.close()
+
+
+@pytest.fixture
+async def store(platform: StandinPlatform) -> AsyncIterator[HttpStore]:
+    store = HttpStore(HttpClient(*split_address(platform.store.address)))
+    yield store
+    await store.close()
+
+
+class TestHttpStore:
+    async def test_a_compare_and_put(self, store: HttpStore) -> None:
+        first = await store.compare_and_put([Compare("a", 0)], [Put("a", b"1")])
+        again = await store.compare_and_put([Compare("a", 0)], [Put("a", b"2")])
+        assert first.succeeded
+        assert not again.succeeded
+        assert again.current[0] == KeyValue("a", b"1", first.revision)
+        assert (await store.get("a")).value == b"1"
+
+    async def test_a_key_ends_with_its_lease(
+        self, platform: StandinPlatform, store: HttpStore
+    ) -> None:
+        lease = await store.grant_lease(5)
+        await store.compare_and_put([], [Put("a", b"1")], lease=lease)
+        assert await store.renew_lease(lease)
+        await store.revoke_lease(lease)
+        assert await store.get("a") is None
+        assert not await store.renew_lease(lease)
+        with pytest.raises(LeaseLapsed):
+            await store.compare_and_put([], [Put("a", b"1")], lease=lease)
+
+    async def test_a_watch_yields_changes_and_deletions(
+        self, platform: StandinPlatform, store: HttpStore
+    ) -> None:
+        listed = await store.list("my/")
+        events = store.watch("my/", start_revision=listed.revision + 1)
+        asyncio.get_running_loop().call_later(0.05, platform.store.put, "my/a", b"1")
+        seen = await anext(events)
+        assert (seen.key, seen.value) == ("my/a", b"1")
+        platform.store.put("my/a", None)
+        while not seen.key or seen.value is not None:
+            seen = await anext(events)
+        assert seen.key == "my/a"
+
+    async def test_pages_are_joined(
+        self, platform: StandinPlatform, store: HttpStore
+    ) -> None:
+        for number in range(700):
+            platform.store.put(f"my/{number:03}", b"x")
+        listed = await store.list("my/")
+        assert len({item.key for item in listed.items}) == 700
+
+    @pytest.mark.parametrize("status", [429, 503])
+    async def test_a_refusal_is_unavailable(
+        self, platform: StandinPlatform, store: HttpStore, status: int
+    ) -> None:
+        platform.store.refuse = status
+        with pytest.raises(StoreUnavailable):
+            await store.get("a")
+
+    async def test_a_call_without_answer_drops_the_waiting_watch(
+        self, platform: StandinPlatform, store: HttpStore
+    ) -> None:
+        """The bench's scale-2, seed 459041009094: a watch on a dead connection."""
+        watch = store.watch("my/", start_revision=1000)
+        waiting = asyncio.ensure_future(anext(watch))
+        await asyncio.sleep(0.1)
+        hanging = asyncio.Event()
+
+        async def never(*args: object) -> tuple[int, object]:
+            await hanging.wait()
+            return 200, {}
+
+        platform.store.answer = never
+        with pytest.raises(StoreUnavailable):
+            await store.get("a", timeout=0.1)
+        with pytest.raises(StoreUnavailable):
+            await asyncio.wait_for(waiting, 1.0)
+
+
+class TestRecords:
+    def test_a_config_becomes_routes(self) -> None:
+        route = {
+            "name": "r",
+            "host": "lepu270",
+            "prefix": "/",
+            "kind": "read_your_writes",
+            "timeout_ms": 800,
+            "goal_ms": 250,
+            "priority": 1,
+            "service": "huvo11a",
+            "max_attempts": 2,
+            "max_staleness_ms": 2500,
+        }
+        config = {
+            "version": 7,
+            "routes": [route],
+            "services": [{"name": "huvo11a", "conn_limit": 22, "sync_replicas": 1}],
+            "limits": {"tx_idle_ms": 3000, "body_bytes": 1},
+        }
+        table = decode_config(json.dumps(config).encode())
+        found = table.route("lepu270")
+        assert found.consistency is Consistency.READ_YOUR_WRITES
+        assert (found.timeout_s, found.goal_s, found.staleness_s) == (0.8, 0.25, 2.5)
+        assert table.groups["huvo11a"].connection_limit == 22
+        assert table.idle_transaction_s == 3.0
+
+    @pytest.mark.parametrize("value", [b"", b"{}", b"\xff", b'{"version": "x"}'])
+    def test_a_config_that_cannot_be_read_is_none(self, value: bytes) -> None:
+        assert decode_config(value) is None
+
+    def test_an_entry_names_an_endpoint(self) -> None:
+        entry = (
+            b'{"service":"huvo11a","address":"10.128.0.9:8080","zone":"z","slots":3,'
+            b'"state":"draining","sequence":4,"db_role":"replica","born":17}'
+        )
+        info = decode_endpoint(KeyValue("servers/i-7f", entry, 3))
+        assert (info.id, info.group, info.port) == ("i-7f", "huvo11a", 8080)
+        assert info.draining
+        assert info.started_ms == 17
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"",
+            b"\xfe",
+            b"[]",
+            b'{"service":"s"}',
+            b'{"service":"s","address":"x","zone":"z","slots":3,"state":"ready"}',
+            b'{"service":"s","address":"1:2","zone":"z","slots":"3","state":"ready"}',
+            b'{"service":"s","address":"1:2","zone":"z","slots":3,"state":"odd"}',
+        ],
+    )
+    def test_an_entry_of_another_writer_names_none(self, value: bytes) -> None:
+        assert isinstance(decode_endpoint(KeyValue("servers/x", value, 3)), str)
+
+    @pytest.mark.parametrize("address", ["", "10.0.0.1", "10.0.0.1:x", ":80"])
+    def test_an_address_needs_host_and_port(self, address: str) -> None:
+        with pytest.raises(SettingsError):
+            split_address(address)
+
+
+class TestPromotionCall:
+    async def test_names_holder_token_and_endpoint(
+        self, platform: StandinPlatform
+    ) -> None:
+        call = PromotionCall(HttpClient(*split_address(platform.store.address)))
+        result = await call.promote(
+            group="db", endpoint="i-db1", holder="vm1", fencing_token=41
+        )
+        assert result is PromotionResult.ACCEPTED
+        assert platform.store.promotions == [("db", "i-db1", "41")]
+
+    async def test_an_unknown_endpoint_is_refused(
+        self, platform: StandinPlatform
+    ) -> None:
+        call = PromotionCall(HttpClient(*split_address(platform.store.address)))
+        result = await call.promote(
+            group="db", endpoint="i-none", holder="vm1", fencing_token=41
+        )
+        assert result is PromotionResult.REFUSED
+
+    async def test_a_lost_answer_is_unknown(self, platform: StandinPlatform) -> None:
+        address = split_address(platform.store.address)
+        await platform.store.close()
+        result = await PromotionCall(HttpClient(*address)).promote(
+            group="db", endpoint="i-db1", holder="vm1", fencing_token=41
+        )
+        assert result is PromotionResult.UNKNOWN
