--- a/src/celeryjunction/errors.py
+++ b/src/celeryjunction/errors.py
@@ -254,3 +254,13 @@
 
     def __str__(self) -> str:
         return self.reason
+
+
+def outcome_unknown(reason: str) -> ProxyError:
+    """Return the error of a statement that may or may not have run."""
+    return ProxyError(ErrorKind.OUTCOME_UNKNOWN, {"reason": reason})
+
+
+def rolled_back(reason: str) -> ProxyError:
+    """Return the error of a transaction of which nothing is kept."""
+    return ProxyError(ErrorKind.NOT_RUN_ROLLED_BACK, {"reason": reason})
--- a/src/celeryjunction/failover/detector.py
+++ b/src/celeryjunction/failover/detector.py
@@ -16,8 +16,9 @@
 """Commits that reach no replica for so long cannot be acknowledged."""
 LEAST_FAILURES = 2
 REFUSALS = frozenset({"ConnectionRefusedError", "ConnectionResetError"})
-ALIVE = frozenset({"", Fault.BUSY.value, Fault.TOO_MANY_CONNECTIONS.value})
+NO_ROOM = frozenset({Fault.BUSY.value, Fault.TOO_MANY_CONNECTIONS.value})
 """Failures that only a living endpoint answers."""
+ALIVE = NO_ROOM | {""}
 CLOSED = REFUSALS | {"the endpoint closed the connection", "closed while connecting"}
 """Failures that come at once: the first of them may be a connection that breaks."""
 
--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from celeryjunction.failover.coordinator import Coordinator
-from celeryjunction.failover.detector import PrimaryWatch
+from celeryjunction.failover.detector import NO_ROOM, PrimaryWatch
 from celeryjunction.failover.suspicions import Suspicions
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import Clock
@@ -42,7 +42,11 @@
 
 
 class Supervisor:
-    """Keeps one group led. `live_vms` returns the number of VMs, this one included."""
+    """Keeps one group led.
+
+    `watchers` returns the number of VMs that watch its primary, this one included.
+    Nothing is asked while `active` is false: other VMs watch the group then.
+    """
 
     def __init__(
         self,
@@ -51,7 +55,8 @@
         coordinator: Coordinator,
         suspicions: Suspicions,
         roster: GroupRoster,
-        live_vms: Callable[[], int],
+        watchers: Callable[[], int],
+        active: Callable[[], bool] = lambda: True,
         dialer: EndpointDialer,
         clock: Clock,
         random: Random,
@@ -62,7 +67,8 @@
         self._roster = roster
         self._roster_due = 0.0
         self._leavers_due = 0.0
-        self._live_vms = live_vms
+        self._watchers = watchers
+        self._active = active
         self._dialer = dialer
         self._clock = clock
         self._random = random
@@ -90,7 +96,8 @@
             await self._pause()
 
     async def _pause(self) -> None:
-        uncertain = self._watch.failing or self._group.primary is None
+        unknown = self._group.primary is None and self._active()
+        uncertain = self._watch.failing or unknown
         pause = SUSPECT_S if uncertain else LOOK_S
         pause *= self._random.uniform(0.8, 1.2)
         if uncertain:
@@ -103,6 +110,9 @@
     async def step(self, *, nudged: bool = False) -> None:
         """Ask what is not known from statements lately, and act on it."""
         group = self._group
+        if not self._active():
+            await self._rest()
+            return
         started = self._clock.monotonic()
         primary = group.primary
         if primary is None or group.sampled_at < started - SAMPLE_S:
@@ -124,6 +134,13 @@
         elif self._clock.monotonic() >= self._next_try:
             await self._replace(reason)
 
+    async def _rest(self) -> None:
+        """Leave the group to the VMs that watch it."""
+        self._held_since = self._leaderless_since = 0.0
+        for control in self._group.controls.values():
+            control.close_idle()
+        await self._suspicions.withdraw(self._group.name)
+
     async def _still_stalled(self) -> bool:
         """Ask all endpoints: the last word of some replicas may be old."""
         group = self._group
@@ -203,13 +220,26 @@
             if group.endpoints[group.primary].draining:
                 return "draining"
             return self._watch.verdict()
-        if group.held or not group.endpoints:
+        if group.held or not group.endpoints or self._could_not_ask():
             return None
         self._leaderless_since = self._leaderless_since or now
         if now - self._leaderless_since >= UNKNOWN_S:
             return "no_primary"
         return None
 
+    def _could_not_ask(self) -> bool:
+        """Whether an endpoint lives that had no room for a question.
+
+        It may be the primary: after a loss of power, endpoints keep the connections of
+        the VMs for a while, and may accept no other.
+        """
+        alive = any(
+            control.failure in NO_ROOM for control in self._group.controls.values()
+        )
+        if alive:
+            self._leaderless_since = 0.0
+        return alive
+
     async def _replace(self, reason: str) -> None:
         group = self._group
         self._next_try = self._clock.monotonic() + RETRY_S * self._random.uniform(1, 2)
@@ -236,7 +266,7 @@
         found = await self._suspicions.of_all(group.name, term=term, primary=primary)
         if found is None:
             return None
-        live = self._live_vms()
+        watchers = self._watchers()
         _log.info(
             "primary_suspected",
             group=group.name,
@@ -244,9 +274,9 @@
             term=term,
             reason=reason,
             agree=len(found),
-            live_vms=live,
+            watchers=watchers,
         )
-        if 2 * len(found) < live:
+        if 2 * len(found) < watchers:
             return None
         self._next_try = self._clock.monotonic() + RETRY_S * self._random.uniform(1, 2)
         return max(LogPosition(*one.acknowledged) for one in found)
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -6,10 +6,18 @@
 from collections.abc import Iterator
 from functools import singledispatchmethod
 
+import msgspec
 from msgspec.structs import replace
 
 from celeryjunction.dispatch.dispatcher import Demand, Dispatcher, Grant
-from celeryjunction.errors import ConnectionLost, ErrorKind, ProxyError, Ran
+from celeryjunction.errors import (
+    ConnectionLost,
+    ErrorKind,
+    ProxyError,
+    Ran,
+    outcome_unknown,
+    rolled_back,
+)
 from celeryjunction.gateway.gateway import Gateway
 from celeryjunction.gateway.routes import Consistency, Route
 from celeryjunction.gateway.shared_state import (
@@ -65,6 +73,17 @@
 _IDLE, _OPEN, _FAILED = TransactionState
 
 
+class SessionState(msgspec.Struct, array_like=True):
+    """What a caller's session keeps between transactions.
+
+    `position` is the end of its own acknowledged writes.
+    """
+
+    values: dict[bytes, bytes] = {}
+    prepared: dict[bytes, Prepare] = {}
+    position: LogPosition = NO_POSITION
+
+
 class _Transaction:
     """An open transaction; `grant` is its connection once something was sent."""
 
@@ -95,14 +114,15 @@
     ``-``. It raises `ProxyError` when the session itself refuses or gives up.
     """
 
-    def __init__(self, database: str, *, gateway: Gateway) -> None:
+    def __init__(
+        self, database: str, *, gateway: Gateway, state: SessionState | None = None
+    ) -> None:
         self.database = database
+        self.kept = state or SessionState()
+        """What the session keeps between transactions."""
         self._gateway = gateway
         self._clock = gateway.clock
-        self._values: dict[bytes, bytes] = {}
-        self._prepared: dict[bytes, Prepare] = {}
         self._transaction: _Transaction | None = None
-        self._position = NO_POSITION
         self._idle_timer: asyncio.TimerHandle | None = None
         self._expiring: asyncio.Task[None] | None = None
         self._endpoint = ""
@@ -169,7 +189,7 @@
             consistency=route.consistency if route else None,
             routes_version=gateway.table.version if gateway.table else None,
             endpoint=self._endpoint or None,
-            session_position=str(self._position),
+            session_position=str(self.kept.position),
             took_ms=round(seconds * 1000, 1),
             **self._group_inputs(route),
             outcome=outcome,
@@ -196,6 +216,17 @@
             await self._expiring
         await self._end_transaction()
 
+    def fail_transaction(self, request_id: bytes, error: ProxyError) -> None:
+        """Take the place of a transaction that was lost elsewhere.
+
+        Its statements are refused until the caller ends it.
+        """
+        self._transaction = _Transaction(
+            request_id=request_id, read_only=True, arrived=self._clock.monotonic()
+        )
+        self._transaction.failed = error
+        self._gateway.open_transactions += 1
+
     def abort(self, error: ProxyError) -> None:
         """Roll back an idle open transaction; its next statement gets `error`."""
         if self._transaction is not None and self._expiring is None:
@@ -252,7 +283,7 @@
         self, statement: SetParameter, request: Request, route: Route | None
     ) -> Answer:
         self._refuse_in_failed()
-        self._values[statement.name] = statement.value
+        self.kept.values[statement.name] = statement.value
         return self._own_answer()
 
     @_run.register
@@ -260,7 +291,7 @@
         self, statement: Prepare, request: Request, route: Route | None
     ) -> Answer:
         self._refuse_in_failed()
-        self._prepared[statement.name] = statement
+        self.kept.prepared[statement.name] = statement
         return self._own_answer()
 
     @_run.register
@@ -268,14 +299,14 @@
         self, statement: Deallocate, request: Request, route: Route | None
     ) -> Answer:
         self._refuse_in_failed()
-        self._prepared.pop(statement.name, None)
+        self.kept.prepared.pop(statement.name, None)
         return self._own_answer()
 
     @_run.register
     async def _(
         self, statement: Execute, request: Request, route: Route | None
     ) -> Answer:
-        prepared = self._prepared.get(statement.name)
+        prepared = self.kept.prepared.get(statement.name)
         if prepared is None:
             raise ProxyError(
                 ErrorKind.UNKNOWN_STATEMENT, {"name": statement.name.decode("latin-1")}
@@ -371,7 +402,7 @@
             instant=since - route.staleness_s, deadline=deadline
         )
         if route.consistency is Consistency.READ_YOUR_WRITES:
-            position = max(position, self._position)
+            position = max(position, self.kept.position)
         return position
 
     async def _write(
@@ -396,7 +427,7 @@
                 )
             except (ConnectionLost, EndpointRefused) as error:
                 if isinstance(error, ConnectionLost) and error.sent:
-                    raise _unknown(error.reason) from None
+                    raise outcome_unknown(error.reason) from None
                 self._endpoint_failed(route, demand, error)
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
@@ -436,7 +467,7 @@
                 )
             commands = state_commands(
                 grant.link,
-                values=self._values,
+                values=self.kept.values,
                 prepared=prepared,
                 in_transaction=False,
             )
@@ -474,12 +505,12 @@
             self._fail(transaction, error)
             raise
         except ConnectionLost as error:
-            failure = _rolled_back(error.reason)
+            failure = rolled_back(error.reason)
             self._fail(transaction, failure)
             raise failure from None
         transaction.wrote = transaction.wrote or writes
         if answer.state is not _OPEN:
-            self._fail(transaction, _rolled_back("the endpoint ended it"))
+            self._fail(transaction, rolled_back("the endpoint ended it"))
         return answer._replace(state=self.state)
 
     def _transaction_route(
@@ -516,7 +547,10 @@
             try:
                 left = max(deadline - self._clock.monotonic(), 0.001)
                 commands = state_commands(
-                    grant.link, values=self._values, prepared=None, in_transaction=False
+                    grant.link,
+                    values=self.kept.values,
+                    prepared=None,
+                    in_transaction=False,
                 )
                 await bring_state(grant.link, commands, timeout=left)
                 answer = await self._ask(grant, command, left, interruptible=True)
@@ -534,7 +568,7 @@
             fault = answer.fault or Fault.OTHER
             self._not_run(route, demand, fault)
         reason = f"no endpoint opened it: {fault.value if fault else 'no answer'}"
-        raise _rolled_back(reason)
+        raise rolled_back(reason)
 
     async def _run_pinned(
         self,
@@ -551,7 +585,10 @@
         answered = False
         try:
             commands = state_commands(
-                grant.link, values=self._values, prepared=prepared, in_transaction=True
+                grant.link,
+                values=self.kept.values,
+                prepared=prepared,
+                in_transaction=True,
             )
             if commands:
                 transaction.state_sent = True
@@ -602,8 +639,8 @@
             )
         except ConnectionLost as error:
             if transaction.wrote and error.sent:
-                raise _unknown(error.reason) from None
-            raise _rolled_back(error.reason) from None
+                raise outcome_unknown(error.reason) from None
+            raise rolled_back(error.reason) from None
         finally:
             self._forget_transaction()
         if answer.fault is None and transaction.wrote:
@@ -693,7 +730,7 @@
             priority=route.priority,
             arrived=arrived,
             give_up_at=arrived + min(patience_s, route.timeout_s),
-            values=self._values,
+            values=self.kept.values,
         )
 
     async def _confirm(self, group: ReplicationGroup, deadline: float) -> None:
@@ -710,15 +747,17 @@
         try:
             await group.proven_primary(since=now, deadline=deadline)
         except ProxyError as error:
-            raise _unknown(f"the commit's primary is not proven: {error}") from None
+            raise outcome_unknown(
+                f"the commit's primary is not proven: {error}"
+            ) from None
         if group.term != term:
-            raise _unknown("the primary was replaced meanwhile")
+            raise outcome_unknown("the primary was replaced meanwhile")
 
     def _note_commit(
         self, group: ReplicationGroup, position: LogPosition | None
     ) -> None:
         if position is not None:
-            self._position = max(self._position, position)
+            self.kept.position = max(self.kept.position, position)
             group.acknowledged = max(group.acknowledged, position)
 
     def _not_run(self, route: Route, demand: Demand, fault: Fault) -> None:
@@ -740,11 +779,3 @@
                 gate.note_failure(error.reason)
             demand.excluded.add(self._endpoint)
         group.refresh_soon()
-
-
-def _unknown(reason: str) -> ProxyError:
-    return ProxyError(ErrorKind.OUTCOME_UNKNOWN, {"reason": reason})
-
-
-def _rolled_back(reason: str) -> ProxyError:
-    return ProxyError(ErrorKind.NOT_RUN_ROLLED_BACK, {"reason": reason})
--- a/src/celeryjunction/gateway/statements.py
+++ b/src/celeryjunction/gateway/statements.py
@@ -5,36 +5,36 @@
 import msgspec
 
 
-class Begin(msgspec.Struct, frozen=True):
+class Begin(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Opens a transaction."""
 
     read_only: bool
 
 
-class Commit(msgspec.Struct, frozen=True):
+class Commit(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Commits the open transaction."""
 
 
-class Rollback(msgspec.Struct, frozen=True):
+class Rollback(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Rolls the open transaction back."""
 
 
-class Read(msgspec.Struct, frozen=True):
+class Read(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Reads an item."""
 
 
-class Write(msgspec.Struct, frozen=True):
+class Write(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Writes an item."""
 
 
-class SetParameter(msgspec.Struct, frozen=True):
+class SetParameter(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Sets a session value."""
 
     name: bytes
     value: bytes
 
 
-class Prepare(msgspec.Struct, frozen=True):
+class Prepare(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Gives a statement of a shape a name within the session."""
 
     name: bytes
@@ -42,14 +42,14 @@
     shape: bytes
 
 
-class Execute(msgspec.Struct, frozen=True):
+class Execute(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Runs a prepared statement; `arguments` is the text after the name."""
 
     name: bytes
     arguments: bytes
 
 
-class Deallocate(msgspec.Struct, frozen=True):
+class Deallocate(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Forgets a prepared name."""
 
     name: bytes
@@ -68,7 +68,7 @@
 )
 
 
-class Request(msgspec.Struct, frozen=True):
+class Request(msgspec.Struct, frozen=True, array_like=True):
     """A caller's statement with its id, its text and when its first byte came.
 
     `arrived` is in seconds of the proofs' clock.
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -22,11 +22,15 @@
 from celeryjunction.failover.suspicions import Suspicions
 from celeryjunction.gateway.gateway import Gateway
 from celeryjunction.gateway.routes import RouteTable
-from celeryjunction.gateway.session import StatementSession
 from celeryjunction.logs import get_logger
 from celeryjunction.membership import Membership
 from celeryjunction.metrics import Metrics
 from celeryjunction.ports import Clock, KeyValueStore
+from celeryjunction.relay.home_server import HomeServer
+from celeryjunction.relay.homes import Homes
+from celeryjunction.relay.messages import Pulse
+from celeryjunction.relay.placement import is_crowded
+from celeryjunction.relay.session import HomedSession
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import EndpointDialer, EndpointInfo, Promoter
 from celeryjunction.replication.register import EndpointRegister
@@ -50,7 +54,8 @@
 LEAST_LINKS = 2
 """Connections that each VM may open at an endpoint, however many VMs there are."""
 CROWDED_IDLE_S = 1.5
-"""Idle connections are closed after this while endpoints accept too few for all VMs."""
+"""Idle connections of a VM that is no home are closed after this: it opens them only
+while it reaches no home."""
 ISOLATED_SHARE = 0.6
 """Part of the other zones' endpoints that do not answer a VM that is cut off. The loss
 of one zone of three takes half of them."""
@@ -76,7 +81,7 @@
     """A caller's connection, as the drain sees it."""
 
     running: bool
-    session: StatementSession | None
+    session: HomedSession | None
 
 
 class Frontend(Protocol):
@@ -134,6 +139,8 @@
         self._random = random
         self._claims = Claims(store, vm=vm, clock=clock)
         self._suspicions = Suspicions(store, vm=vm)
+        self._homes = Homes(vm=vm, zone=zone, random=random)
+        self.home_server = HomeServer(self.gateway, pulse=self._pulse)
         self._frontend: Frontend | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._draining = False
@@ -160,8 +167,16 @@
         It is not told to the other VMs: each change would cost a call for each pair.
         """
         if self.gateway.take_routes(table):
+            self._follow_homes()
             self._apply_endpoints()
 
+    def _follow_homes(self) -> None:
+        """Find out which VMs are homes of which group."""
+        table = self.gateway.table
+        if table is not None:
+            limits = {n: terms.connection_limit for n, terms in table.groups.items()}
+            self._homes.follow(self._membership.peers(), limits)
+
     def _apply_endpoints(self) -> None:
         """Give each group its endpoints, and each dispatcher those it may use."""
         gateway = self.gateway
@@ -176,7 +191,8 @@
             group = gateway.groups.get(name) or self._add_group(name)
             if endpoints != group.endpoints:
                 group.follow(endpoints)
-                group.refresh_soon()
+                if self._homes.is_home(name):
+                    group.refresh_soon()
             gateway.dispatchers[name].follow(
                 {key: info for key, info in endpoints.items() if self._usable(info)}
             )
@@ -235,41 +251,37 @@
             coordinator=coordinator,
             suspicions=self._suspicions,
             roster=roster,
-            live_vms=self._live_vms,
+            watchers=lambda: self._homes.count(group.name),
+            active=lambda: self._homes.is_home(group.name),
             dialer=self._dialer,
             clock=self._clock,
             random=self._random,
         )
 
-    def _live_vms(self) -> int:
-        return len(self._membership.peers()) + 1
-
     def _max_links(self, info: EndpointInfo) -> int:
         """Return how many connections for statements this VM may open at an endpoint.
 
-        That is its part of what the endpoint accepts, less one for status. With many
-        VMs the parts are too small for open transactions; then each may open a few,
-        the endpoint refuses what is too much, and idle ones are closed soon.
+        That is a home's part of what the endpoint accepts, less one for status. A VM
+        that is no home opens some only while it reaches no home.
         """
         table = self.gateway.table
         terms = table.groups.get(info.group) if table is not None else None
         if terms is None:
             return 1
-        vms = self._live_vms()
-        return max(LEAST_LINKS, ceil((terms.connection_limit - vms) / vms))
+        homes = self._homes.count(info.group)
+        part = ceil((terms.connection_limit - homes) / homes)
+        return max(LEAST_LINKS, part if self._homes.is_home(info.group) else 0)
 
-    @property
-    def _crowded(self) -> bool:
-        """Whether the VMs together may open more connections than endpoints accept."""
+    def _shares(self, group: str) -> bool:
+        """Whether connections for status are lent for statements and back."""
         table = self.gateway.table
-        if table is None or not table.groups:
-            return False
-        limit = min(terms.connection_limit for terms in table.groups.values())
-        return limit < (LEAST_LINKS + 1) * self._live_vms()
+        terms = table.groups.get(group) if table is not None else None
+        vms = len(self._membership.peers()) + 1
+        return terms is not None and is_crowded(terms.connection_limit, vms)
 
     # Callers and the balancer
 
-    def open_session(self, database: str) -> StatementSession:
+    def open_session(self, database: str) -> HomedSession:
         """Open a caller's session; raises `ProxyError`."""
         if self.gateway.table is None:
             raise ProxyError(
@@ -278,7 +290,7 @@
             )
         if self.gateway.route(database) is None:
             raise ProxyError(ErrorKind.UNKNOWN_DATABASE, {"database": database})
-        return StatementSession(database, gateway=self.gateway)
+        return HomedSession(database, gateway=self.gateway, homes=self._homes)
 
     @property
     def ready(self) -> bool:
@@ -289,11 +301,29 @@
             return False
         oldest = self._clock.monotonic() - PROVEN_S
         groups = [gateway.groups[name] for name in gateway.table.groups]
-        served = sum(group.proven_at >= oldest for group in groups)
+        served = sum(
+            group.proven_at >= oldest or self._homes.serves(group.name)
+            for group in groups
+        )
         return bool(groups) and 2 * served >= len(groups)
 
+    def _pulse(self) -> Pulse:
+        """Return what the VMs that rely on this home need to know."""
+        oldest = self._clock.monotonic() - PROVEN_S
+        served = [
+            name
+            for name, group in self.gateway.groups.items()
+            if group.proven_at >= oldest
+        ]
+        return Pulse(served, self._reaches_no_zone, self._draining)
+
     @property
     def _isolated(self) -> bool:
+        """Whether this VM and its homes reach no other zone any more."""
+        return self._reaches_no_zone or self._homes.isolated
+
+    @property
+    def _reaches_no_zone(self) -> bool:
         """Whether most endpoints of other zones do not answer this VM any more."""
         now = self._clock.monotonic()
         failing = [
@@ -324,6 +354,7 @@
         summed_up_at = 0.0
         while True:
             await asyncio.sleep(MAINTENANCE_S)
+            self._follow_homes()
             self._apply_endpoints()
             for name, dispatcher in self.gateway.dispatchers.items():
                 self._look_over(self.gateway.groups[name], dispatcher)
@@ -336,8 +367,9 @@
                 self._log_summary()
 
     def _look_over(self, group: ReplicationGroup, dispatcher: Dispatcher) -> None:
-        dispatcher.lends = self._crowded
-        idle_s = CROWDED_IDLE_S if self._crowded else IDLE_LIMIT_S
+        dispatcher.lends = self._shares(group.name)
+        is_home = self._homes.is_home(group.name)
+        idle_s = IDLE_LIMIT_S if is_home else CROWDED_IDLE_S
         for control in group.controls.values():
             control.close_idle()
         for endpoint, gate in dispatcher.gates.items():
@@ -362,6 +394,7 @@
         """Start to drain; further calls change nothing."""
         if not self._draining:
             self._draining = True
+            self.home_server.tell_pulse()
             self.start_task(self._drain())
 
     async def _drain(self) -> None:
@@ -371,7 +404,7 @@
         _log.info("drain_started", connections=len(frontend.connections))
         await asyncio.sleep(min(NOTICE_S, grace_s / 2))
         frontend.stop_accepting()
-        while frontend.connections:
+        while frontend.connections or self.home_server.busy:
             elapsed = self._clock.monotonic() - started
             if elapsed >= grace_s - EXIT_MARGIN_S:
                 break
@@ -384,12 +417,15 @@
 
     def _abort_idle_transactions(self) -> None:
         error = ProxyError(ErrorKind.SHUTTING_DOWN)
+        self.home_server.abort_idle(error)
         for connection in self._frontend.connections:
             if not connection.running and connection.session is not None:
                 connection.session.abort(error)
 
     async def _close(self) -> None:
         await self._frontend.close()
+        await self.home_server.close()
+        self._homes.close()
         current = asyncio.current_task()
         tasks = [task for task in self._tasks if task is not current]
         for task in tasks:
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -30,6 +30,7 @@
 from celeryjunction.platform.settings import (
     EdgeSettings,
     SettingsError,
+    internal_address,
     load_settings,
     split_address,
 )
@@ -90,6 +91,7 @@
             clock=self._clock,
         )
         await frontend.start()
+        await self.node.home_server.start(*internal_address(self._settings))
         host, port = split_address(listen.ready)
         loop = asyncio.get_running_loop()
         await loop.create_server(lambda: HttpResponder(self._answer), host, port)
@@ -156,7 +158,7 @@
     record = VmRecord(
         name=settings.node_name,
         zone=settings.zone,
-        peer_address=settings.listen.control,
+        peer_address="{}:{}".format(*internal_address(settings)),
         sql_address=settings.listen.front,
         status_address=settings.listen.ready,
         incarnation=int(now * 1_000_000),
--- a/src/celeryjunction/platform/frontend.py
+++ b/src/celeryjunction/platform/frontend.py
@@ -7,7 +7,6 @@
 
 from celeryjunction.adapters.line_stream import LineStream, LineTooLong
 from celeryjunction.errors import ErrorKind, ProxyError
-from celeryjunction.gateway.session import StatementSession
 from celeryjunction.gateway.statements import Request
 from celeryjunction.logs import get_logger
 from celeryjunction.platform.wire import (
@@ -19,6 +18,7 @@
     parse_statement,
 )
 from celeryjunction.ports import Clock
+from celeryjunction.relay.session import HomedSession
 from celeryjunction.replication.ports import Answer, TransactionState
 
 START_TIMEOUT_S = 5.0
@@ -26,7 +26,7 @@
 
 _log = get_logger("frontend")
 
-OpenSession = Callable[[str], StatementSession]
+OpenSession = Callable[[str], HomedSession]
 """Opens a session for a database name; raises `ProxyError`."""
 
 
@@ -39,7 +39,7 @@
         self._stream = stream
         self._open_session = open_session
         self._clock = clock
-        self.session: StatementSession | None = None
+        self.session: HomedSession | None = None
         self.running = False
 
     @property
--- a/src/celeryjunction/platform/settings.py
+++ b/src/celeryjunction/platform/settings.py
@@ -60,6 +60,16 @@
     return host, int(port)
 
 
+def internal_address(settings: EdgeSettings) -> tuple[str, int]:
+    """Return the address for other VMs: the first internal port of this VM.
+
+    Any free port is taken where the settings name none.
+    """
+    host, _ = split_address(settings.listen.front)
+    ports = settings.internal_port_range
+    return host, ports[0] if ports else 0
+
+
 def load_settings() -> EdgeSettings:
     """Read the file that the environment names; raises `SettingsError`."""
     path = os.environ.get(PATH_VARIABLE)
--- /dev/null
+++ b/src/celeryjunction/relay/home_link.py
@@ -0,0 +1,202 @@
+"""A VM's connection to one home: statements, their outcomes, and whether it is alive.
+
+One task connects, reads and reconnects. A home that is frozen, cut off or without power
+says nothing, so it is asked for its pulse; a connection without an answer is given up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from itertools import count
+from random import Random
+
+import msgspec
+
+from celeryjunction.adapters.frame_stream import FrameStream
+from celeryjunction.errors import ConnectionLost
+from celeryjunction.gateway.session import SessionState
+from celeryjunction.gateway.statements import Request
+from celeryjunction.logs import get_logger
+from celeryjunction.relay.messages import (
+    AskPulse,
+    EndSeat,
+    Outcome,
+    Pulse,
+    RunStatement,
+    decode_from_home,
+    encode,
+)
+
+PULSE_S = 0.25
+"""Interval at which a home is asked for its pulse."""
+SILENT_S = 0.6
+"""A home that says nothing for so long is given up: two questions without an answer.
+Statements that it had are then tried elsewhere within the shortest time-out (0.8 s)."""
+CONNECT_TIMEOUT_S = 0.3
+"""Limit for a connection within the zone, where a round trip takes 0.4 ms."""
+RETRY_S = 0.1
+LONGEST_RETRY_S = 1.0
+"""Pause before a home is tried again, doubling from the first to the longest."""
+
+_log = get_logger("relay")
+
+
+class HomeLink:
+    """Runs statements at one home VM."""
+
+    def __init__(self, vm: str, address: tuple[str, int], *, random: Random) -> None:
+        self.vm = vm
+        self.address = address
+        self.pulse: Pulse | None = None
+        """The home's last word on this connection; None while it has none."""
+        self.tried = asyncio.Event()
+        """Set once the first attempt to connect has succeeded or failed."""
+        self.epoch = 0
+        """Number of connections so far; a transaction is lost with its connection."""
+        self._random = random
+        self._stream: FrameStream | None = None
+        self._numbers = count(1)
+        self._seats = count(1)
+        self._waiting: dict[int, asyncio.Future[Outcome]] = {}
+        self._heard = False
+        self._task = asyncio.create_task(self._run())
+
+    def __rich_repr__(self) -> Iterator[tuple[str, object]]:
+        yield "vm", self.vm
+        yield "usable", self.usable
+
+    @property
+    def usable(self) -> bool:
+        """Whether the home answers and takes new transactions."""
+        return self.pulse is not None and not self.pulse.leaving
+
+    @property
+    def load(self) -> int:
+        """Statements of this VM that wait for the home."""
+        return len(self._waiting)
+
+    def new_seat(self) -> int:
+        """Return a number for a transaction on this connection."""
+        return next(self._seats)
+
+    async def run(
+        self,
+        request: Request,
+        *,
+        database: str,
+        seat: int,
+        state: SessionState | None,
+        timeout: float,
+    ) -> Outcome:
+        """Run a statement; raises `ConnectionLost` when no outcome came.
+
+        A timeout does not close the connection: other statements share it.
+        """
+        stream = self._stream
+        if stream is None or stream.closed:
+            raise ConnectionLost(f"no connection to home {self.vm}", sent=False)
+        number = next(self._numbers)
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
+        stream.write_frame(encode(RunStatement(number, seat, database, request, state)))
+        try:
+            async with asyncio.timeout(timeout):
+                return await future
+        except TimeoutError:
+            reason = f"no outcome from home {self.vm}"
+            raise ConnectionLost(reason, sent=True) from None
+        finally:
+            self._waiting.pop(number, None)
+
+    def end_seat(self, seat: int) -> None:
+        """Have a transaction rolled back that is no longer wanted."""
+        if self._stream is not None:
+            self._stream.write_frame(encode(EndSeat(seat)))
+
+    def close(self) -> None:
+        """Close for good."""
+        self._task.cancel()
+        self._lost("closed")
+
+    async def _run(self) -> None:
+        pause = RETRY_S
+        while True:
+            reason = await self._serve_once()
+            if self._lost(reason):
+                pause = RETRY_S
+            self.tried.set()
+            await asyncio.sleep(pause * self._random.uniform(0.5, 1.0))
+            pause = min(2 * pause, LONGEST_RETRY_S)
+
+    async def _serve_once(self) -> str:
+        """Connect and read until the connection ends; return why it did."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, self._stream = await loop.create_connection(
+                    FrameStream, *self.address
+                )
+        except (OSError, TimeoutError) as error:
+            return type(error).__name__
+        self.epoch += 1
+        asking = asyncio.create_task(self._ask_pulses(self._stream))
+        try:
+            return await self._read(self._stream)
+        finally:
+            asking.cancel()
+
+    async def _read(self, stream: FrameStream) -> str:
+        while (frame := await stream.read_frame()) is not None:
+            self._heard = True
+            try:
+                message = decode_from_home(frame)
+            except msgspec.MsgspecError as error:
+                return f"unreadable: {error}"
+            if isinstance(message, Pulse):
+                self._take_pulse(message)
+            else:
+                future = self._waiting.get(message.number)
+                if future is not None and not future.done():
+                    future.set_result(message)
+        return "connection ended"
+
+    def _take_pulse(self, pulse: Pulse) -> None:
+        before, self.pulse = self.pulse, pulse
+        self.tried.set()
+        if before is None or before.leaving != pulse.leaving:
+            _log.info("home_reached", vm=self.vm, leaving=pulse.leaving)
+
+    async def _ask_pulses(self, stream: FrameStream) -> None:
+        """Ask again and again; give the connection up when nothing comes."""
+        loop = asyncio.get_running_loop()
+        heard_at = loop.time()
+        while True:
+            stream.write_frame(encode(AskPulse()))
+            asked_at = loop.time()
+            await asyncio.sleep(PULSE_S)
+            now = loop.time()
+            if self._heard or now - asked_at > 2 * PULSE_S:
+                # A late wake-up says that this VM stood still, not the home.
+                self._heard = False
+                heard_at = now
+            elif now - heard_at >= SILENT_S:
+                stream.abort()
+                return
+
+    def _lost(self, reason: str) -> bool:
+        """Fail what waits; return whether the home had been reached."""
+        reached, self.pulse = self.pulse is not None, None
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            stream.abort()
+        if reached:
+            _log.warning(
+                "home_lost", vm=self.vm, reason=reason, waiting=len(self._waiting)
+            )
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_exception(
+                    ConnectionLost(f"home {self.vm} was lost: {reason}", sent=True)
+                )
+        return reached
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -45,7 +45,7 @@
         store: FakeStore,
         name: str = "vm1",
         *,
-        live_vms: int = 1,
+        watchers: int = 1,
     ) -> None:
         clock = ManualClock()
         random = Random(name)
@@ -71,7 +71,7 @@
             coordinator=self.coordinator,
             suspicions=Suspicions(store, vm=name),
             roster=self.roster,
-            live_vms=lambda: live_vms,
+            watchers=lambda: watchers,
             dialer=cluster,
             clock=clock,
             random=random,
@@ -285,7 +285,7 @@
     async def test_a_silent_primary_is_replaced_when_half_of_the_vms_agree(
         self, cluster: FakeCluster, store: FakeStore
     ) -> None:
-        vms = [Vm(cluster, store, f"vm{n}", live_vms=4) for n in range(2)]
+        vms = [Vm(cluster, store, f"vm{n}", watchers=4) for n in range(2)]
         for vm in vms:
             vm.run()
         assert await led(vms[0], 1)
@@ -299,7 +299,7 @@
     async def test_a_vm_alone_in_its_suspicion_replaces_nobody(
         self, cluster: FakeCluster, store: FakeStore
     ) -> None:
-        vm = Vm(cluster, store, live_vms=4)
+        vm = Vm(cluster, store, watchers=4)
         vm.run()
         assert await led(vm, 1)
         await asyncio.sleep(3)
