--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -85,7 +85,15 @@
 class Grant:
     """A connection to an endpoint, with the slot of the statement that runs on it."""
 
-    __slots__ = ("_clock", "_dispatcher", "_since", "gate", "interruptible", "link")
+    __slots__ = (
+        "_clock",
+        "_dispatcher",
+        "_priority",
+        "_since",
+        "gate",
+        "interruptible",
+        "link",
+    )
 
     def __init__(
         self,
@@ -94,8 +102,10 @@
         link: EndpointLink,
         *,
         clock: Clock,
+        priority: int,
     ) -> None:
         self._dispatcher = dispatcher
+        self._priority = priority
         self._clock = clock
         self._since: float | None = clock.monotonic()
         self.gate = gate
@@ -129,7 +139,7 @@
         self.gate.note_ended(self)
         self.gate.running -= 1
         if answered:
-            self.gate.note_answer(seconds)
+            self.gate.note_answer(seconds, priority=self._priority)
 
     def next_statement(self) -> None:
         """Take a slot for the next statement of a transaction, without waiting.
@@ -157,6 +167,7 @@
         clock: Clock,
         random: Random,
         max_links: Callable[[EndpointInfo], int],
+        sharers: Callable[[], int] = lambda: 1,
     ) -> None:
         self.gates: dict[str, EndpointGate] = {}
         self.lends = False
@@ -166,6 +177,7 @@
         self._clock = clock
         self._random = random
         self._max_links = max_links
+        self._sharers = sharers
         self._waiting: list[Demand] = []
         self._numbers = count(1)
         self._timer: asyncio.TimerHandle | None = None
@@ -197,6 +209,8 @@
                 )
             gate.info = info
             gate.max_links = self._max_links(info)
+            gate.shared.slots = max(info.slots, 1)
+            gate.shared.sharers = max(self._sharers(), 1)
         self.pump()
 
     async def acquire(self, demand: Demand) -> Grant:
@@ -218,7 +232,7 @@
             demand.excluded.add(gate.info.id)
             self.pump()
             raise
-        return Grant(self, gate, link, clock=self._clock)
+        return Grant(self, gate, link, clock=self._clock, priority=demand.priority)
 
     # Lending idle connections for commands
 
@@ -281,12 +295,12 @@
 
     @staticmethod
     def _limit(gate: EndpointGate, demand: Demand) -> int:
-        slots = max(gate.info.slots, 1)
+        limit = gate.shared.limit
         if demand.priority == 0:
-            return slots + 1
+            return limit + 1
         if demand.priority >= LOWEST_PRIORITY:
-            return max(slots - 1, 1)
-        return slots
+            return max(limit - 1, 1)
+        return limit
 
     def _cost(self, gate: EndpointGate) -> float:
         """Return the expected seconds until an answer: way, queue and service."""
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Protocol
 
+from celeryjunction.dispatch.shared_slots import SharedSlots
 from celeryjunction.errors import ConnectionLost
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import Clock
@@ -73,6 +74,7 @@
         "others_busy",
         "running",
         "service_s",
+        "shared",
     )
 
     def __init__(
@@ -93,6 +95,7 @@
         self.others_busy = 0
         """Slots that other VMs kept busy at the last status."""
         self.service_s = FIRST_SERVICE_S
+        self.shared = SharedSlots(slots=info.slots, sharers=1)
         self.avoid_until = 0.0
         self.full_until = 0.0
         self.closed = False
@@ -233,8 +236,9 @@
             sent.link.close()
         return len(interrupted)
 
-    def note_answer(self, seconds: float) -> None:
+    def note_answer(self, seconds: float, *, priority: int) -> None:
         """Note that a statement was answered after so many seconds."""
+        self.shared.observe(priority, seconds)
         self.answered_at = self._clock.monotonic()
         self._failures = 0
         self._avoid_s = 0.0
@@ -259,7 +263,10 @@
     def describe(self) -> str:
         """Return what decides whether a statement may be sent, for the log."""
         now = self._clock.monotonic()
-        words = [f"running:{self.running}", f"links:{self.links}/{self.max_links}"]
+        words = [
+            f"running:{self.running}/{self.shared.limit}",
+            f"links:{self.links}/{self.max_links}",
+        ]
         if self.stuck(now):
             words.append("stuck")
         if self.failing:
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -665,7 +665,9 @@
             return
         self._gateway.open_transactions -= 1
         if transaction.grant is not None:
-            transaction.grant.release(reusable=not transaction.state_sent)
+            if transaction.state_sent:
+                transaction.grant.link.doubtful = True
+            transaction.grant.release()
 
     async def _end_transaction(self) -> None:
         """Roll back and give the connection back."""
@@ -765,6 +767,9 @@
         group = self._gateway.groups[route.group]
         if demand.only is None:
             demand.excluded.add(self._endpoint)
+        gate = self._dispatcher(route).gates.get(self._endpoint)
+        if fault is Fault.BUSY and gate is not None:
+            gate.shared.note_busy()
         if fault in (Fault.NOT_PRIMARY, Fault.WRONG_ENDPOINT):
             group.refresh_soon()
 
--- a/src/celeryjunction/gateway/shared_state.py
+++ b/src/celeryjunction/gateway/shared_state.py
@@ -41,7 +41,8 @@
     commands: list[Command] = []
     has_values, has_names = link.values, link.prepared
     surplus = any(name not in values for name in has_values)
-    if not in_transaction and (surplus or len(has_names) > MAX_PREPARED):
+    surplus = surplus or link.doubtful or len(has_names) > MAX_PREPARED
+    if surplus and not in_transaction:
         commands.append(ClearSession())
         has_values, has_names = {}, set()
     commands += [
@@ -70,6 +71,7 @@
         if isinstance(command, ClearSession):
             link.values.clear()
             link.prepared.clear()
+            link.doubtful = False
         elif isinstance(command, SetValue):
             link.values[command.name] = command.value
         elif isinstance(command, PrepareStatement):
--- a/src/celeryjunction/home.py
+++ b/src/celeryjunction/home.py
@@ -10,10 +10,11 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from hashlib import blake2b
 from heapq import nlargest
 from itertools import islice
+from math import log
 from typing import NamedTuple
 
 KEPT = 4
@@ -32,6 +33,19 @@
     return sorted(vms, key=lambda vm: (_score(database, vm), vm), reverse=True)
 
 
+def rank_weighted(database: str, weights: Mapping[str, float]) -> list[str]:
+    """Return all VMs, ordered so that each is first in proportion to its weight.
+
+    Weighted rendezvous hashing: with -w / ln(u), u evenly spread in (0, 1).
+    """
+
+    def score(vm: str) -> tuple[float, str]:
+        u = (int.from_bytes(_score(database, vm)) + 1) / (2**64 + 2)
+        return -weights[vm] / log(u), vm
+
+    return sorted(weights, key=score, reverse=True)
+
+
 class _Change(NamedTuple):
     """A change of the VM list; `stayed` counts the VMs that were and are in it."""
 
--- a/src/celeryjunction/membership.py
+++ b/src/celeryjunction/membership.py
@@ -64,6 +64,8 @@
     applied_revision: int = 0
     leaving: bool = False
     heartbeat_address: str = ""
+    link_mbps: float = 1.0
+    """Capacity of the VM's network link, Mbit/s."""
 
 
 async def list_vms(store: KeyValueStore) -> tuple[VmRecord, ...]:
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -139,7 +139,7 @@
         self._random = random
         self._claims = Claims(store, vm=vm, clock=clock)
         self._suspicions = Suspicions(store, vm=vm)
-        self._homes = Homes(vm=vm, zone=zone, random=random)
+        self._homes = Homes(membership.record, random=random)
         self.home_server = HomeServer(self.gateway, pulse=self._pulse)
         self._frontend: Frontend | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -217,6 +217,7 @@
             clock=self._clock,
             random=self._random,
             max_links=self._max_links,
+            sharers=lambda: self._homes.sharers(name),
         )
         group = ReplicationGroup(
             name,
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -163,6 +163,7 @@
         status_address=settings.listen.ready,
         incarnation=int(now * 1_000_000),
         started_at=now,
+        link_mbps=settings.limits.link_mbps,
     )
     return Membership(store, record, clock=clock, random=random)
 
--- a/src/celeryjunction/platform/settings.py
+++ b/src/celeryjunction/platform/settings.py
@@ -37,6 +37,13 @@
     """Time from SIGTERM to SIGKILL."""
 
 
+class Limits(msgspec.Struct, frozen=True):
+    """What the VM may use."""
+
+    link_mbps: float = 1.0
+    """Capacity of its network link, Mbit/s."""
+
+
 class EdgeSettings(msgspec.Struct, frozen=True):
     """What the program reads of the settings; unknown fields are ignored."""
 
@@ -46,6 +53,7 @@
     platform: Address
     cloud_api: Address
     bounds: Bounds
+    limits: Limits = Limits()
     heartbeat_ms: float = 1200.0
     """Interval at which endpoints renew their register entries."""
     seeds: list[str] = []
--- a/src/celeryjunction/relay/home_link.py
+++ b/src/celeryjunction/relay/home_link.py
@@ -71,11 +71,6 @@
         """Whether the home answers and takes new transactions."""
         return self.pulse is not None and not self.pulse.leaving
 
-    @property
-    def load(self) -> int:
-        """Statements of this VM that wait for the home."""
-        return len(self._waiting)
-
     def new_seat(self) -> int:
         """Return a number for a transaction on this connection."""
         return next(self._seats)
--- a/src/celeryjunction/relay/homes.py
+++ b/src/celeryjunction/relay/homes.py
@@ -17,10 +17,12 @@
 class Homes:
     """Follows the list of VMs and keeps the links to this zone's homes."""
 
-    def __init__(self, *, vm: str, zone: str, random: Random) -> None:
-        self._vm = vm
-        self._zone = zone
+    def __init__(self, own: VmRecord, *, random: Random) -> None:
+        self._vm = own.name
+        self._zone = own.zone
+        self._own = own
         self._random = random
+        self._vms = 1
         self._homes: dict[str, dict[str, list[str]]] = {}
         self._links: dict[str, HomeLink] = {}
 
@@ -30,10 +32,12 @@
 
     def follow(self, peers: Mapping[str, VmRecord], limits: Mapping[str, int]) -> None:
         """Take over the other VMs, and the connection limit of each group."""
-        zones: dict[str, list[str]] = {self._zone: [self._vm]}
-        for record in peers.values():
+        zones: dict[str, dict[str, float]] = {}
+        for record in (self._own, *peers.values()):
             if not record.leaving:
-                zones.setdefault(record.zone, []).append(record.name)
+                links = zones.setdefault(record.zone, {})
+                links[record.name] = max(record.link_mbps, 1.0)
+        self._vms = sum(map(len, zones.values()))
         self._homes = {
             group: homes_of_group(group, zones, limit=limit)
             for group, limit in limits.items()
@@ -63,14 +67,22 @@
         return group not in self._homes or self._vm in self._of_zone(group)
 
     def count(self, group: str) -> int:
-        """Return the number of homes in all zones."""
+        """Return the number of homes in all zones, those that stand by included."""
         return max(1, sum(map(len, self._homes.get(group, {}).values())))
 
+    def sharers(self, group: str) -> int:
+        """Return the number of VMs that use the group's endpoints on a calm day."""
+        homes = self._homes.get(group, {})
+        return self.count(group) if self._all_are_homes(group) else max(1, len(homes))
+
+    def _all_are_homes(self, group: str) -> bool:
+        return self.count(group) >= self._vms
+
     async def choose(self, group: str) -> HomeLink | None:
         """Return the home that runs a group's next transaction; None for this VM.
 
-        It is the one with the fewest statements of this VM. A VM that reaches no home
-        of its zone serves the group itself.
+        It is the first that answers, so that few connections and few proofs serve the
+        whole zone. A VM that reaches no home of its zone serves the group itself.
         """
         if self.is_home(group):
             return None
@@ -79,10 +91,7 @@
             first = [link.tried.wait() for link in links if not link.tried.is_set()]
             if first:
                 await _wait_any(first, FIRST_WAIT_S)
-        usable = [link for link in links if link.usable]
-        if not usable:
-            return None
-        return min(usable, key=lambda link: (link.load, self._random.random()))
+        return next((link for link in links if link.usable), None)
 
     def _links_of(self, group: str) -> list[HomeLink]:
         names = self._of_zone(group)
--- a/src/celeryjunction/relay/placement.py
+++ b/src/celeryjunction/relay/placement.py
@@ -2,15 +2,16 @@
 
 Endpoints accept a limited number of connections from all VMs together. While each VM
 can have its part, each is a home and runs its callers' statements itself. With more
-VMs than that, a few of each zone are homes, and the others pass statements on to a
-home of their own zone. Answers the load of a site that grows in VMs, not in endpoints.
+VMs than that, a few of each zone are homes, and the others pass statements on to the
+first of them that answers. VMs with a wide link are preferred, because a home carries
+the traffic of several. Answers the load of a site that grows in VMs, not in endpoints.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
-from celeryjunction.home import rank_homes
+from celeryjunction.home import rank_weighted
 
 CONNECTIONS_PER_VM = 3
 """Connections that a VM needs at an endpoint to serve without waiting for one: two
@@ -31,21 +32,23 @@
 
 
 def homes_of_zone(
-    group: str, vms: Iterable[str], *, limit: int, zones: int
+    group: str, weights: Mapping[str, float], *, limit: int, zones: int
 ) -> list[str]:
-    """Return a zone's homes of a group, of which there are few, the first one first."""
+    """Return a zone's homes of a group, the one to use first and those that stand by.
+
+    `weights` are the links of the zone's VMs, Mbit/s.
+    """
     count = int(limit * STEADY_SHARE / CONNECTIONS_PER_HOME) // max(zones, 1)
-    return rank_homes(group, vms)[: max(count, LEAST_HOMES)]
+    return rank_weighted(group, weights)[: max(count, LEAST_HOMES)]
 
 
 def homes_of_group(
-    group: str, vms_by_zone: Mapping[str, Iterable[str]], *, limit: int
+    group: str, zones: Mapping[str, Mapping[str, float]], *, limit: int
 ) -> dict[str, list[str]]:
-    """Return the homes of a group for each zone, from the names of its VMs."""
-    names = {zone: sorted(vms) for zone, vms in vms_by_zone.items()}
-    if not is_crowded(limit, sum(map(len, names.values()))):
-        return names
+    """Return the homes of a group for each zone, from the links of its VMs."""
+    if not is_crowded(limit, sum(map(len, zones.values()))):
+        return {zone: sorted(weights) for zone, weights in zones.items()}
     return {
-        zone: homes_of_zone(group, vms, limit=limit, zones=len(names))
-        for zone, vms in names.items()
+        zone: homes_of_zone(group, weights, limit=limit, zones=len(zones))
+        for zone, weights in zones.items()
     }
--- a/src/celeryjunction/relay/session.py
+++ b/src/celeryjunction/relay/session.py
@@ -189,7 +189,7 @@
         return self._answer(outcome)
 
     async def _change_state(self, seat: _Seat, request: Request) -> Answer:
-        """Change a value or a prepared name; the home gets it with the next statement."""
+        """Change a value or a prepared name; the next statement brings it along."""
         if seat.state is _FAILED:
             raise ProxyError(ErrorKind.TRANSACTION_ABORTED)
         answer = await self._local.execute(request)
--- a/src/celeryjunction/replication/ports.py
+++ b/src/celeryjunction/replication/ports.py
@@ -198,6 +198,8 @@
     """Session values that the endpoint acknowledged on this connection."""
     prepared: set[bytes]
     """Names of statements that the endpoint acknowledged as prepared."""
+    doubtful: bool
+    """Whether values or names may differ from these: a transaction changed them."""
 
     @property
     def usable(self) -> bool:
--- a/tests/replicated_fakes.py
+++ b/tests/replicated_fakes.py
@@ -183,6 +183,7 @@
         self.opened_at = asyncio.get_running_loop().time()
         self.values: dict[bytes, bytes] = {}
         self.prepared: set[bytes] = set()
+        self.doubtful = False
         self.server_values: dict[bytes, bytes] = {}
         self.server_prepared: set[bytes] = set()
         self.running = False
