--- a/src/celeryjunction/follower.py
+++ b/src/celeryjunction/follower.py
@@ -71,6 +71,7 @@
         "_spread_s",
         "_store",
         "_subscribers",
+        "_synced_listeners",
         "synced",
     )
 
@@ -102,6 +103,7 @@
         self._failures = 0
         self._last_contact = -math.inf
         self._needs_list = True
+        self._synced_listeners: list[Callable[[], None]] = []
         self.synced = asyncio.Event()
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
@@ -129,6 +131,10 @@
         """Call back for every change from now on."""
         self._subscribers.append(on_change)
 
+    def on_synced(self, callback: Callable[[], None]) -> None:
+        """Call back once, after the first list."""
+        self._synced_listeners.append(callback)
+
     def spread_over(self, vms: int) -> None:
         """Spread calls after a break over the time that so many VMs need for theirs.
 
@@ -193,6 +199,9 @@
         self._revision = listed.revision
         self._needs_list = False
         self.synced.set()
+        callbacks, self._synced_listeners = self._synced_listeners, []
+        for callback in callbacks:
+            callback()
 
     def _differences(self, listed: KeyValueList) -> list[WatchEvent]:
         """Return what changed between the known keys and a list, by revision."""
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -56,6 +56,9 @@
 CROWDED_IDLE_S = 1.5
 """Idle connections of a VM that is no home are closed after this: it opens them only
 while it reaches no home."""
+LIST_WAIT_S = 1.0
+"""Wait of a starting VM for the first list of VMs, where a call takes 4 ms. Without it
+the store is away, and the VM serves alone."""
 ISOLATED_SHARE = 0.6
 """Part of the other zones' endpoints that do not answer a VM that is cut off. The loss
 of one zone of three takes half of them."""
@@ -145,8 +148,11 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._draining = False
         self._was_ready: bool | None = None
+        self._was_isolated = False
         self._misses = 0
+        self._started_at = clock.monotonic()
         register.subscribe(lambda _: self._apply_endpoints())
+        membership.follower.on_synced(self._follow_vms)
 
     def start(self, frontend: Frontend) -> None:
         """Follow the platform and serve what `frontend` accepts."""
@@ -167,15 +173,23 @@
         It is not told to the other VMs: each change would cost a call for each pair.
         """
         if self.gateway.take_routes(table):
-            self._follow_homes()
-            self._apply_endpoints()
+            self._follow_vms()
+
+    def _follow_vms(self) -> None:
+        self._follow_homes()
+        self._apply_endpoints()
 
     def _follow_homes(self) -> None:
         """Find out which VMs are homes of which group."""
         table = self.gateway.table
-        if table is not None:
-            limits = {n: terms.connection_limit for n, terms in table.groups.items()}
-            self._homes.follow(self._membership.peers(), limits)
+        if table is None:
+            return
+        waited_s = self._clock.monotonic() - self._started_at
+        if not self._membership.follower.synced.is_set() and waited_s < LIST_WAIT_S:
+            # Alone, it would take the connections that the homes need.
+            return
+        limits = {n: terms.connection_limit for n, terms in table.groups.items()}
+        self._homes.follow(self._membership.peers(), limits)
 
     def _apply_endpoints(self) -> None:
         """Give each group its endpoints, and each dispatcher those it may use."""
@@ -228,12 +242,16 @@
             roster=roster,
             spare=dispatcher,
         )
-        dispatcher.on_stuck = lambda _: group.nudged.set()
+        dispatcher.on_stuck = lambda _: self._endpoint_stuck(group)
         self.gateway.groups[name] = group
         self.gateway.dispatchers[name] = dispatcher
         self.start_task(self._new_supervisor(group, roster).run())
         return group
 
+    def _endpoint_stuck(self, group: ReplicationGroup) -> None:
+        group.nudged.set()
+        self._tell_isolation()
+
     def _new_supervisor(
         self, group: ReplicationGroup, roster: GroupRoster
     ) -> Supervisor:
@@ -329,9 +347,9 @@
         now = self._clock.monotonic()
         failing = [
             gate.failing or gate.stuck(now)
-            for dispatcher in self.gateway.dispatchers.values()
+            for group, dispatcher in self.gateway.dispatchers.items()
             for gate in dispatcher.gates.values()
-            if gate.info.zone != self._zone
+            if gate.info.zone != self._zone and self._homes.is_home(group)
         ]
         return bool(failing) and sum(failing) >= ISOLATED_SHARE * len(failing)
 
@@ -351,14 +369,22 @@
 
     # Maintenance and stop
 
+    def _tell_isolation(self) -> None:
+        """Tell the VMs that rely on this home at once when its reach changes."""
+        isolated = self._reaches_no_zone
+        if isolated != self._was_isolated:
+            self._was_isolated = isolated
+            _log.warning("isolation_changed", vm=self._vm, isolated=isolated)
+            self.home_server.tell_pulse()
+
     async def _maintain(self) -> None:
         summed_up_at = 0.0
         while True:
             await asyncio.sleep(MAINTENANCE_S)
-            self._follow_homes()
-            self._apply_endpoints()
+            self._follow_vms()
             for name, dispatcher in self.gateway.dispatchers.items():
                 self._look_over(self.gateway.groups[name], dispatcher)
+            self._tell_isolation()
             if self._misses >= MISSES and not self._draining:
                 # Callers come back elsewhere, where they can be served.
                 self._frontend.close_idle()
--- a/src/celeryjunction/relay/home_link.py
+++ b/src/celeryjunction/relay/home_link.py
@@ -35,10 +35,14 @@
 Statements that it had are then tried elsewhere within the shortest time-out (0.8 s)."""
 CONNECT_TIMEOUT_S = 0.3
 """Limit for a connection within the zone, where a round trip takes 0.4 ms."""
-RETRY_S = 0.1
+RETRY_S = 0.05
 LONGEST_RETRY_S = 1.0
 """Pause before a home is tried again, doubling from the first to the longest."""
 
+RETURN_S = 1.0
+"""A process that ended is started again after a short delay; one that is not back after
+this is not waited for."""
+
 _log = get_logger("relay")
 
 
@@ -50,8 +54,7 @@
         self.address = address
         self.pulse: Pulse | None = None
         """The home's last word on this connection; None while it has none."""
-        self.tried = asyncio.Event()
-        """Set once the first attempt to connect has succeeded or failed."""
+        self._gone_at = asyncio.get_running_loop().time()
         self.epoch = 0
         """Number of connections so far; a transaction is lost with its connection."""
         self._random = random
@@ -71,6 +74,11 @@
         """Whether the home answers and takes new transactions."""
         return self.pulse is not None and not self.pulse.leaving
 
+    @property
+    def may_return(self) -> bool:
+        """Whether the home was lost, or first tried, a short time ago."""
+        return asyncio.get_running_loop().time() - self._gone_at < RETURN_S
+
     def new_seat(self) -> int:
         """Return a number for a transaction on this connection."""
         return next(self._seats)
@@ -120,7 +128,6 @@
             reason = await self._serve_once()
             if self._lost(reason):
                 pause = RETRY_S
-            self.tried.set()
             await asyncio.sleep(pause * self._random.uniform(0.5, 1.0))
             pause = min(2 * pause, LONGEST_RETRY_S)
 
@@ -158,7 +165,6 @@
 
     def _take_pulse(self, pulse: Pulse) -> None:
         before, self.pulse = self.pulse, pulse
-        self.tried.set()
         if before is None or before.leaving != pulse.leaving:
             _log.info("home_reached", vm=self.vm, leaving=pulse.leaving)
 
@@ -186,6 +192,7 @@
         if stream is not None:
             stream.abort()
         if reached:
+            self._gone_at = asyncio.get_running_loop().time()
             _log.warning(
                 "home_lost", vm=self.vm, reason=reason, waiting=len(self._waiting)
             )
--- a/src/celeryjunction/relay/homes.py
+++ b/src/celeryjunction/relay/homes.py
@@ -10,8 +10,10 @@
 from celeryjunction.relay.home_link import HomeLink
 from celeryjunction.relay.placement import homes_of_group
 
-FIRST_WAIT_S = 0.2
-"""Wait for the first connection to a home that was just learned of."""
+BACK_WAIT_S = 0.3
+"""Longest wait of a statement for a home that may be back soon: VMs that start at the
+same moment are ready within 0.3 s of each other, by the users' pages."""
+BACK_POLL_S = 0.01
 
 
 class Homes:
@@ -25,6 +27,8 @@
         self._vms = 1
         self._homes: dict[str, dict[str, list[str]]] = {}
         self._links: dict[str, HomeLink] = {}
+        self._known = False
+        """Whether the other VMs are known."""
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
         yield "vm", self._vm
@@ -32,6 +36,7 @@
 
     def follow(self, peers: Mapping[str, VmRecord], limits: Mapping[str, int]) -> None:
         """Take over the other VMs, and the connection limit of each group."""
+        self._known = True
         zones: dict[str, dict[str, float]] = {}
         for record in (self._own, *peers.values()):
             if not record.leaving:
@@ -63,8 +68,11 @@
         return self._homes.get(group, {}).get(self._zone, [])
 
     def is_home(self, group: str) -> bool:
-        """Whether this VM connects to the group's endpoints itself."""
-        return group not in self._homes or self._vm in self._of_zone(group)
+        """Whether this VM connects to the group's endpoints itself.
+
+        It does not before it knows the other VMs.
+        """
+        return self._vm in self._of_zone(group)
 
     def count(self, group: str) -> int:
         """Return the number of homes in all zones, those that stand by included."""
@@ -84,14 +92,25 @@
         It is the first that answers, so that few connections and few proofs serve the
         whole zone. A VM that reaches no home of its zone serves the group itself.
         """
-        if self.is_home(group):
-            return None
         links = self._links_of(group)
-        if not any(link.usable for link in links):
-            first = [link.tried.wait() for link in links if not link.tried.is_set()]
-            if first:
-                await _wait_any(first, FIRST_WAIT_S)
-        return next((link for link in links if link.usable), None)
+        link = next((link for link in links if link.usable), None)
+        if link is None and not self.is_home(group):
+            await self._until_back(group)
+            links = self._links_of(group)
+            link = next((link for link in links if link.usable), None)
+        return link
+
+    async def _until_back(self, group: str) -> None:
+        """Wait a moment for homes that may be starting, as this VM may be."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + BACK_WAIT_S
+        while loop.time() < deadline and not self.is_home(group):
+            links = self._links_of(group)
+            if any(link.usable for link in links):
+                return
+            if self._known and not any(link.may_return for link in links):
+                return
+            await asyncio.sleep(BACK_POLL_S)
 
     def _links_of(self, group: str) -> list[HomeLink]:
         names = self._of_zone(group)
@@ -116,15 +135,6 @@
         self._links.clear()
 
 
-async def _wait_any(waits: list, timeout: float) -> None:
-    tasks = [asyncio.ensure_future(wait) for wait in waits]
-    try:
-        await asyncio.wait(tasks, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
-    finally:
-        for task in tasks:
-            task.cancel()
-
-
 def _address(record: VmRecord) -> tuple[str, int] | None:
     host, _, port = record.peer_address.rpartition(":")
     return (host, int(port)) if host and port.isdigit() else None
