--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -188,8 +188,7 @@
         if not self._membership.follower.synced.is_set() and waited_s < LIST_WAIT_S:
             # Alone, it would take the connections that the homes need.
             return
-        limits = {n: terms.connection_limit for n, terms in table.groups.items()}
-        self._homes.follow(self._membership.peers(), limits)
+        self._homes.follow(self._membership.peers(), table.groups)
 
     def _apply_endpoints(self) -> None:
         """Give each group its endpoints, and each dispatcher those it may use."""
--- a/src/celeryjunction/relay/homes.py
+++ b/src/celeryjunction/relay/homes.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from random import Random
 
 from celeryjunction.membership import VmRecord
 from celeryjunction.relay.home_link import HomeLink
-from celeryjunction.relay.placement import homes_of_group
+from celeryjunction.relay.placement import HOMES, homes_of_group
 
 BACK_WAIT_S = 0.3
 """Longest wait of a statement for a home that may be back soon: VMs that start at the
@@ -24,7 +24,7 @@
         self._zone = own.zone
         self._own = own
         self._random = random
-        self._vms = 1
+        self._vms: dict[str, int] = {}
         self._homes: dict[str, dict[str, list[str]]] = {}
         self._links: dict[str, HomeLink] = {}
         self._known = False
@@ -34,22 +34,19 @@
         yield "vm", self._vm
         yield "links", sorted(self._links)
 
-    def follow(self, peers: Mapping[str, VmRecord], limits: Mapping[str, int]) -> None:
-        """Take over the other VMs, and the connection limit of each group."""
+    def follow(self, peers: Mapping[str, VmRecord], groups: Iterable[str]) -> None:
+        """Take over the other VMs and the groups."""
         self._known = True
         zones: dict[str, dict[str, float]] = {}
         for record in (self._own, *peers.values()):
             if not record.leaving:
                 links = zones.setdefault(record.zone, {})
                 links[record.name] = max(record.link_mbps, 1.0)
-        self._vms = sum(map(len, zones.values()))
-        self._homes = {
-            group: homes_of_group(group, zones, limit=limit)
-            for group, limit in limits.items()
-        }
+        self._vms = {zone: len(links) for zone, links in zones.items()}
+        self._homes = {group: homes_of_group(group, zones) for group in groups}
         wanted = {
             name: address
-            for group in limits
+            for group in self._homes
             if not self.is_home(group)
             for name in self._of_zone(group)
             if name in peers and (address := _address(peers[name])) is not None
@@ -79,12 +76,18 @@
         return max(1, sum(map(len, self._homes.get(group, {}).values())))
 
     def sharers(self, group: str) -> int:
-        """Return the number of VMs that use the group's endpoints on a calm day."""
-        homes = self._homes.get(group, {})
-        return self.count(group) if self._all_are_homes(group) else max(1, len(homes))
+        """Return the number of VMs that use the group's endpoints on a calm day.
 
-    def _all_are_homes(self, group: str) -> bool:
-        return self.count(group) >= self._vms
+        That is one home of each zone, or both where both have callers of their own.
+        """
+        homes = self._homes.get(group, {})
+        return max(
+            1,
+            sum(
+                len(names) if self._vms.get(zone, 0) <= HOMES else 1
+                for zone, names in homes.items()
+            ),
+        )
 
     async def choose(self, group: str) -> HomeLink | None:
         """Return the home that runs a group's next transaction; None for this VM.
