--- a/src/celeryjunction/follower.py
+++ b/src/celeryjunction/follower.py
@@ -167,6 +167,15 @@
                 )
             await self._back_off()
 
+    async def refresh(self) -> bool:
+        """List the keys now, beside the watch; return whether the service answered."""
+        try:
+            await self._relist()
+        except (StoreUnavailable, StoreRefused) as error:
+            _log.warning("refresh_failed", prefix=self._prefix, reason=str(error))
+            return False
+        return True
+
     async def _back_off(self) -> None:
         first = self._failures == 0
         longest = self._base_backoff_s * 2 ** min(self._failures, 16)
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from math import ceil
 from random import Random
 from typing import Protocol
@@ -26,9 +26,10 @@
 from celeryjunction.membership import Membership
 from celeryjunction.metrics import Metrics
 from celeryjunction.ports import Clock, KeyValueStore
+from celeryjunction.relay.home_link import HomeLink
 from celeryjunction.relay.home_server import HomeServer
 from celeryjunction.relay.homes import Homes
-from celeryjunction.relay.messages import Pulse
+from celeryjunction.relay.messages import Endpoints, Pulse
 from celeryjunction.relay.placement import is_crowded
 from celeryjunction.relay.session import HomedSession
 from celeryjunction.replication.group import ReplicationGroup
@@ -56,6 +57,10 @@
 CROWDED_IDLE_S = 1.5
 """Idle connections of a VM that is no home are closed after this: it opens them only
 while it reaches no home."""
+NEWS_S = 2.0
+"""Without news of the routes from a home for so long, the routes are read."""
+ROUTES_RETRY_S = 0.3
+"""Pause after the routes could not be read."""
 LIST_WAIT_S = 1.0
 """Wait of a starting VM for the first list of VMs, where a call takes 4 ms. Without it
 the store is away, and the VM serves alone."""
@@ -142,8 +147,18 @@
         self._random = random
         self._claims = Claims(store, vm=vm, clock=clock)
         self._suspicions = Suspicions(store, vm=vm)
-        self._homes = Homes(membership.record, random=random)
-        self.home_server = HomeServer(self.gateway, pulse=self._pulse)
+        self._homes = Homes(membership.record, random=random, on_news=self._take_news)
+        self.home_server = HomeServer(
+            self.gateway,
+            pulse=self._pulse,
+            endpoints=lambda: Endpoints(
+                register.version, list(register.endpoints.values())
+            ),
+        )
+        self.refresh_routes: Callable[[], Awaitable[bool]] = _nothing_to_refresh
+        """Reads the routes at once."""
+        self._refreshing: asyncio.Task[None] | None = None
+        self._routes_checked_at = 0.0
         self._frontend: Frontend | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._draining = False
@@ -333,7 +348,49 @@
             for name, group in self.gateway.groups.items()
             if group.proven_at >= oldest
         ]
-        return Pulse(served, self._reaches_no_zone, self._draining)
+        table = self.gateway.table
+        return Pulse(
+            served,
+            self._reaches_no_zone,
+            self._draining,
+            routes_version=table.version if table is not None else 0,
+            endpoints_version=self._register.version,
+            endpoints_age_s=self._register.age_s,
+        )
+
+    @property
+    def is_guest(self) -> bool:
+        """Whether this VM hears from a home what the platform has to say."""
+        return self._homes.is_guest
+
+    def _take_news(self, link: HomeLink) -> None:
+        """Use what a home read from the platform, if this VM is no home itself."""
+        pulse, listed = link.pulse, link.endpoints
+        if pulse is None or not self._homes.is_guest:
+            return
+        if listed is not None and listed.version == pulse.endpoints_version:
+            self._register.take_from_peer(listed.endpoints, age_s=pulse.endpoints_age_s)
+        table = self.gateway.table
+        self._routes_checked_at = self._clock.monotonic()
+        if table is not None and pulse.routes_version > table.version:
+            self._refresh_routes()
+
+    def _refresh_routes(self) -> None:
+        if self._refreshing is None or self._refreshing.done():
+            self._refreshing = self.start_task(self._read_routes())
+
+    async def _read_routes(self) -> None:
+        self._routes_checked_at = self._clock.monotonic()
+        if not await self.refresh_routes():
+            await asyncio.sleep(ROUTES_RETRY_S)
+
+    def _check_routes(self) -> None:
+        """Read the routes if the homes that told of changes are not heard any more."""
+        silent_s = self._clock.monotonic() - self._routes_checked_at
+        if self._routes_checked_at and silent_s >= NEWS_S:
+            self._refresh_routes()
+            if any(map(self._homes.is_home, self.gateway.groups)):
+                self._routes_checked_at = 0.0  # Its own watch is short again.
 
     @property
     def _isolated(self) -> bool:
@@ -384,6 +441,7 @@
             for name, dispatcher in self.gateway.dispatchers.items():
                 self._look_over(self.gateway.groups[name], dispatcher)
             self._tell_isolation()
+            self._check_routes()
             if self._misses >= MISSES and not self._draining:
                 # Callers come back elsewhere, where they can be served.
                 self._frontend.close_idle()
@@ -482,3 +540,7 @@
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             _log.error("task_failed", alarm=1, reason=repr(error))
+
+
+async def _nothing_to_refresh() -> bool:
+    return True
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -54,7 +54,7 @@
         self._clock = clock
         self._dialer = LineDialer(caller=settings.node_name, clock=clock)
         self._store_client = HttpClient(*split_address(settings.platform.address))
-        store = HttpStore(self._store_client, urgent_prefix=CONFIG_PREFIX)
+        self._store = store = HttpStore(self._store_client, urgent_prefix=CONFIG_PREFIX)
         self._config = PrefixFollower(store, CONFIG_PREFIX, clock=clock, random=random)
         self._config.subscribe(self._config_changed)
         register = EndpointRegister(
@@ -79,6 +79,7 @@
             clock=clock,
             random=random,
         )
+        self.node.refresh_routes = self._config.refresh
 
     async def start(self) -> None:
         """Listen at once and follow the platform; readiness comes with both."""
@@ -131,6 +132,7 @@
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_POLL_S)
+            self._store.relaxed = self.node.is_guest
             self.reload()
 
     def reload(self) -> None:
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 from collections.abc import AsyncIterator, Sequence
 from urllib.parse import urlencode
@@ -26,8 +27,13 @@
 """A watch of an urgent prefix is asked anew after this. A connection that went silent
 is then noticed in time for the platform's bound on the config (3 s after 4 s without
 contact)."""
+RELAXED_WAIT_MS = 6000
+"""The same while another VM says within a second that there is something new."""
 WATCH_WAIT_MS = 15_000
 """Any other watch is asked anew after this: each call is priced."""
+BATCH_S = 2.0
+"""Pause of such a watch after a change. A rolling restart changes the list of VMs
+twice for each of them, and each VM would make a call for each change."""
 WATCH_SLACK_S = 0.5
 """A watch without an answer for so much longer is broken."""
 
@@ -65,12 +71,14 @@
 class HttpStore:
     """Implements `KeyValueStore`. Watches use connections of their own.
 
-    `urgent_prefix` is the one whose changes have a bound.
+    `urgent_prefix` is the one whose changes have a bound. While `relaxed` is set, its
+    changes are also heard of otherwise, and fewer calls are made.
     """
 
     def __init__(self, client: HttpClient, *, urgent_prefix: str = "") -> None:
         self._client = client
         self._urgent_prefix = urgent_prefix
+        self.relaxed = False
 
     async def _call(
         self,
@@ -188,8 +196,8 @@
         """Yield the changes under a prefix from a revision on."""
         after = start_revision - 1
         urgent = prefix == self._urgent_prefix
-        wait_ms = URGENT_WAIT_MS if urgent else WATCH_WAIT_MS
         while True:
+            wait_ms = self._wait_ms(urgent)
             query = {"prefix": prefix, "after": after, "wait_ms": wait_ms}
             response = await self._call(
                 "GET",
@@ -207,6 +215,13 @@
                 yield WatchEvent(item.key, value, item.revision)
             after = max(after, page.current_rev)
             yield WatchEvent("", None, after)
+            if page.events and not urgent:
+                await asyncio.sleep(BATCH_S)
+
+    def _wait_ms(self, urgent: bool) -> int:
+        if not urgent:
+            return WATCH_WAIT_MS
+        return RELAXED_WAIT_MS if self.relaxed else URGENT_WAIT_MS
 
     async def grant_lease(self, ttl: int, *, timeout: float = 2.0) -> int:
         """Return a new lease that lapses after `ttl` seconds without renewal."""
--- a/src/celeryjunction/relay/home_link.py
+++ b/src/celeryjunction/relay/home_link.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from itertools import count
 from random import Random
 
@@ -19,7 +19,9 @@
 from celeryjunction.gateway.statements import Request
 from celeryjunction.logs import get_logger
 from celeryjunction.relay.messages import (
+    AskEndpoints,
     AskPulse,
+    Endpoints,
     EndSeat,
     Outcome,
     Pulse,
@@ -49,11 +51,21 @@
 class HomeLink:
     """Runs statements at one home VM."""
 
-    def __init__(self, vm: str, address: tuple[str, int], *, random: Random) -> None:
+    def __init__(
+        self,
+        vm: str,
+        address: tuple[str, int],
+        *,
+        random: Random,
+        on_news: Callable[[HomeLink], None] = lambda link: None,
+    ) -> None:
         self.vm = vm
         self.address = address
         self.pulse: Pulse | None = None
         """The home's last word on this connection; None while it has none."""
+        self.endpoints: Endpoints | None = None
+        """The home's list of endpoints, on this connection."""
+        self._on_news = on_news
         self._gone_at = asyncio.get_running_loop().time()
         self.epoch = 0
         """Number of connections so far; a transaction is lost with its connection."""
@@ -157,6 +169,9 @@
                 return f"unreadable: {error}"
             if isinstance(message, Pulse):
                 self._take_pulse(message)
+            elif isinstance(message, Endpoints):
+                self.endpoints = message
+                self._on_news(self)
             else:
                 future = self._waiting.get(message.number)
                 if future is not None and not future.done():
@@ -167,6 +182,10 @@
         before, self.pulse = self.pulse, pulse
         if before is None or before.leaving != pulse.leaving:
             _log.info("home_reached", vm=self.vm, leaving=pulse.leaving)
+        known = self.endpoints
+        if known is None or known.version != pulse.endpoints_version:
+            self._stream.write_frame(encode(AskEndpoints()))
+        self._on_news(self)
 
     async def _ask_pulses(self, stream: FrameStream) -> None:
         """Ask again and again; give the connection up when nothing comes."""
@@ -188,6 +207,7 @@
     def _lost(self, reason: str) -> bool:
         """Fail what waits; return whether the home had been reached."""
         reached, self.pulse = self.pulse is not None, None
+        self.endpoints = None
         stream, self._stream = self._stream, None
         if stream is not None:
             stream.abort()
--- a/src/celeryjunction/relay/home_server.py
+++ b/src/celeryjunction/relay/home_server.py
@@ -15,7 +15,10 @@
 from celeryjunction.logs import get_logger
 from celeryjunction.relay.messages import (
     SINGLE,
+    AskEndpoints,
+    Endpoints,
     EndSeat,
+    FromHome,
     Outcome,
     Pulse,
     RunStatement,
@@ -46,9 +49,16 @@
 class HomeServer:
     """Accepts the VMs of this zone; `pulse` says how this home is."""
 
-    def __init__(self, gateway: Gateway, *, pulse: Callable[[], Pulse]) -> None:
+    def __init__(
+        self,
+        gateway: Gateway,
+        *,
+        pulse: Callable[[], Pulse],
+        endpoints: Callable[[], Endpoints],
+    ) -> None:
         self._gateway = gateway
         self._pulse = pulse
+        self._endpoints = endpoints
         self._server: asyncio.Server | None = None
         self._guests: dict[_Guest, asyncio.Task[None]] = {}
 
@@ -84,7 +94,12 @@
         return stream
 
     def _serve(self, stream: FrameStream) -> None:
-        guest = _Guest(stream, gateway=self._gateway, pulse=self._pulse)
+        guest = _Guest(
+            stream,
+            gateway=self._gateway,
+            pulse=self._pulse,
+            endpoints=self._endpoints,
+        )
         task = asyncio.create_task(guest.serve())
         self._guests[guest] = task
         task.add_done_callback(lambda done: self._ended(guest, done))
@@ -108,7 +123,12 @@
     """One VM whose callers' statements run here."""
 
     def __init__(
-        self, stream: FrameStream, *, gateway: Gateway, pulse: Callable[[], Pulse]
+        self,
+        stream: FrameStream,
+        *,
+        gateway: Gateway,
+        pulse: Callable[[], Pulse],
+        endpoints: Callable[[], Endpoints],
     ) -> None:
         self.stream = stream
         self.seats: dict[int, StatementSession] = {}
@@ -116,6 +136,7 @@
         self.running: set[asyncio.Task[None]] = set()
         self._gateway = gateway
         self._pulse = pulse
+        self._endpoints = endpoints
 
     async def serve(self) -> None:
         """Serve the VM until the connection ends, then roll back what is open."""
@@ -156,6 +177,8 @@
                 task = asyncio.create_task(session.close())
                 self.running.add(task)
                 task.add_done_callback(self.running.discard)
+        elif isinstance(message, AskEndpoints):
+            self._send(self._endpoints())
         else:
             self._send(self._pulse())
 
@@ -179,7 +202,7 @@
             self.seats.pop(message.seat, None)
         self._send(msgspec.structs.replace(outcome, position=session.kept.position))
 
-    def _send(self, message: Outcome | Pulse) -> None:
+    def _send(self, message: FromHome) -> None:
         self.stream.write_frame(encode(message))
 
     def _session(self, message: RunStatement) -> StatementSession | None:
--- a/src/celeryjunction/relay/homes.py
+++ b/src/celeryjunction/relay/homes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from random import Random
 
 from celeryjunction.membership import VmRecord
@@ -19,10 +19,17 @@
 class Homes:
     """Follows the list of VMs and keeps the links to this zone's homes."""
 
-    def __init__(self, own: VmRecord, *, random: Random) -> None:
+    def __init__(
+        self,
+        own: VmRecord,
+        *,
+        random: Random,
+        on_news: Callable[[HomeLink], None] = lambda link: None,
+    ) -> None:
         self._vm = own.name
         self._zone = own.zone
         self._own = own
+        self._on_news = on_news
         self._random = random
         self._vms: dict[str, int] = {}
         self._homes: dict[str, dict[str, list[str]]] = {}
@@ -59,7 +66,9 @@
                 known.close()
                 known = None
             if known is None:
-                self._links[name] = HomeLink(name, address, random=self._random)
+                self._links[name] = HomeLink(
+                    name, address, random=self._random, on_news=self._on_news
+                )
 
     def _of_zone(self, group: str) -> list[str]:
         return self._homes.get(group, {}).get(self._zone, [])
@@ -125,6 +134,13 @@
             link.usable and group in link.pulse.served for link in self._links_of(group)
         )
 
+    @property
+    def is_guest(self) -> bool:
+        """Whether this VM is no home, and a home that it reaches reads the platform."""
+        if not self._known or any(map(self.is_home, self._homes)):
+            return False
+        return any(link.usable for link in self._links.values())
+
     @property
     def isolated(self) -> bool:
         """Whether all homes that answer say that they reach no other zone."""
--- a/src/celeryjunction/relay/messages.py
+++ b/src/celeryjunction/relay/messages.py
@@ -14,6 +14,7 @@
 from celeryjunction.replication.ports import (
     NO_POSITION,
     Answer,
+    EndpointInfo,
     LogPosition,
     TransactionState,
 )
@@ -59,17 +60,33 @@
     details: dict[str, str | int | float | None] = {}
 
 
+class AskEndpoints(msgspec.Struct, frozen=True, array_like=True, tag="list"):
+    """Ask the home for the register's entries: `Endpoints`."""
+
+
 class Pulse(msgspec.Struct, frozen=True, array_like=True, tag="pulse"):
-    """What a home says of itself."""
+    """What a home says of itself and of what it read from the platform."""
 
     served: list[str]
     """Groups whose primary it proved lately."""
     isolated: bool
     leaving: bool
+    routes_version: int = 0
+    endpoints_version: int = 0
+    """Number of the home's list of endpoints, which grows with each change."""
+    endpoints_age_s: float = 0.0
+    """Seconds since the register confirmed that list."""
+
+
+class Endpoints(msgspec.Struct, frozen=True, array_like=True, tag="endpoints"):
+    """The home's list of endpoints."""
+
+    version: int
+    endpoints: list[EndpointInfo]
 
 
-ToHome = RunStatement | EndSeat | AskPulse
-FromHome = Outcome | Pulse
+ToHome = RunStatement | EndSeat | AskPulse | AskEndpoints
+FromHome = Outcome | Pulse | Endpoints
 
 _encoder = msgspec.msgpack.Encoder()
 _to_home = msgspec.msgpack.Decoder(ToHome)
--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from random import Random
 
 from celeryjunction.logs import get_logger
@@ -32,6 +32,9 @@
 LIST_TIMEOUT_S = 1.5
 RETURN_S = 3.0
 """Live endpoints are back about 2 s after the store's return, by the users' letter."""
+PEER_AGE_S = 2.0
+"""A list that another VM passes on is used while the register confirmed it so lately:
+its own interval and one failed call."""
 AWAY_S = 2.5
 """Without an answer for so long the store counts as away: entries may have lapsed."""
 
@@ -71,6 +74,9 @@
         self._steady_since = 0.0
         self._listeners: list[OnEndpoints] = []
         self._ignored: dict[str, str] = {}
+        self._fed_until = 0.0
+        self.version = 0
+        """Grows with each change of the endpoints."""
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
         yield "endpoints", sorted(self.endpoints)
@@ -83,11 +89,30 @@
     async def run(self) -> None:
         """List the register again and again until cancelled."""
         while True:
-            fresh = self._clock.monotonic() - self._fresh_at >= FRESH_S
-            await self.poll(stale=not fresh)
+            now = self._clock.monotonic()
+            if now >= self._fed_until:
+                await self.poll(stale=now - self._fresh_at < FRESH_S)
             pause = POLL_S if self.synced.is_set() else POLL_S / 5
             await asyncio.sleep(pause * self._random.uniform(0.8, 1.2))
 
+    @property
+    def age_s(self) -> float:
+        """Seconds since the register confirmed the endpoints."""
+        return self._clock.monotonic() - self._answered_at
+
+    def take_from_peer(
+        self, endpoints: Iterable[EndpointInfo], *, age_s: float
+    ) -> None:
+        """Take over what another VM read `age_s` seconds ago; then nothing is read."""
+        if age_s > PEER_AGE_S:
+            return
+        now = self._clock.monotonic()
+        self._fed_until = now + PEER_AGE_S - age_s
+        self._answered_at = max(self._answered_at, now - age_s)
+        found = {info.id: info for info in endpoints}
+        if found != self.endpoints or not self.synced.is_set():
+            self._changed(found, now)
+
     async def poll(self, *, stale: bool = False) -> bool:
         """List the register once; return whether the store answered.
 
@@ -153,6 +178,7 @@
             if info.draining
         }
         self.endpoints = found
+        self.version += 1
         self.synced.set()
         for listener in self._listeners:
             listener(found)
