--- a/src/celeryjunction/failover/detector.py
+++ b/src/celeryjunction/failover/detector.py
@@ -19,6 +19,7 @@
 NO_ROOM = frozenset({Fault.BUSY.value, Fault.TOO_MANY_CONNECTIONS.value})
 """Failures that only a living endpoint answers."""
 ALIVE = NO_ROOM | {""}
+"""The same, and no failure at all."""
 CLOSED = REFUSALS | {"the endpoint closed the connection", "closed while connecting"}
 """Failures that come at once: the first of them may be a connection that breaks."""
 
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -14,10 +14,11 @@
 from typing import Protocol
 
 from celeryjunction.dispatch.dispatcher import Dispatcher
-from celeryjunction.dispatch.gates import IDLE_LIMIT_S
+from celeryjunction.dispatch.gates import IDLE_LIMIT_S, EndpointGate
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.failover.claims import Claims
 from celeryjunction.failover.coordinator import Coordinator
+from celeryjunction.failover.detector import ALIVE
 from celeryjunction.failover.supervisor import Supervisor
 from celeryjunction.failover.suspicions import Suspicions
 from celeryjunction.gateway.gateway import Gateway
@@ -26,6 +27,7 @@
 from celeryjunction.membership import Membership
 from celeryjunction.metrics import Metrics
 from celeryjunction.ports import Clock, KeyValueStore
+from celeryjunction.reach import Contact, is_cut_off
 from celeryjunction.relay.home_link import HomeLink
 from celeryjunction.relay.home_server import HomeServer
 from celeryjunction.relay.homes import Homes
@@ -64,9 +66,6 @@
 LIST_WAIT_S = 1.0
 """Wait of a starting VM for the first list of VMs, where a call takes 4 ms. Without it
 the store is away, and the VM serves alone."""
-ISOLATED_SHARE = 0.6
-"""Part of the other zones' endpoints that do not answer a VM that is cut off. The loss
-of one zone of three takes half of them."""
 MISSES = 2
 """Questions without a good answer after which the balancer takes a VM out."""
 
@@ -263,7 +262,9 @@
         return group
 
     def _endpoint_stuck(self, group: ReplicationGroup) -> None:
+        """Find out whether it is the endpoint, its zone, or this VM that is cut off."""
         group.nudged.set()
+        group.refresh_soon()
         self._tell_isolation()
 
     def _new_supervisor(
@@ -399,15 +400,27 @@
 
     @property
     def _reaches_no_zone(self) -> bool:
-        """Whether most endpoints of other zones do not answer this VM any more."""
+        """Whether no endpoint of another zone answers this VM any more."""
         now = self._clock.monotonic()
-        failing = [
-            gate.failing or gate.stuck(now)
-            for group, dispatcher in self.gateway.dispatchers.items()
-            for gate in dispatcher.gates.values()
-            if gate.info.zone != self._zone and self._homes.is_home(group)
-        ]
-        return bool(failing) and sum(failing) >= ISOLATED_SHARE * len(failing)
+        return is_cut_off(
+            self._contact(group, gate, now)
+            for name, group in self.gateway.groups.items()
+            if self._homes.is_home(name)
+            for gate in self.gateway.dispatchers[name].gates.values()
+            if gate.info.zone != self._zone
+        )
+
+    @staticmethod
+    def _contact(group: ReplicationGroup, gate: EndpointGate, now: float) -> Contact:
+        heard_at = group.heard_at(gate.info.id)
+        control = group.controls.get(gate.info.id)
+        unanswered = (
+            control is not None
+            and control.failure not in ALIVE
+            and control.failed_at > heard_at
+        )
+        failing = unanswered or gate.failing or gate.stuck(now)
+        return Contact(gate.info.zone, now - heard_at, failing)
 
     def answer_balancer(self) -> bool:
         """Answer the balancer's question whether this VM is ready."""
--- a/src/celeryjunction/replication/control.py
+++ b/src/celeryjunction/replication/control.py
@@ -65,6 +65,7 @@
         "_lock",
         "_spare",
         "_used_at",
+        "failed_at",
         "failure",
         "info",
     )
@@ -81,6 +82,8 @@
         self.info = info
         self.failure = ""
         """Why the last command got no answer; empty when it got one."""
+        self.failed_at = 0.0
+        """When a command got no answer last, seconds."""
         self._dialer = dialer
         self._clock = clock
         self._link: EndpointLink | None = None
@@ -111,6 +114,7 @@
             self.failure = error.reason
         except EndpointRefused as error:
             self.failure = error.fault.value
+        self.failed_at = self._clock.monotonic()
         return None
 
     async def _ask(self, command: Command, timeout: float) -> EndpointStatus | None:
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,413 @@
+"""Statements that a VM passes on to a home VM of its zone, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from random import Random
+
+import pytest
+from replicated_fakes import FakeCluster
+from test_gateway import kind_of, table
+
+from celeryjunction.dispatch.dispatcher import Dispatcher
+from celeryjunction.errors import ErrorKind, ProxyError
+from celeryjunction.gateway.gateway import Gateway
+from celeryjunction.gateway.routes import Consistency, RouteTable
+from celeryjunction.gateway.statements import (
+    Begin,
+    Commit,
+    Execute,
+    Prepare,
+    Read,
+    Request,
+    Rollback,
+    SetParameter,
+    Write,
+)
+from celeryjunction.membership import VmRecord
+from celeryjunction.metrics import Metrics
+from celeryjunction.ports import BootClock
+from celeryjunction.relay.home_link import SILENT_S
+from celeryjunction.relay.home_server import HomeServer
+from celeryjunction.relay.homes import Homes
+from celeryjunction.relay.messages import Endpoints, Pulse
+from celeryjunction.relay.session import HomedSession
+from celeryjunction.replication.group import ReplicationGroup
+from celeryjunction.replication.ports import (
+    NO_POSITION,
+    Answer,
+    LogPosition,
+    OpenTransaction,
+    SetValue,
+    TransactionState,
+)
+
+LIMIT_S = 5.0
+"""Bound for what takes milliseconds on an idle machine."""
+TEXTS = {Read: b"READ 1", Write: b"WRITE 1 x", Commit: b"COMMIT"}
+
+
+class Vm:
+    """A VM with a gateway to the cluster; a home if its server is started."""
+
+    def __init__(self, name: str, cluster: FakeCluster) -> None:
+        self.name = name
+        self.clock = BootClock()
+        self.gateway = Gateway(clock=self.clock, metrics=Metrics())
+        self.gateway.take_routes(table())
+        self.group = ReplicationGroup("g", zone="a", dialer=cluster, clock=self.clock)
+        self.dispatcher = Dispatcher(
+            zone="a",
+            dialer=cluster,
+            clock=self.clock,
+            random=Random(1),
+            max_links=lambda info: 5,
+        )
+        self.gateway.groups["g"] = self.group
+        self.gateway.dispatchers["g"] = self.dispatcher
+        self.leaving = False
+        self.cluster = cluster
+        self.server = HomeServer(
+            self.gateway,
+            pulse=lambda: Pulse(["g"], False, self.leaving, endpoints_version=7),
+            endpoints=lambda: Endpoints(7, list(cluster.infos.values())),
+        )
+        self.port = 0
+
+    async def start(self, port: int = 0) -> None:
+        self.group.follow(self.cluster.infos)
+        self.dispatcher.follow(self.cluster.infos)
+        await self.group.refresh()
+        await self.server.start("127.0.0.1", port)
+        self.port = self.server.port
+
+    @property
+    def record(self) -> VmRecord:
+        return VmRecord(self.name, "a", f"127.0.0.1:{self.port}", "", "", 1, 0.0)
+
+
+class Site:
+    """Two homes and a VM that is none, in one zone."""
+
+    def __init__(self) -> None:
+        self.cluster = FakeCluster()
+        self.guest = Vm("guest", self.cluster)
+        self.homes = [Vm("home1", self.cluster), Vm("home2", self.cluster)]
+        self.news: list[Endpoints | None] = []
+        self.choice: Homes | None = None
+        self._numbers = 0
+
+    async def start(self) -> None:
+        for vm in (*self.homes, self.guest):
+            await vm.start()
+        self.choice = _ChosenHomes(
+            self.guest.record,
+            ["home1", "home2"],
+            on_news=lambda link: self.news.append(link.endpoints),
+        )
+        self.choice.follow({vm.name: vm.record for vm in self.homes}, ["g"])
+        await self.until(lambda: all(link.usable for link in self.links))
+
+    @property
+    def links(self) -> list:
+        return list(self.choice._links.values())
+
+    async def until(self, condition) -> None:
+        async with asyncio.timeout(LIMIT_S):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    def session(self, kind: Consistency = Consistency.READ_YOUR_WRITES) -> HomedSession:
+        return HomedSession(kind.value, gateway=self.guest.gateway, homes=self.choice)
+
+    async def run(self, session: HomedSession, statement: object) -> Answer:
+        self._numbers += 1
+        text = TEXTS.get(type(statement), b"")
+        arrived = self.guest.clock.monotonic()
+        request = Request(b"q%d" % self._numbers, text, statement, arrived)
+        return await session.execute(request)
+
+    def forwarded(self) -> dict[str, int]:
+        rows = self.guest.gateway.metrics.snapshot()["counters"]
+        return {
+            row["labels"]["home"]: row["value"]
+            for row in rows
+            if row["name"] == "forwarded_statements"
+        }
+
+    @property
+    def open_at_homes(self) -> int:
+        return sum(vm.gateway.open_transactions for vm in self.homes)
+
+    async def close(self) -> None:
+        self.choice.close()
+        for vm in (*self.homes, self.guest):
+            await vm.server.close()
+            vm.dispatcher.close()
+            vm.group.close()
+
+
+class _ChosenHomes(Homes):
+    """Homes in a fixed order, whatever their names hash to."""
+
+    def __init__(self, own: VmRecord, order: list[str], **options: object) -> None:
+        super().__init__(own, random=Random(1), **options)
+        self._order = order
+
+    def _of_zone(self, group: str) -> list[str]:
+        return self._order if self._known else []
+
+
+@pytest.fixture
+async def site() -> AsyncIterator[Site]:
+    site = Site()
+    await site.start()
+    yield site
+    await site.close()
+
+
+class TestStatements:
+    async def test_the_first_home_runs_them_unchanged(self, site: Site) -> None:
+        session = site.session()
+        answer = await site.run(session, Write())
+        assert answer.fault is None and answer.position is not None
+        assert (b"q1", b"WRITE 1 x") in site.cluster["a1"].ran
+        await site.run(session, Read())
+        assert site.forwarded() == {"home1": 2}
+        assert site.guest.dispatcher.gates["a1"].links == 0
+
+    async def test_own_writes_are_seen_at_another_home(self, site: Site) -> None:
+        session = site.session()
+        written = (await site.run(session, Write())).position
+        site.homes[0].leaving = True
+        site.homes[0].server.tell_pulse()
+        await site.until(lambda: not site.links[0].usable)
+        site.cluster["b1"].applied = site.cluster["c1"].applied = 0
+        answer = await site.run(session, Read())
+        assert answer.fault is None and answer.position >= written
+        assert site.forwarded() == {"home1": 1, "home2": 1}
+
+    async def test_values_and_names_come_along(self, site: Site) -> None:
+        session = site.session()
+        await site.run(session, SetParameter(b"zone", b"1"))
+        await site.run(session, Prepare(b"s1", False, b"q2c"))
+        answer = await site.run(session, Execute(b"s1", b"7"))
+        assert answer.fault is None
+        asked = [c for one in site.cluster.endpoints.values() for c in one.asked]
+        assert SetValue(b"zone", b"1") in asked
+
+    async def test_an_unknown_name_is_refused_here(self, site: Site) -> None:
+        outcome = await kind_of(site.run(site.session(), Execute(b"s9", b"7")))
+        assert outcome is ErrorKind.UNKNOWN_STATEMENT
+        assert not site.forwarded()
+
+    async def test_a_home_without_the_route_is_passed_over(self, site: Site) -> None:
+        empty = RouteTable(version=2, routes=(), groups=(), idle_transaction_s=3.0)
+        site.homes[0].gateway.take_routes(empty)
+        answer = await site.run(site.session(), Read())
+        assert answer.fault is None
+
+    async def test_a_read_without_an_outcome_goes_elsewhere(self, site: Site) -> None:
+        site.cluster["a1"].silent = site.cluster["b1"].silent = True
+        site.cluster["c1"].silent = True
+        reading = asyncio.create_task(site.run(site.session(), Read()))
+        await site.until(lambda: site.homes[0].gateway.running)
+        await site.homes[0].server.close()
+        for name in ("a1", "b1", "c1"):
+            site.cluster[name].silent = False
+        assert (await reading).fault is None
+
+    async def test_a_write_without_an_outcome_is_unknown(self, site: Site) -> None:
+        site.cluster["a1"].silent = True
+        writing = asyncio.create_task(kind_of(site.run(site.session(), Write())))
+        await site.until(lambda: site.homes[0].dispatcher.gates["a1"].running)
+        await site.homes[0].server.close()
+        assert await writing is ErrorKind.OUTCOME_UNKNOWN
+
+    async def test_a_write_that_was_not_sent_goes_elsewhere(self, site: Site) -> None:
+        for vm in site.homes:
+            await vm.server.close()
+        await site.until(lambda: not any(link.usable for link in site.links))
+        answer = await site.run(site.session(), Write())
+        assert answer.fault is None
+        assert site.guest.dispatcher.gates["a1"].links == 1
+
+
+class TestTransactions:
+    async def test_all_of_one_runs_at_one_home(self, site: Site) -> None:
+        session = site.session()
+        assert (await site.run(session, Begin(read_only=False))).digest == b"-"
+        assert session.state is TransactionState.OPEN
+        await site.run(session, Write())
+        site.homes[0].leaving = True
+        site.homes[0].server.tell_pulse()
+        await site.until(lambda: not site.links[0].usable)
+        await site.run(session, Read())
+        answer = await site.run(session, Commit())
+        assert answer.fault is None and session.state is TransactionState.IDLE
+        assert site.forwarded() == {"home1": 4}
+        assert session._local.kept.position == answer.position > NO_POSITION
+        assert site.open_at_homes == 0
+
+    async def test_a_value_set_inside_reaches_the_home(self, site: Site) -> None:
+        session = site.session()
+        await site.run(session, Begin(read_only=False))
+        answer = await site.run(session, SetParameter(b"zone", b"2"))
+        assert answer.state is TransactionState.OPEN
+        await site.run(session, Write())
+        assert SetValue(b"zone", b"2") in site.cluster["a1"].asked
+
+    async def test_a_rollback_ends_it_at_the_home(self, site: Site) -> None:
+        session = site.session()
+        await site.run(session, Begin(read_only=False))
+        await site.run(session, Write())
+        await site.run(session, Rollback())
+        assert session.state is TransactionState.IDLE
+        await site.until(lambda: not site.open_at_homes)
+        assert not site.cluster.acknowledged
+
+    async def test_a_caller_that_leaves_ends_it(self, site: Site) -> None:
+        session = site.session()
+        await site.run(session, Begin(read_only=False))
+        await site.run(session, Write())
+        await session.close()
+        await site.until(lambda: not site.open_at_homes)
+        assert not site.cluster.acknowledged
+
+    async def test_a_lost_vm_ends_its_callers_transactions(self, site: Site) -> None:
+        session = site.session()
+        await site.run(session, Begin(read_only=False))
+        await site.run(session, Write())
+        site.choice.close()
+        await site.until(lambda: not site.open_at_homes)
+        assert not site.cluster.acknowledged
+
+    async def test_a_lost_home_is_a_true_rollback(self, site: Site) -> None:
+        session = site.session()
+        await site.run(session, Begin(read_only=False))
+        await site.run(session, Write())
+        await site.homes[0].server.close()
+        await site.until(lambda: not site.links[0].usable)
+        outcome = await kind_of(site.run(session, Write()))
+        assert outcome is ErrorKind.NOT_RUN_ROLLED_BACK
+        assert session.state is TransactionState.FAILED
+        outcome = await kind_of(site.run(session, Read()))
+        assert outcome is ErrorKind.TRANSACTION_ABORTED
+        await site.run(session, Rollback())
+        assert (await site.run(session, Write())).fault is None
+        assert len(site.cluster.acknowledged) == 1
+
+    async def test_a_new_connection_does_not_continue_it(self, site: Site) -> None:
+        """A write that thinks it is in a transaction must not run by itself."""
+        session = site.session()
+        await site.run(session, Begin(read_only=False))
+        home, port = site.homes[0], site.homes[0].port
+        await home.server.close()
+        await site.until(lambda: not site.links[0].usable)
+        await home.server.start("127.0.0.1", port)
+        await site.until(lambda: site.links[0].usable)
+        outcome = await kind_of(site.run(session, Write()))
+        assert outcome is ErrorKind.NOT_RUN_ROLLED_BACK
+        assert not site.cluster["a1"].ran
+
+    async def test_a_commit_without_an_outcome_is_unknown(self, site: Site) -> None:
+        session = site.session()
+        await site.run(session, Begin(read_only=False))
+        await site.run(session, Write())
+        site.cluster["a1"].silent = True
+        committing = asyncio.create_task(kind_of(site.run(session, Commit())))
+        await site.until(lambda: site.homes[0].gateway.running)
+        await asyncio.sleep(0.02)
+        await site.homes[0].server.close()
+        assert await committing is ErrorKind.OUTCOME_UNKNOWN
+        assert session.state is TransactionState.IDLE
+
+    async def test_a_commit_that_wrote_nothing_may_be_promised(
+        self, site: Site
+    ) -> None:
+        session = site.session()
+        await site.run(session, Begin(read_only=True))
+        await site.run(session, Read())
+        await site.homes[0].server.close()
+        await site.until(lambda: not site.links[0].usable)
+        outcome = await kind_of(site.run(session, Commit()))
+        assert outcome is ErrorKind.NOT_RUN_ROLLED_BACK
+
+    async def test_a_removed_route_ends_it(self, site: Site) -> None:
+        session = site.session()
+        await site.run(session, Begin(read_only=False))
+        empty = RouteTable(version=2, routes=(), groups=(), idle_transaction_s=3.0)
+        site.guest.gateway.take_routes(empty)
+        outcome = await kind_of(site.run(session, Write()))
+        assert outcome is ErrorKind.NOT_RUN_ROLLED_BACK
+        await site.until(lambda: not site.open_at_homes)
+
+    async def test_an_abort_at_the_callers_vm(self, site: Site) -> None:
+        session = site.session()
+        await site.run(session, Begin(read_only=False))
+        session.abort(ProxyError(ErrorKind.SHUTTING_DOWN))
+        assert session.state is TransactionState.FAILED
+        outcome = await kind_of(site.run(session, Commit()))
+        assert outcome is ErrorKind.SHUTTING_DOWN
+        await site.until(lambda: not site.open_at_homes)
+
+
+class TestHomeLink:
+    async def test_a_silent_home_is_given_up(self, site: Site) -> None:
+        (guest,) = site.homes[0].server._guests
+        guest.stream._transport.pause_reading()
+        started = asyncio.get_running_loop().time()
+        await site.until(lambda: not site.links[0].usable)
+        assert asyncio.get_running_loop().time() - started >= SILENT_S
+        assert (await site.run(site.session(), Read())).fault is None
+        assert site.forwarded() == {"home2": 1}
+
+    async def test_a_home_that_comes_back_is_used_again(self, site: Site) -> None:
+        home, port = site.homes[0], site.homes[0].port
+        await home.server.close()
+        await site.until(lambda: not site.links[0].usable)
+        await home.server.start("127.0.0.1", port)
+        await site.until(lambda: site.links[0].usable)
+        await site.run(site.session(), Read())
+        assert site.forwarded() == {"home1": 1}
+
+    async def test_a_statement_waits_for_a_home_that_starts(self, site: Site) -> None:
+        for vm in site.homes:
+            await vm.server.close()
+        await site.until(lambda: not any(link.usable for link in site.links))
+        reading = asyncio.create_task(site.run(site.session(), Read()))
+        await site.homes[1].server.start("127.0.0.1", site.homes[1].port)
+        assert (await reading).fault is None
+        assert site.forwarded() == {"home2": 1}
+
+    async def test_a_guest_hears_of_endpoints(self, site: Site) -> None:
+        await site.until(lambda: any(site.news))
+        assert site.choice.is_guest
+        assert {info.id for info in site.news[-1].endpoints} == {"a1", "b1", "c1"}
+
+    async def test_what_a_home_can_not_read_is_ignored(self, site: Site) -> None:
+        site.links[0]._stream.write_frame(b"\x93nonsense")
+        assert (await site.run(site.session(), Read())).fault is None
+
+
+class TestStaleness:
+    async def test_the_home_asks_for_later_proofs_than_the_caller(
+        self, site: Site
+    ) -> None:
+        """Clocks of VMs differ, so a caller's instant means nothing at the home."""
+        session = site.session(Consistency.PRIMARY)
+        await site.run(session, Begin(read_only=False))
+        await site.run(session, Read())
+        begun = [
+            command
+            for command in site.cluster["a1"].asked
+            if isinstance(command, OpenTransaction)
+        ]
+        assert [command.request_id for command in begun] == [b"q1"]
+
+    async def test_positions_only_grow(self, site: Site) -> None:
+        session = site.session()
+        session._local.kept.position = LogPosition(9, 1)
+        await kind_of(site.run(session, Write()))
+        assert session._local.kept.position == LogPosition(9, 1)
