--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -14,6 +14,7 @@
 from random import Random
 
 from celeryjunction.dispatch.gates import EndpointGate
+from celeryjunction.dispatch.retry_budget import RetryBudget
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import Clock
@@ -182,6 +183,8 @@
         self._numbers = count(1)
         self._timer: asyncio.TimerHandle | None = None
         self._watch: asyncio.TimerHandle | None = None
+        self.retries = RetryBudget()
+        """Repetitions of reads that an endpoint failed."""
         self.on_stuck: Callable[[str], None] = lambda endpoint: None
         """Called with the id of an endpoint that answers nothing."""
 
@@ -303,10 +306,10 @@
         return limit
 
     def _cost(self, gate: EndpointGate) -> float:
-        """Return the expected seconds until an answer: way, queue and service."""
+        """Return the expected seconds until a good answer: way, queue and service."""
         way = 0.0 if gate.info.zone == self._zone else CROSS_ZONE_S
         load = (gate.running + gate.others_busy) / max(gate.info.slots, 1)
-        return way + gate.service_s * (1.0 + load)
+        return (way + gate.service_s * (1.0 + load)) * gate.expected_tries
 
     async def _wait(self, demand: Demand) -> EndpointGate:
         now = self._clock.monotonic()
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -35,6 +35,10 @@
 """Pause before another connection is tried at an endpoint that has too many."""
 SERVICE_WEIGHT = 0.1
 """Weight of a new sample in the mean service time."""
+FAULT_WEIGHT = 0.1
+"""Weight of a statement in the share of those that the endpoint failed."""
+MOST_FAULTS = 0.9
+"""Largest such share that counts: one that fails all is still tried at times."""
 FIRST_SERVICE_S = 0.02
 """Mean service time assumed before the first answer, from the users' work figures."""
 
@@ -67,6 +71,7 @@
         "answered_at",
         "avoid_until",
         "closed",
+        "fault_share",
         "full_until",
         "info",
         "links",
@@ -96,6 +101,8 @@
         """Slots that other VMs kept busy at the last status."""
         self.service_s = FIRST_SERVICE_S
         self.shared = SharedSlots(slots=info.slots, sharers=1)
+        self.fault_share = 0.0
+        """Share of its statements that the endpoint failed lately, 0 to 1."""
         self.avoid_until = 0.0
         self.full_until = 0.0
         self.closed = False
@@ -244,6 +251,15 @@
         self._avoid_s = 0.0
         self.service_s += SERVICE_WEIGHT * (seconds - self.service_s)
 
+    def note_fault(self, failed: bool) -> None:
+        """Note whether the endpoint failed a statement that it answered."""
+        self.fault_share += FAULT_WEIGHT * (failed - self.fault_share)
+
+    @property
+    def expected_tries(self) -> float:
+        """Mean number of tries until it does not fail a statement."""
+        return 1.0 / (1.0 - min(self.fault_share, MOST_FAULTS))
+
     def note_failure(self, reason: str, *, weight: int = 1) -> None:
         """Note that the endpoint gave no answer; repeated failures avoid it."""
         self._failures += weight
@@ -267,6 +283,8 @@
             f"running:{self.running}/{self.shared.limit}",
             f"links:{self.links}/{self.max_links}",
         ]
+        if self.fault_share >= FAULT_WEIGHT:
+            words.append(f"faults:{self.fault_share:.0%}")
         if self.stuck(now):
             words.append("stuck")
         if self.failing:
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -364,21 +364,35 @@
         """Run a read at one endpoint after the other until one answers."""
         deadline = request.arrived + route.timeout_s
         answer: Answer | None = None
+        dispatcher = self._dispatcher(route)
+        dispatcher.retries.note_statement()
         for _ in range(MAX_TRIES):
             after = await self._read_terms(route, demand, since=request.arrived)
             command = relay if after is None else replace(relay, after=after)
             try:
-                grant = await self._dispatcher(route).acquire(demand)
+                grant = await dispatcher.acquire(demand)
                 answer = await self._run_once(
                     grant, command, prepared, deadline, reads=True
                 )
             except (ConnectionLost, EndpointRefused) as error:
                 self._endpoint_failed(route, demand, error)
                 continue
-            if answer.fault is None or answer.fault.ran:
+            if answer.fault is None:
+                return answer
+            if not answer.fault.ran:
+                self._not_run(route, demand, answer.fault)
+                continue
+            # A read changes nothing, so a failed one may run again.
+            demand.unanswered = True
+            if demand.only is None:
+                demand.excluded.add(grant.endpoint)
+            if not dispatcher.retries.take() or demand.excluded >= set(
+                dispatcher.gates
+            ):
                 return answer
-            self._not_run(route, demand, answer.fault)
         if answer is not None and answer.fault is not None:
+            if demand.unanswered and not answer.fault.ran:
+                raise ProxyError(ErrorKind.READ_UNANSWERED)
             return answer
         raise ProxyError(
             ErrorKind.NOT_RUN_CONNECTION,
@@ -617,6 +631,8 @@
         group = self._gateway.groups.get(grant.gate.info.group)
         if group is not None:
             group.note_answer(grant.endpoint, answer.position, sent_at=sent_at)
+        if answer.fault is None or answer.fault.ran:
+            grant.gate.note_fault(answer.fault is not None)
         return answer
 
     async def _commit(
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -295,15 +295,15 @@
     def _max_links(self, info: EndpointInfo) -> int:
         """Return how many connections for statements this VM may open at an endpoint.
 
-        That is a home's part of what the endpoint accepts, less one for status. A VM
-        that is no home opens some only while it reaches no home.
+        Homes that have callers share what the endpoint accepts, less one of each home
+        for status. A VM that is no home opens some only while it reaches no home.
         """
         table = self.gateway.table
         terms = table.groups.get(info.group) if table is not None else None
         if terms is None:
             return 1
-        homes = self._homes.count(info.group)
-        part = ceil((terms.connection_limit - homes) / homes)
+        spare = terms.connection_limit - self._homes.count(info.group)
+        part = ceil(spare / self._homes.sharers(info.group))
         return max(LEAST_LINKS, part if self._homes.is_home(info.group) else 0)
 
     def _shares(self, group: str) -> bool:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -200,6 +200,48 @@
         assert answer.fault is Fault.FAILED
         assert not proxy.cluster["a1"].ran
 
+    async def test_a_failed_read_goes_elsewhere(self, proxy: Proxy) -> None:
+        """The users' grown sites: an endpoint fails part of what it runs."""
+        proxy.cluster["a1"].faults = [Fault.FAILED]
+        answer = await proxy.run(proxy.session(Consistency.BOUNDED_STALENESS), Read())
+        assert answer.fault is None
+        assert not proxy.cluster["a1"].ran
+
+    async def test_a_failed_primary_read_is_sent_again(self, proxy: Proxy) -> None:
+        proxy.cluster["a1"].faults = [Fault.FAILED]
+        answer = await proxy.run(proxy.session(), Read())
+        assert answer.fault is None
+        assert [name for name, _ in proxy.ran()] == ["a1"]
+
+    async def test_failed_reads_are_repeated_within_a_budget(
+        self, proxy: Proxy
+    ) -> None:
+        for one in proxy.cluster.endpoints.values():
+            one.faults = [Fault.FAILED] * 1000
+        session = proxy.session(Consistency.BOUNDED_STALENESS)
+        for _ in range(100):
+            assert (await proxy.run(session, Read())).fault is Fault.FAILED
+        left = sum(len(one.faults) for one in proxy.cluster.endpoints.values())
+        # 100 first tries, 20 retries saved up before, 20 earned.
+        assert 3000 - left == pytest.approx(140, abs=2)
+
+    async def test_a_failed_read_is_not_called_not_run(self, proxy: Proxy) -> None:
+        proxy.cluster["a1"].faults = [Fault.FAILED] + [Fault.BUSY] * 5
+        outcome = await kind_of(proxy.run(proxy.session(), Read()))
+        assert outcome is ErrorKind.READ_UNANSWERED
+
+    async def test_an_endpoint_that_fails_reads_gets_fewer(self, proxy: Proxy) -> None:
+        session = proxy.session(Consistency.BOUNDED_STALENESS)
+        for _ in range(40):
+            proxy.cluster["a1"].faults = [Fault.FAILED]
+            await proxy.run(session, Read())
+        tried = [name for name, _ in proxy.ran()]
+        assert proxy.dispatcher.gates["a1"].fault_share < 0.9
+        proxy.cluster["a1"].faults = []
+        for _ in range(10):
+            await proxy.run(session, Read())
+        assert "a1" not in [name for name, _ in proxy.ran()][len(tried) :]
+
     async def test_a_read_without_an_answer_goes_elsewhere(self, proxy: Proxy) -> None:
         for one in proxy.cluster.endpoints.values():
             one.faults = ["lose"]
