--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -386,9 +386,8 @@
             demand.unanswered = True
             if demand.only is None:
                 demand.excluded.add(grant.endpoint)
-            if not dispatcher.retries.take() or demand.excluded >= set(
-                dispatcher.gates
-            ):
+            nowhere_left = demand.excluded >= set(dispatcher.gates)
+            if nowhere_left or not dispatcher.retries.take():
                 return answer
         if answer is not None and answer.fault is not None:
             if demand.unanswered and not answer.fault.ran:
