--- a/bench/platform_cluster.py
+++ b/bench/platform_cluster.py
@@ -82,6 +82,7 @@
         self.name = name
         self.front = free_port()
         self.ready = free_port()
+        self.internal = free_port()
         self.process: Process | None = None
         self.restarting = False
         self.spoke = False
@@ -91,7 +92,11 @@
     async def start(self, *, zone: int = 0) -> None:
         """Write the settings and start the program."""
         settings = self._platform.settings(
-            self.name, front=self.front, ready=self.ready, zone=zone
+            self.name,
+            front=self.front,
+            ready=self.ready,
+            internal=self.internal,
+            zone=zone,
         )
         self.path.write_text(json.dumps(settings))
         self.process = await create_subprocess_exec(
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -40,6 +40,8 @@
 
 SETTINGS_POLL_S = 2.0
 """Interval at which the settings file is looked at; it may change without a signal."""
+METRICS_PORT_VARIABLE = "CELERYJUNCTION_METRICS_PORT"
+"""Names a further port for metrics, which the deploy file knows in advance."""
 EXIT_BAD_SETTINGS = 2
 
 _log = get_logger("edge")
@@ -95,7 +97,9 @@
         await self.node.home_server.start(*internal_address(self._settings))
         host, port = split_address(listen.ready)
         loop = asyncio.get_running_loop()
-        await loop.create_server(lambda: HttpResponder(self._answer), host, port)
+        ports = {port, int(os.environ.get(METRICS_PORT_VARIABLE) or port)}
+        for number in ports:
+            await loop.create_server(lambda: HttpResponder(self._answer), host, number)
         self.node.start(frontend)
         self.node.start_task(self._config.run())
         self.node.start_task(self._watch_settings())
--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -632,7 +632,9 @@
         self.store.put_json("op/config", config)
         return self._version
 
-    def settings(self, name: str, *, front: int, ready: int, zone: int = 0) -> dict:
+    def settings(
+        self, name: str, *, front: int, ready: int, internal: int = 0, zone: int = 0
+    ) -> dict:
         """Return the settings of an edge process on loopback ports."""
         address = self.store_address or self.store.address
         return {
@@ -643,6 +645,7 @@
                 "ready": f"127.0.0.1:{ready}",
                 "control": "",
             },
+            "internal_port_range": [internal, internal],
             "platform": {"address": address},
             "cloud_api": {"address": address},
             "bounds": {"drain_ms": 7000, "grace_s": 6},
--- a/src/celeryjunction/relay/homes.py
+++ b/src/celeryjunction/relay/homes.py
@@ -156,4 +156,4 @@
 
 def _address(record: VmRecord) -> tuple[str, int] | None:
     host, _, port = record.peer_address.rpartition(":")
-    return (host, int(port)) if host and port.isdigit() else None
+    return (host, int(port)) if host and port.isdigit() and int(port) else None
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -214,3 +214,44 @@
         assert (await caller.send("WRITE 7 x4"))[0].startswith("COMPLETE d.")
         assert (await caller.send("READ 7"))[0] == "ROW x4"
         assert (await edge.probe())[0] == 200
+
+
+class TestHomes:
+    async def test_a_third_vm_of_a_zone_passes_statements_on(
+        self, platform: StandinPlatform, tmp_path: Path
+    ) -> None:
+        edges = [EdgeProcess(platform, tmp_path, f"edge-{n}") for n in range(3)]
+        try:
+            for edge in edges:
+                await edge.start()
+            for edge in edges:
+                await edge.until_ready()
+            guest, metrics = await guest_of(edges)
+            assert 'forwarded_statements{home="edge-' in metrics
+            caller = await connected(guest, "lock-db")
+            assert (await caller.send("BEGIN"))[0] == "COMPLETE -"
+            assert (await caller.send("WRITE 7 x1"))[-1].startswith("READY T")
+            assert (await caller.send("COMMIT"))[0].startswith("COMPLETE d.")
+            for edge in edges:
+                if edge is not guest:
+                    await edge.stop(signal.SIGTERM)
+            # No home is left: the VM serves alone.
+            await until_served(caller, "READ 7")
+        finally:
+            for edge in edges:
+                if edge.running:
+                    await edge.stop(signal.SIGKILL)
+
+
+async def guest_of(edges: list[EdgeProcess]) -> tuple[EdgeProcess, str]:
+    """Return the VM that passes statements on, with its metrics."""
+    async with asyncio.timeout(FAILOVER_LIMIT_S):
+        while True:
+            for edge in edges:
+                caller = await connected(edge, "lock-db")
+                await caller.send("READ 7")
+                caller.close()
+                text = (await edge.probe("/metrics"))[1]
+                if "forwarded_statements" in text:
+                    return edge, text
+            await asyncio.sleep(RETRY_S)
