--- a/src/celeryjunction/dispatch/shared_slots.py
+++ b/src/celeryjunction/dispatch/shared_slots.py
@@ -20,8 +20,10 @@
 CALM = 1.4
 """Below this the limit grows again."""
 RECENT_WEIGHT = 0.1
-USUAL_WEIGHT = 0.01
-"""Weights of one answer in the recent ratio and in the usual time."""
+"""Weight of one answer in the recent ratio."""
+USUAL_WEIGHT = 0.001
+"""Weight of one answer in the usual time: 10 s of a home with 100 answers a second. A
+burst of a few seconds must not become usual."""
 FIRST_ANSWERS = 30
 """Answers that make the first usual time of a priority."""
 DECREASE = 0.7
@@ -77,10 +79,9 @@
         if self._ratio >= QUEUED:
             if not self._pause:
                 self._decrease()
-            return
-        usual += USUAL_WEIGHT * (seconds - usual)
-        self._usual[priority] = count, usual
-        if self._ratio <= CALM:
+        elif self._ratio <= CALM:
+            usual += USUAL_WEIGHT * (seconds - usual)
+            self._usual[priority] = count, usual
             self._limit = min(self._limit + INCREASE, float(self.slots))
 
     def note_busy(self) -> None:
--- a/tests/test_shared_slots.py
+++ b/tests/test_shared_slots.py
@@ -99,6 +99,15 @@
             shared.observe(1, WORK_S[1])
         assert shared.limit == SLOTS
 
+    def test_a_burst_of_some_seconds_does_not_become_usual(self) -> None:
+        """kkdn-buylist-grown, scale-2: after 2 s the limit was back at all slots."""
+        shared = learned()
+        for _ in range(600):
+            shared.observe(1, 1.8 * WORK_S[1])
+        for _ in range(100):
+            shared.observe(1, 3 * WORK_S[1])
+        assert shared.limit == shared.part
+
     def test_a_refusal_for_a_full_queue_lowers_it(self) -> None:
         shared = learned()
         shared.note_busy()
