--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from bisect import insort
+from collections import deque
 from collections.abc import Callable, Iterator
 from itertools import count
 from random import Random
@@ -26,6 +27,10 @@
 """Priorities from here on never use the last slot of an endpoint from one VM."""
 WATCH_S = 0.05
 """Interval at which endpoints are looked at that have statements to answer."""
+REFUSALS = 8
+REFUSALS_S = 1.0
+"""So many statements refused for want of time within this many seconds are more than
+the few that a short burst costs."""
 RETRY_S = 0.02
 """Pause before the queue is looked at again while endpoints are avoided or full."""
 
@@ -127,12 +132,15 @@
         self.gate.note_sent(self)
         self._dispatcher.watch()
 
-    def end_statement(self, *, answered: bool = True) -> None:
-        """Free the slot and keep the connection, between a transaction's statements."""
-        self._free_slot(answered)
+    def end_statement(self, *, answered: bool = True, served: bool = True) -> None:
+        """Free the slot and keep the connection, between a transaction's statements.
+
+        `served` says that the answer took the time of a statement that ran.
+        """
+        self._free_slot(answered, served and answered)
         self._dispatcher.pump()
 
-    def _free_slot(self, answered: bool) -> None:
+    def _free_slot(self, answered: bool, served: bool) -> None:
         if self._since is None:
             return
         seconds = self._clock.monotonic() - self._since
@@ -140,7 +148,9 @@
         self.gate.note_ended(self)
         self.gate.running -= 1
         if answered:
-            self.gate.note_answer(seconds, priority=self._priority)
+            self.gate.note_answer()
+        if served:
+            self.gate.note_service(seconds, priority=self._priority)
 
     def next_statement(self) -> None:
         """Take a slot for the next statement of a transaction, without waiting.
@@ -151,10 +161,12 @@
             self.gate.running += 1
             self._since = self._clock.monotonic()
 
-    def release(self, *, reusable: bool = True, answered: bool = True) -> None:
+    def release(
+        self, *, reusable: bool = True, answered: bool = True, served: bool = True
+    ) -> None:
         """Give the connection back, and the slot if it is still held."""
         self.gate.give(self.link, reusable=reusable)
-        self.end_statement(answered=answered)
+        self.end_statement(answered=answered, served=served)
 
 
 class Dispatcher:
@@ -183,6 +195,7 @@
         self._numbers = count(1)
         self._timer: asyncio.TimerHandle | None = None
         self._watch: asyncio.TimerHandle | None = None
+        self._refused: deque[float] = deque(maxlen=REFUSALS)
         self.retries = RetryBudget()
         """Repetitions of reads that an endpoint failed."""
         self.on_stuck: Callable[[str], None] = lambda endpoint: None
@@ -314,7 +327,7 @@
     async def _wait(self, demand: Demand) -> EndpointGate:
         now = self._clock.monotonic()
         if now + self._expected_wait(demand) >= demand.give_up_at:
-            raise _not_in_time(demand)
+            raise self._not_in_time(demand)
         demand._order = (demand.priority, demand.arrived, next(self._numbers))
         demand._future = asyncio.get_running_loop().create_future()
         insort(self._waiting, demand, key=lambda waiting: waiting._order)
@@ -325,9 +338,21 @@
         except BaseException as error:
             self._withdraw(demand)
             if isinstance(error, TimeoutError):
-                raise _not_in_time(demand) from None
+                raise self._not_in_time(demand) from None
             raise
 
+    def _not_in_time(self, demand: Demand) -> ProxyError:
+        self._refused.append(self._clock.monotonic())
+        allowed_s = max(0.0, demand.give_up_at - demand.arrived)
+        return ProxyError(ErrorKind.NOT_RUN_DEADLINE, {"deadline_s": allowed_s})
+
+    @property
+    def refusing(self) -> bool:
+        """Whether many statements were refused lately because they had to wait."""
+        if len(self._refused) < REFUSALS:
+            return False
+        return self._clock.monotonic() - self._refused[0] <= REFUSALS_S
+
     def _withdraw(self, demand: Demand) -> None:
         """Take a demand out of the queue; give back a place it just got."""
         if demand in self._waiting:
@@ -390,8 +415,3 @@
         self._timer = None
         self.pump()
         self._look_again()
-
-
-def _not_in_time(demand: Demand) -> ProxyError:
-    allowed_s = max(0.0, demand.give_up_at - demand.arrived)
-    return ProxyError(ErrorKind.NOT_RUN_DEADLINE, {"deadline_s": allowed_s})
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -70,6 +70,7 @@
         "_sent",
         "answered_at",
         "avoid_until",
+        "behind_since",
         "closed",
         "fault_share",
         "full_until",
@@ -103,6 +104,8 @@
         self.shared = SharedSlots(slots=info.slots, sharers=1)
         self.fault_share = 0.0
         """Share of its statements that the endpoint failed lately, 0 to 1."""
+        self.behind_since = 0.0
+        """Since when it refuses reads as too far behind; 0 when it does not."""
         self.avoid_until = 0.0
         self.full_until = 0.0
         self.closed = False
@@ -243,13 +246,21 @@
             sent.link.close()
         return len(interrupted)
 
-    def note_answer(self, seconds: float, *, priority: int) -> None:
-        """Note that a statement was answered after so many seconds."""
-        self.shared.observe(priority, seconds)
+    def note_answer(self) -> None:
+        """Note that a statement was answered, whatever the answer was."""
         self.answered_at = self._clock.monotonic()
         self._failures = 0
         self._avoid_s = 0.0
+
+    def note_service(self, seconds: float, *, priority: int) -> None:
+        """Note that a statement was served after so many seconds."""
+        self.shared.observe(priority, seconds)
         self.service_s += SERVICE_WEIGHT * (seconds - self.service_s)
+        self.behind_since = 0.0
+
+    def note_behind(self) -> None:
+        """Note that a read was refused because the endpoint lags too far behind."""
+        self.behind_since = self.behind_since or self._clock.monotonic()
 
     def note_fault(self, failed: bool) -> None:
         """Note whether the endpoint failed a statement that it answered."""
@@ -285,6 +296,8 @@
         ]
         if self.fault_share >= FAULT_WEIGHT:
             words.append(f"faults:{self.fault_share:.0%}")
+        if self.behind_since:
+            words.append("behind")
         if self.stuck(now):
             words.append("stuck")
         if self.failing:
--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -46,6 +46,7 @@
 
     `watchers` returns the number of VMs that watch its primary, this one included.
     Nothing is asked while `active` is false: other VMs watch the group then.
+    `overloaded` says whether the primary should hand over to relieve it.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         roster: GroupRoster,
         watchers: Callable[[], int],
         active: Callable[[], bool] = lambda: True,
+        overloaded: Callable[[], bool] = lambda: False,
         dialer: EndpointDialer,
         clock: Clock,
         random: Random,
@@ -69,6 +71,7 @@
         self._leavers_due = 0.0
         self._watchers = watchers
         self._active = active
+        self._overloaded = overloaded
         self._dialer = dialer
         self._clock = clock
         self._random = random
@@ -219,7 +222,10 @@
             self._leaderless_since = 0.0
             if group.endpoints[group.primary].draining:
                 return "draining"
-            return self._watch.verdict()
+            verdict = self._watch.verdict()
+            if verdict is None and not self._watch.failing and self._overloaded():
+                return "replicas_behind"
+            return verdict
         if group.held or not group.endpoints or self._could_not_ask():
             return None
         self._leaderless_since = self._leaderless_since or now
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -471,7 +471,7 @@
         A `ConnectionLost` says whether the statement itself was sent.
         """
         self._endpoint = grant.endpoint
-        answered = False
+        answered = served = False
         try:
             left = deadline - self._clock.monotonic()
             if left <= 0:
@@ -489,10 +489,10 @@
             except ConnectionLost as error:
                 raise ConnectionLost(error.reason, sent=False) from None
             answer = await self._ask(grant, command, left, interruptible=reads)
-            answered = True
+            answered, served = True, answer.fault is None
             return answer
         finally:
-            grant.release(reusable=answered, answered=answered)
+            grant.release(reusable=answered, answered=answered, served=served)
 
     # Transactions
 
@@ -785,6 +785,8 @@
         gate = self._dispatcher(route).gates.get(self._endpoint)
         if fault is Fault.BUSY and gate is not None:
             gate.shared.note_busy()
+        elif fault is Fault.BEHIND and gate is not None:
+            gate.note_behind()
         if fault in (Fault.NOT_PRIMARY, Fault.WRONG_ENDPOINT):
             group.refresh_soon()
 
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -19,6 +19,7 @@
 from celeryjunction.failover.claims import Claims
 from celeryjunction.failover.coordinator import Coordinator
 from celeryjunction.failover.detector import ALIVE
+from celeryjunction.failover.relief import relief_due
 from celeryjunction.failover.supervisor import Supervisor
 from celeryjunction.failover.suspicions import Suspicions
 from celeryjunction.gateway.gateway import Gateway
@@ -287,11 +288,27 @@
             roster=roster,
             watchers=lambda: self._homes.count(group.name),
             active=lambda: self._homes.is_home(group.name),
+            overloaded=lambda: self._needs_relief(group),
             dialer=self._dialer,
             clock=self._clock,
             random=self._random,
         )
 
+    def _needs_relief(self, group: ReplicationGroup) -> bool:
+        """Whether the primary should hand over: it serves alone, and not enough."""
+        dispatcher = self.gateway.dispatchers[group.name]
+        replicas = [n for n in group.replicas if not group.endpoints[n].draining]
+        return relief_due(
+            now=self._clock.monotonic(),
+            led_since=group.led_since,
+            behind_since=[
+                dispatcher.gates[name].behind_since
+                for name in replicas
+                if name in dispatcher.gates
+            ],
+            refusing=dispatcher.refusing,
+        )
+
     def _max_links(self, info: EndpointInfo) -> int:
         """Return how many connections for statements this VM may open at an endpoint.
 
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -63,6 +63,8 @@
         self.name = name
         self.term = 0
         self.primary: str | None = None
+        self.led_since = 0.0
+        """When the primary was first seen to lead; seconds."""
         self.endpoints: dict[str, EndpointInfo] = {}
         self.controls: dict[str, ControlLink] = {}
         self.statuses: dict[str, tuple[float, EndpointStatus]] = {}
@@ -205,6 +207,7 @@
         _log.info("primary_changed", group=self.name, primary=endpoint, term=self.term)
         self._learn_promotion_time()
         self.primary = endpoint
+        self.led_since = self._clock.monotonic()
         self.primary_due = 0.0
         self._primary_known.set()
 
