--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -67,8 +67,10 @@
         self._refresh_register = refresh_register
         self._unregistered: dict[str, ControlLink] = {}
 
-    async def replace(self, reason: str, *, acknowledged: LogPosition) -> bool:
-        """Replace the primary; return whether a new one leads.
+    async def replace(
+        self, reason: str, *, term: int, acknowledged: LogPosition
+    ) -> bool:
+        """Replace the primary of a term; return whether a later one leads.
 
         `acknowledged` is the highest position that VMs saw acknowledged.
         """
@@ -76,6 +78,10 @@
         claim = await self._claims.take(group.name)
         if claim is None:
             return False
+        if group.term != term:
+            # Another holder was faster.
+            await self._claims.give_back(claim)
+            return True
         _log.warning(
             "failover_started",
             group=group.name,
--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -249,13 +249,15 @@
     async def _replace(self, reason: str) -> None:
         group = self._group
         self._next_try = self._clock.monotonic() + RETRY_S * self._random.uniform(1, 2)
-        acknowledged = group.acknowledged
+        term, acknowledged = group.term, group.acknowledged
         if reason in ("refused", "silent", "stalled", "no_primary"):
             agreed = await self._agreed(reason)
             if agreed is None:
                 return
             acknowledged = max(acknowledged, agreed)
-        if await self._coordinator.replace(reason, acknowledged=acknowledged):
+        if await self._coordinator.replace(
+            reason, term=term, acknowledged=acknowledged
+        ):
             await self._keep_roster(at_once=True)
 
     async def _agreed(self, reason: str) -> LogPosition | None:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 import pytest
@@ -46,6 +47,7 @@
         name: str = "vm1",
         *,
         watchers: int = 1,
+        overloaded: Callable[[Vm], bool] = lambda vm: False,
     ) -> None:
         clock = ManualClock()
         random = Random(name)
@@ -72,6 +74,7 @@
             suspicions=Suspicions(store, vm=name),
             roster=self.roster,
             watchers=lambda: watchers,
+            overloaded=lambda: overloaded(self),
             dialer=cluster,
             clock=clock,
             random=random,
@@ -371,7 +374,7 @@
         await vm.group.refresh()
         cluster.promotion_answers = [PromotionResult.REFUSED]
         assert not await vm.coordinator.replace(
-            "draining", acknowledged=LogPosition(0, 0)
+            "draining", term=1, acknowledged=LogPosition(0, 0)
         )
         assert cluster["b1"].held == cluster["c1"].held == 0
 
@@ -416,7 +419,7 @@
         cluster["a1"].silent = True
         loop = asyncio.get_running_loop()
         replacing = asyncio.create_task(
-            vm.coordinator.replace("silent", acknowledged=LogPosition(0, 0))
+            vm.coordinator.replace("silent", term=1, acknowledged=LogPosition(0, 0))
         )
         loop.call_later(0.5, cluster["c1"].restart)
         await asyncio.sleep(0.7)
@@ -430,7 +433,9 @@
         await vm.group.refresh()
         cluster["a1"].refusing = True
         cluster.promotion_answers = [PromotionResult.UNKNOWN]
-        assert await vm.coordinator.replace("refused", acknowledged=LogPosition(0, 0))
+        assert await vm.coordinator.replace(
+            "refused", term=1, acknowledged=LogPosition(0, 0)
+        )
         assert len(cluster.promotions) == 1
 
     async def test_commits_cut_off_from_replicas_lead_to_a_new_primary(
@@ -446,3 +451,48 @@
         assert not cluster["a1"].is_primary
         writing.cancel()
         await vm.stop()
+
+
+class TestRelief:
+    async def test_a_primary_that_serves_alone_hands_over(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = Vm(cluster, store, overloaded=lambda vm: vm.group.term == 1)
+        await cluster.commit(cluster["a1"])
+        vm.run()
+        assert await led(vm, 2)
+        assert vm.group.primary != "a1"
+        assert cluster[vm.group.primary].log == cluster["a1"].log
+        assert not cluster["a1"].is_primary
+        await vm.stop()
+
+    async def test_vms_that_all_want_it_promote_once(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        def overloaded(vm: Vm) -> bool:
+            return vm.group.term == 1
+
+        vms = [
+            Vm(cluster, store, f"vm{n}", watchers=4, overloaded=overloaded)
+            for n in range(4)
+        ]
+        for vm in vms:
+            vm.run()
+        assert await led(vms[0], 2)
+        await asyncio.sleep(5)
+        assert len(cluster.promotions) == 1
+        for vm in vms:
+            await vm.stop()
+
+    async def test_a_holder_that_comes_late_changes_nothing(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = Vm(cluster, store)
+        vm.run()
+        assert await led(vm, 1)
+        done = await vm.coordinator.replace(
+            "replicas_behind", term=0, acknowledged=LogPosition(0, 0)
+        )
+        assert done and not cluster.promotions
+        assert await vm.claims.take("g") is not None
+        await vm.stop()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,7 +10,7 @@
 from fakes import ManualClock, event_loop_policy  # noqa: F401
 from replicated_fakes import WORK_S, FakeCluster
 
-from celeryjunction.dispatch.dispatcher import Dispatcher
+from celeryjunction.dispatch.dispatcher import REFUSALS, REFUSALS_S, Dispatcher
 from celeryjunction.dispatch.gates import STUCK_S
 from celeryjunction.errors import ErrorKind, ProxyError, Ran
 from celeryjunction.gateway.gateway import Gateway
@@ -151,6 +151,33 @@
             answer = await proxy.run(session, Read())
             assert answer.rows == (b"a1",)
 
+    async def test_replicas_that_refuse_reads_as_behind_are_marked(
+        self, proxy: Proxy
+    ) -> None:
+        gates = proxy.dispatcher.gates
+        session = proxy.session(Consistency.READ_YOUR_WRITES)
+        await proxy.run(session, Write())
+        proxy.cluster["b1"].applied = proxy.cluster["c1"].applied = 0
+        gates["a1"].service_s = 1.0  # The replicas are tried first.
+        assert (await proxy.run(session, Read())).fault is None
+        assert gates["b1"].behind_since and gates["c1"].behind_since
+        assert not gates["a1"].behind_since
+        proxy.cluster["b1"].applied = 10**9
+        assert (await proxy.run(session, Read())).fault is None
+        assert not gates["b1"].behind_since
+
+    async def test_many_refusals_in_a_second_are_noticed(self, proxy: Proxy) -> None:
+        for gate in proxy.dispatcher.gates.values():
+            gate.avoid_until = float("inf")
+        session = proxy.session(Consistency.BOUNDED_STALENESS)
+        assert not proxy.dispatcher.refusing
+        calls = [kind_of(proxy.run(session, Read())) for _ in range(REFUSALS)]
+        outcomes = await asyncio.gather(*calls)
+        assert set(outcomes) == {ErrorKind.NOT_RUN_DEADLINE}
+        assert proxy.dispatcher.refusing
+        await asyncio.sleep(2 * REFUSALS_S)
+        assert not proxy.dispatcher.refusing
+
     async def test_another_session_need_not_see_the_write_at_once(
         self, proxy: Proxy
     ) -> None:
