--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -51,6 +51,7 @@
         "excluded",
         "give_up_at",
         "only",
+        "pins",
         "priority",
         "unanswered",
         "values",
@@ -63,12 +64,15 @@
         arrived: float,
         give_up_at: float,
         only: str | None = None,
+        pins: bool = False,
         values: dict[bytes, bytes] | None = None,
     ) -> None:
         self.priority = priority
         self.arrived = arrived
         self.give_up_at = give_up_at
         self.only = only
+        self.pins = pins
+        """Whether it opens a transaction, which keeps its connection."""
         self.excluded: set[str] = set()
         self.unanswered = False
         """Whether it was sent before and not answered: then it may have run."""
@@ -94,6 +98,7 @@
     __slots__ = (
         "_clock",
         "_dispatcher",
+        "_pinned",
         "_priority",
         "_since",
         "gate",
@@ -114,6 +119,7 @@
         self._priority = priority
         self._clock = clock
         self._since: float | None = clock.monotonic()
+        self._pinned = False
         self.gate = gate
         self.link = link
         self.interruptible = False
@@ -152,6 +158,11 @@
         if served:
             self.gate.note_service(seconds, priority=self._priority)
 
+    def pin(self) -> None:
+        """Keep the connection for a transaction until it is released."""
+        self._pinned = True
+        self.gate.pinned += 1
+
     def next_statement(self) -> None:
         """Take a slot for the next statement of a transaction, without waiting.
 
@@ -165,6 +176,9 @@
         self, *, reusable: bool = True, answered: bool = True, served: bool = True
     ) -> None:
         """Give the connection back, and the slot if it is still held."""
+        if self._pinned:
+            self._pinned = False
+            self.gate.pinned -= 1
         self.gate.give(self.link, reusable=reusable)
         self.end_statement(answered=answered, served=served)
 
@@ -289,7 +303,8 @@
     def _must_queue(self, demand: Demand) -> bool:
         """Whether something as urgent waits already for what this could take."""
         return any(
-            other.priority <= demand.priority and other.only == demand.only
+            other.priority <= demand.priority
+            and (other.only, other.pins) == (demand.only, demand.pins)
             for other in self._waiting
         )
 
@@ -307,6 +322,8 @@
     def _has_room(self, gate: EndpointGate, demand: Demand, now: float) -> bool:
         if now < gate.avoid_until or gate.stuck(now) or not gate.has_link(now):
             return False
+        if demand.pins and not gate.may_pin:
+            return False
         return gate.running < self._limit(gate, demand)
 
     @staticmethod
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -31,6 +31,9 @@
 """An endpoint that answered none of its statements for so long counts as stuck. The
 longest statements take 45 ms (220 ms for the least urgent kind), and while an endpoint
 is busy some statement ends every few ms."""
+RESERVED_PART = 3
+"""One connection in so many is kept for statements outside transactions. Callers that
+rest inside transactions hold theirs for up to 3 s by the users' limits."""
 FULL_PAUSE_S = 0.1
 """Pause before another connection is tried at an endpoint that has too many."""
 SERVICE_WEIGHT = 0.1
@@ -78,6 +81,7 @@
         "links",
         "max_links",
         "others_busy",
+        "pinned",
         "running",
         "service_s",
         "shared",
@@ -98,6 +102,8 @@
         """Statements of this VM that are sent or about to be."""
         self.links = 0
         """Connections open or being opened."""
+        self.pinned = 0
+        """Connections that open transactions hold."""
         self.others_busy = 0
         """Slots that other VMs kept busy at the last status."""
         self.service_s = FIRST_SERVICE_S
@@ -131,6 +137,11 @@
             return True
         return self.links < self.max_links and now >= self.full_until
 
+    @property
+    def may_pin(self) -> bool:
+        """Whether another transaction may hold a connection."""
+        return self.pinned < self.max_links - self.max_links // RESERVED_PART
+
     async def take(self, values: dict[bytes, bytes]) -> EndpointLink:
         """Return an idle connection, best one with these values, or open one.
 
@@ -294,6 +305,8 @@
             f"running:{self.running}/{self.shared.limit}",
             f"links:{self.links}/{self.max_links}",
         ]
+        if self.pinned:
+            words.append(f"pinned:{self.pinned}")
         if self.fault_share >= FAULT_WEIGHT:
             words.append(f"faults:{self.fault_share:.0%}")
         if self.behind_since:
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -542,7 +542,7 @@
     ) -> None:
         """Open the transaction at an endpoint that may run all of it."""
         group = self._gateway.groups[route.group]
-        demand = self._demand(route, arrived=self._clock.monotonic())
+        demand = self._demand(route, arrived=self._clock.monotonic(), pins=True)
         fault: Fault | None = None
         for _ in range(MAX_TRIES):
             after = await self._read_terms(route, demand, since=transaction.arrived)
@@ -575,6 +575,7 @@
                 grant.release(reusable=False, answered=False)
                 raise
             if answer.fault is None and answer.state is _OPEN:
+                grant.pin()
                 transaction.grant = grant
                 return
             grant.release(reusable=answer.state is _IDLE, answered=False)
@@ -741,12 +742,13 @@
     def _dispatcher(self, route: Route) -> Dispatcher:
         return self._gateway.dispatchers[route.group]
 
-    def _demand(self, route: Route, *, arrived: float) -> Demand:
+    def _demand(self, route: Route, *, arrived: float, pins: bool = False) -> Demand:
         patience_s = max(route.goal_s * PATIENCE, LEAST_PATIENCE_S)
         return Demand(
             priority=route.priority,
             arrived=arrived,
             give_up_at=arrived + min(patience_s, route.timeout_s),
+            pins=pins,
             values=self.kept.values,
         )
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -418,6 +418,25 @@
         answer = await proxy.run(session, Commit())
         assert answer.digest.startswith(b"a1:")
 
+    async def test_idle_ones_leave_connections_to_other_statements(
+        self, proxy: Proxy
+    ) -> None:
+        """The users' grown sites: callers rest inside transactions."""
+        idle = [proxy.session() for _ in range(8)]
+        opened = 0
+        for session in idle:
+            await proxy.run(session, Begin(read_only=False))
+            opened += await kind_of(proxy.run(session, Write())) is None
+        gate = proxy.dispatcher.gates["a1"]
+        assert opened == gate.pinned == 4 < gate.max_links == 5
+        assert (await proxy.run(proxy.session(), Write())).fault is None
+        for session in idle:
+            await session.close()
+        assert gate.pinned == 0
+        again = proxy.session()
+        await proxy.run(again, Begin(read_only=False))
+        assert (await proxy.run(again, Write())).fault is None
+
     async def test_an_idle_one_is_rolled_back_and_says_so(self, proxy: Proxy) -> None:
         session = proxy.session()
         await proxy.run(session, Begin(read_only=False))
