--- a/src/celeryjunction/relay/homes.py
+++ b/src/celeryjunction/relay/homes.py
@@ -102,16 +102,21 @@
         """Return the home that runs a group's next transaction; None for this VM.
 
         It is the first that answers, so that few connections and few proofs serve the
-        whole zone. A VM that reaches no home of its zone serves the group itself.
+        whole zone; one that lately proved the primary goes before one that did not,
+        as after its start. A VM that reaches no home of its zone serves the group
+        itself.
         """
-        links = self._links_of(group)
-        link = next((link for link in links if link.usable), None)
+        link = self._best(group)
         if link is None and not self.is_home(group):
             await self._until_back(group)
-            links = self._links_of(group)
-            link = next((link for link in links if link.usable), None)
+            link = self._best(group)
         return link
 
+    def _best(self, group: str) -> HomeLink | None:
+        usable = [link for link in self._links_of(group) if link.usable]
+        proven = (link for link in usable if group in link.pulse.served)
+        return next(proven, usable[0] if usable else None)
+
     async def _until_back(self, group: str) -> None:
         """Wait a moment for homes that may be starting, as this VM may be."""
         loop = asyncio.get_running_loop()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -67,10 +67,11 @@
         self.gateway.groups["g"] = self.group
         self.gateway.dispatchers["g"] = self.dispatcher
         self.leaving = False
+        self.served = ["g"]
         self.cluster = cluster
         self.server = HomeServer(
             self.gateway,
-            pulse=lambda: Pulse(["g"], False, self.leaving, endpoints_version=7),
+            pulse=lambda: Pulse(self.served, False, self.leaving, endpoints_version=7),
             endpoints=lambda: Endpoints(7, list(cluster.infos.values())),
         )
         self.port = 0
@@ -392,6 +393,19 @@
         assert (await reading).fault is None
         assert site.forwarded() == {"home2": 1}
 
+    async def test_a_home_that_proved_the_primary_goes_first(self, site: Site) -> None:
+        """apdd-pedidos-grown, scale-2: homes restarted while a zone was cut off."""
+        site.homes[0].served = []
+        site.homes[0].server.tell_pulse()
+        await site.until(lambda: not site.links[0].pulse.served)
+        await site.run(site.session(), Read())
+        assert site.forwarded() == {"home2": 1}
+        site.homes[1].served = []
+        site.homes[1].server.tell_pulse()
+        await site.until(lambda: not site.links[1].pulse.served)
+        await site.run(site.session(), Read())
+        assert site.forwarded() == {"home1": 1, "home2": 1}
+
     async def test_a_guest_hears_of_endpoints(self, site: Site) -> None:
         await site.until(lambda: any(site.news))
         assert site.choice.is_guest
