Ask registered replicas as well as the known roster where no settled evidence is at hand

Cause (found by reading): a VM that stops being a home keeps the roster it knew; a replica that joined later could be promoted unseen.

--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -391,10 +391,11 @@
     async def _all_agree(self, term: int) -> bool:
         """Ask all that could be promoted; one that was would say so itself.
 
-        This holds whatever pause a restart has lost.
+        This holds whatever pause a restart has lost. What this VM knows of the roster
+        may be old, so the registered ones are asked as well.
         """
         holders = self._roster.holders(term) if self._roster is not None else None
-        candidates = self.replicas if holders is None else holders
+        candidates = {*self.replicas, *(holders or ())} - {self.primary}
         if not candidates:
             return False
         answers = await asyncio.gather(*(self.ask(name) for name in candidates))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -327,6 +327,24 @@
         assert isinstance(outcome, ErrorKind)
         assert not proxy.cluster["a1"].ran
 
+    async def test_an_old_roster_does_not_hide_a_new_replica(
+        self, proxy: Proxy
+    ) -> None:
+        """A VM that is no home any more does not hear of new members."""
+
+        class OldRoster:
+            def holders(self, term: int) -> list[str]:
+                return ["b1"]
+
+        proxy.group._roster = OldRoster()
+        proxy.cluster["c1"].held = 2
+        for name in ("b1", "c1"):
+            proxy.cluster[name].restart()
+        proxy.cluster["c1"].held = 2
+        outcome = await kind_of(proxy.run(proxy.session(), Read()))
+        assert isinstance(outcome, ErrorKind)
+        assert not proxy.cluster["a1"].ran
+
 
 class TestWithoutSynchronousReplicas:
     async def test_a_commit_needs_evidence_after_it(self, proxy: Proxy) -> None:
