--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -113,7 +113,8 @@
     async def step(self, *, nudged: bool = False) -> None:
         """Ask what is not known from statements lately, and act on it."""
         group = self._group
-        if not self._active():
+        group.watched = self._active()
+        if not group.watched:
             await self._rest()
             return
         started = self._clock.monotonic()
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -63,6 +63,8 @@
         self.name = name
         self.term = 0
         self.primary: str | None = None
+        self.watched = True
+        """Whether this VM looks at the group again and again."""
         self.led_since = 0.0
         """When the primary was first seen to lead; seconds."""
         self.endpoints: dict[str, EndpointInfo] = {}
@@ -391,11 +393,13 @@
     async def _all_agree(self, term: int) -> bool:
         """Ask all that could be promoted; one that was would say so itself.
 
-        This holds whatever pause a restart has lost. What this VM knows of the roster
-        may be old, so the registered ones are asked as well.
+        This holds whatever pause a restart has lost. A VM that does not watch the
+        group may know an old roster, so it asks the registered ones as well.
         """
         holders = self._roster.holders(term) if self._roster is not None else None
-        candidates = {*self.replicas, *(holders or ())} - {self.primary}
+        candidates = set(holders or ())
+        if holders is None or not self.watched:
+            candidates |= set(self.replicas)
         if not candidates:
             return False
         answers = await asyncio.gather(*(self.ask(name) for name in candidates))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -337,6 +337,7 @@
                 return ["b1"]
 
         proxy.group._roster = OldRoster()
+        proxy.group.watched = False
         proxy.cluster["c1"].held = 2
         for name in ("b1", "c1"):
             proxy.cluster[name].restart()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -72,7 +72,9 @@
         self.cluster = cluster
         self.server = HomeServer(
             self.gateway,
-            pulse=lambda: Pulse(self.served, False, self.leaving, endpoints_version=7),
+            pulse=lambda: Pulse(
+                self.served, self.isolated, self.leaving, endpoints_version=7
+            ),
             endpoints=lambda: Endpoints(7, list(cluster.infos.values())),
         )
         self.port = 0
