--- a/src/celeryjunction/relay/messages.py
+++ b/src/celeryjunction/relay/messages.py
@@ -86,6 +86,8 @@
 
     version: int
     endpoints: list[EndpointInfo]
+    revision: int = 0
+    """Revision of the store that the list reflects; 0 from a home that does not say."""
 
 
 ToHome = RunStatement | EndTransaction | AskHomeStatus | AskEndpoints
--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable, Iterable, Iterator
 from random import Random
 
@@ -69,7 +70,7 @@
         self._clock = clock
         self._random = random
         self._list_stale = list_stale
-        self._linearizable_at = 0.0
+        self._linearizable_at = -math.inf
         self._revision = 0
         self._answered_at = 0.0
         self._available_since = 0.0
@@ -103,15 +104,23 @@
         """Seconds since the register confirmed the endpoints."""
         return self._clock.monotonic() - self._answered_at
 
+    @property
+    def revision(self) -> int:
+        """Revision of the store that the endpoints reflect."""
+        return self._revision
+
     def update_from_peer(
-        self, endpoints: Iterable[EndpointInfo], *, age_s: float
+        self, endpoints: Iterable[EndpointInfo], *, age_s: float, revision: int = 0
     ) -> None:
         """Use the endpoints that another VM's register confirmed `age_s` seconds ago.
 
-        Until they are `MAX_PEER_AGE_S` old, the register is not polled.
+        Until they are `MAX_PEER_AGE_S` old, the register is not polled. A list of an
+        older `revision` than the known one is ignored, since it may name endpoints that
+        have left; 0 means that the peer does not tell the revision.
         """
-        if age_s > MAX_PEER_AGE_S:
+        if age_s > MAX_PEER_AGE_S or 0 < revision < self._revision:
             return
+        self._revision = max(self._revision, revision)
         now = self._clock.monotonic()
         self._peer_list_until = now + MAX_PEER_AGE_S - age_s
         self._answered_at = max(self._answered_at, now - age_s)
