--- a/src/celeryjunction/contracts_store.py
+++ b/src/celeryjunction/contracts_store.py
@@ -267,7 +267,7 @@
         self, change: _ChangeRequest, deadline: float
     ) -> SetOutcome:
         """Read, and send if the base is still current, until the outcome is known."""
-        sent = False
+        sent = unanswered = False
         failure = "no time left"
         while (remaining_s := deadline - self._clock.monotonic()) > 0:
             try:
@@ -285,8 +285,12 @@
                 if result.succeeded:
                     return Accepted(result.revision)
             except StoreRefused as error:
-                return Rejected((f"the key-value service refused it: {error}",))
+                if not unanswered:
+                    return Rejected((f"the key-value service refused it: {error}",))
+                # An earlier attempt may have taken effect, or still may.
+                failure = str(error)
             except StoreUnavailable as error:
+                unanswered = sent
                 failure = str(error)
             # After a failed compare or a lost answer, read again to learn the outcome.
             await self._sleep(self._random.uniform(0.5, 1.0) * _RETRY_DELAY_S)
--- a/tests/test_contracts_store.py
+++ b/tests/test_contracts_store.py
@@ -20,6 +20,7 @@
     lagging_vms,
 )
 from celeryjunction.membership import VmRecord
+from celeryjunction.ports import KeyValueList, StoreRefused
 
 
 def make_contracts(store, time: FakeTime | None = None) -> ContractStore:
@@ -39,6 +40,14 @@
     )
 
 
+async def no_contract(*_: object, **__: object) -> None:
+    return None
+
+
+async def no_trail(*_: object, **__: object) -> KeyValueList:
+    return KeyValueList((), 1)
+
+
 class TestSet:
     async def test_contract_and_audit_entry_are_written_together(self) -> None:
         async with running_store() as (_, store):
@@ -165,6 +174,44 @@
                 (await make_contracts(store).get("co-op")).revision
             )
 
+    @pytest.mark.parametrize("refused_call", ["get", "compare_and_put"])
+    async def test_a_refused_retry_does_not_deny_the_first_attempt(
+        self, refused_call: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against reporting that nothing was changed while an earlier attempt,
+        # whose answer was lost, took effect or still may.
+        async with running_store() as (server, store):
+            server.lose_answers(1)
+            time = FakeTime()
+            async with background_tasks(
+                change(make_contracts(store, time), "one", 0, "c1")
+            ) as tasks:
+                await eventually(lambda: time.sleepers != [])
+
+                async def refuse(*_: object, **__: object) -> None:
+                    raise StoreRefused("too many requests")
+
+                monkeypatch.setattr(type(store), refused_call, refuse)
+                if refused_call == "compare_and_put":
+                    # The first attempt is not visible yet.
+                    monkeypatch.setattr(type(store), "get", no_contract)
+                    monkeypatch.setattr(type(store), "list", no_trail)
+                await eventually(tasks[0].done, time, limit=30)
+            assert isinstance(tasks[0].result(), Unknown)
+
+    async def test_a_refused_first_attempt_is_rejected(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async with running_store() as (_, store):
+
+            async def refuse(*_: object, **__: object) -> None:
+                raise StoreRefused("not permitted")
+
+            monkeypatch.setattr(type(store), "compare_and_put", refuse)
+            assert isinstance(
+                await change(make_contracts(store), "one", 0, "c1"), Rejected
+            )
+
     async def test_nothing_is_sent_during_an_outage(self) -> None:
         # Guards against an unknown outcome for a change that was never sent.
         async with running_store() as (server, store):
