--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -39,6 +39,7 @@
 from celeryjunction.replication.ports import EndpointDialer, EndpointInfo, Promoter
 from celeryjunction.replication.register import EndpointRegister
 from celeryjunction.replication.roster import GroupRoster
+from celeryjunction.services import keep_running
 
 MAINTENANCE_INTERVAL_S = 0.5
 """Interval at which idle connections are closed and usable endpoints updated."""
@@ -156,7 +157,7 @@
             self.gateway,
             status=self._home_status,
             endpoints=lambda: EndpointList(
-                register.version, list(register.endpoints.values())
+                register.version, list(register.endpoints.values()), register.revision
             ),
         )
         self.refresh_routes: Callable[[], Awaitable[bool]] = _no_refresh
@@ -176,12 +177,9 @@
     def start(self, frontend: Frontend) -> None:
         """Start the background tasks and serve the clients of `frontend`."""
         self._frontend = frontend
-        for work in (
-            self._register.run(),
-            self._membership.run(),
-            self._maintain(),
-        ):
-            self.start_task(work)
+        self.start_service("register", self._register.run)
+        self.start_service("membership", self._membership.run)
+        self.start_service("maintenance", self._maintain)
         _log.info("started", vm=self._vm, zone=self._zone)
 
     # Routes and endpoints
@@ -269,7 +267,7 @@
         dispatcher.on_stuck = lambda _: self._on_endpoint_stuck(group)
         self.gateway.groups[name] = group
         self.gateway.dispatchers[name] = dispatcher
-        self.start_task(self._new_supervisor(group, roster).run())
+        self.start_service("supervisor", self._new_supervisor(group, roster).run)
         return group
 
     def _on_endpoint_stuck(self, group: ReplicationGroup) -> None:
@@ -399,7 +397,9 @@
             return
         if listed is not None and listed.version == status.endpoints_version:
             self._register.update_from_peer(
-                listed.endpoints, age_s=status.endpoints_age_s
+                listed.endpoints,
+                age_s=status.endpoints_age_s,
+                revision=listed.revision,
             )
         table = self.gateway.table
         self._routes_checked_at = self._clock.monotonic()
@@ -577,6 +577,10 @@
         _log.info("stopped", vm=self._vm)
         self.stopped.set()
 
+    def start_service(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a background task until the node stops, also after an error."""
+        self.start_task(keep_running(name, run))
+
     def start_task(
         self, coroutine: Coroutine[object, object, None]
     ) -> asyncio.Task[None]:
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -108,8 +108,8 @@
                 lambda: HttpResponder(self._handle_get), host, http_port
             )
         self.node.start(frontend)
-        self.node.start_task(self._config.run())
-        self.node.start_task(self._watch_settings())
+        self.node.start_service("config", self._config.run)
+        self.node.start_service("settings", self._watch_settings)
 
     def _apply_config(self, event: WatchEvent) -> None:
         if event.key != CONFIG_KEY or event.value is None:
--- a/src/celeryjunction/platform/frontend.py
+++ b/src/celeryjunction/platform/frontend.py
@@ -84,6 +84,12 @@
             try:
                 self._stream.write(await self._handle_query(line, arrived_at))
                 await self._stream.drain()
+            except Exception as error:
+                # The session's state is unknown, so the connection ends after this.
+                reason = {"reason": type(error).__name__}
+                failure = ProxyError(ErrorKind.INTERNAL, reason)
+                self._stream.write(_encode_error(failure) + self._encode_ready())
+                raise
             finally:
                 self.running = False
 
--- a/src/celeryjunction/platform/records.py
+++ b/src/celeryjunction/platform/records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from ipaddress import IPv4Address
+
 import msgspec
 
 from celeryjunction.gateway.routes import Consistency, GroupSettings, Route, RouteTable
@@ -12,6 +14,7 @@
 CONFIG_PREFIX = "op/"
 CONFIG_KEY = "op/config"
 REGISTER_PREFIX = "servers/"
+MAX_PORT = 65_535
 
 _log = get_logger("records")
 
@@ -114,6 +117,16 @@
         )
     except (msgspec.DecodeError, ValueError) as error:
         return str(error)
-    if entry.state not in ("ready", "draining") or not host or entry.slots < 1:
+    known_state = entry.state in ("ready", "draining")
+    if not known_state or not _is_reachable(info) or entry.slots < 1:
         return f"state {entry.state!r}, address {entry.address!r}, slots {entry.slots}"
     return info
+
+
+def _is_reachable(info: EndpointInfo) -> bool:
+    """Whether the address is an IPv4 address with a valid port."""
+    try:
+        IPv4Address(info.host)
+    except ValueError:
+        return False
+    return 0 < info.port <= MAX_PORT
--- a/src/celeryjunction/relay/home_server.py
+++ b/src/celeryjunction/relay/home_server.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from celeryjunction.adapters.frame_stream import FrameStream
-from celeryjunction.errors import ProxyError, rolled_back_error
+from celeryjunction.errors import ErrorKind, ProxyError, rolled_back_error
 from celeryjunction.gateway.gateway import Gateway
 from celeryjunction.gateway.session import StatementSession
 from celeryjunction.gateway.statements import Begin
@@ -185,7 +185,9 @@
             _log.error("message_ignored", reason=str(error))
             return
         if isinstance(message, RunStatement):
-            task = asyncio.create_task(self._run(message))
+            # The session is looked up before the task starts, so that an
+            # `EndTransaction` that was received together with it finds it.
+            task = asyncio.create_task(self._run(message, self._session(message)))
             self.running.add(task)
             task.add_done_callback(self.running.discard)
         elif isinstance(message, EndTransaction):
@@ -199,8 +201,9 @@
         else:
             self._send(self._status())
 
-    async def _run(self, message: RunStatement) -> None:
-        session = self._session(message)
+    async def _run(
+        self, message: RunStatement, session: StatementSession | None
+    ) -> None:
         if session is None:
             # The transaction was opened before this process started.
             error = rolled_back_error("its home does not know it any more")
@@ -215,12 +218,33 @@
             outcome = Outcome(message.number, session.state, answer=answer)
         except ProxyError as error:
             outcome = _failed(message.number, session.state, error)
+        except Exception as unexpected:
+            outcome = await self._abandon(message, session, unexpected)
         if session.state is TransactionState.IDLE:
             self.transactions.pop(message.seat, None)
         self._send(
             msgspec.structs.replace(outcome, position=session.session_state.position)
         )
 
+    async def _abandon(
+        self, message: RunStatement, session: StatementSession, unexpected: Exception
+    ) -> Outcome:
+        """End a session after an unexpected error; return its statement's outcome."""
+        reason = repr(unexpected)
+        _log.error(
+            "statement_error",
+            alarm=1,
+            id=message.request.id.decode("latin-1"),
+            database=message.database,
+            reason=reason,
+        )
+        await session.close()
+        self.transactions.pop(message.seat, None)
+        in_transaction = message.seat != NO_TRANSACTION
+        state = TransactionState.FAILED if in_transaction else TransactionState.IDLE
+        error = ProxyError(ErrorKind.INTERNAL, {"reason": reason})
+        return _failed(message.number, state, error)
+
     def _send(self, message: FromHome) -> None:
         self.stream.write_frame(encode(message))
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Reads KNOWN-RED.txt: tests that fail for a fault that is listed and not yet mended."""
+"""Reads KNOWN-RED.txt: tests that fail for a listed fault that is not yet mended."""
 
 from __future__ import annotations
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -163,6 +163,11 @@
             b"[]",
             b'{"service":"s"}',
             b'{"service":"s","address":"x","zone":"z","slots":3,"state":"ready"}',
+            b'{"service":"s","address":"10.0.0.1:99999","zone":"z","slots":3,'
+            b'"state":"ready"}',
+            b'{"service":"s","address":"10.0.0.1:-1","zone":"z","slots":3,'
+            b'"state":"ready"}',
+            b'{"service":"s","address":"a.b:2","zone":"z","slots":3,"state":"ready"}',
             b'{"service":"s","address":"1:2","zone":"z","slots":"3","state":"ready"}',
             b'{"service":"s","address":"1:2","zone":"z","slots":3,"state":"odd"}',
         ],
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -11,9 +11,10 @@
 from test_gateway import kind_of, table
 
 from celeryjunction.dispatch.dispatcher import Dispatcher
-from celeryjunction.errors import ErrorKind, ProxyError
+from celeryjunction.errors import ErrorKind, ProxyError, Ran
 from celeryjunction.gateway.gateway import Gateway
 from celeryjunction.gateway.routes import Consistency, RouteTable
+from celeryjunction.gateway.session import SessionState, StatementSession
 from celeryjunction.gateway.statements import (
     Begin,
     Commit,
@@ -43,6 +44,8 @@
     TransactionState,
 )
 
+OUTCOME_LIMIT_S = 0.5
+"""Limit of an outcome that takes no work; the route's time-out is 0.8 s."""
 LIMIT_S = 5.0
 """Time-out for operations that take milliseconds on an idle machine."""
 TEXTS = {Read: b"READ 1", Write: b"WRITE 1 x", Commit: b"COMMIT"}
@@ -399,6 +402,33 @@
         assert outcome is ErrorKind.SHUTTING_DOWN
         await site.until(lambda: not site.open_at_homes)
 
+    async def test_a_transaction_that_ends_at_once_leaves_nothing_open(
+        self, site: Site
+    ) -> None:
+        """Guards against a transaction that stays open at a home after its end.
+
+        The home reads `BEGIN` and the end in one go when the client leaves at once.
+        Such a transaction would delay the home's drain until the grace time ends.
+        """
+        link = site.links[0]
+        number = link.start_transaction()
+        begin = Request(b"q1", b"BEGIN", Begin(False), site.homes[0].clock.monotonic())
+        running = asyncio.create_task(
+            link.run(
+                begin,
+                database="primary",
+                transaction=number,
+                state=SessionState(),
+                timeout=LIMIT_S,
+            )
+        )
+        await asyncio.sleep(0)
+        link.end_transaction(number)
+        await running
+        home = next(vm for vm in site.homes if vm.name == link.vm)
+        await site.until(lambda: not home.server.busy)
+        assert site.open_at_homes == 0
+
 
 class TestHomeLink:
     async def test_a_silent_home_is_abandoned(self, site: Site) -> None:
@@ -479,6 +509,23 @@
         site.links[0]._stream.write_frame(b"\x93nonsense")
         assert (await site.run(site.session(), Read())).fault is None
 
+    async def test_an_unexpected_error_is_answered_and_ends_only_its_statement(
+        self, site: Site, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a client that waits until its time-out for an outcome."""
+
+        async def fail(*_: object) -> None:
+            raise KeyError("scripted")
+
+        session = site.session()
+        with monkeypatch.context() as patch:
+            patch.setattr(StatementSession, "execute", fail)
+            with pytest.raises(ProxyError) as caught:
+                async with asyncio.timeout(OUTCOME_LIMIT_S):
+                    await site.run(session, Write())
+        assert caught.value.spec.ran is not Ran.NO
+        assert (await site.run(session, Read())).fault is None
+
 
 class TestProofs:
     async def test_the_home_takes_its_own_time_for_proofs(self, site: Site) -> None:
