--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -29,6 +29,7 @@
 from celeryjunction.metrics import Metrics
 from celeryjunction.ports import Clock, KeyValueStore
 from celeryjunction.reach import EndpointContact, is_cut_off
+from celeryjunction.readiness import GroupView, Readiness
 from celeryjunction.relay.home_link import HomeLink
 from celeryjunction.relay.home_server import HomeServer
 from celeryjunction.relay.homes import HomeSelector
@@ -56,8 +57,8 @@
 """A draining primary gets no new statements from this long before the platform's bound:
 the register is listed only once a second, and statements spend time in transit."""
 MAX_PROOF_AGE_S = 1.5
-"""A group whose primary was last proven longer ago does not count as served: two
-samples have failed."""
+"""A primary that was last proven longer ago, or a group whose endpoints last answered
+longer ago, counts as lost: two samples have failed."""
 MIN_LINKS = 2
 """Connections that each VM may open at an endpoint, however many VMs there are."""
 NON_HOME_IDLE_TIMEOUT_S = 1.5
@@ -167,6 +168,7 @@
         self._frontend: Frontend | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._draining = False
+        self._readiness = Readiness()
         self._was_ready: bool | None = None
         self._was_isolated = False
         self._failed_checks = 0
@@ -354,35 +356,35 @@
 
     @property
     def ready(self) -> bool:
-        """Whether to accept new clients: at least half of the groups must be served."""
-        gateway = self.gateway
+        """Whether to ask the balancer for new clients."""
+        table = self.gateway.table
         synced = self._register.synced.is_set()
-        if self._draining or gateway.table is None or not synced or self._is_isolated:
+        if self._draining or table is None or not synced or self._is_isolated:
             return False
-        oldest = self._clock.monotonic() - MAX_PROOF_AGE_S
-        groups = [gateway.groups[name] for name in gateway.table.groups]
-        served = sum(
-            group.proven_at >= oldest or self._homes.is_primary_proven(group.name)
-            for group in groups
+        now = self._clock.monotonic()
+        groups = [self._view_group(name, now) for name in table.groups]
+        return self._readiness.is_ready(groups, now=now)
+
+    def _view_group(self, name: str, now: float) -> GroupView:
+        group, oldest = self.gateway.groups[name], now - MAX_PROOF_AGE_S
+        return GroupView(
+            is_reached=group.reached_at >= oldest or self._homes.is_reached(name),
+            is_proven=group.proven_at >= oldest or self._homes.is_primary_proven(name),
         )
-        return bool(groups) and 2 * served >= len(groups)
 
     def _home_status(self) -> HomeStatus:
         """Return the status for the VMs that forward statements to this home."""
         oldest = self._clock.monotonic() - MAX_PROOF_AGE_S
-        served = [
-            name
-            for name, group in self.gateway.groups.items()
-            if group.proven_at >= oldest
-        ]
+        groups = self.gateway.groups.items()
         table = self.gateway.table
         return HomeStatus(
-            served,
+            [name for name, group in groups if group.proven_at >= oldest],
             self._reaches_no_zone,
             self._draining,
             routes_version=table.version if table is not None else 0,
             endpoints_version=self._register.version,
             endpoints_age_s=self._register.age_s,
+            reached=[name for name, group in groups if group.reached_at >= oldest],
         )
 
     @property
--- a/src/celeryjunction/relay/homes.py
+++ b/src/celeryjunction/relay/homes.py
@@ -158,6 +158,13 @@
             for link in self._links_for(group)
         )
 
+    def is_reached(self, group: str) -> bool:
+        """Whether an endpoint of the group recently answered a usable home."""
+        return any(
+            link.usable and group in (*link.status.reached, *link.status.served)
+            for link in self._links_for(group)
+        )
+
     @property
     def is_forwarding_only(self) -> bool:
         """Whether this VM is home of no group and reaches a home.
--- a/src/celeryjunction/relay/messages.py
+++ b/src/celeryjunction/relay/messages.py
@@ -79,6 +79,8 @@
     """Version of the home's list of endpoints; it increases with each change."""
     endpoints_age_s: float = 0.0
     """Seconds since the endpoint register confirmed that list."""
+    reached: list[str] = []
+    """Groups of which an endpoint recently answered the home."""
 
 
 class EndpointList(msgspec.Struct, frozen=True, array_like=True, tag="endpoints"):
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -158,6 +158,11 @@
         """Return the send time of the last command that the endpoint answered, or 0."""
         return self._last_contact.get(endpoint, 0.0)
 
+    @property
+    def reached_at(self) -> float:
+        """Send time of the last command that any endpoint answered; seconds, or 0."""
+        return max(map(self.last_contact_at, self.endpoints), default=0.0)
+
     def record_answer(
         self, endpoint: str, position: LogPosition | None, *, sent_at: float
     ) -> None:
