--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -170,7 +170,7 @@
         control = self._control(info.id)
         if control is None or not self._group.has_ended(info, control):
             return False
-        self._roster.remove_member(info.id)
+        self._roster.remove_member(info)
         return True
 
     def _control(self, endpoint: str) -> ControlLink | None:
--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -71,6 +71,7 @@
         self._roster = roster
         self._roster_write_at = 0.0
         self._drained_check_at = 0.0
+        self._probed_members: set[str] = set()
         self._monitor_count = monitor_count
         self._is_monitor = is_monitor
         self._should_hand_over = should_hand_over
@@ -193,19 +194,33 @@
             await self._roster.write()
 
     async def _check_drained_members(self) -> None:
-        """Remove the members that drained and whose process has ended."""
+        """Remove the members that drained and whose process has ended.
+
+        A member is probed as soon as the register drops it, since its zone may be cut
+        off later.
+        """
         now = self._clock.monotonic()
-        if now < self._drained_check_at:
+        absent = self._roster.absent_drained_members()
+        names = {member.id for member in absent}
+        is_new = not names <= self._probed_members
+        self._probed_members = names
+        if not absent or (now < self._drained_check_at and not is_new):
             return
         self._drained_check_at = now + DRAINED_CHECK_INTERVAL_S * self._random.uniform(
             0.8, 1.2
         )
-        for member in self._roster.absent_drained_members():
+        for member in absent:
             control = ControlLink(member, dialer=self._dialer, clock=self._clock)
-            await control.ask()
+            # A refusal counts only beside an answer from the member's zone.
+            neighbours = [
+                name
+                for name, info in self._group.endpoints.items()
+                if info.zone == member.zone
+            ]
+            await asyncio.gather(control.ask(), *map(self._group.ask, neighbours))
             control.close()
             if self._group.has_ended(member, control):
-                self._roster.remove_member(member.id)
+                self._roster.remove_member(member)
 
     def _record_primary(self, primary: str, started: float) -> None:
         """Tell the detector what the check that began at `started` found."""
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from zlib import crc32
 
 from celeryjunction.errors import ErrorKind, ProxyError
@@ -53,7 +53,10 @@
 
 
 class ReplicationGroup:
-    """Endpoints of one group, its primary and term, and the evidence for these."""
+    """Endpoints of one group, its primary and term, and the evidence for these.
+
+    `has_left` returns whether the register shows that a drained endpoint left.
+    """
 
     def __init__(
         self,
@@ -65,7 +68,9 @@
         vm: str = "",
         roster: GroupRoster | None = None,
         idle_pool: IdleConnectionPool | None = None,
+        has_left: Callable[[EndpointInfo], bool] = lambda info: False,
     ) -> None:
+        self._has_left = has_left
         self.name = name
         self.term = 0
         self.primary: str | None = None
@@ -274,14 +279,15 @@
         await asyncio.gather(*answering)
 
     def has_ended(self, info: EndpointInfo, control: ControlLink) -> bool:
-        """Whether a drained endpoint no longer runs, judged by its control's failure.
+        """Whether a drained endpoint no longer runs.
 
-        A partition may refuse connections as well, so a refusal counts only if the
-        register dropped the entry and another endpoint of that zone answered recently.
+        The register may show it, or the failure of `control`. A partition may refuse
+        connections as well, so a refusal counts only if the register dropped the entry
+        and another endpoint of that zone answered recently.
         """
         if not info.draining:
             return False
-        if control.failure == ENDPOINT_REPLACED:
+        if self._has_left(info) or control.failure == ENDPOINT_REPLACED:
             return True
         oldest = self._clock.monotonic() - RECENT_CONTACT_S
         return (
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -6,7 +6,8 @@
 together with the primary. VMs forget what they saw when they restart. The members of a
 term are therefore recorded in the store as they are seen. A member is removed once it
 drained and its process was found to have ended, or after an absence of
-`ABSENCE_LIMIT_S`.
+`ABSENCE_LIMIT_S`. Removed members are recorded too, because other VMs would otherwise
+add them again from what they saw, and a VM that restarts would wait for them.
 """
 
 from __future__ import annotations
@@ -42,6 +43,12 @@
     term: int = 0
     primary: str = ""
     members: tuple[EndpointInfo, ...] = ()
+    departed: tuple[tuple[str, int], ...] = ()
+    """Members of this term that ended: id and start time of the process, in ms."""
+
+
+def _process_key(member: EndpointInfo) -> tuple[str, int]:
+    return member.id, member.started_ms
 
 
 class GroupRoster:
@@ -50,8 +57,9 @@
     __slots__ = (
         "_absent_since",
         "_clock",
-        "_ended",
+        "_departed",
         "_key",
+        "_registered",
         "_seen",
         "_store",
         "_stored_roster",
@@ -63,7 +71,8 @@
         self._clock = clock
         self._stored_roster: Roster | None = None
         self._seen = Roster()
-        self._ended: set[str] = set()
+        self._departed: set[tuple[str, int]] = set()
+        self._registered: set[tuple[str, int]] = set()
         self._absent_since: dict[str, float] = {}
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
@@ -82,7 +91,10 @@
 
         `registered` are the entries that the register has now.
         """
+        self._registered = set(map(_process_key, registered.values()))
         self._record_absent(registered)
+        if term > self._seen.term:
+            self._departed.clear()
         merged = {} if term > self._seen.term else _by_id(self._seen)
         stored = self._stored_roster
         if stored is not None and stored.term == term:
@@ -91,15 +103,22 @@
         remaining = {
             name: member
             for name, member in merged.items()
-            if not self._is_removed(name)
+            if not self._is_removed(member)
         }
         current_primary = primary or (
             self._seen.primary if term == self._seen.term else ""
         )
         self._seen = Roster(
-            term, current_primary, tuple(remaining[name] for name in sorted(remaining))
+            term,
+            current_primary,
+            tuple(remaining[name] for name in sorted(remaining)),
+            self._departed_members,
         )
 
+    @property
+    def _departed_members(self) -> tuple[tuple[str, int], ...]:
+        return tuple(sorted(self._departed))
+
     def _record_absent(self, registered: dict[str, EndpointInfo]) -> None:
         now = self._clock.monotonic()
         for member in self._seen.members:
@@ -108,7 +127,6 @@
                 self._absent_since.setdefault(member.id, now)
             else:
                 self._absent_since.pop(member.id, None)
-                self._ended.discard(member.id)
         self._seen = msgspec.structs.replace(
             self._seen,
             members=tuple(registered.get(m.id, m) for m in self._seen.members),
@@ -131,20 +149,24 @@
         return [
             member
             for member in self._seen.members
-            if member.draining and member.id in self._absent_since
+            if member.draining
+            and member.id in self._absent_since
+            and not self._is_removed(member)
         ]
 
-    def remove_member(self, name: str) -> None:
+    def remove_member(self, member: EndpointInfo) -> None:
         """Remove a drained member that has ended: its log no longer exists."""
-        self._ended.add(name)
-        _log.info("member_struck_off", entry=self._key, endpoint=name)
+        self._departed.add(_process_key(member))
+        _log.info("member_struck_off", entry=self._key, endpoint=member.id)
 
-    def _is_removed(self, name: str) -> bool:
-        since = self._absent_since.get(name)
+    def _is_removed(self, member: EndpointInfo) -> bool:
+        since = self._absent_since.get(member.id)
         absent = (
             since is not None and self._clock.monotonic() - since >= ABSENCE_LIMIT_S
         )
-        return absent or name in self._ended
+        # A registered endpoint runs, whatever was concluded about it before.
+        key = _process_key(member)
+        return absent or (key in self._departed and key not in self._registered)
 
     @property
     def needs_write(self) -> bool:
@@ -157,6 +179,7 @@
         changed = {(member.id, member.draining) for member in stored.members} != {
             (member.id, member.draining) for member in seen.members
         }
+        changed = changed or not set(seen.departed) <= set(stored.departed)
         return changed or (bool(seen.primary) and stored.primary != seen.primary)
 
     async def read(self) -> Roster | None:
@@ -178,8 +201,20 @@
             _log.error("roster_ignored", alarm=1, entry=self._key, reason=str(error))
             roster = Roster()
         self._stored_roster = roster
+        self._record_departed(roster)
         return roster, item.revision
 
+    def _record_departed(self, stored: Roster) -> None:
+        """Remove the members of this term that other VMs found to have ended."""
+        if stored.term != self._seen.term:
+            return
+        self._departed |= set(stored.departed)
+        self._seen = msgspec.structs.replace(
+            self._seen,
+            members=tuple(m for m in self._seen.members if not self._is_removed(m)),
+            departed=self._departed_members,
+        )
+
     async def write(self) -> bool:
         """Store what this VM saw, unless it is there; return whether it is stored."""
         found = await self._read_revision()
@@ -215,13 +250,12 @@
         if stored.term < seen.term:
             return seen
         members = _by_id(stored) | _by_id(seen)
-        remaining = {
-            name: m for name, m in members.items() if not self._is_removed(name)
-        }
+        remaining = {name: m for name, m in members.items() if not self._is_removed(m)}
         return Roster(
             seen.term,
             seen.primary or stored.primary,
             tuple(remaining[name] for name in sorted(remaining)),
+            self._departed_members,
         )
 
     def endpoints_to_pause(
@@ -237,9 +271,7 @@
         if merged.term == term:
             needed = _by_id(merged) | needed
             needed.pop(merged.primary, None)
-        return {
-            name: info for name, info in needed.items() if not self._is_removed(name)
-        }
+        return needed
 
 
 def _by_id(roster: Roster) -> dict[str, EndpointInfo]:
