--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -72,6 +72,7 @@
         self._roster_write_at = 0.0
         self._drained_check_at = 0.0
         self._probed_members: set[str] = set()
+        self._member_check: asyncio.Task[None] | None = None
         self._monitor_count = monitor_count
         self._is_monitor = is_monitor
         self._should_hand_over = should_hand_over
@@ -86,6 +87,13 @@
 
     async def run(self) -> None:
         """Check the group periodically until cancelled."""
+        try:
+            await self._run()
+        finally:
+            if self._member_check is not None:
+                self._member_check.cancel()
+
+    async def _run(self) -> None:
         while True:
             check_now = self._group.check_requested.is_set()
             self._group.check_requested.clear()
@@ -180,7 +188,7 @@
             members=members,
             registered=group.endpoints,
         )
-        await self._check_drained_members()
+        self._start_member_check()
         now = self._clock.monotonic()
         if not self._roster.needs_write:
             self._roster_write_at = 0.0
@@ -193,6 +201,18 @@
             )
             await self._roster.write()
 
+    def _start_member_check(self) -> None:
+        """Check draining and drained members beside the checks of the primary.
+
+        Endpoints that are gone answer nothing, and a detection must not wait for them.
+        """
+        if self._member_check is None or self._member_check.done():
+            self._member_check = asyncio.create_task(self._check_members())
+
+    async def _check_members(self) -> None:
+        await self._group.watch_draining()
+        await self._check_drained_members()
+
     async def _check_drained_members(self) -> None:
         """Remove the members that drained and whose process has ended.
 
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -265,7 +265,6 @@
             vm=self._vm,
             roster=roster,
             idle_pool=dispatcher,
-            has_left=self._register.has_left,
         )
         dispatcher.on_stuck = lambda _: self._on_endpoint_stuck(group)
         self.gateway.groups[name] = group
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -67,7 +67,6 @@
             clock=clock,
             random=random,
             list_stale=store.list_stale,
-            heartbeat_s=settings.heartbeat_ms / 1000,
         )
         promotion_client = HttpClient(*split_address(settings.cloud_api.address))
         self.node = Node(
--- a/src/celeryjunction/platform/settings.py
+++ b/src/celeryjunction/platform/settings.py
@@ -60,7 +60,7 @@
     bounds: Bounds
     limits: Limits = Limits()
     heartbeat_ms: float = 1200.0
-    """Interval at which endpoints renew their register entries."""
+    """Interval at which endpoints renew their register entries; not used."""
     seeds: list[str] = []
     """Not used: other VMs are found in the store."""
     internal_port_range: list[int] = []
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
+from math import inf
 from zlib import crc32
 
 from celeryjunction.errors import ErrorKind, ProxyError
@@ -46,6 +47,9 @@
 RECENT_CONTACT_S = 0.3
 """An answer to a command sent within this time is recent: the primary need not be asked
 for its position, and the endpoint's zone counts as reachable."""
+REFUSAL_MEMORY_S = 3.0
+"""A refused connection counts this long. The register shows an end within about 1 s,
+but drops an endpoint that is cut off from it only after 3 heartbeats of silence."""
 PRIMARY_POLL_INTERVAL_S = 0.05
 """Interval at which endpoints are asked while a promotion is expected to finish."""
 
@@ -53,10 +57,7 @@
 
 
 class ReplicationGroup:
-    """Endpoints of one group, its primary and term, and the evidence for these.
-
-    `has_left` returns whether the register shows that a drained endpoint left.
-    """
+    """Endpoints of one group, its primary and term, and the evidence for these."""
 
     def __init__(
         self,
@@ -68,9 +69,7 @@
         vm: str = "",
         roster: GroupRoster | None = None,
         idle_pool: IdleConnectionPool | None = None,
-        has_left: Callable[[EndpointInfo], bool] = lambda info: False,
     ) -> None:
-        self._has_left = has_left
         self.name = name
         self.term = 0
         self.primary: str | None = None
@@ -103,6 +102,8 @@
         self._expected_term = 0
         self._has_evidence = True
         self._last_contact: dict[str, float] = {}
+        self._refused_at: dict[tuple[str, int], float] = {}
+        """When draining endpoints last refused a connection, by process."""
         self._primary_answer: tuple[float, LogPosition] | None = None
         self.sampled_at = 0.0
         """Instant that the newest entry of the history covers; seconds."""
@@ -281,23 +282,54 @@
     def has_ended(self, info: EndpointInfo, control: ControlLink) -> bool:
         """Whether a drained endpoint no longer runs.
 
-        The register may show it, or the failure of `control`. A partition may refuse
-        connections as well, so a refusal counts only if the register dropped the entry
-        and another endpoint of that zone answered recently.
+        A partition may refuse connections as well, so a refusal counts only if another
+        endpoint of that zone answered at the time, and only once the register dropped
+        the entry. The register follows the end by a moment, after which the machine
+        may be gone and answer nothing.
         """
         if not info.draining:
             return False
-        if self._has_left(info) or control.failure == ENDPOINT_REPLACED:
+        if control.failure == ENDPOINT_REPLACED:
             return True
-        oldest = self._clock.monotonic() - RECENT_CONTACT_S
-        return (
-            control.failure == CONNECTION_REFUSED
-            and info.id not in self.endpoints
-            and any(
-                other.zone == info.zone and self.last_contact_at(name) >= oldest
-                for name, other in self.endpoints.items()
-            )
-        )
+        if control.failure == CONNECTION_REFUSED:
+            self.record_refusal(info)
+        refused_at = self._refused_at.get((info.id, info.started_ms), -inf)
+        is_recent = self._clock.monotonic() - refused_at <= REFUSAL_MEMORY_S
+        return is_recent and info.id not in self.endpoints
+
+    def record_refusal(self, info: EndpointInfo) -> None:
+        """Record that a draining endpoint refused a connection, unless its zone did."""
+        now = self._clock.monotonic()
+        if any(
+            other.zone == info.zone
+            and name != info.id
+            and self.last_contact_at(name) >= now - RECENT_CONTACT_S
+            for name, other in self.endpoints.items()
+        ):
+            oldest = now - REFUSAL_MEMORY_S
+            kept = {key: at for key, at in self._refused_at.items() if at >= oldest}
+            self._refused_at = kept | {(info.id, info.started_ms): now}
+
+    async def watch_draining(self) -> None:
+        """Notice the end of draining endpoints, whose connections then close.
+
+        A draining endpoint without an open connection is asked, beside the others of
+        its zone. Its process may be found to have ended only for a moment.
+        """
+        for name, info in list(self.endpoints.items()):
+            control = self.controls.get(name)
+            if not info.draining or control is None or control.open_s:
+                continue
+            await asyncio.gather(self.ask(name), *map(self.ask, self._neighbours(info)))
+            if control.failure == CONNECTION_REFUSED:
+                self.record_refusal(info)
+
+    def _neighbours(self, info: EndpointInfo) -> list[str]:
+        return [
+            name
+            for name, other in self.endpoints.items()
+            if other.zone == info.zone and name != info.id
+        ]
 
     # Evidence for the primary
 
--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -21,7 +21,6 @@
     StoreRefused,
     StoreUnavailable,
 )
-from celeryjunction.replication.departures import Departures
 from celeryjunction.replication.ports import EndpointInfo
 
 POLL_INTERVAL_S = 1.0
@@ -49,11 +48,7 @@
 
 
 class EndpointRegister:
-    """Polls the register and keeps the last known entries while it is unavailable.
-
-    `heartbeat_s` is the interval of the endpoints' heartbeats; with 0, no endpoint is
-    known to have left.
-    """
+    """Polls the register and keeps the last known entries while it is unavailable."""
 
     def __init__(
         self,
@@ -64,7 +59,6 @@
         clock: Clock,
         random: Random,
         list_stale: ListStale | None = None,
-        heartbeat_s: float = 0.0,
     ) -> None:
         self.endpoints: dict[str, EndpointInfo] = {}
         self.draining_since: dict[str, float] = {}
@@ -83,7 +77,6 @@
         self._listeners: list[OnEndpoints] = []
         self._ignored: dict[str, str] = {}
         self._peer_list_until = 0.0
-        self._departures = Departures(heartbeat_s=heartbeat_s)
         self.version = 0
         """Grows with each change of the endpoints."""
 
@@ -149,7 +142,6 @@
             if self._available_since:
                 _log.warning("register_unavailable", reason=str(error))
             self._available_since = 0.0
-            self._departures.record_outage()
             return False
         now = self._clock.monotonic()
         if stale_list is None:
@@ -159,41 +151,11 @@
         if not self._available_since or now - self._answered_at > UNAVAILABLE_AFTER_S:
             _log.info("register_available", revision=listed.revision)
             self._available_since = now
-            self._departures.record_outage()
         self._answered_at = now
         self._revision = listed.revision
-        self._record_departures(
-            listed, requested_at=started, received_at=now, stale=stale_list is not None
-        )
         self._process_items(listed.items, now)
         return True
 
-    def has_left(self, info: EndpointInfo) -> bool:
-        """Whether a drained endpoint left, as opposed to being cut off or silent."""
-        return self._departures.has_left(info)
-
-    def _record_departures(
-        self,
-        listed: KeyValueList,
-        *,
-        requested_at: float,
-        received_at: float,
-        stale: bool,
-    ) -> None:
-        left = self._departures.record_list(
-            {
-                item.key.removeprefix(self._prefix): item.revision
-                for item in listed.items
-            },
-            previous=self.endpoints,
-            list_revision=listed.revision,
-            requested_at=requested_at,
-            received_at=received_at,
-            linearizable=not stale,
-        )
-        for info in left:
-            _log.info("endpoint_left", endpoint=info.id, revision=listed.revision)
-
     def _process_items(self, items: tuple[KeyValue, ...], now: float) -> None:
         found: dict[str, EndpointInfo] = {}
         for item in items:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from itertools import pairwise
 from random import Random
 
 import pytest
@@ -11,6 +12,7 @@
 from msgspec.structs import replace
 from replicated_fakes import FakeCluster, FakeEndpoint, FakeStore
 
+from celeryjunction.failover import supervisor
 from celeryjunction.failover.claims import CLAIM_PREFIX, LEASE_S, Claims
 from celeryjunction.failover.coordinator import Coordinator
 from celeryjunction.failover.detector import (
@@ -22,6 +24,7 @@
 from celeryjunction.failover.selection import choose_replica
 from celeryjunction.failover.supervisor import Supervisor
 from celeryjunction.failover.suspicions import Suspicions
+from celeryjunction.replication.control import ASK_TIMEOUT_S
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import (
     EndpointInfo,
@@ -50,19 +53,13 @@
         *,
         monitor_count: int = 1,
         should_hand_over: Callable[[Vm], bool] = lambda vm: False,
-        left: set[str] | None = None,
     ) -> None:
         clock = ManualClock()
         random = Random(name)
         self.cluster = cluster
         self.roster = GroupRoster("g", store, clock=clock)
         self.group = ReplicationGroup(
-            "g",
-            zone="a",
-            dialer=cluster,
-            clock=clock,
-            roster=self.roster,
-            has_left=lambda info: info.id in (left or ()),
+            "g", zone="a", dialer=cluster, clock=clock, roster=self.roster
         )
         self.group.update_endpoints(cluster.infos)
         self.claims = Claims(store, vm=name, clock=clock)
@@ -476,6 +473,13 @@
         await vm.stop()
 
 
+class FakeClaims:
+    """Claims whose `acquire` is scripted."""
+
+    def __init__(self, acquire: Callable[[str], Awaitable[None]]) -> None:
+        self.acquire = acquire
+
+
 class TestDepartedMembers:
     """Members that were replaced by plan must not hold up a later failover."""
 
@@ -497,20 +501,25 @@
     def remaining(cluster: FakeCluster) -> dict[str, EndpointInfo]:
         return {name: info for name, info in cluster.infos.items() if name != "a1"}
 
-    async def test_one_that_left_before_its_zone_was_cut_off_is_not_needed(
+    async def test_one_whose_machine_is_gone_is_not_needed(
         self, cluster: FakeCluster, store: FakeStore
     ) -> None:
         """Guards against a group without a primary for as long as a cut lasts.
 
-        Seen on trouble-1 of tianyuan-hq: the former primary ended right before the
-        zone was cut off, so that nobody could find its port closed.
+        Seen on trouble-1 of tianyuan-hq: the former primary refused connections for a
+        moment when its process ended. When the register dropped it, its machine was
+        gone and answered nothing.
         """
-        left: set[str] = set()
-        vm = Vm(cluster, store, left=left)
+        cluster.endpoints["a2"] = FakeEndpoint("a2", zone="a")
+        vm = Vm(cluster, store)
         primary = await self.hand_over(cluster, vm)
-        left.add("a1")
-        cluster["a1"].silent = cluster[primary].silent = True
+        cluster["a1"].refusing = True
+        cluster["a1"].restart()
+        await asyncio.sleep(0.5)
+        cluster["a1"].refusing, cluster["a1"].silent = False, True
         vm.group.update_endpoints(self.remaining(cluster))
+        await asyncio.sleep(1.0)
+        cluster[primary].silent = True
         assert await wait_for_term(vm, 3)
         await vm.stop()
 
@@ -533,17 +542,52 @@
         self, cluster: FakeCluster, store: FakeStore
     ) -> None:
         """Guards against a probe that comes after the zone was cut off."""
+        cluster.endpoints["a2"] = FakeEndpoint("a2", zone="a")
         vm = Vm(cluster, store)
         await self.hand_over(cluster, vm)
         cluster["a1"].refusing = True
-        cluster.endpoints["a2"] = FakeEndpoint("a2", zone="a")
-        cluster["a2"].term = 2
         vm.group.update_endpoints(self.remaining(cluster))
         vm.group.refresh_soon()
         await asyncio.sleep(0.15)
         assert not vm.roster.absent_drained_members()
         await vm.stop()
 
+    async def test_a_silent_one_does_not_delay_the_detection(
+        self, cluster: FakeCluster, store: FakeStore, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against checks of the primary that wait for a member that is gone.
+
+        Each probe of a silent member takes 0.3 s, and a check used to wait for it.
+        """
+        vm = Vm(cluster, store)
+        primary = await self.hand_over(cluster, vm)
+        cluster["a1"].silent = True
+        vm.group.update_endpoints(self.remaining(cluster))
+        # Probes at each check, so that the test does not depend on their phase.
+        monkeypatch.setattr(supervisor, "DRAINED_CHECK_INTERVAL_S", 0.01)
+        await asyncio.sleep(1.0)
+        started = asyncio.get_running_loop().time()
+        steps = []
+        claimed = asyncio.Event()
+        ask = vm.group.ask
+
+        async def record(endpoint: str) -> EndpointStatus | None:
+            if endpoint == primary and not claimed.is_set():
+                steps.append(asyncio.get_running_loop().time() - started)
+            return await ask(endpoint)
+
+        async def refuse_claim(group: str) -> None:
+            claimed.set()
+
+        vm.group.ask = record
+        vm.coordinator._claims = FakeClaims(refuse_claim)
+        cluster[primary].silent = True
+        async with asyncio.timeout(FAILOVER_LIMIT_S):
+            await claimed.wait()
+        gaps = [after - before for before, after in pairwise(steps)]
+        assert max(gaps) < 2 * ASK_TIMEOUT_S
+        await vm.stop()
+
 
 class TestSharedRoster:
     """Several VMs record the members of one term."""
