--- a/src/celeryjunction/failover/detector.py
+++ b/src/celeryjunction/failover/detector.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from celeryjunction.ports import Clock
+from celeryjunction.replication.control import REACHABLE
 from celeryjunction.replication.group import ReplicationGroup
-from celeryjunction.replication.ports import Fault, LogPosition
+from celeryjunction.replication.ports import LogPosition
 
 REFUSED_LIMIT_S = 0.25
 """A primary that refuses connections for this long is suspected: no process listens, or
@@ -16,10 +17,6 @@
 """Commits can't be acknowledged if they reach no replica for this long."""
 MIN_FAILURES = 2
 REFUSALS = frozenset({"ConnectionRefusedError", "ConnectionResetError"})
-OVERLOADED = frozenset({Fault.BUSY.value, Fault.TOO_MANY_CONNECTIONS.value})
-"""Failures that only a running endpoint reports: it has no capacity left."""
-REACHABLE = OVERLOADED | {""}
-"""Values of `ControlLink.failure` with which the endpoint runs and is reached."""
 IMMEDIATE_FAILURES = REFUSALS | {
     "the endpoint closed the connection",
     "closed while connecting",
--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -8,11 +8,11 @@
 from random import Random
 
 from celeryjunction.failover.coordinator import Coordinator
-from celeryjunction.failover.detector import OVERLOADED, PrimaryFailureDetector
+from celeryjunction.failover.detector import PrimaryFailureDetector
 from celeryjunction.failover.suspicions import Suspicions
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import Clock
-from celeryjunction.replication.control import ControlLink
+from celeryjunction.replication.control import OVERLOADED, ControlLink
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import Demote, EndpointDialer, LogPosition
 from celeryjunction.replication.roster import GroupRoster
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -18,7 +18,6 @@
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.failover.claims import Claims
 from celeryjunction.failover.coordinator import Coordinator
-from celeryjunction.failover.detector import REACHABLE
 from celeryjunction.failover.relief import should_hand_over
 from celeryjunction.failover.supervisor import Supervisor
 from celeryjunction.failover.suspicions import Suspicions
@@ -36,6 +35,7 @@
 from celeryjunction.relay.messages import EndpointList, HomeStatus
 from celeryjunction.relay.placement import is_crowded
 from celeryjunction.relay.session import ForwardingSession
+from celeryjunction.replication.control import REACHABLE
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import EndpointDialer, EndpointInfo, Promoter
 from celeryjunction.replication.register import EndpointRegister
@@ -226,6 +226,8 @@
             by_group.setdefault(info.group, {})[info.id] = info
         for name, endpoints in by_group.items():
             group = gateway.groups.get(name) or self._add_group(name)
+            settings = gateway.table.groups.get(name) if gateway.table else None
+            group.is_synchronous = settings is None or settings.synchronous_replicas > 0
             if endpoints != group.endpoints:
                 group.update_endpoints(endpoints)
                 if self._homes.is_home(name):
--- a/src/celeryjunction/replication/control.py
+++ b/src/celeryjunction/replication/control.py
@@ -27,6 +27,10 @@
 """Failure when no process accepts connections at the address."""
 ENDPOINT_REPLACED = Fault.WRONG_ENDPOINT.value
 """Failure when another process accepts connections at the address."""
+OVERLOADED = frozenset({Fault.BUSY.value, Fault.TOO_MANY_CONNECTIONS.value})
+"""Failures that only a running endpoint reports: it has no capacity left."""
+REACHABLE = OVERLOADED | {""}
+"""Values of `ControlLink.failure` with which the endpoint runs and is reached."""
 
 
 class IdleConnectionPool(Protocol):
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -19,6 +19,7 @@
 from celeryjunction.replication.control import (
     CONNECTION_REFUSED,
     ENDPOINT_REPLACED,
+    REACHABLE,
     ControlLink,
     IdleConnectionPool,
 )
@@ -73,6 +74,8 @@
         self.name = name
         self.term = 0
         self.primary: str | None = None
+        self.is_synchronous = True
+        """Whether a commit is acknowledged only after a replica received it."""
         self.is_monitored = True
         """Whether this VM monitors the group."""
         self.led_since = 0.0
@@ -96,6 +99,7 @@
         self._roster = roster
         self._idle_pool = idle_pool
         self._evidence_round: tuple[float, asyncio.Task[bool]] | None = None
+        self._sample_round: tuple[float, asyncio.Task[bool]] | None = None
         self._refresh: asyncio.Task[None] | None = None
         self._retries: dict[str, asyncio.Task[EndpointStatus | None]] = {}
         self._primary_found = asyncio.Event()
@@ -487,37 +491,74 @@
 
     # Freshness
 
-    async def sample(self) -> bool:
+    async def sample(self, *, covering: float = inf) -> bool:
         """Find evidence and the primary's position; return whether both were found.
 
-        The primary is asked only if it has not answered a statement recently.
+        The primary is asked only if it has not answered a statement recently. A sample
+        that is in progress is joined if it covers the instant `covering`, in seconds.
         """
-        started = self._clock.monotonic()
+        running = self._sample_round
+        if running is None or running[1].done() or running[0] < covering:
+            started = self._clock.monotonic()
+            running = (started, asyncio.create_task(self._sample(started)))
+            self._sample_round = running
+        return await asyncio.shield(running[1])
+
+    async def _sample(self, started: float) -> bool:
         primary, before = self.primary, self.sampled_at
         if primary is None:
             await self.refresh()
-            return await self._sample_without_primary(started)
+            return self._sample_replicas(started)
         if (
             self.last_contact_at(primary) < started - RECENT_CONTACT_S
             or self._primary_answer is None
         ):
-            await asyncio.gather(self.ask(primary), self._find_evidence(started))
+            asking = asyncio.create_task(self.ask(primary))
+            if self._is_failing(primary):
+                # Positions of the replicas suffice, and the primary may take the whole
+                # time limit not to answer.
+                found = await self._ask_replicas(started)
+                await asyncio.wait({asking})
+                return found or self.sampled_at > before
+            await asyncio.gather(asking, self._find_evidence(started))
         else:
             await self._find_evidence(started)
-        return self.sampled_at > before
+        if self.sampled_at > before:
+            return True
+        return self._is_failing(primary) and await self._ask_replicas(started)
 
-    async def _sample_without_primary(self, started: float) -> bool:
-        """Take a sample from the replicas alone, if all of the term's replicas answer.
+    def _is_failing(self, endpoint: str) -> bool:
+        control = self.controls.get(endpoint)
+        return control is not None and control.failure not in REACHABLE
 
-        Every acknowledged commit is at one of the replicas in the roster, so their
-        highest position covers all commits while none is paused for a later term.
+    async def _ask_replicas(self, started: float) -> bool:
+        """Ask the replicas that were not asked since `started`, and take a sample."""
+        names = [
+            name
+            for name in self._replicas_in_term()
+            if self.statuses.get(name, (-inf,))[0] < started
+        ]
+        await asyncio.gather(*map(self.ask, names))
+        return self._sample_replicas(started)
+
+    def _replicas_in_term(self) -> set[str]:
+        """Return the replicas that may hold acknowledged commits; empty if unknown."""
+        roster = self._roster
+        members = roster.replicas_in_term(self.term) if roster is not None else None
+        if not members:
+            return set()
+        primaries = {self.primary, roster.primary_in_term(self.term)}
+        return {*members, *self.endpoints} - primaries
+
+    def _sample_replicas(self, started: float) -> bool:
+        """Take a sample from the replicas alone, if all of the term answered.
+
+        With synchronous replicas, every acknowledged commit is at one of the replicas
+        in the roster, so their highest position covers all commits while none is paused
+        for a later term.
         """
-        members = (
-            self._roster.replicas_in_term(self.term)
-            if self._roster is not None
-            else None
-        )
-        if not self.term or not members:
+        members = self._replicas_in_term()
+        if not self.term or not members or not self.is_synchronous:
             return False
         entries = [self.statuses.get(name) for name in members]
         replicas = [entry[1] for entry in entries if entry and entry[0] >= started]
@@ -525,8 +566,9 @@
             return False
         if any(not self._confirms(status, self.term) for status in replicas):
             return False
-        self.sampled_at = started
-        self.history.add(started, max(s.received for s in replicas))
+        if started > self.sampled_at:
+            self.sampled_at = started
+            self.history.add(started, max(s.received for s in replicas))
         return True
 
     def position_covering(self, instant: float) -> LogPosition | None:
@@ -546,7 +588,7 @@
             position = self.position_covering(instant)
             if position is not None:
                 return position
-            if not await self.sample():
+            if not await self.sample(covering=instant):
                 now = self._clock.monotonic()
                 if now + EVIDENCE_RETRY_DELAY_S >= deadline:
                     raise ProxyError(
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -144,6 +144,11 @@
         members.pop(stored.primary, None)
         return list(members)
 
+    def primary_in_term(self, term: int) -> str | None:
+        """Return the stored primary of a term; None if it is not known."""
+        stored = self._stored_roster
+        return stored.primary if stored is not None and stored.term == term else None
+
     def absent_drained_members(self) -> list[EndpointInfo]:
         """Return the members that drained and that the register no longer lists."""
         return [
--- a/tests/_node_support.py
+++ b/tests/_node_support.py
@@ -69,7 +69,10 @@
     The primaries are in the first zone. `zones` are single letters.
     """
 
-    def __init__(self, *groups: str, zones: str = "abc") -> None:
+    def __init__(
+        self, *groups: str, zones: str = "abc", synchronous_replicas: int = 1
+    ) -> None:
+        self._synchronous_replicas = synchronous_replicas
         self.store = WatchedStore()
         self.groups = {
             group: FakeCluster(*(f"{zone}-{group}" for zone in zones))
@@ -135,7 +138,10 @@
             for group in self.groups
             for kind in Consistency
         )
-        settings = tuple(GroupSettings(group, 22, 1) for group in self.groups)
+        settings = tuple(
+            GroupSettings(group, 22, self._synchronous_replicas)
+            for group in self.groups
+        )
         return RouteTable(
             version=1, routes=routes, groups=settings, idle_transaction_s=3.0
         )
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,16 +9,23 @@
 from _node_support import Deployment
 from fakes import event_loop_policy  # noqa: F401
 
-from celeryjunction.replication.ports import PromotionResult
+from celeryjunction.errors import ErrorKind, ProxyError
+from celeryjunction.gateway.statements import Read, Request
+from celeryjunction.replication.ports import Fault, PromotionResult
 
+Outcome = ErrorKind | Fault | None
+
+VMS = ("vm-b", "vm-c")
 GROUPS = ("g1", "g2", "g3")
+OUTAGE_S = 6.0
+"""Longer than the staleness bound of the routes (1.5 s)."""
 
 
 @pytest.fixture
 async def deployment() -> AsyncIterator[Deployment]:
     deployment = Deployment(*GROUPS)
-    for name, zone in (("vm-b", "b"), ("vm-c", "c")):
-        await deployment.start_node(name, zone)
+    for name in VMS:
+        await deployment.start_node(name, name[-1])
     await asyncio.sleep(5)
     yield deployment
     await deployment.close()
@@ -34,6 +41,65 @@
     return seen
 
 
+async def read(deployment: Deployment, vm: str, database: str) -> Outcome:
+    """Read at a VM; return how that ended."""
+    session = deployment.nodes[vm].open_session(database)
+    arrived = asyncio.get_running_loop().time()
+    try:
+        answer = await session.execute(Request(b"q", b"READ 1", Read(), arrived))
+    except ProxyError as error:
+        return error.kind
+    finally:
+        await session.close()
+    return answer.fault
+
+
+class TestReadsWithoutPrimary:
+    """The store is unavailable, so a failed primary can't be replaced."""
+
+    @pytest.mark.parametrize("kind", ["bounded_staleness", "read_your_writes"])
+    @pytest.mark.parametrize("way", ["silent", "refusing"])
+    async def test_replicas_serve_reads(
+        self, deployment: Deployment, kind: str, way: str
+    ) -> None:
+        """Guards against refusing reads for an outage of the primary alone.
+
+        Seen on trouble-3 of tianyuan-hq: 420 reads were refused as not proven fresh,
+        although both replicas answered and the replicas together hold every commit.
+        """
+        deployment.store.unavailable = True
+        setattr(deployment.groups["g1"]["a-g1"], way, True)
+        outcomes = []
+        for _ in range(round(OUTAGE_S / 0.25)):
+            outcomes += [await read(deployment, vm, f"g1-{kind}") for vm in VMS]
+            await asyncio.sleep(0.25)
+        assert outcomes == [None] * len(outcomes)
+
+    async def test_without_synchronous_replicas_they_do_not(
+        self,
+    ) -> None:
+        """Guards against a read without a commit that only the primary has."""
+        deployment = Deployment("g1", synchronous_replicas=0)
+        await deployment.start_node("vm-b", "b")
+        await asyncio.sleep(5)
+        deployment.store.unavailable = True
+        deployment.groups["g1"]["a-g1"].silent = True
+        await asyncio.sleep(OUTAGE_S)
+        outcome = await read(deployment, "vm-b", "g1-bounded_staleness")
+        assert outcome is ErrorKind.FRESHNESS_UNPROVEN
+        await deployment.close()
+
+    async def test_a_silent_replica_may_have_a_commit(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.store.unavailable = True
+        for name in ("a-g1", "b-g1"):
+            deployment.groups["g1"][name].silent = True
+        await asyncio.sleep(OUTAGE_S)
+        outcome = await read(deployment, VMS[0], "g1-bounded_staleness")
+        assert outcome is ErrorKind.FRESHNESS_UNPROVEN
+
+
 class TestReadiness:
     async def test_nodes_are_ready_in_normal_operation(
         self, deployment: Deployment
