--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -228,6 +228,11 @@
         """Number of statements in the queue."""
         return len(self._waiting)
 
+    def unanswered_since(self, endpoint: str) -> float:
+        """Return since when a stuck endpoint answered nothing, seconds; 0 if not."""
+        gate = self.gates.get(endpoint)
+        return gate.unanswered_since if gate is not None else 0.0
+
     def update_endpoints(self, endpoints: dict[str, EndpointInfo]) -> None:
         """Set the endpoints that statements may be sent to.
 
@@ -439,6 +444,7 @@
         now = self._clock.monotonic()
         for gate in self.gates.values():
             if gate.is_stuck(now):
+                gate.record_stuck()
                 interrupted = gate.interrupt()
                 if interrupted:
                     _log.warning(
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -88,6 +88,7 @@
         "service_s",
         "shared",
         "slots_busy_elsewhere",
+        "unanswered_since",
     )
 
     def __init__(
@@ -129,6 +130,9 @@
         self._sent_at: dict[SentStatement, float] = {}
         self.answered_at = 0.0
         """Time of the last answer, seconds."""
+        self.unanswered_since = 0.0
+        """Since when no statement was answered, once the endpoint was found stuck;
+        seconds, 0 if it answers."""
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
         yield "id", self.info.id
@@ -256,6 +260,12 @@
         oldest = next(iter(self._sent_at.values()))
         return now - max(oldest, self.answered_at) >= STUCK_TIMEOUT_S
 
+    def record_stuck(self) -> None:
+        """Record that the endpoint was found stuck, before its statements end."""
+        if not self.unanswered_since and self._sent_at:
+            oldest = next(iter(self._sent_at.values()))
+            self.unanswered_since = max(oldest, self.answered_at)
+
     def interrupt(self) -> int:
         """Abort the interruptible statements by closing their connections.
 
@@ -270,6 +280,7 @@
     def record_answer(self) -> None:
         """Record that a statement was answered, whatever the answer was."""
         self.answered_at = self._clock.monotonic()
+        self.unanswered_since = 0.0
         self._failures = 0
         self._avoid_s = 0.0
 
@@ -342,3 +353,5 @@
         if sent_at > self._failed_at:
             self._failures = 0
             self.avoid_until = 0.0
+        if sent_at > self.unanswered_since:
+            self.unanswered_since = 0.0
--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -48,7 +48,9 @@
 
     `monitor_count` returns the number of VMs that monitor the group, this one included.
     While `is_monitor` returns false, other VMs monitor the group and this one sends no
-    commands. `should_hand_over` returns whether an overloaded primary should hand over.
+    commands. `should_hand_over` returns whether an overloaded primary should hand over,
+    `unanswered_since` since when an endpoint answered no statement (seconds, 0 if it
+    does).
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         monitor_count: Callable[[], int],
         is_monitor: Callable[[], bool] = lambda: True,
         should_hand_over: Callable[[], bool] = lambda: False,
+        unanswered_since: Callable[[str], float] = lambda endpoint: 0.0,
         dialer: EndpointDialer,
         clock: Clock,
         random: Random,
@@ -76,6 +79,7 @@
         self._monitor_count = monitor_count
         self._is_monitor = is_monitor
         self._should_hand_over = should_hand_over
+        self._unanswered_since = unanswered_since
         self._dialer = dialer
         self._clock = clock
         self._random = random
@@ -249,7 +253,11 @@
         failed = control is not None and control.failure
         since = started if failed else started - MAX_CONTACT_AGE_S
         answered = group.last_contact_at(primary) >= since
-        self._detector.record_check(primary, answered=answered, asked_at=started)
+        # Statements that were not answered show the failure before the first check.
+        unanswered_since = self._unanswered_since(primary) or started
+        self._detector.record_check(
+            primary, answered=answered, asked_at=min(started, unanswered_since)
+        )
         latest = group.statuses.get(primary)
         if latest is None or latest[0] < started:
             return
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -415,7 +415,9 @@
         deadline = pending.queue_deadline
         if route.consistency is Consistency.PRIMARY:
             pending.required_endpoint = await group.proven_primary(
-                since=since, deadline=deadline
+                since=since,
+                deadline=deadline,
+                promotion_deadline=pending.arrived + route.timeout_s,
             )
             return None
         position = await group.covered_position(
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -301,6 +301,7 @@
             monitor_count=lambda: self._homes.home_count(group.name),
             is_monitor=lambda: self._homes.is_home(group.name),
             should_hand_over=lambda: self._should_hand_over(group),
+            unanswered_since=self.gateway.dispatchers[group.name].unanswered_since,
             dialer=self._dialer,
             clock=self._clock,
             random=self._random,
--- a/src/celeryjunction/replication/control.py
+++ b/src/celeryjunction/replication/control.py
@@ -69,7 +69,9 @@
         "_lock",
         "_used_at",
         "failed_at",
+        "failing_since",
         "failure",
+        "failures",
         "info",
     )
 
@@ -87,6 +89,10 @@
         """Why the last command got no answer; empty when it got one."""
         self.failed_at = 0.0
         """When a command last got no answer; seconds."""
+        self.failures = 0
+        """Number of commands in a row without an answer."""
+        self.failing_since = 0.0
+        """When the first of these commands was sent; seconds."""
         self._dialer = dialer
         self._clock = clock
         self._link: EndpointLink | None = None
@@ -110,9 +116,12 @@
 
         None if no status came back within `timeout` seconds; `failure` has the reason.
         """
+        sent_at = self._clock.monotonic()
         try:
             async with asyncio.timeout(timeout), self._lock:
-                return await self._ask(command or AskStatus(), timeout)
+                status = await self._ask(command or AskStatus(), timeout)
+            self.failures = 0
+            return status
         except TimeoutError:
             self.failure = "silent"
         except ConnectionLost as error:
@@ -120,6 +129,11 @@
         except EndpointRefused as error:
             self.failure = error.fault.value
         self.failed_at = self._clock.monotonic()
+        if self.failure in REACHABLE:
+            self.failures = 0
+        else:
+            self.failing_since = self.failing_since if self.failures else sent_at
+            self.failures += 1
         return None
 
     async def _ask(self, command: Command, timeout: float) -> EndpointStatus | None:
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -23,6 +23,7 @@
     ControlLink,
     IdleConnectionPool,
 )
+from celeryjunction.replication.outage import Holding, hold_for_primary
 from celeryjunction.replication.ports import (
     NO_POSITION,
     EndpointDialer,
@@ -37,6 +38,9 @@
 have restarted and lost a pause. Longer than a promotion and its detection take."""
 HEDGE_DELAY_S = 0.04
 """The next replica is asked when none has given evidence for this long."""
+EVIDENCE_TIME_S = 0.1
+"""Time for the evidence of a new primary after its promotion was waited for. Evidence
+takes a round trip, and a little longer while the replicas join the new term."""
 EVIDENCE_RETRY_DELAY_S = 0.03
 """Pause between two attempts to find evidence."""
 MAX_PAUSE_STATUS_AGE_S = 1.5
@@ -340,23 +344,39 @@
     async def wait_for_primary(self, deadline: float) -> str:
         """Return the primary; wait for one that is expected before the deadline.
 
-        Raises `ProxyError` (not run) after one refresh when none is expected in time.
+        Raises `ProxyError` (not run) when none is expected in time, after the roles
+        were asked for once more.
         """
-        while self.primary is None:
+        while True:
             now = self._clock.monotonic()
-            if (
-                now >= deadline
-                or now >= self.primary_expected_at
-                or self.primary_expected_at > deadline
-            ):
-                # Ask for the roles once more before refusing the statement.
+            holding = hold_for_primary(
+                now=now,
+                deadline=deadline,
+                is_known=self.primary is not None,
+                failures=self._primary_failures,
+                expected_at=self.primary_expected_at,
+            )
+            if holding is Holding.SEND:
+                return self.primary
+            if holding is Holding.WAIT:
+                pause = min(deadline - now, PRIMARY_POLL_INTERVAL_S)
+                await self._poll_for_primary(pause)
+                continue
+            if self.primary is None:
                 self.refresh_soon()
                 await asyncio.wait({self._refresh}, timeout=max(0.0, deadline - now))
                 if self.primary is not None:
-                    break
-                raise self._no_primary_error()
-            await self._poll_for_primary(min(deadline - now, PRIMARY_POLL_INTERVAL_S))
-        return self.primary
+                    continue
+            raise self._no_primary_error()
+
+    @property
+    def _primary_failures(self) -> int:
+        """Number of requests in a row that the primary did not answer."""
+        primary = self.primary or ""
+        control = self.controls.get(primary)
+        if control is None or self.last_contact_at(primary) >= control.failing_since:
+            return 0
+        return control.failures
 
     async def _poll_for_primary(self, seconds: float) -> None:
         try:
@@ -368,14 +388,21 @@
     def _no_primary_error(self) -> ProxyError:
         return ProxyError(ErrorKind.NOT_RUN_NO_PRIMARY, {"database": self.name})
 
-    async def proven_primary(self, *, since: float, deadline: float) -> str:
+    async def proven_primary(
+        self, *, since: float, deadline: float, promotion_deadline: float = 0.0
+    ) -> str:
         """Return an endpoint with evidence that it was primary at `since` or later.
 
         All commits acknowledged before `since` are in its log. Raises `ProxyError`
-        (not run) when there is no primary or no evidence by the deadline.
+        (not run) when there is no primary or no evidence by the deadline. A promotion
+        in progress is waited for until `promotion_deadline`, if that is later.
         """
         while True:
-            await self.wait_for_primary(deadline)
+            if self.primary is None:
+                await self.wait_for_primary(max(deadline, promotion_deadline))
+                deadline = max(deadline, self._clock.monotonic() + EVIDENCE_TIME_S)
+            else:
+                await self.wait_for_primary(deadline)
             term = self.term
             found = await self._find_evidence(since)
             self._log_evidence_change(found)
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -10,7 +10,7 @@
 import pytest
 from fakes import ManualClock, event_loop_policy  # noqa: F401
 from msgspec.structs import replace
-from replicated_fakes import FakeCluster, FakeEndpoint, FakeStore
+from replicated_fakes import PROMOTION_S, FakeCluster, FakeEndpoint, FakeStore
 
 from celeryjunction.failover import supervisor
 from celeryjunction.failover.claims import CLAIM_PREFIX, LEASE_S, Claims
@@ -22,7 +22,7 @@
     PrimaryFailureDetector,
 )
 from celeryjunction.failover.selection import choose_replica
-from celeryjunction.failover.supervisor import Supervisor
+from celeryjunction.failover.supervisor import SUSPECT_INTERVAL_S, Supervisor
 from celeryjunction.failover.suspicions import Suspicions
 from celeryjunction.replication.control import ASK_TIMEOUT_S
 from celeryjunction.replication.group import ReplicationGroup
@@ -38,6 +38,8 @@
 MARGIN_S = 0.01
 """Covers the rounding of times."""
 
+ANSWER_LIMIT_S = 0.3
+"""Limit of the calls and commands of a failover, all of which are answered."""
 FAILOVER_LIMIT_S = 4.0
 """Detection (0.9 s), the calls and the promotion (1 s), with a second to spare."""
 
@@ -53,6 +55,7 @@
         *,
         monitor_count: int = 1,
         should_hand_over: Callable[[Vm], bool] = lambda vm: False,
+        unanswered_since: Callable[[], float] = lambda: 0.0,
     ) -> None:
         clock = ManualClock()
         random = Random(name)
@@ -80,6 +83,9 @@
             roster=self.roster,
             monitor_count=lambda: monitor_count,
             should_hand_over=lambda: should_hand_over(self),
+            unanswered_since=lambda endpoint: (
+                unanswered_since() if endpoint == "a1" and cluster["a1"].silent else 0.0
+            ),
             dialer=cluster,
             clock=clock,
             random=random,
@@ -122,6 +128,13 @@
     return EndpointStatus(False, 1, LogPosition(term, received), 2, lag_s, 0, 1)
 
 
+class ShortestPauses(Random):
+    """Draws the lower bound of each range."""
+
+    def uniform(self, a: float, b: float) -> float:
+        return a
+
+
 class TestChooseReplica:
     def test_chooses_the_replica_with_the_most_log(self, cluster: FakeCluster) -> None:
         chosen = choose_replica(
@@ -310,6 +323,31 @@
         for vm in vms:
             await vm.stop()
 
+    async def test_unanswered_statements_count_as_silence(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against a detection that starts over at the first status request.
+
+        Two status requests without an answer take about as long as the limit, so that
+        half of the time, with short pauses, a third one had to fail 0.4 s later.
+        """
+        silent_at: list[float] = []
+        vm = Vm(cluster, store, unanswered_since=lambda: silent_at[0])
+        vm.supervisor._random = ShortestPauses()
+        vm.run()
+        assert await wait_for_term(vm, 1)
+        await asyncio.sleep(3)
+        cluster["a1"].silent = True
+        loop = asyncio.get_running_loop()
+        silent_at.append(loop.time())
+        await asyncio.sleep(0.2)
+        vm.group.check_requested.set()
+        assert await wait_for_term(vm, 2)
+        requests = 2 * ASK_TIMEOUT_S + 1.2 * SUSPECT_INTERVAL_S
+        detected_s = loop.time() - silent_at[0] - PROMOTION_S
+        assert detected_s < 0.2 + requests + ANSWER_LIMIT_S
+        await vm.stop()
+
     async def test_a_primary_that_only_one_vm_suspects_is_not_replaced(
         self, cluster: FakeCluster, store: FakeStore
     ) -> None:
