--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -167,8 +167,7 @@
 
     def _remove_if_ended(self, info: EndpointInfo) -> bool:
         """Remove a drained member if its process has ended; return whether it has."""
-        control = self._control(info.id)
-        if control is None or not self._group.has_ended(info, control):
+        if not self._group.drain_watch.has_ended(info, self._control(info.id)):
             return False
         self._roster.remove_member(info)
         return True
--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -14,7 +14,12 @@
 from celeryjunction.ports import Clock
 from celeryjunction.replication.control import OVERLOADED, ControlLink
 from celeryjunction.replication.group import ReplicationGroup
-from celeryjunction.replication.ports import Demote, EndpointDialer, LogPosition
+from celeryjunction.replication.ports import (
+    Demote,
+    EndpointDialer,
+    EndpointInfo,
+    LogPosition,
+)
 from celeryjunction.replication.roster import GroupRoster
 
 CHECK_INTERVAL_S = 0.25
@@ -214,37 +219,49 @@
             self._member_check = asyncio.create_task(self._check_members())
 
     async def _check_members(self) -> None:
-        await self._group.watch_draining()
-        await self._check_drained_members()
+        await self._group.drain_watch.check()
+        if await self._check_drained_members():
+            await self._roster.write()
 
-    async def _check_drained_members(self) -> None:
+    async def _check_drained_members(self) -> bool:
         """Remove the members that drained and whose process has ended.
 
-        A member is probed as soon as the register drops it, since its zone may be cut
-        off later.
+        Returns whether one was removed. Members whose end was observed are removed as
+        soon as the register drops them, others are probed at once and then at times.
         """
-        now = self._clock.monotonic()
+        drain_watch = self._group.drain_watch
         absent = self._roster.absent_drained_members()
-        names = {member.id for member in absent}
+        ended = [member for member in absent if drain_watch.has_ended(member)]
+        unknown = [member for member in absent if member not in ended]
+        if unknown and self._is_probe_due(unknown):
+            ended += await self._probe(unknown)
+        for member in ended:
+            self._roster.remove_member(member)
+        return bool(ended)
+
+    def _is_probe_due(self, members: list[EndpointInfo]) -> bool:
+        now = self._clock.monotonic()
+        names = {member.id for member in members}
         is_new = not names <= self._probed_members
         self._probed_members = names
-        if not absent or (now < self._drained_check_at and not is_new):
-            return
+        if now < self._drained_check_at and not is_new:
+            return False
         self._drained_check_at = now + DRAINED_CHECK_INTERVAL_S * self._random.uniform(
             0.8, 1.2
         )
-        for member in absent:
+        return True
+
+    async def _probe(self, members: list[EndpointInfo]) -> list[EndpointInfo]:
+        """Probe drained members; return those that have ended."""
+        drain_watch = self._group.drain_watch
+        ended = []
+        for member in members:
             control = ControlLink(member, dialer=self._dialer, clock=self._clock)
-            # A refusal counts only beside an answer from the member's zone.
-            neighbours = [
-                name
-                for name, info in self._group.endpoints.items()
-                if info.zone == member.zone
-            ]
-            await asyncio.gather(control.ask(), *map(self._group.ask, neighbours))
+            await drain_watch.probe(member, control)
             control.close()
-            if self._group.has_ended(member, control):
-                self._roster.remove_member(member)
+            if drain_watch.has_ended(member, control):
+                ended.append(member)
+        return ended
 
     def _record_primary(self, primary: str, started: float) -> None:
         """Tell the detector what the check that began at `started` found."""
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -36,6 +36,7 @@
 from celeryjunction.relay.placement import is_crowded
 from celeryjunction.relay.session import ForwardingSession
 from celeryjunction.replication.control import REACHABLE
+from celeryjunction.replication.drain_watch import neighbours
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import EndpointDialer, EndpointInfo, Promoter
 from celeryjunction.replication.register import EndpointRegister
@@ -71,6 +72,8 @@
 FIRST_LIST_TIMEOUT_S = 1.0
 """Time that a starting VM waits for the first list of VMs; a call takes 4 ms. Without a
 list by then, the store is unavailable and the VM serves alone."""
+MAX_ZONE_REQUESTS = 3
+"""Endpoints that are asked to learn whether a zone is reached."""
 MAX_FAILED_CHECKS = 2
 """Failed checks in a row after which the balancer removes a VM."""
 
@@ -267,6 +270,7 @@
             vm=self._vm,
             roster=roster,
             idle_pool=dispatcher,
+            ask_zone=self._ask_zone,
         )
         dispatcher.on_stuck = lambda _: self._on_endpoint_stuck(group)
         self.gateway.groups[name] = group
@@ -274,6 +278,19 @@
         self.start_service("supervisor", self._new_supervisor(group, roster).run)
         return group
 
+    async def _ask_zone(self, info: EndpointInfo) -> bool:
+        """Whether another endpoint in the zone of `info`, of any group, answers now."""
+        others = neighbours(info, self._register.endpoints.values())
+        groups = self.gateway.groups
+        answers = await asyncio.gather(
+            *(
+                groups[other.group].ask(other.id)
+                for other in others[:MAX_ZONE_REQUESTS]
+                if other.group in groups
+            )
+        )
+        return any(answers)
+
     def _on_endpoint_stuck(self, group: ReplicationGroup) -> None:
         """Check at once whether the endpoint, its zone or this VM is cut off."""
         group.check_requested.set()
--- a/src/celeryjunction/replication/control.py
+++ b/src/celeryjunction/replication/control.py
@@ -68,6 +68,7 @@
         "_link",
         "_lock",
         "_used_at",
+        "_was_closed",
         "failed_at",
         "failing_since",
         "failure",
@@ -97,6 +98,7 @@
         self._clock = clock
         self._link: EndpointLink | None = None
         self._used_at = 0.0
+        self._was_closed = False
         self._lock = asyncio.Lock()
 
     @property
@@ -109,6 +111,16 @@
             )
         return self._clock.monotonic() - self._link.opened_at
 
+    @property
+    def was_closed(self) -> bool:
+        """Whether the endpoint closed the idle connection, and none is open since."""
+        return self._was_closed or self._is_closed
+
+    @property
+    def _is_closed(self) -> bool:
+        link = self._link
+        return link is not None and not link.usable and not self._lock.locked()
+
     async def ask(
         self, command: Command | None = None, *, timeout: float = ASK_TIMEOUT_S
     ) -> EndpointStatus | None:
@@ -141,6 +153,7 @@
         link = self._link
         borrowed = None
         if link is None or not link.usable:
+            self._was_closed = self._was_closed or link is not None
             self._link = None
             if self._idle_pool is not None:
                 borrowed = self._idle_pool.borrow(self.info.id)
@@ -158,6 +171,7 @@
                 self.info.id, link
             ):
                 self._link = None
+        self._was_closed = False
         status = self._dialer.status(answer)
         self.failure = "" if status else (answer.fault or answer.state).value
         return status
@@ -177,3 +191,4 @@
         ):
             self._link.close()
             self._link = None
+            self._was_closed = False
--- /dev/null
+++ b/src/celeryjunction/replication/drain_watch.py
@@ -0,0 +1,121 @@
+"""Notices that draining endpoints of a group have ended.
+
+A member that drained may hold the only copy of a commit as long as it runs, so a
+failover waits for it. That it ended shows only for a moment: its process closes the
+connections and refuses new ones, and soon its machine answers nothing, as one behind a
+partition does. The register drops its entry about a second later.
+
+A partition may close or refuse connections as well. An end therefore counts only if
+another endpoint of the zone answers a request sent afterwards, and only once the
+register has dropped the entry soon after. The register drops an endpoint that is merely
+cut off later, after several missed heartbeats.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Collection, Mapping
+from math import inf
+
+from celeryjunction.ports import Clock
+from celeryjunction.replication.control import (
+    CONNECTION_REFUSED,
+    ENDPOINT_REPLACED,
+    REACHABLE,
+    ControlLink,
+)
+from celeryjunction.replication.ports import EndpointInfo
+
+END_MEMORY_S = 3.0
+"""An observed end counts for this long. The register shows it within about 1 s, but
+drops an endpoint that is cut off from it only after 3 heartbeats of silence (3.6 s)."""
+
+AskZone = Callable[[EndpointInfo], Awaitable[bool]]
+"""Returns whether another endpoint in the zone of the given one answers now."""
+
+
+class DrainWatch:
+    """Observes the draining endpoints of one group.
+
+    `endpoints` and `controls` return the registered endpoints and their connections.
+    """
+
+    __slots__ = ("_ask_zone", "_clock", "_controls", "_ended_at", "_endpoints")
+
+    def __init__(
+        self,
+        *,
+        endpoints: Callable[[], Mapping[str, EndpointInfo]],
+        controls: Callable[[], Mapping[str, ControlLink]],
+        ask_zone: AskZone,
+        clock: Clock,
+    ) -> None:
+        self._endpoints = endpoints
+        self._controls = controls
+        self._ask_zone = ask_zone
+        self._clock = clock
+        self._ended_at: dict[tuple[str, int], float] = {}
+        """When ends were observed, by endpoint and start of its process; seconds."""
+
+    async def check(self) -> None:
+        """Ask the draining endpoints that have no open connection.
+
+        Keeping a connection to each makes its end show at the next check.
+        """
+        controls = self._controls()
+        await asyncio.gather(
+            *(
+                self._check_endpoint(info, controls[name])
+                for name, info in self._endpoints().items()
+                if info.draining and name in controls and not controls[name].open_s
+            )
+        )
+
+    async def _check_endpoint(self, info: EndpointInfo, control: ControlLink) -> None:
+        was_closed = control.was_closed
+        _, zone_answers = await asyncio.gather(control.ask(), self._ask_zone(info))
+        failed = control.failure not in REACHABLE
+        if zone_answers and failed and (was_closed or _is_refused(control)):
+            self.record_end(info)
+
+    def record_end(self, info: EndpointInfo) -> None:
+        """Record that a draining endpoint's process ended, as far as can be seen."""
+        now = self._clock.monotonic()
+        recent = {
+            key: at for key, at in self._ended_at.items() if at >= now - END_MEMORY_S
+        }
+        self._ended_at = recent | {(info.id, info.started_ms): now}
+
+    async def probe(self, info: EndpointInfo, control: ControlLink) -> None:
+        """Ask a drained endpoint that the register no longer lists."""
+        _, zone_answers = await asyncio.gather(control.ask(), self._ask_zone(info))
+        if zone_answers and _is_refused(control):
+            self.record_end(info)
+
+    def has_ended(self, info: EndpointInfo, control: ControlLink | None = None) -> bool:
+        """Whether a drained endpoint no longer runs.
+
+        `control` is a connection on which it was just asked, if it was.
+        """
+        if not info.draining:
+            return False
+        if control is not None and control.failure == ENDPOINT_REPLACED:
+            return True
+        ended_at = self._ended_at.get((info.id, info.started_ms), -inf)
+        is_recent = self._clock.monotonic() - ended_at <= END_MEMORY_S
+        return is_recent and info.id not in self._endpoints()
+
+
+def _is_refused(control: ControlLink) -> bool:
+    return control.failure == CONNECTION_REFUSED
+
+
+def neighbours(
+    info: EndpointInfo, endpoints: Collection[EndpointInfo]
+) -> list[EndpointInfo]:
+    """Return the endpoints in the zone of `info` that are not about to end."""
+    return [
+        other
+        for other in endpoints
+        if other.zone == info.zone and other.id != info.id and not other.draining
+    ]
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -17,12 +17,11 @@
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import Clock
 from celeryjunction.replication.control import (
-    CONNECTION_REFUSED,
-    ENDPOINT_REPLACED,
     REACHABLE,
     ControlLink,
     IdleConnectionPool,
 )
+from celeryjunction.replication.drain_watch import AskZone, DrainWatch, neighbours
 from celeryjunction.replication.outage import Holding, hold_for_primary
 from celeryjunction.replication.ports import (
     NO_POSITION,
@@ -52,9 +51,6 @@
 RECENT_CONTACT_S = 0.3
 """An answer to a command sent within this time is recent: the primary need not be asked
 for its position, and the endpoint's zone counts as reachable."""
-REFUSAL_MEMORY_S = 3.0
-"""A refused connection counts this long. The register shows an end within about 1 s,
-but drops an endpoint that is cut off from it only after 3 heartbeats of silence."""
 PRIMARY_POLL_INTERVAL_S = 0.05
 """Interval at which endpoints are asked while a promotion is expected to finish."""
 
@@ -62,7 +58,11 @@
 
 
 class ReplicationGroup:
-    """Endpoints of one group, its primary and term, and the evidence for these."""
+    """Endpoints of one group, its primary and term, and the evidence for these.
+
+    `ask_zone` asks endpoints of other groups as well, see `DrainWatch`; by default only
+    those of this group.
+    """
 
     def __init__(
         self,
@@ -74,6 +74,7 @@
         vm: str = "",
         roster: GroupRoster | None = None,
         idle_pool: IdleConnectionPool | None = None,
+        ask_zone: AskZone | None = None,
     ) -> None:
         self.name = name
         self.term = 0
@@ -110,8 +111,12 @@
         self._expected_term = 0
         self._has_evidence = True
         self._last_contact: dict[str, float] = {}
-        self._refused_at: dict[tuple[str, int], float] = {}
-        """When draining endpoints last refused a connection, by process."""
+        self.drain_watch = DrainWatch(
+            endpoints=lambda: self.endpoints,
+            controls=lambda: self.controls,
+            ask_zone=ask_zone or self._ask_neighbours,
+            clock=clock,
+        )
         self._primary_answer: tuple[float, LogPosition] | None = None
         self.sampled_at = 0.0
         """Instant that the newest entry of the history covers; seconds."""
@@ -287,57 +292,10 @@
                 )
         await asyncio.gather(*answering)
 
-    def has_ended(self, info: EndpointInfo, control: ControlLink) -> bool:
-        """Whether a drained endpoint no longer runs.
-
-        A partition may refuse connections as well, so a refusal counts only if another
-        endpoint of that zone answered at the time, and only once the register dropped
-        the entry. The register follows the end by a moment, after which the machine
-        may be gone and answer nothing.
-        """
-        if not info.draining:
-            return False
-        if control.failure == ENDPOINT_REPLACED:
-            return True
-        if control.failure == CONNECTION_REFUSED:
-            self.record_refusal(info)
-        refused_at = self._refused_at.get((info.id, info.started_ms), -inf)
-        is_recent = self._clock.monotonic() - refused_at <= REFUSAL_MEMORY_S
-        return is_recent and info.id not in self.endpoints
-
-    def record_refusal(self, info: EndpointInfo) -> None:
-        """Record that a draining endpoint refused a connection, unless its zone did."""
-        now = self._clock.monotonic()
-        if any(
-            other.zone == info.zone
-            and name != info.id
-            and self.last_contact_at(name) >= now - RECENT_CONTACT_S
-            for name, other in self.endpoints.items()
-        ):
-            oldest = now - REFUSAL_MEMORY_S
-            kept = {key: at for key, at in self._refused_at.items() if at >= oldest}
-            self._refused_at = kept | {(info.id, info.started_ms): now}
-
-    async def watch_draining(self) -> None:
-        """Notice the end of draining endpoints, whose connections then close.
-
-        A draining endpoint without an open connection is asked, beside the others of
-        its zone. Its process may be found to have ended only for a moment.
-        """
-        for name, info in list(self.endpoints.items()):
-            control = self.controls.get(name)
-            if not info.draining or control is None or control.open_s:
-                continue
-            await asyncio.gather(self.ask(name), *map(self.ask, self._neighbours(info)))
-            if control.failure == CONNECTION_REFUSED:
-                self.record_refusal(info)
-
-    def _neighbours(self, info: EndpointInfo) -> list[str]:
-        return [
-            name
-            for name, other in self.endpoints.items()
-            if other.zone == info.zone and name != info.id
-        ]
+    async def _ask_neighbours(self, info: EndpointInfo) -> bool:
+        """Whether another endpoint of the group in the zone of `info` answers now."""
+        names = [other.id for other in neighbours(info, self.endpoints.values())]
+        return any(await asyncio.gather(*map(self.ask, names)))
 
     # Evidence for the primary
 
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -548,7 +548,7 @@
         moment when its process ended. When the register dropped it, its machine was
         gone and answered nothing.
         """
-        cluster.endpoints["a2"] = FakeEndpoint("a2", zone="a")
+        cluster.endpoints["z2"] = FakeEndpoint("z2", zone="a")
         vm = Vm(cluster, store)
         primary = await self.hand_over(cluster, vm)
         cluster["a1"].refusing = True
@@ -561,6 +561,28 @@
         assert await wait_for_term(vm, 3)
         await vm.stop()
 
+    @pytest.mark.parametrize("zone_answers", [True, False])
+    async def test_a_closed_connection_shows_the_end_unless_the_zone_is_cut_off(
+        self, cluster: FakeCluster, store: FakeStore, zone_answers: bool
+    ) -> None:
+        """Guards against missing an end whose refusals nobody saw.
+
+        The machine answers nothing as soon as the process has ended. A partition that
+        resets connections looks the same, but the rest of the zone is silent then.
+        """
+        cluster.endpoints["z2"] = FakeEndpoint("z2", zone="a")
+        vm = Vm(cluster, store)
+        primary = await self.hand_over(cluster, vm)
+        cluster["a1"].restart()
+        cluster["a1"].silent = True
+        cluster["z2"].silent = not zone_answers
+        await asyncio.sleep(1.0)
+        vm.group.update_endpoints(self.remaining(cluster))
+        await asyncio.sleep(0.5)
+        cluster[primary].silent, cluster["z2"].silent = True, False
+        assert await wait_for_term(vm, 3) == zone_answers
+        await vm.stop()
+
     async def test_one_that_may_run_still_holds_a_failover_up(
         self, cluster: FakeCluster, store: FakeStore
     ) -> None:
@@ -580,7 +602,7 @@
         self, cluster: FakeCluster, store: FakeStore
     ) -> None:
         """Guards against a probe that comes after the zone was cut off."""
-        cluster.endpoints["a2"] = FakeEndpoint("a2", zone="a")
+        cluster.endpoints["z2"] = FakeEndpoint("z2", zone="a")
         vm = Vm(cluster, store)
         await self.hand_over(cluster, vm)
         cluster["a1"].refusing = True
