--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -226,12 +226,21 @@
         opened = [link.opened_at for link, _ in self._idle if link.usable]
         return self._clock.monotonic() - min(opened) if opened else 0.0
 
-    def close_idle(self, *, older_than: float = IDLE_TIMEOUT_S) -> None:
-        """Close the connections that have been idle for `older_than` seconds."""
+    def close_idle(self, *, older_than: float = IDLE_TIMEOUT_S, keep: int = 0) -> None:
+        """Close the connections that have been idle for `older_than` seconds.
+
+        The `keep` oldest ones stay open: a new connection costs the endpoint a slot,
+        and evidence counts only on one that has been open for a while.
+        """
         limit = self._clock.monotonic() - older_than
+        usable = sorted(
+            (link for link, _ in self._idle if link.usable),
+            key=lambda link: link.opened_at,
+        )
+        reserved = usable[:keep]
         kept = []
         for link, since in self._idle:
-            if since >= limit and link.usable:
+            if link.usable and (since >= limit or link in reserved):
                 kept.append((link, since))
             else:
                 link.close()
--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -42,6 +42,9 @@
 needs the agreement of all registered replicas."""
 DRAINED_CHECK_INTERVAL_S = 1.0
 """Interval at which drained members without a register entry are probed."""
+ASK_UNKNOWN_INTERVAL_S = 1.0
+"""Interval at which endpoints without an open connection, or not seen in this term, are
+asked."""
 NO_PRIMARY_LIMIT_S = 1.0
 """A group that has had no primary for this long gets a new one."""
 
@@ -79,6 +82,7 @@
         self._roster = roster
         self._roster_write_at = 0.0
         self._drained_check_at = 0.0
+        self._ask_unknown_at = 0.0
         self._probed_members: set[str] = set()
         self._member_check: asyncio.Task[None] | None = None
         self._monitor_count = monitor_count
@@ -220,6 +224,10 @@
 
     async def _check_members(self) -> None:
         await self._group.drain_watch.check()
+        now = self._clock.monotonic()
+        if now >= self._ask_unknown_at:
+            self._ask_unknown_at = now + ASK_UNKNOWN_INTERVAL_S
+            await self._group.ask_unknown()
         if await self._check_drained_members():
             await self._roster.write()
 
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -524,10 +524,8 @@
         dispatcher.lends_idle_connections = self._lends_idle_connections(group.name)
         is_home = self._homes.is_home(group.name)
         idle_s = IDLE_TIMEOUT_S if is_home else NON_HOME_IDLE_TIMEOUT_S
-        for control in group.controls.values():
-            control.close_idle()
         for endpoint, gate in dispatcher.gates.items():
-            gate.close_idle(older_than=idle_s)
+            gate.close_idle(older_than=idle_s, keep=is_home)
             gate.record_alive(group.last_contact_at(endpoint))
             status = group.statuses.get(endpoint)
             if status is not None:
--- a/src/celeryjunction/replication/drain_watch.py
+++ b/src/celeryjunction/replication/drain_watch.py
@@ -37,19 +37,22 @@
 class DrainWatch:
     """Observes the draining endpoints of one group.
 
-    `endpoints` and `controls` return the registered endpoints and their connections.
+    `endpoints` and `controls` return the registered endpoints and their connections,
+    `ask` asks one of them for its status.
     """
 
-    __slots__ = ("_ask_zone", "_clock", "_controls", "_ended_at", "_endpoints")
+    __slots__ = ("_ask", "_ask_zone", "_clock", "_controls", "_ended_at", "_endpoints")
 
     def __init__(
         self,
         *,
         endpoints: Callable[[], Mapping[str, EndpointInfo]],
         controls: Callable[[], Mapping[str, ControlLink]],
+        ask: Callable[[str], Awaitable[object]],
         ask_zone: AskZone,
         clock: Clock,
     ) -> None:
+        self._ask = ask
         self._endpoints = endpoints
         self._controls = controls
         self._ask_zone = ask_zone
@@ -73,7 +76,7 @@
 
     async def _check_endpoint(self, info: EndpointInfo, control: ControlLink) -> None:
         was_closed = control.was_closed
-        _, zone_answers = await asyncio.gather(control.ask(), self._ask_zone(info))
+        _, zone_answers = await asyncio.gather(self._ask(info.id), self._ask_zone(info))
         failed = control.failure not in REACHABLE
         if zone_answers and failed and (was_closed or _is_refused(control)):
             self.record_end(info)
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -114,6 +114,7 @@
         self.drain_watch = DrainWatch(
             endpoints=lambda: self.endpoints,
             controls=lambda: self.controls,
+            ask=self.ask,
             ask_zone=ask_zone or self._ask_neighbours,
             clock=clock,
         )
@@ -292,6 +293,27 @@
                 )
         await asyncio.gather(*answering)
 
+    async def ask_unknown(self) -> None:
+        """Ask the endpoints of which something is missing.
+
+        These have no open connection, did not answer, or were not seen in this term.
+        Evidence needs a connection that was opened before, and the roster of the term
+        only holds endpoints that were seen in it.
+        """
+        await asyncio.gather(
+            *(self.ask(name) for name in self.endpoints if self._is_unknown(name))
+        )
+
+    def _is_unknown(self, name: str) -> bool:
+        control, status = self.controls.get(name), self.statuses.get(name)
+        return (
+            control is None
+            or bool(control.failure)
+            or not control.open_s
+            or status is None
+            or status[1].term != self.term
+        )
+
     async def _ask_neighbours(self, info: EndpointInfo) -> bool:
         """Whether another endpoint of the group in the zone of `info` answers now."""
         names = [other.id for other in neighbours(info, self.endpoints.values())]
@@ -457,12 +479,14 @@
         """Order endpoints for evidence: this zone first, then by a hash with the VM.
 
         Each VM thus keeps its connection for evidence to the same replica, while the
-        VMs together spread over all replicas.
+        VMs together spread over all replicas. Endpoints that did not answer the last
+        request come last.
         """
 
-        def preference(name: str) -> tuple[bool, int]:
+        def preference(name: str) -> tuple[bool, bool, int]:
+            failing = bool(self.controls[name].failure)
             spread = crc32(f"{self._vm} {name}".encode())
-            return self.endpoints[name].zone != self._zone, spread
+            return failing, self.endpoints[name].zone != self._zone, spread
 
         return sorted(names, key=preference)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,6 +11,7 @@
 
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.gateway.statements import Read, Request
+from celeryjunction.replication.group import HEDGE_DELAY_S
 from celeryjunction.replication.ports import Fault, PromotionResult
 
 Outcome = ErrorKind | Fault | None
@@ -54,6 +55,37 @@
     return answer.fault
 
 
+class TestSilentReplica:
+    async def test_the_other_replica_gives_the_evidence(
+        self, deployment: Deployment
+    ) -> None:
+        """Guards against refusing a group's reads while one replica is silent.
+
+        Evidence counts only on a connection that has been open for 3 s. A VM that kept
+        one to its preferred replica alone refused reads for that long.
+        """
+        for name in ("b-g1", "c-g1"):
+            deployment.groups["g1"][name].silent = True
+            outcomes = []
+            for _ in range(30):
+                outcomes += [await read(deployment, vm, "g1-primary") for vm in VMS]
+                await asyncio.sleep(0.1)
+            assert outcomes == [None] * len(outcomes)
+            deployment.groups["g1"][name].silent = False
+            await asyncio.sleep(5)
+
+    async def test_reads_do_not_wait_for_it(self, deployment: Deployment) -> None:
+        """Guards against asking the silent replica first for each read."""
+        deployment.groups["g1"]["b-g1"].silent = True
+        await asyncio.sleep(1)
+        loop = asyncio.get_running_loop()
+        for _ in range(10):
+            started = loop.time()
+            await read(deployment, "vm-b", "g1-primary")
+            assert loop.time() - started < HEDGE_DELAY_S
+            await asyncio.sleep(0.1)
+
+
 class TestReadsWithoutPrimary:
     """The store is unavailable, so a failed primary can't be replaced."""
 
