--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -14,6 +14,7 @@
 from itertools import count
 from random import Random
 
+from celeryjunction.dispatch.connection_budget import ConnectionBudget
 from celeryjunction.dispatch.gates import EndpointGate
 from celeryjunction.dispatch.retry_budget import RetryBudget
 from celeryjunction.errors import ErrorKind, ProxyError
@@ -190,7 +191,7 @@
 class Dispatcher:
     """Assigns the statements of this VM to the endpoints of one group.
 
-    `max_links` returns how many connections for statements this VM may open at an
+    `budget` returns how many connections for statements this VM may have to an
     endpoint, `vm_count` how many VMs send statements to the group's endpoints.
     """
 
@@ -201,7 +202,7 @@
         dialer: EndpointDialer,
         clock: Clock,
         random: Random,
-        max_links: Callable[[EndpointInfo], int],
+        budget: Callable[[EndpointInfo], ConnectionBudget],
         vm_count: Callable[[], int] = lambda: 1,
     ) -> None:
         self.gates: dict[str, EndpointGate] = {}
@@ -211,7 +212,7 @@
         self._dialer = dialer
         self._clock = clock
         self._random = random
-        self._max_links = max_links
+        self._budget = budget
         self._vm_count = vm_count
         self._waiting: list[PendingStatement] = []
         self._sequence = count(1)
@@ -255,7 +256,7 @@
                     max_links=1,
                 )
             gate.info = info
-            gate.max_links = self._max_links(info)
+            gate.max_links, gate.resting_links = self._budget(info)
             gate.shared.slots = max(info.slots, 1)
             gate.shared.vm_count = max(self._vm_count(), 1)
         self.dispatch_waiting()
@@ -271,6 +272,7 @@
         gate = None if self._must_queue(pending) else self._choose_gate(pending)
         if gate is None:
             gate = await self._wait(pending)
+            gate.promised -= 1
         else:
             gate.running += 1
         try:
@@ -407,7 +409,9 @@
             self._waiting.remove(pending)
         future = pending._future
         if future.done() and not future.cancelled() and future.exception() is None:
-            future.result().running -= 1
+            gate = future.result()
+            gate.running -= 1
+            gate.promised -= 1
             self.dispatch_waiting()
 
     def _expected_wait(self, pending: PendingStatement) -> float:
@@ -428,6 +432,7 @@
             gate = self._choose_gate(pending)
             if gate is not None:
                 gate.running += 1
+                gate.promised += 1
                 self._waiting.remove(pending)
                 pending._future.set_result(gate)
 
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -24,6 +24,8 @@
 IDLE_TIMEOUT_S = 8.0
 """Idle connections are closed after this, to leave the endpoint's connection limit to
 other VMs."""
+RESTING_IDLE_S = 0.5
+"""Idle connections above the number at rest are closed after this."""
 AVOID_AFTER_FAILURES = 2
 """Consecutive failures after which an endpoint is avoided."""
 MIN_AVOID_S = 0.3
@@ -84,6 +86,8 @@
         "links",
         "max_links",
         "pinned",
+        "promised",
+        "resting_links",
         "running",
         "service_s",
         "shared",
@@ -102,10 +106,14 @@
     ) -> None:
         self.info = info
         self.max_links = max_links
+        self.resting_links = max_links
+        """Connections above which idle ones are closed soon."""
         self.running = 0
         """Slots in use: statements of this VM that are sent or about to be."""
         self.links = 0
         """Connections that are open or being opened."""
+        self.promised = 0
+        """Statements that left the queue and have not taken a connection yet."""
         self.pinned = 0
         """Connections held by open transactions."""
         self.slots_busy_elsewhere = 0
@@ -141,9 +149,11 @@
 
     def has_link(self, now: float) -> bool:
         """Whether a connection is idle or may be opened at `now`."""
-        if self._idle:
+        free = len(self._idle) - self.promised
+        if free > 0:
             return True
-        return self.links < self.max_links and now >= self.connection_limit_until
+        may_open = self.links - free < self.max_links
+        return may_open and now >= self.connection_limit_until
 
     @property
     def may_pin(self) -> bool:
@@ -229,23 +239,22 @@
     def close_idle(self, *, older_than: float = IDLE_TIMEOUT_S, keep: int = 0) -> None:
         """Close the connections that have been idle for `older_than` seconds.
 
-        The `keep` oldest ones stay open: a new connection costs the endpoint a slot,
-        and evidence counts only on one that has been open for a while.
+        Those above `resting_links` are closed sooner. The `keep` oldest ones stay open:
+        a new connection costs the endpoint a slot, and evidence counts only on one that
+        has been open for a while.
         """
-        limit = self._clock.monotonic() - older_than
-        usable = sorted(
-            (link for link, _ in self._idle if link.usable),
-            key=lambda link: link.opened_at,
-        )
-        reserved = usable[:keep]
+        now = self._clock.monotonic()
+        oldest_first = sorted(self._idle, key=lambda entry: entry[0].opened_at)
         kept = []
-        for link, since in self._idle:
-            if link.usable and (since >= limit or link in reserved):
+        for position, (link, since) in enumerate(oldest_first):
+            surplus = self.links > self.resting_links and position >= keep
+            limit_s = min(older_than, RESTING_IDLE_S) if surplus else older_than
+            if link.usable and (position < keep or now - since <= limit_s):
                 kept.append((link, since))
             else:
                 link.close()
                 self.links -= 1
-        self._idle = kept
+        self._idle = sorted(kept, key=lambda entry: entry[1])
 
     def close(self) -> None:
         """Close the idle connections now, and those in use when they are released."""
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -9,10 +9,13 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
-from math import ceil
 from random import Random
 from typing import Protocol
 
+from celeryjunction.dispatch.connection_budget import (
+    ConnectionBudget,
+    connection_budget,
+)
 from celeryjunction.dispatch.dispatcher import Dispatcher
 from celeryjunction.dispatch.gates import IDLE_TIMEOUT_S, EndpointGate
 from celeryjunction.errors import ErrorKind, ProxyError
@@ -60,8 +63,6 @@
 MAX_PROOF_AGE_S = 1.5
 """A primary that was last proven longer ago, or a group whose endpoints last answered
 longer ago, counts as lost: two samples have failed."""
-MIN_LINKS = 2
-"""Connections that each VM may open at an endpoint, however many VMs there are."""
 NON_HOME_IDLE_TIMEOUT_S = 1.5
 """Idle connections of a VM that is not a home are closed after this: such a VM opens
 connections only while it reaches no home."""
@@ -259,7 +260,7 @@
             dialer=self._dialer,
             clock=self._clock,
             random=self._random,
-            max_links=self._max_links,
+            budget=self._connection_budget,
             vm_count=lambda: self._homes.active_home_count(name),
         )
         group = ReplicationGroup(
@@ -339,20 +340,20 @@
             is_overloaded=dispatcher.is_overloaded,
         )
 
-    def _max_links(self, info: EndpointInfo) -> int:
-        """Return how many connections for statements this VM may open at an endpoint.
-
-        The active homes share the endpoint's connection limit, less one status
-        connection for each home. A VM that is not a home opens connections only while
-        it reaches no home.
-        """
-        table = self.gateway.table
-        settings = table.groups.get(info.group) if table is not None else None
+    def _connection_budget(self, info: EndpointInfo) -> ConnectionBudget:
+        """Return how many connections for statements this VM may have."""
+        table, group = self.gateway.table, info.group
+        settings = table.groups.get(group) if table is not None else None
         if settings is None:
-            return 1
-        available = settings.connection_limit - self._homes.home_count(info.group)
-        share = ceil(available / self._homes.active_home_count(info.group))
-        return max(MIN_LINKS, share if self._homes.is_home(info.group) else 0)
+            return ConnectionBudget(1, 1)
+        return connection_budget(
+            settings.connection_limit,
+            homes=self._homes.home_count(group),
+            active_homes=self._homes.active_home_count(group),
+            is_home=self._homes.is_home(group),
+            shares_status=self._lends_idle_connections(group),
+            running_s=self._clock.monotonic() - self._started_at,
+        )
 
     def _lends_idle_connections(self, group: str) -> bool:
         """Whether idle connections may be exchanged between status and statements."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,6 +10,7 @@
 from fakes import ManualClock, event_loop_policy  # noqa: F401
 from replicated_fakes import WORK_S, FakeCluster
 
+from celeryjunction.dispatch.connection_budget import ConnectionBudget
 from celeryjunction.dispatch.dispatcher import (
     OVERLOAD_REFUSALS,
     OVERLOAD_WINDOW_S,
@@ -77,7 +78,7 @@
             dialer=self.cluster,
             clock=self.clock,
             random=Random(1),
-            max_links=lambda info: 5,
+            budget=lambda info: ConnectionBudget(5, 5),
         )
         self.gateway.groups["g"] = self.group
         self.gateway.dispatchers["g"] = self.dispatcher
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,6 +10,7 @@
 from replicated_fakes import FakeCluster
 from test_gateway import kind_of, table
 
+from celeryjunction.dispatch.connection_budget import ConnectionBudget
 from celeryjunction.dispatch.dispatcher import Dispatcher
 from celeryjunction.errors import ErrorKind, ProxyError, Ran
 from celeryjunction.gateway.gateway import Gateway
@@ -65,7 +66,7 @@
             dialer=cluster,
             clock=self.clock,
             random=Random(1),
-            max_links=lambda info: 5,
+            budget=lambda info: ConnectionBudget(5, 5),
         )
         self.gateway.groups["g"] = self.group
         self.gateway.dispatchers["g"] = self.dispatcher
