--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -272,6 +272,7 @@
             roster=roster,
             idle_pool=dispatcher,
             ask_zone=self._ask_zone,
+            register_age_s=lambda: self._register.age_s,
         )
         dispatcher.on_stuck = lambda _: self._on_endpoint_stuck(group)
         self.gateway.groups[name] = group
--- a/src/celeryjunction/replication/drain_watch.py
+++ b/src/celeryjunction/replication/drain_watch.py
@@ -104,9 +104,12 @@
             return False
         if control is not None and control.failure == ENDPOINT_REPLACED:
             return True
+        return self.was_seen_ending(info) and info.id not in self._endpoints()
+
+    def was_seen_ending(self, info: EndpointInfo) -> bool:
+        """Whether the endpoint recently looked as if it had ended."""
         ended_at = self._ended_at.get((info.id, info.started_ms), -inf)
-        is_recent = self._clock.monotonic() - ended_at <= END_MEMORY_S
-        return is_recent and info.id not in self._endpoints()
+        return self._clock.monotonic() - ended_at <= END_MEMORY_S
 
 
 def _is_refused(control: ControlLink) -> bool:
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from math import inf
 from zlib import crc32
 
@@ -30,7 +30,7 @@
     EndpointStatus,
     LogPosition,
 )
-from celeryjunction.replication.roster import GroupRoster
+from celeryjunction.replication.roster import ABSENCE_LIMIT_S, GroupRoster
 
 STABLE_CONNECTION_S = 3.0
 """Evidence on a younger connection counts only if all members agree: the endpoint may
@@ -51,6 +51,9 @@
 RECENT_CONTACT_S = 0.3
 """An answer to a command sent within this time is recent: the primary need not be asked
 for its position, and the endpoint's zone counts as reachable."""
+MAX_REGISTER_AGE_S = 10.0
+"""Replicas alone cover a commit only if the register was read within this time. It
+takes longer to replace an endpoint: one that leaves drains first."""
 PRIMARY_POLL_INTERVAL_S = 0.05
 """Interval at which endpoints are asked while a promotion is expected to finish."""
 
@@ -61,7 +64,8 @@
     """Endpoints of one group, its primary and term, and the evidence for these.
 
     `ask_zone` asks endpoints of other groups as well, see `DrainWatch`; by default only
-    those of this group.
+    those of this group. `register_age_s` returns the seconds since the register last
+    confirmed the endpoints.
     """
 
     def __init__(
@@ -75,7 +79,11 @@
         roster: GroupRoster | None = None,
         idle_pool: IdleConnectionPool | None = None,
         ask_zone: AskZone | None = None,
+        register_age_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._register_age_s = register_age_s
+        self._vanished: dict[str, float] = {}
+        """When the entries of endpoints went that were not seen to end; seconds."""
         self.name = name
         self.term = 0
         self.primary: str | None = None
@@ -150,10 +158,19 @@
                     clock=self._clock,
                     idle_pool=self._idle_pool,
                 )
+        self._record_vanished(endpoints)
         self.endpoints = dict(endpoints)
         if self.primary is not None and self.primary not in endpoints:
             self.clear_primary("not_registered")
 
+    def _record_vanished(self, endpoints: dict[str, EndpointInfo]) -> None:
+        now = self._clock.monotonic()
+        for name, info in self.endpoints.items():
+            if name not in endpoints and not self.drain_watch.was_seen_ending(info):
+                self._vanished[name] = now
+        for name in endpoints:
+            self._vanished.pop(name, None)
+
     def close(self) -> None:
         """Close the control connections."""
         for control in self.controls.values():
@@ -559,6 +576,21 @@
         primaries = {self.primary, roster.primary_in_term(self.term)}
         return {*members, *self.endpoints} - primaries
 
+    @property
+    def _knows_all_members(self) -> bool:
+        """Whether no other endpoint can have acknowledged a commit of this term.
+
+        An endpoint whose entry expired may have returned without this VM knowing, and a
+        new one may have joined since the register was last read.
+        """
+        now = self._clock.monotonic()
+        self._vanished = {
+            name: at
+            for name, at in self._vanished.items()
+            if now - at < ABSENCE_LIMIT_S
+        }
+        return not self._vanished and self._register_age_s() <= MAX_REGISTER_AGE_S
+
     def _sample_replicas(self, started: float) -> bool:
         """Take a sample from the replicas alone, if all of the term answered.
 
@@ -569,6 +601,8 @@
         members = self._replicas_in_term()
         if not self.term or not members or not self.is_synchronous:
             return False
+        if not self._knows_all_members:
+            return False
         entries = [self.statuses.get(name) for name in members]
         replicas = [entry[1] for entry in entries if entry and entry[0] >= started]
         if len(replicas) < len(members):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,7 +11,7 @@
 
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.gateway.statements import Read, Request
-from celeryjunction.replication.group import HEDGE_DELAY_S
+from celeryjunction.replication.group import HEDGE_DELAY_S, MAX_REGISTER_AGE_S
 from celeryjunction.replication.ports import Fault, PromotionResult
 
 Outcome = ErrorKind | Fault | None
@@ -121,6 +121,36 @@
         assert outcome is ErrorKind.FRESHNESS_UNPROVEN
         await deployment.close()
 
+    async def test_an_endpoint_that_vanished_may_have_a_commit(
+        self, deployment: Deployment
+    ) -> None:
+        """Guards against a stale read by a VM that does not know of a replica's return.
+
+        Found by a hunt on tianyuan-hq (mix, seed 951628317630): a replica's entry had
+        expired in a cut of its zone, and its group had got a new primary. Then the VM's
+        own zone was cut off, and the replica returned and acknowledged commits.
+        """
+        cluster = deployment.groups["g1"]
+        cluster["c-g1"].silent = True
+        deployment.register(None, name="c-g1")
+        cluster.take_over("b-g1")
+        cluster["a-g1"].is_primary, cluster["a-g1"].term = False, 2
+        await asyncio.sleep(8)
+        deployment.store.unavailable = True
+        cluster["b-g1"].silent = True
+        await asyncio.sleep(OUTAGE_S)
+        outcome = await read(deployment, "vm-c", "g1-bounded_staleness")
+        assert outcome is ErrorKind.FRESHNESS_UNPROVEN
+
+    async def test_a_long_outage_of_the_store_may_hide_a_new_replica(
+        self, deployment: Deployment
+    ) -> None:
+        deployment.store.unavailable = True
+        deployment.groups["g1"]["a-g1"].silent = True
+        await asyncio.sleep(MAX_REGISTER_AGE_S + 2.0)
+        outcome = await read(deployment, "vm-b", "g1-bounded_staleness")
+        assert outcome is ErrorKind.FRESHNESS_UNPROVEN
+
     async def test_a_silent_replica_may_have_a_commit(
         self, deployment: Deployment
     ) -> None:
