--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -509,6 +509,7 @@
         last_summary_at = 0.0
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
+            self._register.remove_expired()
             self._update_topology()
             for name, dispatcher in self.gateway.dispatchers.items():
                 self._maintain_group(self.gateway.groups[name], dispatcher)
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -57,7 +57,7 @@
         self._clock = clock
         self._dialer = LineDialer(client_name=settings.node_name, clock=clock)
         self._store_client = HttpClient(*split_address(settings.platform.address))
-        self._store = store = HttpStore(self._store_client, urgent_prefix=CONFIG_PREFIX)
+        self._store = store = HttpStore(self._store_client)
         self._config = PrefixFollower(store, CONFIG_PREFIX, clock=clock, random=random)
         self._config.subscribe(self._apply_config)
         register = EndpointRegister(
@@ -66,7 +66,6 @@
             decode=decode_endpoint,
             clock=clock,
             random=random,
-            list_stale=store.list_stale,
         )
         promotion_client = HttpClient(*split_address(settings.cloud_api.address))
         self.node = Node(
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import base64
 from collections.abc import AsyncIterator, Sequence
 from urllib.parse import urlencode
@@ -26,19 +25,17 @@
     WatchCompacted,
     WatchEvent,
 )
+from celeryjunction.shared_watch import SharedWatch, WatchPage
 
-URGENT_WAIT_MS = 2500
-"""Wait of a long poll on the urgent prefix. A dead connection is then noticed in time
-for the platform's bound on the config (3 s after 4 s without contact)."""
+WAIT_MS = 2500
+"""Wait of a long poll for changes. A dead connection is then noticed in time for the
+platform's bound on the config (3 s after 4 s without contact)."""
 PEER_REPORTED_WAIT_MS = 6000
-"""Wait of a long poll on the urgent prefix while a peer reports its changes within a
-second."""
-DEFAULT_WAIT_MS = 15_000
-"""Wait of other long polls: longer, because the platform charges for each call."""
-BATCH_DELAY_S = 2.0
-"""Pause of a watch of another prefix after a change, so that the next call returns
-several changes at once. A rolling restart changes the list of VMs twice for each VM,
-and each VM would make a call for each change."""
+"""Wait of a long poll while a peer reports changes within a second."""
+BATCH_DELAY_S = 1.0
+"""Pause after changes, so that the next call returns several at once: a rolling restart
+changes the list of VMs twice for each VM, and each VM makes a call for each change. It
+is well within the platform's bound on the config."""
 WATCH_TIMEOUT_MARGIN_S = 0.5
 """A long poll without a response this long after its wait is taken as broken."""
 
@@ -56,7 +53,7 @@
     has_more: bool = False
 
 
-class _WatchPage(msgspec.Struct):
+class _ChangesPage(msgspec.Struct):
     events: list[_Item]
     current_rev: int
 
@@ -74,16 +71,17 @@
 
 
 class HttpStore:
-    """Implements `KeyValueStore`. Each long poll occupies a connection of its own.
+    """Implements `KeyValueStore`. All watches share one long poll.
 
-    Changes under `urgent_prefix` must be seen within a bound. While
-    `peer_reports_changes` is set, another VM reports them too, and the watch of the
-    prefix makes fewer calls.
+    While `peer_reports_changes` is set, another VM reports the changes that must be
+    seen within a bound, and the long poll makes fewer calls.
     """
 
-    def __init__(self, client: HttpClient, *, urgent_prefix: str = "") -> None:
+    def __init__(self, client: HttpClient) -> None:
         self._client = client
-        self._urgent_prefix = urgent_prefix
+        self._shared_watch = SharedWatch(
+            self._poll_changes, batch_delay_s=BATCH_DELAY_S
+        )
         self.peer_reports_changes = False
 
     async def _call(
@@ -127,13 +125,6 @@
         """
         return await self._list_pages({"prefix": prefix}, timeout)
 
-    async def list_stale(self, prefix: str, *, timeout: float = 2.0) -> KeyValueList:
-        """Read all keys under a prefix; the values may be seconds old.
-
-        A stale read costs a tenth of a linearizable read.
-        """
-        return await self._list_pages({"prefix": prefix, "allow_stale": 1}, timeout)
-
     async def _list_pages(
         self, query: dict[str, object], timeout: float
     ) -> KeyValueList:
@@ -202,42 +193,37 @@
         )
         return PutResult(True, written.revision, current)
 
-    async def watch(
-        self, prefix: str, *, start_revision: int
-    ) -> AsyncIterator[WatchEvent]:
+    def watch(self, prefix: str, *, start_revision: int) -> AsyncIterator[WatchEvent]:
         """Yield the changes under a prefix from `start_revision` on.
 
         After each response, an event with an empty key gives the revision reached.
         Raises `WatchCompacted` if changes after the revision are no longer kept.
         """
-        after = start_revision - 1
-        is_urgent = prefix == self._urgent_prefix
-        while True:
-            wait_ms = self._wait_ms(is_urgent)
-            query = {"prefix": prefix, "after": after, "wait_ms": wait_ms}
-            response = await self._call(
-                "GET",
-                "/kv-watch",
-                query=query,
-                timeout=wait_ms / 1000 + WATCH_TIMEOUT_MARGIN_S,
-                accept=(200, 410),
-                long_poll=True,
+        return self._shared_watch.watch(prefix, start_revision=start_revision)
+
+    async def _poll_changes(self, after: int) -> WatchPage:
+        """Wait for changes of any key after a revision."""
+        wait_ms = PEER_REPORTED_WAIT_MS if self.peer_reports_changes else WAIT_MS
+        response = await self._call(
+            "GET",
+            "/kv-watch",
+            query={"prefix": "", "after": after, "wait_ms": wait_ms},
+            timeout=wait_ms / 1000 + WATCH_TIMEOUT_MARGIN_S,
+            accept=(200, 410),
+            long_poll=True,
+        )
+        if response.status == 410:
+            raise WatchCompacted(f"changes after revision {after} were compacted")
+        page = _decode(response, _ChangesPage)
+        events = [
+            WatchEvent(
+                item.key,
+                None if item.tombstone else _key_value(item).value,
+                item.revision,
             )
-            if response.status == 410:
-                raise WatchCompacted(f"changes after revision {after} were compacted")
-            page = _decode(response, _WatchPage)
-            for item in page.events:
-                value = None if item.tombstone else _key_value(item).value
-                yield WatchEvent(item.key, value, item.revision)
-            after = max(after, page.current_rev)
-            yield WatchEvent("", None, after)
-            if page.events and not is_urgent:
-                await asyncio.sleep(BATCH_DELAY_S)
-
-    def _wait_ms(self, is_urgent: bool) -> int:
-        if not is_urgent:
-            return DEFAULT_WAIT_MS
-        return PEER_REPORTED_WAIT_MS if self.peer_reports_changes else URGENT_WAIT_MS
+            for item in page.events
+        ]
+        return WatchPage(events, page.current_rev)
 
     async def grant_lease(self, ttl: int, *, timeout: float = 2.0) -> int:
         """Create a lease that expires `ttl` seconds after its last renewal."""
--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -1,54 +1,53 @@
 """Endpoints of all groups, from the platform's register of heartbeats.
 
 An endpoint's entry expires when its heartbeats stop, but also while the store is
-unavailable. A missing entry therefore means a lost endpoint only once the store has
-answered for `REREGISTER_S`, because running endpoints are listed again by then.
+unavailable, which a watch may not show. An endpoint whose entry is missing therefore
+counts as lost only after `REREGISTER_S`, because running endpoints are listed again by
+then. One that drained is expected to go and counts at once.
 """
 
 from __future__ import annotations
 
 import asyncio
-import math
-from collections.abc import Awaitable, Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import suppress
 from random import Random
 
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
     KeyValue,
-    KeyValueList,
     KeyValueStore,
     StoreRefused,
     StoreUnavailable,
+    WatchCompacted,
+    WatchEvent,
 )
 from celeryjunction.replication.ports import EndpointInfo
 
-POLL_INTERVAL_S = 1.0
-"""Interval between two list calls. Entries change with each heartbeat, so a watch would
-cost as many calls as there are heartbeats."""
-LINEARIZABLE_INTERVAL_S = 2.8
-"""Interval between linearizable lists, which cost ten times as much as stale ones.
-Together with the poll interval, a draining endpoint is noticed well within the shortest
-drain time of 7 s, however old the stale lists are."""
+RETRY_INTERVAL_S = 1.0
+"""Interval between two lists while the store does not answer, and between two checks
+whether another VM still passes the list on."""
+REWATCH_PAUSE_S = 0.2
+"""Pause before the register is listed again after its watch ended."""
 LIST_TIMEOUT_S = 1.5
 REREGISTER_S = 3.0
 """The platform lists running endpoints again about 2 s after the store returns."""
-MAX_PEER_AGE_S = 2.0
+MAX_PEER_AGE_S = 4.0
 """A list that another VM passes on is used until the register's confirmation is this
-old. Covers that VM's poll interval and one failed call."""
-UNAVAILABLE_AFTER_S = 2.5
+old. Covers the wait of that VM's watch (2.5 s) and its pause after changes."""
+UNAVAILABLE_AFTER_S = 4.0
 """After this long without an answer the store counts as unavailable, and entries may
-have expired meanwhile."""
+have expired meanwhile. Longer than a watch without changes takes to answer."""
 
 _log = get_logger("register")
 
 Decode = Callable[[KeyValue], EndpointInfo | str]
-ListStale = Callable[..., Awaitable[KeyValueList]]
 OnEndpoints = Callable[[dict[str, EndpointInfo]], None]
 
 
 class EndpointRegister:
-    """Polls the register and keeps the last known entries while it is unavailable."""
+    """Follows the register and keeps the last known entries while it is unavailable."""
 
     def __init__(
         self,
@@ -58,7 +57,6 @@
         decode: Decode,
         clock: Clock,
         random: Random,
-        list_stale: ListStale | None = None,
     ) -> None:
         self.endpoints: dict[str, EndpointInfo] = {}
         self.draining_since: dict[str, float] = {}
@@ -69,12 +67,15 @@
         self._decode = decode
         self._clock = clock
         self._random = random
-        self._list_stale = list_stale
-        self._linearizable_at = -math.inf
         self._revision = 0
         self._answered_at = 0.0
         self._available_since = 0.0
         self._listeners: list[OnEndpoints] = []
+        self._items: dict[str, KeyValue] = {}
+        """The entries as they were listed or changed last, by key."""
+        self._listed_revision = 0
+        self._missing_since: dict[str, float] = {}
+        """Since when entries of endpoints in use have been missing; seconds."""
         self._ignored: dict[str, str] = {}
         self._peer_list_until = 0.0
         self.version = 0
@@ -89,16 +90,42 @@
         self._listeners.append(listener)
 
     async def run(self) -> None:
-        """List the register periodically until cancelled."""
+        """Follow the register until cancelled."""
         while True:
-            now = self._clock.monotonic()
-            if now >= self._peer_list_until:
-                await self.poll(
-                    stale=now - self._linearizable_at < LINEARIZABLE_INTERVAL_S
-                )
-            pause = POLL_INTERVAL_S if self.synced.is_set() else POLL_INTERVAL_S / 5
+            pause = RETRY_INTERVAL_S if self.synced.is_set() else RETRY_INTERVAL_S / 5
+            if self._clock.monotonic() >= self._peer_list_until and await self.poll():
+                with suppress(StoreUnavailable, StoreRefused, WatchCompacted):
+                    await self._follow()
+                pause = REWATCH_PAUSE_S
             await asyncio.sleep(pause * self._random.uniform(0.8, 1.2))
 
+    async def _follow(self) -> None:
+        """Apply changes until another VM passes on the list.
+
+        Raises `StoreUnavailable`, `StoreRefused` or `WatchCompacted`.
+        """
+        changes = self._store.watch(self._prefix, start_revision=self._revision + 1)
+        async for event in changes:
+            now = self._clock.monotonic()
+            if event.key:
+                self._apply(event)
+                continue
+            # The changes up to this revision have been applied.
+            self._answered_at = now
+            self._revision = max(self._revision, event.revision)
+            self._process_items(now)
+            if now < self._peer_list_until:
+                return
+
+    def _apply(self, event: WatchEvent) -> None:
+        known = self._items.get(event.key)
+        if event.revision <= max(self._listed_revision, known.revision if known else 0):
+            return
+        if event.value is None:
+            self._items.pop(event.key, None)
+        else:
+            self._items[event.key] = KeyValue(*event)
+
     @property
     def age_s(self) -> float:
         """Seconds since the register confirmed the endpoints."""
@@ -128,49 +155,64 @@
         if found != self.endpoints or not self.synced.is_set():
             self._set_endpoints(found, now)
 
-    async def poll(self, *, stale: bool = False) -> bool:
-        """List the register once; return whether the store answered.
-
-        With `stale`, the list is cheaper for the store but may be seconds old.
-        """
-        stale_list = self._list_stale if stale else None
-        call = stale_list or self._store.list
-        started = self._clock.monotonic()
+    async def poll(self) -> bool:
+        """List the register once; return whether the store answered."""
         try:
-            listed = await call(self._prefix, timeout=LIST_TIMEOUT_S)
+            listed = await self._store.list(self._prefix, timeout=LIST_TIMEOUT_S)
         except (StoreUnavailable, StoreRefused) as error:
             if self._available_since:
                 _log.warning("register_unavailable", reason=str(error))
             self._available_since = 0.0
             return False
         now = self._clock.monotonic()
-        if stale_list is None:
-            self._linearizable_at = started
         if listed.revision < self._revision:
             return True
         if not self._available_since or now - self._answered_at > UNAVAILABLE_AFTER_S:
             _log.info("register_available", revision=listed.revision)
             self._available_since = now
         self._answered_at = now
-        self._revision = listed.revision
-        self._process_items(listed.items, now)
+        self._revision = self._listed_revision = listed.revision
+        self._items = {item.key: item for item in listed.items}
+        self._process_items(now)
         return True
 
-    def _process_items(self, items: tuple[KeyValue, ...], now: float) -> None:
+    def _process_items(self, now: float) -> None:
         found: dict[str, EndpointInfo] = {}
-        for item in items:
+        for item in self._items.values():
             info = self._decode(item)
             if isinstance(info, str):
                 self._ignore(item.key, info)
             else:
                 found[info.id] = info
-        complete = now - self._available_since >= REREGISTER_S
-        if not complete:
-            for name, info in self.endpoints.items():
-                found.setdefault(name, info)
+        for name, info in self.endpoints.items():
+            if name not in found and self._may_return(info, now):
+                found[name] = info
+        self._missing_since = {
+            name: at
+            for name, at in self._missing_since.items()
+            if name in found and self._prefix + name not in self._items
+        }
         if found != self.endpoints or not self.synced.is_set():
             self._set_endpoints(found, now)
 
+    def _may_return(self, info: EndpointInfo, now: float) -> bool:
+        """Whether an endpoint with a missing entry may only have expired."""
+        since = self._missing_since.setdefault(info.id, now)
+        if info.draining and now - self._available_since >= REREGISTER_S:
+            return False
+        return now - since < REREGISTER_S
+
+    def remove_expired(self) -> None:
+        """Remove the endpoints whose entries have been missing for `REREGISTER_S`."""
+        now = self._clock.monotonic()
+        is_due = any(
+            now - since >= REREGISTER_S
+            for name, since in self._missing_since.items()
+            if name in self.endpoints
+        )
+        if is_due and now >= self._peer_list_until:
+            self._process_items(now)
+
     def _set_endpoints(self, found: dict[str, EndpointInfo], now: float) -> None:
         for name in sorted(self.endpoints.keys() - found.keys()):
             _log.info("endpoint_gone", endpoint=name, revision=self._revision)
