--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -9,7 +9,7 @@
 
 from celeryjunction.failover.coordinator import Coordinator
 from celeryjunction.failover.detector import PrimaryFailureDetector
-from celeryjunction.failover.suspicions import Suspicions
+from celeryjunction.failover.suspicions import UNKNOWN_PRIMARY, Suspicions
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import Clock
 from celeryjunction.replication.control import OVERLOADED, ControlLink
@@ -32,6 +32,9 @@
 """The primary is asked for its status when it has answered nothing for this long."""
 SUSPECT_INTERVAL_S = 0.1
 """Interval between checks while the primary is unknown or does not answer."""
+MAX_AGREEMENT_PAUSE_S = 0.8
+"""Longest pause between two reads of the other VMs' suspicions. The pause doubles from
+`SUSPECT_INTERVAL_S`, because the platform charges for each read."""
 RETRY_DELAY_S = 0.6
 """Least time between the starts of two replacements, up to twice as long at random."""
 ABANDONED_PAUSE_S = 2.5
@@ -94,6 +97,7 @@
         self._random = random
         self._detector = PrimaryFailureDetector(group, clock=clock)
         self._next_attempt_at = 0.0
+        self._agreement_pause_s = SUSPECT_INTERVAL_S
         self._paused_since = 0.0
         self._no_primary_since = 0.0
         self._last_primary = ""
@@ -164,6 +168,7 @@
         if reason == "stalled" and not await self._still_stalled():
             reason = None
         if reason is None:
+            self._agreement_pause_s = SUSPECT_INTERVAL_S
             await self._suspicions.withdraw(group.name)
         elif self._clock.monotonic() >= self._next_attempt_at:
             await self._replace(reason)
@@ -361,9 +366,12 @@
         group, this one included, suspect the primary.
         """
         group = self._group
-        primary = group.primary or self._last_primary or "-"
+        primary = group.primary or self._last_primary or UNKNOWN_PRIMARY
         term = group.term
-        self._next_attempt_at = self._clock.monotonic() + SUSPECT_INTERVAL_S
+        self._next_attempt_at = self._clock.monotonic() + self._agreement_pause_s
+        self._agreement_pause_s = min(
+            2 * self._agreement_pause_s, MAX_AGREEMENT_PAUSE_S
+        )
         stored = await self._suspicions.publish(
             group.name, term=term, primary=primary, acknowledged=group.acknowledged
         )
--- a/src/celeryjunction/failover/suspicions.py
+++ b/src/celeryjunction/failover/suspicions.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from celeryjunction.logs import get_logger
@@ -22,6 +24,9 @@
 SUSPICION_PREFIX = "suspects/"
 CALL_TIMEOUT_S = 0.5
 
+UNKNOWN_PRIMARY = "-"
+"""Primary in a suspicion of a VM that knows none."""
+
 _log = get_logger("failover")
 
 
@@ -35,11 +40,18 @@
 
 
 class Suspicions:
-    """Writes this VM's suspicions and reads those of all VMs."""
+    """Writes this VM's suspicions and reads those of all VMs.
 
-    __slots__ = ("_published", "_reachable", "_store", "_vm")
+    `lease` returns the lease of this VM's announcement, or 0. A suspicion ends with it,
+    so that one of a VM that ended does not count later.
+    """
 
-    def __init__(self, store: KeyValueStore, *, vm: str) -> None:
+    __slots__ = ("_lease", "_published", "_reachable", "_store", "_vm")
+
+    def __init__(
+        self, store: KeyValueStore, *, vm: str, lease: Callable[[], int] = lambda: 0
+    ) -> None:
+        self._lease = lease
         self._store = store
         self._vm = vm
         self._published: dict[str, Suspicion] = {}
@@ -70,7 +82,10 @@
 
     async def _put(self, put: Put) -> bool:
         try:
-            await self._store.compare_and_put([], [put], timeout=CALL_TIMEOUT_S)
+            lease = self._lease() if put.value is not None else 0
+            await self._store.compare_and_put(
+                [], [put], lease=lease, timeout=CALL_TIMEOUT_S
+            )
         except (StoreUnavailable, StoreRefused, LeaseExpired) as error:
             self._set_reachable(False, str(error))
             return False
@@ -86,7 +101,10 @@
     async def list_against(
         self, group: str, *, term: int, primary: str
     ) -> list[Suspicion] | None:
-        """Return all VMs' suspicions of a primary; None if the store is unavailable."""
+        """Return all VMs' suspicions of a primary; None if the store is unavailable.
+
+        A VM that knows no primary of the term agrees with one that suspects it.
+        """
         prefix = f"{SUSPICION_PREFIX}{group}/"
         try:
             listed = await self._store.list(prefix, timeout=CALL_TIMEOUT_S)
@@ -100,6 +118,10 @@
             except msgspec.DecodeError as error:
                 _log.warning("suspicion_ignored", entry=item.key, reason=str(error))
                 continue
-            if (suspicion.term, suspicion.primary) == (term, primary):
+            same_primary = suspicion.primary == primary or UNKNOWN_PRIMARY in (
+                suspicion.primary,
+                primary,
+            )
+            if suspicion.term == term and same_primary:
                 found.append(suspicion)
         return found
--- a/src/celeryjunction/membership.py
+++ b/src/celeryjunction/membership.py
@@ -174,6 +174,11 @@
         """This VM's own record, including changes not yet put."""
         return self._record
 
+    @property
+    def lease(self) -> int:
+        """The lease of this VM's announcement, or 0."""
+        return self._lease
+
     async def run(self) -> None:
         """Announce this VM and watch the others until cancelled."""
         async with asyncio.TaskGroup() as tasks:
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -154,7 +154,7 @@
         self._clock = clock
         self._random = random
         self._claims = Claims(store, vm=vm, clock=clock)
-        self._suspicions = Suspicions(store, vm=vm)
+        self._suspicions = Suspicions(store, vm=vm, lease=lambda: membership.lease)
         self._homes = HomeSelector(
             membership.record, random=random, on_update=self._apply_home_update
         )
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -22,8 +22,12 @@
     PrimaryFailureDetector,
 )
 from celeryjunction.failover.selection import choose_replica
-from celeryjunction.failover.supervisor import SUSPECT_INTERVAL_S, Supervisor
-from celeryjunction.failover.suspicions import Suspicions
+from celeryjunction.failover.supervisor import (
+    MAX_AGREEMENT_PAUSE_S,
+    SUSPECT_INTERVAL_S,
+    Supervisor,
+)
+from celeryjunction.failover.suspicions import UNKNOWN_PRIMARY, Suspicions
 from celeryjunction.replication.control import ASK_TIMEOUT_S
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import (
@@ -295,6 +299,58 @@
         assert not await claims.is_valid(claim)
 
 
+class TestSuspicions:
+    @staticmethod
+    async def agreeing(store: FakeStore, *, primary: str = "a1") -> int:
+        found = await Suspicions(store, vm="reader").list_against(
+            "g", term=1, primary=primary
+        )
+        return len(found)
+
+    async def test_one_of_a_vm_that_ended_does_not_count_later(
+        self, store: FakeStore
+    ) -> None:
+        """Guards against replacing a healthy primary on a vote that was left behind.
+
+        A VM that was killed can't withdraw its suspicion, and does not know of it after
+        its restart.
+        """
+        lease = await store.grant_lease(10)
+        suspicions = Suspicions(store, vm="vm1", lease=lambda: lease)
+        none = LogPosition(0, 0)
+        assert await suspicions.publish("g", term=1, primary="a1", acknowledged=none)
+        assert await self.agreeing(store) == 1
+        await asyncio.sleep(11)
+        assert await self.agreeing(store) == 0
+
+    async def test_a_vm_that_knows_no_primary_agrees(self, store: FakeStore) -> None:
+        """Guards against votes of VMs that started after the primary had failed."""
+        none = LogPosition(0, 0)
+        for vm, primary in (("vm1", "a1"), ("vm2", UNKNOWN_PRIMARY)):
+            suspicions = Suspicions(store, vm=vm)
+            assert await suspicions.publish(
+                "g", term=1, primary=primary, acknowledged=none
+            )
+        assert await self.agreeing(store) == 2
+        assert await self.agreeing(store, primary=UNKNOWN_PRIMARY) == 2
+        assert await self.agreeing(store, primary="b1") == 1
+
+    async def test_votes_are_read_less_and_less_often(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against ten calls a second while most VMs can't vote."""
+        vm = Vm(cluster, store, monitor_count=4)
+        vm.run()
+        assert await wait_for_term(vm, 1)
+        await asyncio.sleep(3)
+        cluster["a1"].silent = True
+        await asyncio.sleep(2)
+        calls = store.calls
+        await asyncio.sleep(8)
+        assert store.calls - calls <= 8 / MAX_AGREEMENT_PAUSE_S + 2
+        await vm.stop()
+
+
 class TestFailover:
     async def test_a_crashed_primary_is_replaced(
         self, cluster: FakeCluster, store: FakeStore
