--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Protocol
 
+from celeryjunction.dispatch.answer_patience import AnswerPatience
 from celeryjunction.dispatch.shared_slots import SharedSlots
 from celeryjunction.errors import ConnectionLost
 from celeryjunction.logs import get_logger
@@ -31,10 +32,6 @@
 MIN_AVOID_S = 0.3
 MAX_AVOID_S = 3.0
 """An avoided endpoint is retried after a delay that doubles between these bounds."""
-STUCK_TIMEOUT_S = 0.2
-"""An endpoint that answers none of its statements for this long is stuck. The longest
-statements take 45 ms (220 ms at the lowest priority), and a busy endpoint ends some
-statement every few ms."""
 RESERVED_DIVISOR = 3
 """One connection in this many is reserved for statements outside transactions, since a
 transaction may hold its connection idle for up to 3 s."""
@@ -85,6 +82,7 @@
         "info",
         "links",
         "max_links",
+        "patience",
         "pinned",
         "promised",
         "resting_links",
@@ -119,6 +117,7 @@
         self.slots_busy_elsewhere = 0
         """Slots that other VMs used according to the last status."""
         self.service_s = INITIAL_SERVICE_S
+        self.patience = AnswerPatience()
         self.shared = SharedSlots(slots=info.slots, vm_count=1)
         self.fault_rate = 0.0
         """Moving average of the part of statements that the endpoint failed, 0 to 1."""
@@ -276,7 +275,7 @@
         if not self._sent_at:
             return False
         oldest = next(iter(self._sent_at.values()))
-        return now - max(oldest, self.answered_at) >= STUCK_TIMEOUT_S
+        return now - max(oldest, self.answered_at) >= self.patience.timeout_s
 
     def record_stuck(self) -> None:
         """Record that the endpoint was found stuck, before its statements end."""
@@ -290,6 +289,8 @@
         Returns the number of statements.
         """
         interrupted = [sent for sent in self._sent_at if sent.interruptible]
+        if interrupted:
+            self.patience.record_interruption(self._clock.monotonic())
         for sent in interrupted:
             self.record_ended(sent)
             sent.link.close()
@@ -305,6 +306,7 @@
     def record_service_time(self, seconds: float, *, priority: int) -> None:
         """Record the service time of a statement."""
         self.shared.observe(priority, seconds)
+        self.patience.record_answer(seconds)
         self.service_s += SERVICE_WEIGHT * (seconds - self.service_s)
         self.behind_since = 0.0
 
@@ -368,6 +370,7 @@
 
         `sent_at` is the time when the answered command was sent, in seconds.
         """
+        self.patience.record_alive(sent_at)
         if sent_at > self._failed_at:
             self._failures = 0
             self.avoid_until = 0.0
--- a/tests/replicated_fakes.py
+++ b/tests/replicated_fakes.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from contextlib import suppress
 
 from celeryjunction.errors import ConnectionLost
 from celeryjunction.ports import (
@@ -286,6 +287,13 @@
             return self._answer((status,))
         return self._answer()
 
+    async def _work(self, seconds: float) -> None:
+        """Take time for a statement, which a close of the connection aborts."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._closed_event.wait()
+                raise ConnectionLost("the connection was closed", sent=True)
+
     async def _relay(self, command: Relay | RelayPrepared) -> Answer:
         endpoint = self._endpoint
         fault = endpoint.faults.pop(0) if endpoint.faults else None
@@ -305,7 +313,7 @@
             return self._answer(fault=Fault.BEHIND)
         if writes and not endpoint.is_primary:
             return self._answer(fault=Fault.NOT_PRIMARY)
-        await asyncio.sleep(WORK_S)
+        await self._work(WORK_S)
         endpoint.executed.append((command.request_id, text))
         commit = text == b"COMMIT"
         if writes:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,13 +10,13 @@
 from fakes import ManualClock, event_loop_policy  # noqa: F401
 from replicated_fakes import WORK_S, FakeCluster
 
+from celeryjunction.dispatch.answer_patience import MIN_TIMEOUT_S
 from celeryjunction.dispatch.connection_budget import ConnectionBudget
 from celeryjunction.dispatch.dispatcher import (
     OVERLOAD_REFUSALS,
     OVERLOAD_WINDOW_S,
     Dispatcher,
 )
-from celeryjunction.dispatch.gates import STUCK_TIMEOUT_S
 from celeryjunction.errors import ErrorKind, ProxyError, Ran
 from celeryjunction.gateway.gateway import Gateway
 from celeryjunction.gateway.routes import Consistency, GroupSettings, Route, RouteTable
@@ -304,7 +304,7 @@
         started = proxy.clock.monotonic()
         answer = await proxy.run(session, Read())
         assert answer.rows == (b"c1",)
-        assert proxy.clock.monotonic() - started < 3 * STUCK_TIMEOUT_S
+        assert proxy.clock.monotonic() - started < 3 * MIN_TIMEOUT_S
 
     async def test_without_evidence_a_primary_read_is_refused_unsent(
         self, proxy: Proxy
