--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -57,7 +57,9 @@
         self._clock = clock
         self._dialer = LineDialer(client_name=settings.node_name, clock=clock)
         self._store_client = HttpClient(*split_address(settings.platform.address))
-        self._store = store = HttpStore(self._store_client)
+        self._store = store = HttpStore(
+            self._store_client, config_apply_ms=settings.bounds.config_apply_ms
+        )
         self._config = PrefixFollower(store, CONFIG_PREFIX, clock=clock, random=random)
         self._config.subscribe(self._apply_config)
         register = EndpointRegister(
@@ -66,6 +68,7 @@
             decode=decode_endpoint,
             clock=clock,
             random=random,
+            watch_silence_s=store.longest_silence_s,
         )
         promotion_client = HttpClient(*split_address(settings.cloud_api.address))
         self.node = Node(
--- a/src/celeryjunction/platform/settings.py
+++ b/src/celeryjunction/platform/settings.py
@@ -38,6 +38,8 @@
     """Time after which a draining endpoint must get no new statements."""
     grace_s: float
     """Time from SIGTERM to SIGKILL."""
+    config_apply_ms: float = 3000.0
+    """Time after which a changed config must be in force."""
 
 
 class Limits(msgspec.Struct, frozen=True):
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -27,9 +27,10 @@
 )
 from celeryjunction.shared_watch import SharedWatch, WatchPage
 
-WAIT_MS = 2500
-"""Wait of a long poll for changes. A dead connection is then noticed in time for the
-platform's bound on the config (3 s after 4 s without contact)."""
+MIN_WAIT_MS = 500
+WAIT_MARGIN_MS = 500
+"""A long poll for changes waits this much less than the platform's bound on the config,
+so that a dead connection is noticed in time."""
 PEER_REPORTED_WAIT_MS = 6000
 """Wait of a long poll while a peer reports changes within a second."""
 BATCH_DELAY_S = 1.0
@@ -73,17 +74,24 @@
 class HttpStore:
     """Implements `KeyValueStore`. All watches share one long poll.
 
-    While `peer_reports_changes` is set, another VM reports the changes that must be
-    seen within a bound, and the long poll makes fewer calls.
+    Changes are seen within `config_apply_ms` even if the connection is dead. While
+    `peer_reports_changes` is set, another VM reports them as well, and the long poll
+    makes fewer calls.
     """
 
-    def __init__(self, client: HttpClient) -> None:
+    def __init__(self, client: HttpClient, *, config_apply_ms: float = 3000.0) -> None:
         self._client = client
+        self._wait_ms = max(int(config_apply_ms) - WAIT_MARGIN_MS, MIN_WAIT_MS)
         self._shared_watch = SharedWatch(
             self._poll_changes, batch_delay_s=BATCH_DELAY_S
         )
         self.peer_reports_changes = False
 
+    @property
+    def longest_silence_s(self) -> float:
+        """Longest time between two answers to a long poll of a VM that has no peer."""
+        return self._wait_ms / 1000 + BATCH_DELAY_S
+
     async def _call(
         self,
         method: str,
@@ -203,7 +211,9 @@
 
     async def _poll_changes(self, after: int) -> WatchPage:
         """Wait for changes of any key after a revision."""
-        wait_ms = PEER_REPORTED_WAIT_MS if self.peer_reports_changes else WAIT_MS
+        wait_ms = self._wait_ms
+        if self.peer_reports_changes:
+            wait_ms = max(wait_ms, PEER_REPORTED_WAIT_MS)
         response = await self._call(
             "GET",
             "/kv-watch",
--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -33,12 +33,9 @@
 LIST_TIMEOUT_S = 1.5
 REREGISTER_S = 3.0
 """The platform lists running endpoints again about 2 s after the store returns."""
-MAX_PEER_AGE_S = 4.0
-"""A list that another VM passes on is used until the register's confirmation is this
-old. Covers the wait of that VM's watch (2.5 s) and its pause after changes."""
-UNAVAILABLE_AFTER_S = 4.0
-"""After this long without an answer the store counts as unavailable, and entries may
-have expired meanwhile. Longer than a watch without changes takes to answer."""
+ANSWER_MARGIN_S = 0.5
+"""The store counts as available, and a list of another VM as recent, for this much
+longer than a watch without changes takes to answer."""
 
 _log = get_logger("register")
 
@@ -47,7 +44,10 @@
 
 
 class EndpointRegister:
-    """Follows the register and keeps the last known entries while it is unavailable."""
+    """Follows the register and keeps the last known entries while it is unavailable.
+
+    `watch_silence_s` is the longest time between two answers of a watch.
+    """
 
     def __init__(
         self,
@@ -57,7 +57,10 @@
         decode: Decode,
         clock: Clock,
         random: Random,
+        watch_silence_s: float = 3.5,
     ) -> None:
+        self._max_age_s = watch_silence_s + ANSWER_MARGIN_S
+        """Age up to which the last confirmation shows that the store is available."""
         self.endpoints: dict[str, EndpointInfo] = {}
         self.draining_since: dict[str, float] = {}
         """When each endpoint was first seen draining, seconds; 0 for the first list."""
@@ -141,15 +144,15 @@
     ) -> None:
         """Use the endpoints that another VM's register confirmed `age_s` seconds ago.
 
-        Until they are `MAX_PEER_AGE_S` old, the register is not polled. A list of an
+        Until they are older than a watch allows, the register is not read. A list of an
         older `revision` than the known one is ignored, since it may name endpoints that
         have left; 0 means that the peer does not tell the revision.
         """
-        if age_s > MAX_PEER_AGE_S or 0 < revision < self._revision:
+        if age_s > self._max_age_s or 0 < revision < self._revision:
             return
         self._revision = max(self._revision, revision)
         now = self._clock.monotonic()
-        self._peer_list_until = now + MAX_PEER_AGE_S - age_s
+        self._peer_list_until = now + self._max_age_s - age_s
         self._answered_at = max(self._answered_at, now - age_s)
         found = {info.id: info for info in endpoints}
         if found != self.endpoints or not self.synced.is_set():
@@ -167,7 +170,7 @@
         now = self._clock.monotonic()
         if listed.revision < self._revision:
             return True
-        if not self._available_since or now - self._answered_at > UNAVAILABLE_AFTER_S:
+        if not self._available_since or now - self._answered_at > self._max_age_s:
             _log.info("register_available", revision=listed.revision)
             self._available_since = now
         self._answered_at = now
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -5,16 +5,17 @@
 import asyncio
 import json
 from collections.abc import AsyncIterator
+from urllib.parse import parse_qsl
 
 import pytest
 
-from celeryjunction.adapters.http_client import HttpClient
+from celeryjunction.adapters.http_client import HttpClient, HttpResponse
 from celeryjunction.gateway.routes import Consistency
 from celeryjunction.platform.promotion import HttpPromoter
 from celeryjunction.platform.records import decode_config, decode_endpoint
 from celeryjunction.platform.settings import SettingsError, split_address
 from celeryjunction.platform.standin import StandinPlatform
-from celeryjunction.platform.store import HttpStore
+from celeryjunction.platform.store import PEER_REPORTED_WAIT_MS, HttpStore
 from celeryjunction.ports import (
     Compare,
     KeyValue,
@@ -40,6 +41,39 @@
     await store.close()
 
 
+class RecordingClient:
+    """A client that records the paths of its requests and refuses them."""
+
+    def __init__(self) -> None:
+        self.paths: list[str] = []
+
+    async def request(self, method: str, path: str, **_: object) -> HttpResponse:
+        self.paths.append(path)
+        return HttpResponse(503, b"")
+
+
+class TestWatchWait:
+    @pytest.mark.parametrize("config_apply_ms", [1500.0, 3000.0, 6000.0])
+    async def test_a_dead_connection_is_noticed_within_the_bound(
+        self, config_apply_ms: float
+    ) -> None:
+        """Guards against a wait that suits the bound of one site only."""
+        client = RecordingClient()
+        store = HttpStore(client, config_apply_ms=config_apply_ms)
+        with pytest.raises(StoreUnavailable):
+            await anext(store.watch("op/", start_revision=1))
+        query = dict(parse_qsl(client.paths[0].partition("?")[2]))
+        assert config_apply_ms / 2 <= int(query["wait_ms"]) < config_apply_ms
+
+    async def test_a_peer_that_reports_changes_allows_a_longer_wait(self) -> None:
+        client = RecordingClient()
+        store = HttpStore(client, config_apply_ms=3000.0)
+        store.peer_reports_changes = True
+        with pytest.raises(StoreUnavailable):
+            await anext(store.watch("op/", start_revision=1))
+        assert f"wait_ms={PEER_REPORTED_WAIT_MS}" in client.paths[0]
+
+
 class TestHttpStore:
     async def test_a_put_needs_its_compare(self, store: HttpStore) -> None:
         first = await store.compare_and_put([Compare("a", 0)], [Put("a", b"1")])
