--- /dev/null
+++ b/tests/test_frontend.py
@@ -0,0 +1,54 @@
+"""Tests of the front end's answers when a session fails unexpectedly, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+
+from celeryjunction.platform.frontend import LineFrontend
+from celeryjunction.ports import BootClock
+from celeryjunction.replication.ports import TransactionState
+
+LIMIT_S = 5.0
+
+
+class FailingSession:
+    """A session whose statements raise an error that nobody expects."""
+
+    state = TransactionState.IDLE
+
+    def __init__(self) -> None:
+        self.closed = False
+
+    async def execute(self, request: object) -> None:
+        raise KeyError("scripted")
+
+    async def close(self) -> None:
+        self.closed = True
+
+
+class TestUnexpectedErrors:
+    async def test_the_client_gets_an_unknown_outcome_before_the_close(self) -> None:
+        """Guards against a connection that ends without an answer."""
+        sessions: list[FailingSession] = []
+
+        def open_session(database: str) -> FailingSession:
+            sessions.append(FailingSession())
+            return sessions[-1]
+
+        frontend = LineFrontend(
+            host="127.0.0.1", port=0, open_session=open_session, clock=BootClock()
+        )
+        await frontend.start()
+        port = frontend._server.sockets[0].getsockname()[1]
+        for _ in range(2):  # The error ends only its own connection.
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"CONNECT db who\r\nQUERY 1 WRITE 7 x\r\n")
+            async with asyncio.timeout(LIMIT_S):
+                answer = await reader.read()
+            lines = answer.split(b"\r\n")
+            assert lines[0] == b"READY I -"
+            assert lines[1].startswith(b"ERROR INDOUBT ")
+            assert lines[2] == b"READY I -"
+            writer.close()
+        assert all(session.closed for session in sessions)
+        await frontend.close()
