--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -30,7 +30,11 @@
     EndpointStatus,
     LogPosition,
 )
-from celeryjunction.replication.roster import ABSENCE_LIMIT_S, GroupRoster
+from celeryjunction.replication.roster import (
+    ABSENCE_LIMIT_S,
+    GroupRoster,
+    in_use_count,
+)
 
 STABLE_CONNECTION_S = 3.0
 """Evidence on a younger connection counts only if all members agree: the endpoint may
@@ -580,8 +584,9 @@
     def _knows_all_members(self) -> bool:
         """Whether no other endpoint can have acknowledged a commit of this term.
 
-        An endpoint whose entry expired may have returned without this VM knowing, and a
-        new one may have joined since the register was last read.
+        An endpoint whose entry expired may have returned without this VM knowing, also
+        if it expired before this VM started, and a new one may have joined since the
+        register was last read.
         """
         now = self._clock.monotonic()
         self._vanished = {
@@ -589,10 +594,12 @@
             for name, at in self._vanished.items()
             if now - at < ABSENCE_LIMIT_S
         }
-        return not self._vanished and self._register_age_s() <= MAX_REGISTER_AGE_S
+        if self._vanished or in_use_count(self.endpoints) < self._roster.size:
+            return False
+        return self._register_age_s() <= MAX_REGISTER_AGE_S
 
     def _sample_replicas(self, started: float) -> bool:
-        """Take a sample from the replicas alone, if all of the term answered.
+        """Take a sample from the replicas alone, if all members of the term answered.
 
         With synchronous replicas, every acknowledged commit is at one of the replicas
         in the roster, so their highest position covers all commits while none is paused
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -7,12 +7,14 @@
 term are therefore recorded in the store as they are seen. A member is removed once it
 drained and its process was found to have ended, or after an absence of
 `ABSENCE_LIMIT_S`. Removed members are recorded too, because other VMs would otherwise
-add them again from what they saw, and a VM that restarts would wait for them.
+add them again from what they saw, and a VM that restarts would wait for them. The
+roster also keeps the size of the group, so that a VM that restarts notices that an
+endpoint is missing.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 import msgspec
 
@@ -45,6 +47,13 @@
     members: tuple[EndpointInfo, ...] = ()
     departed: tuple[tuple[str, int], ...] = ()
     """Members of this term that ended: id and start time of the process, in ms."""
+    size: int = 0
+    """Largest number of endpoints that were registered and not draining."""
+
+
+def in_use_count(registered: Mapping[str, EndpointInfo]) -> int:
+    """Return the number of registered endpoints that do not drain."""
+    return sum(not info.draining for info in registered.values())
 
 
 def _process_key(member: EndpointInfo) -> tuple[str, int]:
@@ -113,8 +122,15 @@
             current_primary,
             tuple(remaining[name] for name in sorted(remaining)),
             self._departed_members,
+            max(self._seen.size, in_use_count(registered)),
         )
 
+    @property
+    def size(self) -> int:
+        """Largest number of endpoints that the group is known to have had in use."""
+        stored = self._stored_roster
+        return max(self._seen.size, stored.size if stored is not None else 0)
+
     @property
     def _departed_members(self) -> tuple[tuple[str, int], ...]:
         return tuple(sorted(self._departed))
@@ -185,6 +201,7 @@
             (member.id, member.draining) for member in seen.members
         }
         changed = changed or not set(seen.departed) <= set(stored.departed)
+        changed = changed or seen.size > stored.size
         return changed or (bool(seen.primary) and stored.primary != seen.primary)
 
     async def read(self) -> Roster | None:
@@ -252,8 +269,9 @@
         seen = self._seen
         if stored.term > seen.term:
             return stored
+        size = max(seen.size, stored.size)
         if stored.term < seen.term:
-            return seen
+            return msgspec.structs.replace(seen, size=size)
         members = _by_id(stored) | _by_id(seen)
         remaining = {name: m for name, m in members.items() if not self._is_removed(m)}
         return Roster(
@@ -261,6 +279,7 @@
             seen.primary or stored.primary,
             tuple(remaining[name] for name in sorted(remaining)),
             self._departed_members,
+            size,
         )
 
     def endpoints_to_pause(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -142,6 +142,24 @@
         outcome = await read(deployment, "vm-c", "g1-bounded_staleness")
         assert outcome is ErrorKind.FRESHNESS_UNPROVEN
 
+    async def test_a_vm_that_started_later_knows_that_one_is_missing(
+        self, deployment: Deployment
+    ) -> None:
+        """Guards against the same stale read at a VM that never saw the entry."""
+        cluster = deployment.groups["g1"]
+        cluster["c-g1"].silent = True
+        deployment.register(None, name="c-g1")
+        cluster.take_over("b-g1")
+        cluster["a-g1"].is_primary, cluster["a-g1"].term = False, 2
+        await asyncio.sleep(8)
+        await deployment.start_node("vm-a", "a")
+        await asyncio.sleep(5)
+        deployment.store.unavailable = True
+        cluster["b-g1"].silent = True
+        await asyncio.sleep(OUTAGE_S)
+        outcome = await read(deployment, "vm-a", "g1-bounded_staleness")
+        assert outcome is ErrorKind.FRESHNESS_UNPROVEN
+
     async def test_a_long_outage_of_the_store_may_hide_a_new_replica(
         self, deployment: Deployment
     ) -> None:
