--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -228,6 +228,18 @@
             self._member_check = asyncio.create_task(self._check_members())
 
     async def _check_members(self) -> None:
+        try:
+            await self._update_members()
+        except Exception as error:
+            # Like a failed check, it must not end the supervision.
+            _log.error(
+                "supervision_failed",
+                alarm=1,
+                group=self._group.name,
+                reason=repr(error),
+            )
+
+    async def _update_members(self) -> None:
         await self._group.drain_watch.check()
         now = self._clock.monotonic()
         if now >= self._ask_unknown_at:
--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -187,14 +187,13 @@
                 self._ignore(item.key, info)
             else:
                 found[info.id] = info
-        for name, info in self.endpoints.items():
-            if name not in found and self._may_return(info, now):
-                found[name] = info
-        self._missing_since = {
-            name: at
-            for name, at in self._missing_since.items()
-            if name in found and self._prefix + name not in self._items
+        retained = {
+            name: info
+            for name, info in self.endpoints.items()
+            if name not in found and self._may_return(info, now)
         }
+        self._missing_since = {name: self._missing_since[name] for name in retained}
+        found |= retained
         if found != self.endpoints or not self.synced.is_set():
             self._set_endpoints(found, now)
 
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -704,6 +704,23 @@
         assert max(gaps) < 2 * ASK_TIMEOUT_S
         await vm.stop()
 
+    async def test_an_unexpected_error_does_not_end_the_checks(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = Vm(cluster, store)
+        calls = []
+
+        async def fail() -> None:
+            calls.append(1)
+            raise KeyError("scripted")
+
+        vm.group.ask_unknown = fail
+        vm.run()
+        assert await wait_for_term(vm, 1)
+        await asyncio.sleep(3)
+        assert len(calls) >= 2
+        await vm.stop()
+
 
 class TestSharedRoster:
     """Several VMs record the members of one term."""
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -19,7 +19,9 @@
     return EndpointInfo(name, "g", "10.0.0.1", 1, "a", 3, draining, 100)
 
 
-def decode(item: KeyValue) -> EndpointInfo:
+def decode(item: KeyValue) -> EndpointInfo | str:
+    if item.value == b"odd":
+        return "not valid"
     name = item.key.removeprefix(PREFIX)
     return info(name, draining=item.value == b"draining")
 
@@ -108,6 +110,16 @@
         assert await site.names_after(REREGISTER_S + 1.0) == {"a1"}
         site.stop()
 
+    async def test_an_entry_that_stays_invalid_is_lost(self) -> None:
+        """Guards against an endpoint that stays in use after another writer's entry."""
+        site = Register()
+        site.put("a1")
+        site.put("b1")
+        await site.start()
+        site.put("b1", b"odd")
+        assert await site.names_after(REREGISTER_S + 1.0) == {"a1"}
+        site.stop()
+
     async def test_entries_that_expired_in_an_outage_are_waited_for(self) -> None:
         site = Register()
         site.put("a1")
