--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from httptools import HttpParserError, HttpRequestParser, HttpResponseParser
@@ -24,6 +25,8 @@
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = MappingProxyType({})
+    """Header fields by name in lower case."""
 
 
 class _Connection(asyncio.Protocol):
@@ -55,6 +58,9 @@
 
     # Called by the parser.
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
     def on_body(self, body: bytes) -> None:
         self._body += body
 
@@ -63,10 +69,13 @@
             self._transport.close()
             self.closed = True
         status = self._parser.get_status_code()
-        self._response.set_result(HttpResponse(status, bytes(self._body)))
+        self._response.set_result(
+            HttpResponse(status, bytes(self._body), self._headers)
+        )
 
     async def request(self, data: bytes) -> HttpResponse:
         self._body = bytearray()
+        self._headers: dict[str, str] = {}
         self._parser = HttpResponseParser(self)
         self._response = asyncio.get_running_loop().create_future()
         self._transport.write(data)
--- a/src/celeryjunction/follower.py
+++ b/src/celeryjunction/follower.py
@@ -205,7 +205,16 @@
             )
             raise StoreUnavailable("the service listed an older revision")
         self._record_contact()
-        for event in self._differences(listed):
+        changes = self._differences(listed)
+        _log.info(
+            "keys_listed",
+            prefix=self._prefix,
+            known=self._revision,
+            revision=listed.revision,
+            keys=len(listed.items),
+            changes=len(changes),
+        )
+        for event in changes:
             self._apply(event)
         self._revision = listed.revision
         self._needs_list = False
--- a/src/celeryjunction/gateway/gateway.py
+++ b/src/celeryjunction/gateway/gateway.py
@@ -33,6 +33,12 @@
         """Put routes in force if their version is newer; return whether it is."""
         previous = self.table
         if previous is not None and table.version <= previous.version:
+            if table.version < previous.version:
+                _log.warning(
+                    "routes_not_newer",
+                    version=table.version,
+                    in_force=previous.version,
+                )
             return False
         self.table = table
         _log.info(
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from celeryjunction.adapters.http_client import HttpClient, HttpFailure, HttpResponse
+from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Compare,
     KeyValue,
@@ -39,6 +40,10 @@
 is well within the platform's bound on the config."""
 WATCH_TIMEOUT_MARGIN_S = 0.5
 """A long poll without a response this long after its wait is taken as broken."""
+ERA_HEADER = "store-era"
+"""Header of all responses: how often the store came back from an older copy."""
+
+_log = get_logger("store")
 
 
 class _Item(msgspec.Struct):
@@ -86,6 +91,12 @@
             self._poll_changes, batch_delay_s=BATCH_DELAY_S
         )
         self.peer_reports_changes = False
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Highest era that a response named; 0 before the first one."""
+        return self._era
 
     @property
     def longest_silence_s(self) -> float:
@@ -112,12 +123,21 @@
             )
         except HttpFailure as error:
             raise StoreUnavailable(str(error)) from None
+        self._observe_era(response)
         if response.status in accept:
             return response
         if response.status in (429, 503) or response.status >= 500:
             raise StoreUnavailable(f"status {response.status}")
         raise StoreRefused(f"status {response.status}")
 
+    def _observe_era(self, response: HttpResponse) -> None:
+        text = response.headers.get(ERA_HEADER, "")
+        era = int(text) if text.isdecimal() else self._era
+        if era == self._era:
+            return
+        _log.warning("store_era_changed", era=era, before=self._era)
+        self._era = max(self._era, era)
+
     async def get(self, key: str, *, timeout: float = 2.0) -> KeyValue | None:
         """Read one key with a linearizable read."""
         response = await self._call(
