--- a/src/celeryjunction/follower.py
+++ b/src/celeryjunction/follower.py
@@ -211,7 +211,7 @@
             prefix=self._prefix,
             known=self._revision,
             revision=listed.revision,
-            keys=len(listed.items),
+            entries=len(listed.items),
             changes=len(changes),
         )
         for event in changes:
--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -371,6 +371,18 @@
             stream.abort()
 
 
+class StoreCopy:
+    """State of the metadata store at one moment."""
+
+    __slots__ = ("changes", "items", "leases", "revision")
+
+    def __init__(self, store: StandinStore) -> None:
+        self.items = dict(store.items)
+        self.changes = list(store.changes)
+        self.revision = store.revision
+        self.leases = dict(store.leases)
+
+
 class StandinStore:
     """The metadata store and the promotion call over HTTP."""
 
@@ -378,6 +390,8 @@
         self.items: dict[str, dict] = {}
         self.changes: list[dict] = []
         self.revision = 1
+        self.era = 1
+        """How often the store came back from an older copy, plus one."""
         self.leases: dict[int, float] = {}
         self.groups: dict[str, StandinGroup] = {}
         self.advertised_ports: dict[str, int] = {}
@@ -391,6 +405,7 @@
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
+        self.connections: set[asyncio.BaseTransport] = set()
 
     @property
     def address(self) -> str:
@@ -410,6 +425,22 @@
         for task in list(self.tasks):
             task.cancel()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state for `restore`."""
+        return StoreCopy(self)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from an older copy: what was written since is lost.
+
+        Revisions and leases given out since are given out again, and the connections
+        of waiting watches are cut.
+        """
+        self.items, self.changes = dict(copy.items), list(copy.changes)
+        self.revision, self.leases = copy.revision, dict(copy.leases)
+        self.era += 1
+        for connection in list(self.connections):
+            connection.abort()
+
     def put(self, key: str, value: bytes | None, *, lease: int = 0) -> None:
         """Write a key, or delete it if `value` is None."""
         self.revision += 1
@@ -493,6 +524,8 @@
                 "current_rev": self.revision,
             }
         if url.path == "/kv-watch":
+            if int(query["after"]) > self.revision:
+                return 410, {}
             return 200, await self._watch(query)
         if url.path == "/kv-txn":
             return self._transact(data)
@@ -554,6 +587,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
+        self._store.connections.add(transport)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._store.connections.discard(self._transport)
 
     def data_received(self, data: bytes) -> None:
         try:
@@ -590,7 +627,10 @@
             self._transport.abort()
             return
         data = json.dumps(answer).encode()
-        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
+        head = (
+            f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n"
+            f"Store-Era: {self._store.era}\r\n\r\n"
+        )
         self._transport.write(head.encode() + data)
 
 
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -135,7 +135,8 @@
         era = int(text) if text.isdecimal() else self._era
         if era == self._era:
             return
-        _log.warning("store_era_changed", era=era, before=self._era)
+        if self._era:
+            _log.warning("store_era_changed", era=era, before=self._era)
         self._era = max(self._era, era)
 
     async def get(self, key: str, *, timeout: float = 2.0) -> KeyValue | None:
