Tell the revisions and leases of a restored store from those before

Cause: a store that comes back from an older copy gives out its revisions again. The followers took a list with a lower revision for a stale one, and a change with a revision they knew already for the change they knew. Change: StoreHistory puts the store's era into the upper bits of revisions and leases at the adapter. Lists and events of a later era are always newer, a compare or lease of an earlier era never holds, watches of an earlier era end at once, late responses of an earlier era are dropped, and the fencing token, which is a revision, keeps growing. A follower whose watch was compacted lists again without the outage's back-off, as the store answers.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -161,9 +161,13 @@
 
     def _abort_suspect_connections(self) -> None:
         """Abort the connections that may be dead like the one that did not respond."""
+        self.abort_long_polls()
+        self.close()
+
+    def abort_long_polls(self) -> None:
+        """End the requests whose responses the service holds back."""
         for connection in list(self._long_polls):
             connection.abort()
-        self.close()
 
     def _release(self, connection: _Connection) -> None:
         response = connection._response
--- a/src/celeryjunction/follower.py
+++ b/src/celeryjunction/follower.py
@@ -153,6 +153,8 @@
                 await self._watch()
             except WatchCompacted as error:
                 self._needs_list = True
+                # The service answers, so the list need not wait for a long back-off.
+                self._failures = 0
                 _log.warning(
                     "watch_compacted",
                     prefix=self._prefix,
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -131,7 +131,7 @@
             "endpoint_connections_opened": self._dialer.connections_opened,
             "endpoint_commands": dict(self._dialer.commands_sent),
             "store_calls": dict(self._store_client.calls),
-            "store_era": self._store.era,
+            "store_era": self._store.history.era,
         }
 
     def _metrics_text(self) -> bytes:
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -1,7 +1,8 @@
 """HTTP client of the platform's metadata store: `KeyValueStore`.
 
 Watches are long polls: a call returns as soon as there is a change, or empty after the
-wait that it names.
+wait that it names. All responses name the store's era; revisions and leases are passed
+on in the form of `store_history`, and those of an earlier era are not sent.
 """
 
 from __future__ import annotations
@@ -13,7 +14,6 @@
 import msgspec
 
 from celeryjunction.adapters.http_client import HttpClient, HttpFailure, HttpResponse
-from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Compare,
     KeyValue,
@@ -27,6 +27,7 @@
     WatchEvent,
 )
 from celeryjunction.shared_watch import SharedWatch, WatchPage
+from celeryjunction.store_history import StoreHistory, local_number
 
 MIN_WAIT_MS = 500
 WAIT_MARGIN_MS = 500
@@ -43,8 +44,6 @@
 ERA_HEADER = "store-era"
 """Header of all responses: how often the store came back from an older copy."""
 
-_log = get_logger("store")
-
 
 class _Item(msgspec.Struct):
     key: str
@@ -91,12 +90,8 @@
             self._poll_changes, batch_delay_s=BATCH_DELAY_S
         )
         self.peer_reports_changes = False
-        self._era = 0
-
-    @property
-    def era(self) -> int:
-        """Highest era that a response named; 0 before the first one."""
-        return self._era
+        # A watch of an earlier era waits for a revision that may not come.
+        self.history = StoreHistory(on_restored=client.abort_long_polls)
 
     @property
     def longest_silence_s(self) -> float:
@@ -123,28 +118,23 @@
             )
         except HttpFailure as error:
             raise StoreUnavailable(str(error)) from None
-        self._observe_era(response)
+        era = response.headers.get(ERA_HEADER, "")
+        if era.isdecimal():
+            self.history.observe(int(era))
         if response.status in accept:
             return response
         if response.status in (429, 503) or response.status >= 500:
             raise StoreUnavailable(f"status {response.status}")
         raise StoreRefused(f"status {response.status}")
 
-    def _observe_era(self, response: HttpResponse) -> None:
-        text = response.headers.get(ERA_HEADER, "")
-        era = int(text) if text.isdecimal() else self._era
-        if era == self._era:
-            return
-        if self._era:
-            _log.warning("store_era_changed", era=era, before=self._era)
-        self._era = max(self._era, era)
-
     async def get(self, key: str, *, timeout: float = 2.0) -> KeyValue | None:
         """Read one key with a linearizable read."""
         response = await self._call(
             "GET", "/kv-key", query={"key": key}, timeout=timeout, accept=(200, 404)
         )
-        return None if response.status == 404 else _key_value(_decode(response, _Item))
+        if response.status == 404:
+            return None
+        return self._key_value(_decode(response, _Item))
 
     async def list(self, prefix: str, *, timeout: float = 2.0) -> KeyValueList:
         """Read all keys under a prefix with linearizable reads.
@@ -158,14 +148,16 @@
         self, query: dict[str, object], timeout: float
     ) -> KeyValueList:
         items: list[KeyValue] = []
-        revision = 0
+        revision, era = 0, 0
         while True:
             response = await self._call(
                 "GET", "/kv-range", query=query, timeout=timeout
             )
+            era = era or self.history.era
             page = _decode(response, _RangePage)
-            revision = revision or page.current_rev
-            items += map(_key_value, page.items)
+            self.history.check_unchanged(era)
+            revision = revision or self.history.qualify(page.current_rev)
+            items += map(self._key_value, page.items)
             if not page.has_more or not page.items:
                 return KeyValueList(tuple(items), revision)
             query["after"] = page.items[-1].key
@@ -180,15 +172,27 @@
     ) -> PutResult:
         """Apply all puts atomically if every compare holds.
 
-        Raises `LeaseExpired` if `lease` is not 0 and no longer exists.
+        A revision of an earlier era does not hold. Raises `LeaseExpired` if `lease` is
+        not 0 and no longer exists, and `StoreUnavailable` also if the store was
+        restored during the call.
         """
+        history, era = self.history, self.history.era
+        if not history.is_current(lease):
+            raise LeaseExpired("the store has lost the lease")
+        if not all(history.is_current(compare.revision) for compare in compares):
+            current = [await self.get(c.key, timeout=timeout) for c in compares]
+            return PutResult(False, 0, tuple(current))
         body = {
             "expected_rev": [
-                {"key": compare.key, "revision": compare.revision}
+                {"key": compare.key, "revision": local_number(compare.revision)}
                 for compare in compares
             ],
             "put_items": [
-                {"key": put.key, "value": _encode_value(put.value), "lease": lease}
+                {
+                    "key": put.key,
+                    "value": _encode_value(put.value),
+                    "lease": local_number(lease),
+                }
                 for put in puts
                 if put.value is not None
             ],
@@ -197,30 +201,25 @@
         response = await self._call(
             "POST", "/kv-txn", body=body, timeout=timeout, accept=(200, 404, 412)
         )
+        history.check_unchanged(era)
         if response.status == 404:
             raise LeaseExpired("the lease has expired")
-        if response.status == 200:
-            return self._put_result(compares, puts, _decode(response, _PutResponse))
-        found = {
-            item.key: _key_value(item)
-            for item in _decode(response, _ConflictResponse).items
-            if item is not None and item.revision and not item.tombstone
-        }
+        succeeded, revision = response.status == 200, 0
+        if succeeded:
+            revision = history.qualify(_decode(response, _PutResponse).revision)
+            found = {
+                put.key: KeyValue(put.key, put.value, revision)
+                for put in puts
+                if put.value is not None
+            }
+        else:
+            found = {
+                item.key: self._key_value(item)
+                for item in _decode(response, _ConflictResponse).items
+                if item is not None and item.revision and not item.tombstone
+            }
         current = tuple(found.get(compare.key) for compare in compares)
-        return PutResult(False, 0, current)
-
-    @staticmethod
-    def _put_result(
-        compares: Sequence[Compare], puts: Sequence[Put], written: _PutResponse
-    ) -> PutResult:
-        values = {put.key: put.value for put in puts}
-        current = tuple(
-            KeyValue(compare.key, value, written.revision)
-            if (value := values.get(compare.key)) is not None
-            else None
-            for compare in compares
-        )
-        return PutResult(True, written.revision, current)
+        return PutResult(succeeded, revision, current)
 
     def watch(self, prefix: str, *, start_revision: int) -> AsyncIterator[WatchEvent]:
         """Yield the changes under a prefix from `start_revision` on.
@@ -235,46 +234,57 @@
         wait_ms = self._wait_ms
         if self.peer_reports_changes:
             wait_ms = max(wait_ms, PEER_REPORTED_WAIT_MS)
+        history = self.history
+        if not history.is_current(after):
+            raise WatchCompacted("the store was restored from a copy")
         response = await self._call(
             "GET",
             "/kv-watch",
-            query={"prefix": "", "after": after, "wait_ms": wait_ms},
+            query={"prefix": "", "after": local_number(after), "wait_ms": wait_ms},
             timeout=wait_ms / 1000 + WATCH_TIMEOUT_MARGIN_S,
             accept=(200, 410),
             long_poll=True,
         )
-        if response.status == 410:
+        if response.status == 410 or not history.is_current(after):
             raise WatchCompacted(f"changes after revision {after} were compacted")
         page = _decode(response, _ChangesPage)
         events = [
             WatchEvent(
                 item.key,
-                None if item.tombstone else _key_value(item).value,
-                item.revision,
+                None if item.tombstone else self._key_value(item).value,
+                history.qualify(item.revision),
             )
             for item in page.events
         ]
-        return WatchPage(events, page.current_rev)
+        return WatchPage(events, history.qualify(page.current_rev))
+
+    def _key_value(self, item: _Item) -> KeyValue:
+        try:
+            value = base64.b64decode(item.value)
+        except ValueError:
+            value = b""
+        return KeyValue(item.key, value, self.history.qualify(item.revision))
 
     async def grant_lease(self, ttl: int, *, timeout: float = 2.0) -> int:
         """Create a lease that expires `ttl` seconds after its last renewal."""
-        response = await self._call(
-            "POST", "/kv-lease", body={"ttl_ms": ttl * 1000}, timeout=timeout
-        )
-        return _decode(response, _LeaseResponse).lease
+        body = {"ttl_ms": ttl * 1000}
+        response = await self._call("POST", "/kv-lease", body=body, timeout=timeout)
+        return self.history.qualify(_decode(response, _LeaseResponse).lease)
 
     async def renew_lease(self, lease: int, *, timeout: float = 2.0) -> bool:
-        """Renew a lease; False when it has expired."""
-        response = await self._call(
-            "POST", f"/kv-keep/{lease}", timeout=timeout, accept=(200, 404)
-        )
-        return response.status == 200
+        """Renew a lease; False when it has expired or is of an earlier era."""
+        if not self.history.is_current(lease):
+            return False
+        path = f"/kv-keep/{local_number(lease)}"
+        response = await self._call("POST", path, timeout=timeout, accept=(200, 404))
+        return response.status == 200 and self.history.is_current(lease)
 
     async def revoke_lease(self, lease: int, *, timeout: float = 2.0) -> None:
-        """End a lease and delete its keys."""
-        await self._call(
-            "DELETE", f"/kv-lease-end/{lease}", timeout=timeout, accept=(200, 404)
-        )
+        """End a lease and delete its keys; one of an earlier era ends by itself."""
+        if not self.history.is_current(lease):
+            return
+        path = f"/kv-lease-end/{local_number(lease)}"
+        await self._call("DELETE", path, timeout=timeout, accept=(200, 404))
 
     async def close(self) -> None:
         """Close the idle connections."""
@@ -290,11 +300,3 @@
 
 def _encode_value(value: bytes) -> str:
     return base64.b64encode(value).decode()
-
-
-def _key_value(item: _Item) -> KeyValue:
-    try:
-        value = base64.b64decode(item.value)
-    except ValueError:
-        value = b""
-    return KeyValue(item.key, value, item.revision)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -51,6 +51,9 @@
         self.paths.append(path)
         return HttpResponse(503, b"")
 
+    def abort_long_polls(self) -> None:
+        """Do nothing: no request waits."""
+
 
 class TestWatchWait:
     @pytest.mark.parametrize("config_apply_ms", [1500.0, 3000.0, 6000.0])
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -86,5 +86,7 @@
             version = platform.configure()
             await eventually(lambda: reader.version == version)
             platform.store.restore(copy)
-            await eventually(lambda: reader.follower.age_s < 0.1 and store.era == 2)
+            await eventually(
+                lambda: reader.follower.age_s < 0.1 and store.history.era == 2
+            )
             assert reader.version == version
