Keep the era of a lease above its 64 bits

Cause: the platform's leases are numbers of up to 48 bits, and the era was put above bit 40, so a lease looked like one of a later era. Leases now have 64 bits below the era. The stand-in gives out leases of that size: test_a_key_is_deleted_with_its_lease fails on the code before. The text of the metrics moves to metrics.py, as it knows nothing of the platform.

--- a/src/celeryjunction/metrics.py
+++ b/src/celeryjunction/metrics.py
@@ -134,3 +134,17 @@
                 labels = {"customer": customer, "endpoint": endpoint}
                 values = by_labels[customer, endpoint].snapshot()
                 yield {"rank": rank.label, **labels, **values}
+
+
+def format_metrics(metrics: Metrics) -> list[str]:
+    """Return the counters and latencies as lines of name, labels and value."""
+    snapshot = metrics.snapshot()
+    lines = []
+    for row in snapshot["counters"]:
+        labels = ",".join(f'{k}="{v}"' for k, v in row["labels"].items())
+        lines.append(f"{row['name']}{{{labels}}} {row['value']}")
+    for row in snapshot["latency"]:
+        labels = f'rank="{row["rank"]}",database="{row["customer"]}"'
+        for name in ("count", "p50_us", "p99_us", "p999_us", "max_us"):
+            lines.append(f"latency_{name}{{{labels}}} {row[name]}")
+    return lines
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -15,7 +15,7 @@
 from celeryjunction.log_stream import BackgroundStream
 from celeryjunction.logs import get_logger, set_up_logs
 from celeryjunction.membership import Membership, VmRecord
-from celeryjunction.metrics import Metrics
+from celeryjunction.metrics import format_metrics
 from celeryjunction.node import Node, NodeLimits
 from celeryjunction.platform.endpoints import LineDialer
 from celeryjunction.platform.frontend import LineFrontend
@@ -135,7 +135,7 @@
         }
 
     def _metrics_text(self) -> bytes:
-        lines = _format_metrics(self.node.metrics)
+        lines = format_metrics(self.node.metrics)
         for name, value in self._io_counters().items():
             if isinstance(value, dict):
                 lines += [f'{name}{{kind="{k}"}} {v}' for k, v in sorted(value.items())]
@@ -187,19 +187,6 @@
     return Membership(store, record, clock=clock, random=random)
 
 
-def _format_metrics(metrics: Metrics) -> list[str]:
-    snapshot = metrics.snapshot()
-    lines = []
-    for row in snapshot["counters"]:
-        labels = ",".join(f'{k}="{v}"' for k, v in row["labels"].items())
-        lines.append(f"{row['name']}{{{labels}}} {row['value']}")
-    for row in snapshot["latency"]:
-        labels = f'rank="{row["rank"]}",database="{row["customer"]}"'
-        for name in ("count", "p50_us", "p99_us", "p999_us", "max_us"):
-            lines.append(f"latency_{name}{{{labels}}} {row[name]}")
-    return lines
-
-
 async def _serve(settings: EdgeSettings) -> None:
     edge = Edge(settings)
     await edge.start()
--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -24,6 +24,8 @@
 """Time after which a replaced primary that was not demoted follows the new one."""
 APPLY_DELAY_S = 0.005
 """Time until a replica applies the entries that it received."""
+FIRST_LEASE = 200_000_000_000_000
+"""Leases are numbers of up to 48 bits, as on the platform."""
 SYNC_COMMIT_TIMEOUT_S = 10.0
 """Time after which a commit that no replica received fails."""
 
@@ -565,7 +567,7 @@
 
     def _lease_call(self, method: str, path: str, data: dict) -> tuple[int, object]:
         if path == "/kv-lease":
-            lease = max(self.leases, default=100) + 1
+            lease = max(self.leases, default=FIRST_LEASE) + 1
             self.leases[lease] = time.monotonic() + data["ttl_ms"] / 1000
             return 200, {"lease": lease, "ttl_ms": data["ttl_ms"]}
         lease = int(path.rpartition("/")[2])
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -27,7 +27,7 @@
     WatchEvent,
 )
 from celeryjunction.shared_watch import SharedWatch, WatchPage
-from celeryjunction.store_history import StoreHistory, local_number
+from celeryjunction.store_history import StoreHistory, local_lease, local_revision
 
 MIN_WAIT_MS = 500
 WAIT_MARGIN_MS = 500
@@ -156,7 +156,7 @@
             era = era or self.history.era
             page = _decode(response, _RangePage)
             self.history.check_unchanged(era)
-            revision = revision or self.history.qualify(page.current_rev)
+            revision = revision or self.history.qualify_revision(page.current_rev)
             items += map(self._key_value, page.items)
             if not page.has_more or not page.items:
                 return KeyValueList(tuple(items), revision)
@@ -177,21 +177,23 @@
         restored during the call.
         """
         history, era = self.history, self.history.era
-        if not history.is_current(lease):
+        if not history.is_current_lease(lease):
             raise LeaseExpired("the store has lost the lease")
-        if not all(history.is_current(compare.revision) for compare in compares):
+        if not all(
+            history.is_current_revision(compare.revision) for compare in compares
+        ):
             current = [await self.get(c.key, timeout=timeout) for c in compares]
             return PutResult(False, 0, tuple(current))
         body = {
             "expected_rev": [
-                {"key": compare.key, "revision": local_number(compare.revision)}
+                {"key": compare.key, "revision": local_revision(compare.revision)}
                 for compare in compares
             ],
             "put_items": [
                 {
                     "key": put.key,
                     "value": _encode_value(put.value),
-                    "lease": local_number(lease),
+                    "lease": local_lease(lease),
                 }
                 for put in puts
                 if put.value is not None
@@ -206,7 +208,9 @@
             raise LeaseExpired("the lease has expired")
         succeeded, revision = response.status == 200, 0
         if succeeded:
-            revision = history.qualify(_decode(response, _PutResponse).revision)
+            revision = history.qualify_revision(
+                _decode(response, _PutResponse).revision
+            )
             found = {
                 put.key: KeyValue(put.key, put.value, revision)
                 for put in puts
@@ -235,55 +239,55 @@
         if self.peer_reports_changes:
             wait_ms = max(wait_ms, PEER_REPORTED_WAIT_MS)
         history = self.history
-        if not history.is_current(after):
+        if not history.is_current_revision(after):
             raise WatchCompacted("the store was restored from a copy")
         response = await self._call(
             "GET",
             "/kv-watch",
-            query={"prefix": "", "after": local_number(after), "wait_ms": wait_ms},
+            query={"prefix": "", "after": local_revision(after), "wait_ms": wait_ms},
             timeout=wait_ms / 1000 + WATCH_TIMEOUT_MARGIN_S,
             accept=(200, 410),
             long_poll=True,
         )
-        if response.status == 410 or not history.is_current(after):
+        if response.status == 410 or not history.is_current_revision(after):
             raise WatchCompacted(f"changes after revision {after} were compacted")
         page = _decode(response, _ChangesPage)
         events = [
             WatchEvent(
                 item.key,
                 None if item.tombstone else self._key_value(item).value,
-                history.qualify(item.revision),
+                history.qualify_revision(item.revision),
             )
             for item in page.events
         ]
-        return WatchPage(events, history.qualify(page.current_rev))
+        return WatchPage(events, history.qualify_revision(page.current_rev))
 
     def _key_value(self, item: _Item) -> KeyValue:
         try:
             value = base64.b64decode(item.value)
         except ValueError:
             value = b""
-        return KeyValue(item.key, value, self.history.qualify(item.revision))
+        return KeyValue(item.key, value, self.history.qualify_revision(item.revision))
 
     async def grant_lease(self, ttl: int, *, timeout: float = 2.0) -> int:
         """Create a lease that expires `ttl` seconds after its last renewal."""
         body = {"ttl_ms": ttl * 1000}
         response = await self._call("POST", "/kv-lease", body=body, timeout=timeout)
-        return self.history.qualify(_decode(response, _LeaseResponse).lease)
+        return self.history.qualify_lease(_decode(response, _LeaseResponse).lease)
 
     async def renew_lease(self, lease: int, *, timeout: float = 2.0) -> bool:
         """Renew a lease; False when it has expired or is of an earlier era."""
-        if not self.history.is_current(lease):
+        if not self.history.is_current_lease(lease):
             return False
-        path = f"/kv-keep/{local_number(lease)}"
+        path = f"/kv-keep/{local_lease(lease)}"
         response = await self._call("POST", path, timeout=timeout, accept=(200, 404))
-        return response.status == 200 and self.history.is_current(lease)
+        return response.status == 200 and self.history.is_current_lease(lease)
 
     async def revoke_lease(self, lease: int, *, timeout: float = 2.0) -> None:
         """End a lease and delete its keys; one of an earlier era ends by itself."""
-        if not self.history.is_current(lease):
+        if not self.history.is_current_lease(lease):
             return
-        path = f"/kv-lease-end/{local_number(lease)}"
+        path = f"/kv-lease-end/{local_lease(lease)}"
         await self._call("DELETE", path, timeout=timeout, accept=(200, 404))
 
     async def close(self) -> None:
--- a/src/celeryjunction/store_history.py
+++ b/src/celeryjunction/store_history.py
@@ -2,14 +2,14 @@
 
 A store that lost what it acknowledged last gives out the same revisions and lease
 numbers again, for other changes and other VMs. It tells its era, which rises with each
-such loss. `StoreHistory` puts the era into the upper bits of revisions and leases: they
+such loss. `StoreHistory` adds the era above the bits of revisions and leases: they
 never repeat, a later era's revision is always the higher one, and a lease of an earlier
 era is never taken for another VM's.
 
     history = StoreHistory(on_restored=end_watches)
     history.observe(2)
-    revision = history.qualify(24)
-    era_of(revision), local_number(revision)  # 2, 24
+    revision = history.qualify_revision(24)
+    history.is_current_revision(revision), local_revision(revision)  # True, 24
 """
 
 from __future__ import annotations
@@ -21,20 +21,21 @@
 
 FIRST_ERA = 1
 """Era of a store that has lost nothing; its numbers are passed on unchanged."""
-_ERA_BITS = 40
-_LOCAL_MASK = (1 << _ERA_BITS) - 1
+_REVISION_BITS = 40
+_LEASE_BITS = 64
+"""Lease numbers are not counted up from 0 and may be of any size below this."""
 
 _log = get_logger("store")
 
 
-def era_of(number: int) -> int:
-    """Return the era of a qualified revision or lease."""
-    return (number >> _ERA_BITS) + FIRST_ERA
+def local_revision(revision: int) -> int:
+    """Return a revision as the store knows it in its era."""
+    return revision & ((1 << _REVISION_BITS) - 1)
 
 
-def local_number(number: int) -> int:
-    """Return the revision or lease as the store knows it in its era."""
-    return number & _LOCAL_MASK
+def local_lease(lease: int) -> int:
+    """Return a lease as the store knows it in its era."""
+    return lease & ((1 << _LEASE_BITS) - 1)
 
 
 class StoreHistory:
@@ -60,16 +61,25 @@
             self._era = era
             self._on_restored()
 
-    def qualify(self, number: int) -> int:
-        """Return a revision or lease of the present era, unique across eras.
+    def qualify_revision(self, revision: int) -> int:
+        """Return a revision of the present era, unique across eras; 0 stays 0."""
+        return revision and (self._losses << _REVISION_BITS) + revision
 
-        0 stands for no revision or no lease and stays 0.
-        """
-        return number and ((self._era - FIRST_ERA) << _ERA_BITS) + number
+    def qualify_lease(self, lease: int) -> int:
+        """Return a lease of the present era, unique across eras; 0 stays 0."""
+        return lease and (self._losses << _LEASE_BITS) + lease
 
-    def is_current(self, number: int) -> bool:
-        """Whether a revision or lease, if there is one, is of the present era."""
-        return not number or era_of(number) == self._era
+    def is_current_revision(self, revision: int) -> bool:
+        """Whether a revision, if there is one, is of the present era."""
+        return not revision or revision >> _REVISION_BITS == self._losses
+
+    def is_current_lease(self, lease: int) -> bool:
+        """Whether a lease, if there is one, is of the present era."""
+        return not lease or lease >> _LEASE_BITS == self._losses
+
+    @property
+    def _losses(self) -> int:
+        return self._era - FIRST_ERA
 
     def check_unchanged(self, era: int) -> None:
         """Raise `StoreUnavailable` if the store was restored since `era`."""
