Store a suspicion again when its lease has ended, and delete a restored one

A VM took its suspicion for stored although the lease or the store's copy had taken it away, so the vote that a failover needs never came back; and a copy of the store brings back votes that were withdrawn, which count against a healthy primary. Change: a suspicion counts as stored only under the present lease, and one withdrawn in an earlier era of the store is deleted once more. Both tests in TestSuspicions failed before.

--- a/src/celeryjunction/failover/suspicions.py
+++ b/src/celeryjunction/failover/suspicions.py
@@ -20,6 +20,7 @@
     StoreUnavailable,
 )
 from celeryjunction.replication.ports import LogPosition
+from celeryjunction.store_history import StoreHistory
 
 SUSPICION_PREFIX = "suspects/"
 CALL_TIMEOUT_S = 0.5
@@ -43,18 +44,37 @@
     """Writes this VM's suspicions and reads those of all VMs.
 
     `lease` returns the lease of this VM's announcement, or 0. A suspicion ends with it,
-    so that one of a VM that ended does not count later.
+    so that one of a VM that ended does not count later, and is stored again under the
+    next lease. `history` tells when the store came back from an older copy, which may
+    contain suspicions that were withdrawn.
     """
 
-    __slots__ = ("_lease", "_published", "_reachable", "_store", "_vm")
+    __slots__ = (
+        "_history",
+        "_lease",
+        "_published",
+        "_reachable",
+        "_store",
+        "_vm",
+        "_withdrawn",
+    )
 
     def __init__(
-        self, store: KeyValueStore, *, vm: str, lease: Callable[[], int] = lambda: 0
+        self,
+        store: KeyValueStore,
+        *,
+        vm: str,
+        lease: Callable[[], int] = lambda: 0,
+        history: StoreHistory | None = None,
     ) -> None:
         self._lease = lease
+        self._history = history or StoreHistory()
         self._store = store
         self._vm = vm
-        self._published: dict[str, Suspicion] = {}
+        self._published: dict[str, tuple[Suspicion, int]] = {}
+        """The stored suspicion of each group, and its lease."""
+        self._withdrawn: dict[str, int] = {}
+        """Era of the store in which each group's suspicion was deleted."""
         self._reachable = True
 
     async def publish(
@@ -62,27 +82,34 @@
     ) -> bool:
         """Store that this VM suspects a primary; return whether it is stored."""
         suspicion = Suspicion(self._vm, term, primary, tuple(acknowledged))
-        last = self._published.get(group)
-        if last is not None and (last.term, last.primary) == (term, primary):
+        lease = self._lease()
+        last, last_lease = self._published.get(group, (None, 0))
+        if (
+            last is not None
+            and (last.term, last.primary) == (term, primary)
+            and last_lease == lease
+        ):
             return True
-        put = Put(
-            f"{SUSPICION_PREFIX}{group}/{self._vm}", msgspec.json.encode(suspicion)
-        )
-        if not await self._put(put):
+        put = Put(self._key(group), msgspec.json.encode(suspicion))
+        if not await self._put(put, lease=lease):
             return False
-        self._published[group] = suspicion
+        self._published[group] = (suspicion, lease)
         return True
 
     async def withdraw(self, group: str) -> None:
-        """Delete this VM's suspicion from the store, if it wrote one."""
-        if group not in self._published:
+        """Delete this VM's suspicion from the store, if it may be there."""
+        era = self._history.era
+        if group not in self._published and self._withdrawn.get(group, era) == era:
             return
-        if await self._put(Put(f"{SUSPICION_PREFIX}{group}/{self._vm}", None)):
-            del self._published[group]
+        if await self._put(Put(self._key(group), None)):
+            self._published.pop(group, None)
+            self._withdrawn[group] = era
 
-    async def _put(self, put: Put) -> bool:
+    def _key(self, group: str) -> str:
+        return f"{SUSPICION_PREFIX}{group}/{self._vm}"
+
+    async def _put(self, put: Put, *, lease: int = 0) -> bool:
         try:
-            lease = self._lease() if put.value is not None else 0
             await self._store.compare_and_put(
                 [], [put], lease=lease, timeout=CALL_TIMEOUT_S
             )
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -45,6 +45,7 @@
 from celeryjunction.replication.register import EndpointRegister
 from celeryjunction.replication.roster import GroupRoster
 from celeryjunction.services import keep_running
+from celeryjunction.store_history import StoreHistory
 
 MAINTENANCE_INTERVAL_S = 0.5
 """Interval at which idle connections are closed and usable endpoints updated."""
@@ -138,6 +139,7 @@
         counters: Callable[[], dict[str, object]],
         clock: Clock,
         random: Random,
+        history: StoreHistory | None = None,
     ) -> None:
         self.limits = limits
         self.metrics = Metrics()
@@ -154,7 +156,10 @@
         self._clock = clock
         self._random = random
         self._claims = Claims(store, vm=vm, clock=clock)
-        self._suspicions = Suspicions(store, vm=vm, lease=lambda: membership.lease)
+        self._history = history or StoreHistory()
+        self._suspicions = Suspicions(
+            store, vm=vm, lease=lambda: membership.lease, history=self._history
+        )
         self._homes = HomeSelector(
             membership.record, random=random, on_update=self._apply_home_update
         )
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -83,6 +83,7 @@
             counters=self._io_counters,
             clock=clock,
             random=random,
+            history=store.history,
         )
         self.node.refresh_routes = self._config.refresh
 
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -90,8 +90,9 @@
             self._poll_changes, batch_delay_s=BATCH_DELAY_S
         )
         self.peer_reports_changes = False
+        self.history = StoreHistory()
         # A watch of an earlier era waits for a revision that may not come.
-        self.history = StoreHistory(on_restored=client.abort_long_polls)
+        self.history.subscribe(client.abort_long_polls)
 
     @property
     def longest_silence_s(self) -> float:
--- a/src/celeryjunction/store_history.py
+++ b/src/celeryjunction/store_history.py
@@ -6,7 +6,8 @@
 never repeat, a later era's revision is always the higher one, and a lease of an earlier
 era is never taken for another VM's.
 
-    history = StoreHistory(on_restored=end_watches)
+    history = StoreHistory()
+    history.subscribe(end_watches)
     history.observe(2)
     revision = history.qualify_revision(24)
     history.is_current_revision(revision), local_revision(revision)  # True, 24
@@ -39,19 +40,23 @@
 
 
 class StoreHistory:
-    """The store's era, from its responses; `on_restored` is called when it rises."""
+    """The store's era, from its responses."""
 
-    __slots__ = ("_era", "_on_restored")
+    __slots__ = ("_era", "_listeners")
 
-    def __init__(self, *, on_restored: Callable[[], None]) -> None:
+    def __init__(self) -> None:
         self._era = FIRST_ERA
-        self._on_restored = on_restored
+        self._listeners: list[Callable[[], None]] = []
 
     @property
     def era(self) -> int:
         """Highest era that a response named."""
         return self._era
 
+    def subscribe(self, on_restored: Callable[[], None]) -> None:
+        """Call `on_restored` whenever the store came back from an older copy."""
+        self._listeners.append(on_restored)
+
     def observe(self, era: int) -> None:
         """Note the era of a response; raises `StoreUnavailable` if it is over."""
         if era < self._era:
@@ -59,7 +64,8 @@
         if era > self._era:
             _log.warning("store_era_changed", era=era, before=self._era)
             self._era = era
-            self._on_restored()
+            for listener in self._listeners:
+                listener()
 
     def qualify_revision(self, revision: int) -> int:
         """Return a revision of the present era, unique across eras; 0 stays 0."""
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -38,6 +38,7 @@
     PromotionResult,
 )
 from celeryjunction.replication.roster import GroupRoster
+from celeryjunction.store_history import StoreHistory
 
 MARGIN_S = 0.01
 """Covers the rounding of times."""
@@ -323,6 +324,38 @@
         await asyncio.sleep(11)
         assert await self.agreeing(store) == 0
 
+    async def test_one_whose_lease_has_ended_is_stored_again(
+        self, store: FakeStore
+    ) -> None:
+        """Guards against a vote that the store lost and the VM takes for stored."""
+        leases = [await store.grant_lease(60) for _ in range(2)]
+        suspicions = Suspicions(store, vm="vm1", lease=lambda: leases[0])
+        none = LogPosition(0, 0)
+        assert await suspicions.publish("g", term=1, primary="a1", acknowledged=none)
+        store.end_lease(leases.pop(0))
+        assert await self.agreeing(store) == 0
+        assert await suspicions.publish("g", term=1, primary="a1", acknowledged=none)
+        assert await self.agreeing(store) == 1
+
+    async def test_a_withdrawn_one_that_the_store_restored_is_deleted(
+        self, store: FakeStore
+    ) -> None:
+        """Guards against replacing a healthy primary on a vote from an older copy."""
+        history = StoreHistory()
+        suspicions = Suspicions(store, vm="vm1", history=history)
+        none = LogPosition(0, 0)
+        assert await suspicions.publish("g", term=1, primary="a1", acknowledged=none)
+        copy = dict(store.items)
+        await suspicions.withdraw("g")
+        assert await self.agreeing(store) == 0
+        store.items = copy
+        history.observe(2)
+        await suspicions.withdraw("g")
+        assert await self.agreeing(store) == 0
+        calls = store.calls
+        await suspicions.withdraw("g")
+        assert store.calls == calls
+
     async def test_a_vm_that_knows_no_primary_agrees(self, store: FakeStore) -> None:
         """Guards against votes of VMs that started after the primary had failed."""
         none = LogPosition(0, 0)
