Write the roster again after the store came back from an older copy

A restored store has an older one, which lacks members of the term or names an earlier term; a VM that starts later and then replaces the primary would not pause a member that is cut off only from the store, which may alone hold an acknowledged commit. Change: a roster of an earlier era counts as not stored; what only the lost one told is merged with what the VM saw, and written. test_one_that_the_store_lost_is_written_again and test_what_another_vm_wrote_survives_a_restore failed before.

--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -259,7 +259,9 @@
         return self._clock.monotonic() - since < self.limits.drain_s - DRAIN_MARGIN_S
 
     def _add_group(self, name: str) -> ReplicationGroup:
-        roster = GroupRoster(name, self._store, clock=self._clock)
+        roster = GroupRoster(
+            name, self._store, clock=self._clock, history=self._history
+        )
         dispatcher = Dispatcher(
             zone=self._zone,
             dialer=self._dialer,
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -29,6 +29,7 @@
     StoreUnavailable,
 )
 from celeryjunction.replication.ports import EndpointInfo
+from celeryjunction.store_history import StoreHistory
 
 ROSTER_PREFIX = "groups/"
 ABSENCE_LIMIT_S = 60.0
@@ -61,24 +62,40 @@
 
 
 class GroupRoster:
-    """One group's roster: what this VM saw, merged with the stored one."""
+    """One group's roster: what this VM saw, merged with the stored one.
+
+    After the store came back from an older copy, what this VM knows is merged into the
+    copy's roster.
+    """
 
     __slots__ = (
         "_absent_since",
         "_clock",
         "_departed",
+        "_history",
         "_key",
         "_registered",
         "_seen",
         "_store",
+        "_stored_era",
         "_stored_roster",
     )
 
-    def __init__(self, group: str, store: KeyValueStore, *, clock: Clock) -> None:
+    def __init__(
+        self,
+        group: str,
+        store: KeyValueStore,
+        *,
+        clock: Clock,
+        history: StoreHistory | None = None,
+    ) -> None:
         self._key = ROSTER_PREFIX + group
         self._store = store
         self._clock = clock
+        self._history = history or StoreHistory()
         self._stored_roster: Roster | None = None
+        self._stored_era = self._history.era
+        """Era of the store in which the stored roster was read or written."""
         self._seen = Roster()
         self._departed: set[tuple[str, int]] = set()
         self._registered: set[tuple[str, int]] = set()
@@ -197,6 +214,8 @@
             return False
         if stored is None or stored.term < seen.term:
             return True
+        if self._stored_era != self._history.era:
+            return True
         changed = {(member.id, member.draining) for member in stored.members} != {
             (member.id, member.draining) for member in seen.members
         }
@@ -216,16 +235,32 @@
             _log.warning("roster_not_read", entry=self._key, reason=str(error))
             return None
         if item is None:
+            if self._stored_roster is not None:
+                self._set_stored(Roster())
             return Roster(), 0
         try:
             roster = msgspec.json.decode(item.value, type=Roster)
         except msgspec.DecodeError as error:
             _log.error("roster_ignored", alarm=1, entry=self._key, reason=str(error))
             roster = Roster()
-        self._stored_roster = roster
+        self._set_stored(roster)
         self._record_departed(roster)
         return roster, item.revision
 
+    def _set_stored(self, roster: Roster) -> None:
+        era, previous = self._history.era, self._stored_roster
+        if previous is not None and era != self._stored_era:
+            self._keep_lost(previous)
+        self._stored_roster, self._stored_era = roster, era
+
+    def _keep_lost(self, lost: Roster) -> None:
+        """Take over what only the roster of an earlier era of the store tells."""
+        if lost.term > self._seen.term:
+            self._departed.clear()
+        if lost.term >= self._seen.term:
+            self._departed |= set(lost.departed)
+        self._seen = self._merged(lost)
+
     def _record_departed(self, stored: Roster) -> None:
         """Remove the members of this term that other VMs found to have ended."""
         if stored.term != self._seen.term:
@@ -255,7 +290,7 @@
             _log.warning("roster_not_written", entry=self._key, reason=str(error))
             return False
         if result.succeeded:
-            self._stored_roster = merged
+            self._set_stored(merged)
             _log.info(
                 "roster_written",
                 entry=self._key,
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -791,6 +791,49 @@
         needed = restarted.endpoints_to_pause(stored, term=1, registered=registered)
         assert set(needed) == {"c1"}
 
+    async def test_one_that_the_store_lost_is_written_again(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against a promotion without the only holder of a commit.
+
+        A VM that starts later knows of a member that is cut off only from the store.
+        """
+        history = StoreHistory()
+        roster = GroupRoster("g", store, clock=ManualClock(), history=history)
+        copy = dict(store.items)
+        for term, primary in ((1, "b1"), (2, "c1")):
+            roster.record_members(
+                term=term,
+                primary=primary,
+                members=cluster.infos,
+                registered=cluster.infos,
+            )
+            assert await roster.write()
+        assert not roster.needs_write
+        store.items = copy
+        history.observe(2)
+        assert roster.needs_write and await roster.write()
+        assert not roster.needs_write
+        stored = await GroupRoster("g", store, clock=ManualClock()).read()
+        assert (stored.term, stored.primary, len(stored.members)) == (2, "c1", 3)
+
+    async def test_what_another_vm_wrote_survives_a_restore(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against forgetting what this VM knows from the lost roster only."""
+        history = StoreHistory()
+        writer = self.roster(cluster, store)
+        assert await writer.write()
+        roster = GroupRoster("g", store, clock=ManualClock(), history=history)
+        assert (await roster.read()).size == 3
+        known = {"b1": cluster["b1"].info}
+        roster.record_members(term=1, primary="b1", members=known, registered=known)
+        store.items = {}
+        history.observe(2)
+        assert roster.needs_write and await roster.write()
+        stored = await GroupRoster("g", store, clock=ManualClock()).read()
+        assert (stored.size, len(stored.members)) == (3, 3)
+
     async def test_a_member_that_is_registered_is_needed(
         self, cluster: FakeCluster, store: FakeStore
     ) -> None:
