Keep draining endpoints draining when the store shows an older entry

A restored store lists an endpoint that drains, or that has drained and left, as ready; it got new statements, and its drain time began anew with the next entry. An endpoint that drains and is missing in the copy was dropped at once, also a primary that still serves. Change: an endpoint's process that drained once stays draining, since the time at which it was first seen so, also after it left and in a home's list; after a restore, missing entries have the time for registering again. Three tests of TestRestoredStore failed before.

--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -157,6 +157,7 @@
         self._random = random
         self._claims = Claims(store, vm=vm, clock=clock)
         self._history = history or StoreHistory()
+        self._history.subscribe(register.await_reregistration)
         self._suspicions = Suspicions(
             store, vm=vm, lease=lambda: membership.lease, history=self._history
         )
--- a/src/celeryjunction/replication/ports.py
+++ b/src/celeryjunction/replication/ports.py
@@ -48,6 +48,11 @@
             other.started_ms,
         )
 
+    @property
+    def process_key(self) -> tuple[str, int]:
+        """Identifies one process of the endpoint: id and start time."""
+        return self.id, self.started_ms
+
 
 class EndpointStatus(NamedTuple):
     """An endpoint's report about itself, in its answer to a status command."""
--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -3,7 +3,9 @@
 An endpoint's entry expires when its heartbeats stop, but also while the store is
 unavailable, which a watch may not show. An endpoint whose entry is missing therefore
 counts as lost only after `REREGISTER_S`, because running endpoints are listed again by
-then. One that drained is expected to go and counts at once.
+then. One that drained is expected to go and counts at once. An endpoint never stops to
+drain: an entry of the same process that says otherwise is from an older copy of the
+store.
 """
 
 from __future__ import annotations
@@ -13,6 +15,8 @@
 from contextlib import suppress
 from random import Random
 
+import msgspec
+
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
@@ -36,6 +40,8 @@
 ANSWER_MARGIN_S = 0.5
 """The store counts as available, and a list of another VM as recent, for this much
 longer than a watch without changes takes to answer."""
+MAX_DRAINED = 1000
+"""Endpoints that drained and are remembered after they have left."""
 
 _log = get_logger("register")
 
@@ -64,6 +70,8 @@
         self.endpoints: dict[str, EndpointInfo] = {}
         self.draining_since: dict[str, float] = {}
         """When each endpoint was first seen draining, seconds; 0 for the first list."""
+        self._drained: dict[tuple[str, int], float] = {}
+        """The same by id and start time of each process that drained."""
         self.synced = asyncio.Event()
         self._store = store
         self._prefix = prefix
@@ -154,7 +162,7 @@
         now = self._clock.monotonic()
         self._peer_list_until = now + self._max_age_s - age_s
         self._answered_at = max(self._answered_at, now - age_s)
-        found = {info.id: info for info in endpoints}
+        found = {info.id: self._keep_draining(info) for info in endpoints}
         if found != self.endpoints or not self.synced.is_set():
             self._set_endpoints(found, now)
 
@@ -186,7 +194,7 @@
             if isinstance(info, str):
                 self._ignore(item.key, info)
             else:
-                found[info.id] = info
+                found[info.id] = self._keep_draining(info)
         retained = {
             name: info
             for name, info in self.endpoints.items()
@@ -197,6 +205,16 @@
         if found != self.endpoints or not self.synced.is_set():
             self._set_endpoints(found, now)
 
+    def _keep_draining(self, info: EndpointInfo) -> EndpointInfo:
+        if info.draining or info.process_key not in self._drained:
+            return info
+        return msgspec.structs.replace(info, draining=True)
+
+    def await_reregistration(self) -> None:
+        """Keep missing endpoints for a while: the store lost what was written last."""
+        if self._available_since:
+            self._available_since = self._clock.monotonic()
+
     def _may_return(self, info: EndpointInfo, now: float) -> bool:
         """Whether an endpoint with a missing entry may only have expired."""
         since = self._missing_since.setdefault(info.id, now)
@@ -231,10 +249,13 @@
                     revision=self._revision,
                 )
         first = not self.synced.is_set()
+        draining = [info for info in found.values() if info.draining]
+        for info in draining:
+            self._drained.setdefault(info.process_key, 0.0 if first else now)
+        while len(self._drained) > MAX_DRAINED:
+            del self._drained[next(iter(self._drained))]
         self.draining_since = {
-            name: self.draining_since.get(name, 0.0 if first else now)
-            for name, info in found.items()
-            if info.draining
+            info.id: self._drained.get(info.process_key, now) for info in draining
         }
         self.endpoints = found
         self.version += 1
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -57,10 +57,6 @@
     return sum(not info.draining for info in registered.values())
 
 
-def _process_key(member: EndpointInfo) -> tuple[str, int]:
-    return member.id, member.started_ms
-
-
 class GroupRoster:
     """One group's roster: what this VM saw, merged with the stored one.
 
@@ -117,7 +113,7 @@
 
         `registered` are the entries that the register has now.
         """
-        self._registered = set(map(_process_key, registered.values()))
+        self._registered = {info.process_key for info in registered.values()}
         self._record_absent(registered)
         if term > self._seen.term:
             self._departed.clear()
@@ -194,7 +190,7 @@
 
     def remove_member(self, member: EndpointInfo) -> None:
         """Remove a drained member that has ended: its log no longer exists."""
-        self._departed.add(_process_key(member))
+        self._departed.add(member.process_key)
         _log.info("member_struck_off", entry=self._key, endpoint=member.id)
 
     def _is_removed(self, member: EndpointInfo) -> bool:
@@ -203,7 +199,7 @@
             since is not None and self._clock.monotonic() - since >= ABSENCE_LIMIT_S
         )
         # A registered endpoint runs, whatever was concluded about it before.
-        key = _process_key(member)
+        key = member.process_key
         return absent or (key in self._departed and key not in self._registered)
 
     @property
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -11,18 +11,21 @@
 from celeryjunction.ports import KeyValue
 from celeryjunction.replication.ports import EndpointInfo
 from celeryjunction.replication.register import REREGISTER_S, EndpointRegister
+from celeryjunction.store_history import StoreHistory
 
 PREFIX = "servers/"
 
 
-def info(name: str, *, draining: bool = False) -> EndpointInfo:
-    return EndpointInfo(name, "g", "10.0.0.1", 1, "a", 3, draining, 100)
+def info(name: str, *, draining: bool = False, started: int = 100) -> EndpointInfo:
+    return EndpointInfo(name, "g", "10.0.0.1", 1, "a", 3, draining, started)
 
 
 def decode(item: KeyValue) -> EndpointInfo | str:
     if item.value == b"odd":
         return "not valid"
     name = item.key.removeprefix(PREFIX)
+    if item.value == b"restarted":
+        return info(name, started=200)
     return info(name, draining=item.value == b"draining")
 
 
@@ -180,3 +183,62 @@
         site.register.update_from_peer([info("b1")], age_s=1.0, revision=newer)
         assert set(site.register.endpoints) == {"b1"}
         assert site.register.revision == newer
+
+
+class TestRestoredStore:
+    """The store comes back from an older copy, under later revisions."""
+
+    @staticmethod
+    async def draining_for(site: Register, seconds: float) -> float:
+        """Let an endpoint drain; return when that began."""
+        site.put("a1")
+        site.put("b1")
+        await site.start()
+        await asyncio.sleep(REREGISTER_S)
+        site.put("b1", b"draining")
+        await asyncio.sleep(seconds)
+        assert site.register.endpoints["b1"].draining
+        return site.register.draining_since["b1"]
+
+    async def test_a_draining_endpoint_does_not_become_ready(self) -> None:
+        """Guards against new statements for an endpoint that is about to end."""
+        site = Register()
+        since = await self.draining_for(site, 2.0)
+        site.put("b1", b"ready")
+        await asyncio.sleep(0.25)
+        assert site.register.endpoints["b1"].draining
+        assert site.register.draining_since["b1"] == since
+        site.stop()
+
+    async def test_a_drained_endpoint_that_is_listed_again_is_draining(self) -> None:
+        """Guards against statements for an endpoint that has left."""
+        site = Register()
+        since = await self.draining_for(site, 2.0)
+        site.put("b1", None)
+        assert await site.names_after(0.25) == {"a1"}
+        site.put("b1", b"ready")
+        await asyncio.sleep(0.25)
+        assert site.register.endpoints["b1"].draining
+        assert site.register.draining_since["b1"] == since
+        site.stop()
+
+    async def test_a_new_process_of_a_drained_endpoint_is_ready(self) -> None:
+        site = Register()
+        await self.draining_for(site, 2.0)
+        site.put("b1", b"restarted")
+        await asyncio.sleep(0.25)
+        assert not site.register.endpoints["b1"].draining
+        assert "b1" not in site.register.draining_since
+        site.stop()
+
+    async def test_a_draining_endpoint_that_the_copy_lacks_may_return(self) -> None:
+        """Guards against dropping a draining primary that still serves."""
+        site = Register()
+        history = StoreHistory()
+        history.subscribe(site.register.await_reregistration)
+        await self.draining_for(site, 2.0)
+        history.observe(2)
+        site.put("b1", None)
+        assert await site.names_after(1.0) == {"a1", "b1"}
+        assert await site.names_after(REREGISTER_S) == {"a1"}
+        site.stop()
