Keep the peers that a restored store lacks for the time of a lease

Change: for the time of a lease after a restore a missing peer stays, and each VM asks for a new lease at once (spread as after an outage). test_peers_that_a_restored_store_lacks_stay_for_a_lease.

--- a/src/celeryjunction/membership.py
+++ b/src/celeryjunction/membership.py
@@ -28,6 +28,7 @@
     StoreUnavailable,
     WatchEvent,
 )
+from celeryjunction.store_history import StoreHistory
 
 VM_PREFIX = "/vms/"
 ANNOUNCEMENTS_PER_S = 200
@@ -107,6 +108,7 @@
         "_received_at",
         "_record",
         "_renew_at",
+        "_restored_at",
         "_revision",
         "_sleep",
         "_spread_s",
@@ -131,9 +133,13 @@
         clock: Clock,
         random: Random,
         sleep: Sleep = asyncio.sleep,
+        history: StoreHistory | None = None,
     ) -> None:
         self._store = store
         self._record = record
+        self._restored_at = -math.inf
+        if history is not None:
+            history.subscribe(self._store_restored)
         self._ttl_s = ttl_s
         self._spread_s = spread_s
         self._put_interval_s = put_interval_s
@@ -246,12 +252,22 @@
         After an outage longer than a lease, the records of all VMs are missing until
         the VMs have announced themselves again. A VM receives messages from all others
         only if they are few. With many VMs and no grace period, every database would
-        change its home twice.
+        change its home twice. A store that came back from an older copy lacks the
+        records of VMs that run; they return within the time of a lease.
         """
+        if self._clock.monotonic() - self._restored_at < self._ttl_s:
+            return self._ttl_s
         if len(self._peers) < IMMEDIATE_REPORT_VMS:
             return 0.0
         return self._reannounce_spread_s + self._put_interval_s
 
+    def _store_restored(self) -> None:
+        self._restored_at = self._clock.monotonic()
+        if self._lease:
+            # The lease is lost; an early renewal shows it and requests a new one.
+            self._renew_at = 0.0
+            self._request_put()
+
     def record_received(self, vm: str) -> None:
         """Record that a message arrived directly from a peer."""
         if vm in self._peers:
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -35,7 +35,7 @@
     split_address,
 )
 from celeryjunction.platform.store import HttpStore
-from celeryjunction.ports import BootClock, Clock, KeyValueStore, WatchEvent
+from celeryjunction.ports import BootClock, Clock, WatchEvent
 from celeryjunction.replication.register import EndpointRegister
 
 SETTINGS_POLL_S = 2.0
@@ -172,7 +172,7 @@
 
 
 def _make_membership(
-    settings: EdgeSettings, store: KeyValueStore, clock: Clock, random: Random
+    settings: EdgeSettings, store: HttpStore, clock: Clock, random: Random
 ) -> Membership:
     now = clock.wall()
     record = VmRecord(
@@ -185,7 +185,7 @@
         started_at=now,
         link_mbps=settings.limits.link_mbps,
     )
-    return Membership(store, record, clock=clock, random=random)
+    return Membership(store, record, clock=clock, random=random, history=store.history)
 
 
 async def _serve(settings: EdgeSettings) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,6 +11,7 @@
 from celeryjunction.membership import Membership, VmRecord, list_vms
 from celeryjunction.ports import WatchEvent
 from celeryjunction.standin.kv import RunningStore
+from celeryjunction.store_history import StoreHistory
 
 
 def record(name: str = "vm1", *, incarnation: int = 1) -> VmRecord:
@@ -235,3 +236,23 @@
             membership._vm_changed(self.peer_event(vm, revision))
         membership._vm_changed(WatchEvent("/vms/vm2", b"{", 3))
         assert membership.peers()["vm2"].incarnation == 5
+
+    def test_peers_that_a_restored_store_lacks_stay_for_a_lease(self) -> None:
+        """Guards against one VM that takes itself for the only home of its group."""
+        history, time = StoreHistory(), FakeTime()
+        membership = Membership(
+            None, record(), clock=time, random=Random(1), history=history
+        )
+        membership._vm_changed(self.peer_event(record("vm2"), 1))
+        history.observe(2)
+        membership._vm_changed(WatchEvent("/vms/vm2", None, 2))
+        time.advance(9.0)
+        assert set(membership.peers()) == {"vm2"}
+        time.advance(2.0)
+        assert membership.peers() == {}
+
+    def test_a_peer_that_leaves_goes_at_once(self) -> None:
+        membership = member(None, FakeTime(), record())
+        membership._vm_changed(self.peer_event(record("vm2"), 1))
+        membership._vm_changed(WatchEvent("/vms/vm2", None, 2))
+        assert membership.peers() == {}
