--- a/bench/platform_cluster.py
+++ b/bench/platform_cluster.py
@@ -32,6 +32,7 @@
     def __init__(self, port: int) -> None:
         self._port = port
         self._number = 0
+        self._writer: asyncio.StreamWriter | None = None
 
     async def open(self, database: str) -> str:
         """Connect to a database; return the line of the answer."""
@@ -69,8 +70,9 @@
         return await self._line() == ""
 
     def close(self) -> None:
-        """Close the connection."""
-        self._writer.close()
+        """Close the connection, if it was opened."""
+        if self._writer is not None:
+            self._writer.close()
 
 
 class EdgeProcess:
@@ -132,11 +134,13 @@
     async def probe(self, path: str = "/readiness") -> tuple[int, str]:
         """Send a GET request to the ready address; return status and body."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.ready_port)
-        writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
-        head = (await reader.readuntil(b"\r\n\r\n")).decode()
-        length = int(head.split("Content-Length: ")[1].split("\r\n")[0])
-        body = (await reader.readexactly(length)).decode()
-        writer.close()
+        try:
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            length = int(head.split("Content-Length: ")[1].split("\r\n")[0])
+            body = (await reader.readexactly(length)).decode()
+        finally:
+            writer.close()
         return int(head.split(" ")[1]), body
 
     async def wait_until_ready(self) -> None:
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -150,6 +150,8 @@
         self._platform = StandinPlatform()
         self._proxies: dict[str, FaultProxy] = {}
         self._edges: list[EdgeProcess] = []
+        self._clients: set[LineClient] = set()
+        """Clients with an open session."""
         self._ending = False
 
     @property
@@ -174,6 +176,8 @@
             await asyncio.gather(*tasks)
             self._check_logs()
         finally:
+            for client in self._clients:
+                client.close()
             for edge in self._edges:
                 await edge.stop(signal.SIGKILL)
             for proxy in self._proxies.values():
@@ -209,12 +213,18 @@
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 if await client.open(database) == "READY I -":
+                    self._clients.add(client)
                     return client
         except (OSError, TimeoutError):
             pass
+        client.close()
         await asyncio.sleep(0.1)
         return None
 
+    def _close_session(self, client: LineClient) -> None:
+        client.close()
+        self._clients.discard(client)
+
     async def _execute(self, client: LineClient, text: str) -> list[str]:
         """Send a statement; return ``["?"]`` without a complete answer."""
         try:
@@ -237,7 +247,7 @@
                 continue
             value += 1
             if not await self._write_once(client, item, value):
-                client.close()
+                self._close_session(client)
                 client = None
                 continue
             if self._is_last_acknowledged(item, value):
@@ -254,6 +264,7 @@
                     f"{database} read {item} {lines[0]} after {lowest_allowed}, own"
                 )
             if lines == ["?"]:
+                self._close_session(client)
                 client = None
 
     def _is_last_acknowledged(self, item: str, value: int) -> bool:
@@ -305,6 +316,7 @@
                     f"{database} read {item} {lines[0]} after {lowest_allowed}"
                 )
             if lines == ["?"]:
+                self._close_session(client)
                 client = None
 
     # Faults
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,10 @@
-"""Reads KNOWN-RED.txt: tests that fail for a listed fault that is not yet mended."""
+"""Reads KNOWN-RED.txt, and checks that each test closes its streams."""
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Iterator
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -14,6 +17,31 @@
     return parse_known_red(_LIST.read_text()) if _LIST.exists() else []
 
 
+@pytest.fixture(autouse=True)
+def _open_streams(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    """Fail a test that leaves a stream open, in it or in the code that it runs.
+
+    The garbage collector would close the stream during some later test, whose event
+    loop is another one, and that test would fail instead.
+    """
+    writers: list[asyncio.StreamWriter] = []
+    initialize = asyncio.StreamWriter.__init__
+
+    def record(writer: asyncio.StreamWriter, *args: object) -> None:
+        initialize(writer, *args)
+        writers.append(writer)
+
+    monkeypatch.setattr(asyncio.StreamWriter, "__init__", record)
+    yield
+    left_open = [writer for writer in writers if not writer.is_closing()]
+    for writer in left_open:
+        # The transport counts as closing even if its event loop has ended.
+        with suppress(RuntimeError):
+            writer.transport.abort()
+    peers = [writer.get_extra_info("peername") for writer in left_open]
+    assert not peers, f"streams left open to {peers}"
+
+
 def pytest_collection_modifyitems(
     config: pytest.Config, items: list[pytest.Item]
 ) -> None:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -203,6 +203,7 @@
             await reader.readexactly(8)
             clock.advance(3)
             writer.write(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I")
+            writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
--- a/tests/test_peer_stream.py
+++ b/tests/test_peer_stream.py
@@ -77,6 +77,7 @@
     def __init__(self, port: int) -> None:
         self.port, self.sent, self.corrupting = port, [], False
         self.tasks: list[asyncio.Task] = []
+        self.writers: list[asyncio.StreamWriter] = []
 
     async def start(self) -> int:
         self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
@@ -84,6 +85,7 @@
 
     async def accept(self, reader, writer) -> None:
         back, forth = await asyncio.open_connection("127.0.0.1", self.port)
+        self.writers += [writer, forth]
         self.tasks.append(asyncio.create_task(self.forward(back, writer, False)))
         await self.forward(reader, forth, True)
 
@@ -96,6 +98,11 @@
             writer.write(data)
         writer.close()
 
+    def close(self) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
 
 class TestStreams:
     async def test_messages_in_both_directions(self, listener: EchoListener) -> None:
@@ -154,7 +161,8 @@
         with pytest.raises(PeerLost):
             await stream.receive()
         assert listener.dropped == ["authentication"]
-        relay.server.close()
+        stream.close()
+        relay.close()
 
     async def test_a_replayed_connection_does_nothing(
         self, listener: EchoListener
@@ -170,7 +178,7 @@
         assert len(listener.streams) == 1
         stream.close()
         writer.close()
-        relay.server.close()
+        relay.close()
 
     async def test_unusable_messages_are_dropped(
         self, listener: EchoListener, monkeypatch: pytest.MonkeyPatch
--- a/tests/test_pg_server.py
+++ b/tests/test_pg_server.py
@@ -176,12 +176,15 @@
 class RawClient:
     """Speaks the protocol message by message."""
 
+    opened: ClassVar[list[RawClient]] = []
+
     @classmethod
     async def connect(cls, server: PgFrontend, *, log_in: bool = True) -> RawClient:
         self = cls()
         self.reader, self.writer = await asyncio.open_connection(
             "127.0.0.1", server.port
         )
+        cls.opened.append(self)
         if log_in:
             await self._log_in()
         return self
@@ -214,6 +217,15 @@
         return b"".join(tag for tag, _ in await self.exchange(data, until=b"Z"))
 
 
+@pytest_asyncio.fixture(autouse=True)
+async def opened_clients() -> AsyncIterator[None]:
+    """Close the clients that a test opened and left open."""
+    yield
+    for client in RawClient.opened:
+        client.writer.close()
+    RawClient.opened.clear()
+
+
 def sqlstate(answers: list[tuple[bytes, bytes]]) -> str:
     return dict((f[:1], f[1:]) for f in dict(answers)[b"E"].split(b"\0"))[b"C"].decode()
 
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -43,6 +43,22 @@
     await edge.stop(signal.SIGKILL)
 
 
+@pytest.fixture(autouse=True)
+async def opened_clients(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[None]:
+    """Close the clients that a test opened and left open."""
+    clients: list[LineClient] = []
+    open_client = LineClient.open
+
+    async def record(client: LineClient, database: str) -> str:
+        clients.append(client)
+        return await open_client(client, database)
+
+    monkeypatch.setattr(LineClient, "open", record)
+    yield
+    for client in clients:
+        client.close()
+
+
 async def connect_client(edge: EdgeProcess, database: str) -> LineClient:
     client = LineClient(edge.front_port)
     assert await client.open(database) == "READY I -"
