Let the store come back from older copies in the soak

Beside its other faults the store is now copied, blocked and restored, with config changes before and right after, and at the end each edge must have the newest config in force.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -4,13 +4,15 @@
 processes in front of the platform's stand-in. They reach each endpoint and the store
 through a loopback proxy that delays or withholds bytes, in one direction or both, and
 resets connections. Signals pause, stop and kill edges, which are then restarted; the
-store refuses requests, drops responses or is unreachable. Clients check the consistency
-guarantees of each answer, and the last primary's log is checked at the end.
+store refuses requests, drops responses, is unreachable or comes back from an older
+copy. Clients check the consistency guarantees of each answer; at the end the last
+primary's log is checked, and that each edge has the newest config in force.
 """
 
 from __future__ import annotations
 
 import asyncio
+import re
 import signal
 import tempfile
 import time
@@ -170,7 +172,7 @@
             clients = [self._write(n) for n in range(WRITERS)]
             clients += [self._read(n) for n in range(READERS)]
             tasks = [asyncio.create_task(client) for client in clients]
-            await self._inject_faults()
+            await asyncio.gather(self._inject_faults(), self._restore_store())
             await self._check_recovery()
             self._ending = True
             await asyncio.gather(*tasks)
@@ -395,6 +397,24 @@
         await asyncio.sleep(seconds)
         self._platform.store.error_status = 0
 
+    async def _restore_store(self) -> None:
+        """Let the store come back from older copies, beside all other faults."""
+        end = time.monotonic() + self._seconds
+        random = Random(f"{self.seed} restores")
+        store, proxy = self._platform.store, self._proxies["store"]
+        while time.monotonic() < end:
+            copy = store.copy()
+            for _ in range(random.randint(0, 3)):
+                await asyncio.sleep(random.uniform(0.2, 1.5))
+                self._platform.configure()
+            proxy.block("up", "down")
+            await asyncio.sleep(random.uniform(0.05, 1.0))
+            self._platform.restore_store(copy)
+            self.faults["restore_store"] += 1
+            if random.random() < 0.5:
+                self._platform.configure()
+            proxy.unblock()
+
     async def _lose_answers(self, random: Random, seconds: float) -> None:
         self._platform.store.responses_to_drop = random.randint(1, 5)
 
@@ -445,6 +465,13 @@
                     f"{edge.name} did not get ready again: {edge.describe()}"
                 )
         await asyncio.sleep(RECOVERY_S)
+        for edge in self._edges:
+            in_force = _last_config_version(edge.output)
+            if in_force != self._platform.version:
+                self.history.add_violation(
+                    f"{edge.name} routes by config {in_force}, not by "
+                    f"{self._platform.version}"
+                )
         for number, edge in enumerate(self._edges):
             client = await self._open_session("lock-db", number)
             lines = await self._execute(client, "WRITE last x") if client else ["?"]
@@ -479,6 +506,12 @@
             )
 
 
+def _last_config_version(output: bytes) -> int:
+    """Return the version of the last config that an edge's log names, or 0."""
+    found = re.findall(rb"event=routes_in_force .*?version=(\d+)", output)
+    return int(found[-1]) if found else 0
+
+
 def _parse_value(line: str) -> int:
     text = line.removeprefix("ROW ")
     return int(text) if text.isdigit() else 0
--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -645,6 +645,7 @@
         self.groups = {name: StandinGroup(name, self.zones) for name in groups}
         self.store.groups = self.groups
         self._version = 0
+        self._config: dict = {}
         self.store_address = ""
         """Address of the store in the edges' settings, if not the store's own."""
 
@@ -693,15 +694,28 @@
         services = [
             {"name": name, "conn_limit": 22, "sync_replicas": 1} for name in self.groups
         ]
-        config = {
+        self._config = {
             "version": self._version,
             "routes": routes,
             "services": services,
             "limits": {"tx_idle_ms": 3000},
         }
-        self.store.put_json("op/config", config)
+        self.store.put_json("op/config", self._config)
         return self._version
 
+    @property
+    def version(self) -> int:
+        """Version of the newest config."""
+        return self._version
+
+    def restore_store(self, copy: StoreCopy) -> None:
+        """Restore the store; the config and the entries of endpoints are written anew."""
+        self.store.restore(copy)
+        self.store.put_json("op/config", self._config)
+        for group in self.groups.values():
+            for endpoint in group.endpoints:
+                self.store.register(endpoint)
+
     def settings(
         self, name: str, *, front: int, ready: int, internal: int = 0, zone: int = 0
     ) -> dict:
