--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -709,7 +709,7 @@
         return self._version
 
     def restore_store(self, copy: StoreCopy) -> None:
-        """Restore the store; the config and the entries of endpoints are written anew."""
+        """Restore the store; the operator and the endpoints write again."""
         self.store.restore(copy)
         self.store.put_json("op/config", self._config)
         for group in self.groups.values():
