--- a/bench/soak.py
+++ b/bench/soak.py
@@ -172,7 +172,7 @@
             clients = [self._write(n) for n in range(WRITERS)]
             clients += [self._read(n) for n in range(READERS)]
             tasks = [asyncio.create_task(client) for client in clients]
-            await asyncio.gather(self._inject_faults(), self._restore_store())
+            await asyncio.gather(self._inject_faults(), self._inject_restores())
             await self._check_recovery()
             self._ending = True
             await asyncio.gather(*tasks)
@@ -397,7 +397,7 @@
         await asyncio.sleep(seconds)
         self._platform.store.error_status = 0
 
-    async def _restore_store(self) -> None:
+    async def _inject_restores(self) -> None:
         """Let the store come back from older copies, beside all other faults."""
         end = time.monotonic() + self._seconds
         random = Random(f"{self.seed} restores")
