--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -407,7 +407,7 @@
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
-        self.connections: set[asyncio.BaseTransport] = set()
+        self.connections: set[asyncio.Transport] = set()
 
     @property
     def address(self) -> str:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -13,7 +13,7 @@
 from replicated_fakes import PROMOTION_S, FakeCluster, FakeEndpoint, FakeStore
 
 from celeryjunction.failover import supervisor
-from celeryjunction.failover.claims import CLAIM_PREFIX, LEASE_S, Claims
+from celeryjunction.failover.claims import CLAIM_PREFIX, LEASE_S, Claim, Claims
 from celeryjunction.failover.coordinator import Coordinator
 from celeryjunction.failover.detector import (
     REFUSED_LIMIT_S,
@@ -129,6 +129,14 @@
     return False
 
 
+async def lose_claim(vm: Vm, store: FakeStore) -> Claim:
+    """Return a claim of a VM that another VM has taken since."""
+    claim = await vm.claims.acquire("g")
+    store.put(CLAIM_PREFIX + "g", None)
+    await Claims(store, vm="vm2", clock=ManualClock()).acquire("g")
+    return claim
+
+
 def status(received: int, *, term: int = 1, lag_s: float = 0.0) -> EndpointStatus:
     return EndpointStatus(False, 1, LogPosition(term, received), 2, lag_s, 0, 1)
 
@@ -502,9 +510,7 @@
     ) -> None:
         vm = Vm(cluster, store)
         await vm.group.refresh()
-        claim = await vm.claims.acquire("g")
-        store.put(CLAIM_PREFIX + "g", None)
-        await Claims(store, vm="vm2", clock=ManualClock()).acquire("g")
+        claim = await lose_claim(vm, store)
         cluster["a1"].refusing = True
         assert not await vm.coordinator._replace(claim, LogPosition(0, 0))
         assert not cluster.promotions
@@ -525,9 +531,7 @@
     ) -> None:
         vm = Vm(cluster, store)
         await vm.group.refresh()
-        claim = await vm.claims.acquire("g")
-        store.put(CLAIM_PREFIX + "g", None)
-        await Claims(store, vm="vm2", clock=ManualClock()).acquire("g")
+        claim = await lose_claim(vm, store)
         missing = LogPosition(1, 99)
         assert not await vm.coordinator._replace(claim, missing)
         assert cluster["b1"].held_term == cluster["c1"].held_term == 2
