Report no contract as in force after etcd came back as another cluster

Change: the adapter notices another cluster id in the responses; the proxy then raises the alarm store_replaced and announces an applied revision of 0 until it is restarted, so the change is reported as not in force. The programs on the users' VMs do not load etcd; the method new in Membership is not called there.

--- a/src/celeryjunction/adapters/etcd.py
+++ b/src/celeryjunction/adapters/etcd.py
@@ -28,6 +28,7 @@
     WatchCompacted,
     WatchEvent,
 )
+from celeryjunction.store_history import StoreHistory
 
 _PAGE_KEYS = 1_000
 """Keys that one page of `EtcdStore.list` reads."""
@@ -83,10 +84,15 @@
     `progress_s` is the time in seconds without a response after which a watch requests
     a progress notification; after twice that time the watch counts as broken.
 
+    `history` tells when the service answers as another cluster: it was restored from a
+    copy, and revisions may name other changes than before. They are passed on as they
+    are, because contracts that were lost must not go out of force unnoticed.
+
     Create the store inside a running event loop.
     """
 
     __slots__ = (
+        "_cluster_id",
         "_current",
         "_members",
         "_metadata",
@@ -94,6 +100,7 @@
         "bytes_received",
         "bytes_sent",
         "calls",
+        "history",
     )
 
     def __init__(
@@ -114,6 +121,8 @@
         self.calls: Counter[str] = Counter()
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.history = StoreHistory()
+        self._cluster_id = 0
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
         yield "addresses", [member.address for member in self._members]
@@ -350,8 +359,16 @@
     def _count_received(self, message: object) -> object:
         if message is not aio.EOF:
             self.bytes_received += message.ByteSize()
+            self._observe_cluster(message.header.cluster_id)
         return message
 
+    def _observe_cluster(self, cluster_id: int) -> None:
+        if not cluster_id or cluster_id == self._cluster_id:
+            return
+        previous, self._cluster_id = self._cluster_id, cluster_id
+        if previous:
+            self.history.observe(self.history.era + 1)
+
     @contextlib.contextmanager
     def _translate_errors(self) -> Iterator[None]:
         """Raise the library's errors as those of the `KeyValueStore` port."""
--- a/src/celeryjunction/daemon.py
+++ b/src/celeryjunction/daemon.py
@@ -60,6 +60,12 @@
         self._contracts[contract.customer] = contract
 
 
+def _report_replaced_store() -> None:
+    _log.error(
+        "store_replaced", alarm=1, reason="the service answers as another cluster"
+    )
+
+
 def _contract_problems(text: str) -> list[str]:
     try:
         # Contracts are stored as plain JSON. Parsing one with comments takes 60 µs per
@@ -206,6 +212,7 @@
             clock=self._clock,
             random=self._random,
             check_contract=_contract_problems,
+            history=self._store.history,
         )
         self._directory = directory
         directory.on_group_change(self._group_changed)
@@ -239,10 +246,17 @@
             started_at=self._clock.wall(),
             applied_revision=directory.applied_revision,
         )
+        history = self._store.history
         membership = Membership(
-            self._store, record, clock=self._clock, random=self._random
+            self._store,
+            record,
+            clock=self._clock,
+            random=self._random,
+            history=history,
         )
         self._membership = membership
+        history.subscribe(membership.withdraw_applied_revision)
+        history.subscribe(_report_replaced_store)
         # The directory subscribed first, so it has already applied the change.
         directory.contracts_follower.subscribe(
             lambda _: membership.update(applied_revision=directory.applied_revision)
--- a/src/celeryjunction/directory.py
+++ b/src/celeryjunction/directory.py
@@ -28,6 +28,7 @@
     StoreUnavailable,
     WatchEvent,
 )
+from celeryjunction.store_history import FIRST_ERA, StoreHistory
 
 GROUP_PREFIX = "/groups/"
 _MAX_DECODED_GROUPS = 256
@@ -62,6 +63,7 @@
         "_decoded",
         "_group_listeners",
         "_groups",
+        "_history",
         "_ignored_contracts",
         "_last_contract_revision",
         "_removed_groups",
@@ -78,8 +80,10 @@
         random: Random,
         check_contract: Validate = lambda _: [],
         sleep: Sleep = asyncio.sleep,
+        history: StoreHistory | None = None,
     ) -> None:
         self._store = store
+        self._history = history or StoreHistory()
         self._check_contract = check_contract
         self._groups: dict[str, _StoredGroup] = {}
         self._decoded: OrderedDict[str, GroupRecord] = OrderedDict()
@@ -148,8 +152,12 @@
     def applied_revision(self) -> int:
         """Revision up to which all contract changes are in force in this process.
 
-        This stays below the revision of any contract that had to be ignored.
+        This stays below the revision of any contract that had to be ignored. It is 0
+        once the service was restored from a copy, as changes with a known revision are
+        not seen until the process is restarted.
         """
+        if self._history.era != FIRST_ERA:
+            return 0
         if self._ignored_contracts:
             return min(self._ignored_contracts.values()) - 1
         return self._last_contract_revision
--- a/src/celeryjunction/membership.py
+++ b/src/celeryjunction/membership.py
@@ -224,6 +224,11 @@
         """Mean seconds from an applied contract change to the put that reports it."""
         return max(0.0, (len(self._peers) + 1 - IMMEDIATE_REPORT_VMS) / REPORTS_PER_S)
 
+    def withdraw_applied_revision(self) -> None:
+        """Announce that no change is known to be in force: the store lost changes."""
+        self._record = msgspec.structs.replace(self._record, applied_revision=0)
+        self._request_put()
+
     def _request_put(self) -> None:
         self._put_due_at = 0.0
         self._dirty.set()
--- a/src/celeryjunction/standin/_versions.py
+++ b/src/celeryjunction/standin/_versions.py
@@ -76,6 +76,7 @@
         "_leases",
         "_next_lease_id",
         "_sorted_keys",
+        "cluster_id",
         "compacted_revision",
         "on_commit",
         "revision",
@@ -90,6 +91,7 @@
         self._leases: dict[int, Lease] = {}
         self._next_lease_id = 7_000_000_000_000_001
         self.revision = 1
+        self.cluster_id = 1
         self.compacted_revision = 0
         self.on_commit: set[Callable[[], None]] = set()
 
@@ -106,7 +108,10 @@
     def header(self) -> rpc.ResponseHeader:
         """Return a response header with the current revision."""
         return rpc.ResponseHeader(
-            cluster_id=1, member_id=1, revision=self.revision, raft_term=1
+            cluster_id=self.cluster_id,
+            member_id=1,
+            revision=self.revision,
+            raft_term=1,
         )
 
     # Reads
--- a/src/celeryjunction/standin/kv.py
+++ b/src/celeryjunction/standin/kv.py
@@ -410,6 +410,10 @@
         data = self._backend.data
         data.compact(data.revision if revision is None else revision)
 
+    def become_restored(self) -> None:
+        """Answer as the cluster that a copy of the present state was restored to."""
+        self._backend.data.cluster_id += 1
+
     def expire_leases(self) -> None:
         """Expire leases now; this also happens periodically and before each call."""
         self._backend.data.expire()
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -165,6 +165,21 @@
                 await eventually(lambda: directory.group("orders") is None)
             assert changes == [("orders", group(1)), ("orders", None)]
 
+    async def test_a_skipped_change_of_a_restored_service_is_not_reported_in_force(
+        self,
+    ) -> None:
+        async with running_store() as (server, store):
+            await write(store, "/contracts/co-op", contract("c1", "one"))
+            directory = StoreDirectory(
+                store, clock=FakeTime(), random=Random(1), history=store.history
+            )
+            async with background_tasks(directory.run()):
+                await asyncio.wait_for(directory.synced(), EVENT_TIMEOUT_S)
+                assert directory.applied_revision
+                server.become_restored()
+                await write(store, "/contracts/co-op", contract("c2", "two"))
+                assert directory.applied_revision == 0
+
     def directory(self) -> StoreDirectory:
         return StoreDirectory(
             None,
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -108,6 +108,17 @@
             assert stored is None or (stored.value, stored.revision) == (b"", 2)
 
 
+class TestRestoredService:
+    async def test_a_response_of_another_cluster_begins_an_era(self) -> None:
+        async with running_store() as (server, store):
+            await write(store, "/k", b"1")
+            assert store.history.era == 1
+            server.become_restored()
+            await store.get("/k")
+            await store.get("/k")
+            assert store.history.era == 2
+
+
 class TestWatch:
     async def test_a_watch_yields_past_and_new_changes(self) -> None:
         async with running_store() as (_, store):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -108,6 +108,18 @@
             stored = (await list_vms(store))[0]
             assert (stored.applied_revision, stored.leaving) == (149, True)
 
+    async def test_a_withdrawn_applied_revision_is_announced(self) -> None:
+        time = FakeTime()
+        async with running_store(clock=time) as (_, store):
+            membership = member(store, time, record())
+            membership.update(applied_revision=7)
+            async with background_tasks(membership.run()):
+                await eventually(membership.announced.is_set)
+                assert (await list_vms(store))[0].applied_revision == 7
+                membership.withdraw_applied_revision()
+                await eventually(lambda: not membership._dirty.is_set(), time)
+            assert (await list_vms(store))[0].applied_revision == 0
+
     async def test_with_many_vms_applied_revisions_are_put_with_a_delay(self) -> None:
         # Guards against 2,300 puts, each read by 2,300 VMs, for one contract change.
         time = FakeTime()
