Accept a store that counts its eras from 0

Cause: an era below the first one was taken for a late response of an earlier era, so a store whose header starts at 0 would never have been usable. Change: an era below 1 counts as the first one. test_an_odd_era_is_ignored[0] failed before; the 18 tests of the file pass.

--- a/src/celeryjunction/store_history.py
+++ b/src/celeryjunction/store_history.py
@@ -58,7 +58,11 @@
         self._listeners.append(on_restored)
 
     def observe(self, era: int) -> None:
-        """Note the era of a response; raises `StoreUnavailable` if it is over."""
+        """Note the era of a response; raises `StoreUnavailable` if it is over.
+
+        Eras below the first one are taken for it.
+        """
+        era = max(era, FIRST_ERA)
         if era < self._era:
             raise StoreUnavailable(f"a late response of era {era}")
         if era > self._era:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -228,7 +228,7 @@
         with pytest.raises(StoreUnavailable):
             await store.get("op/config")
 
-    @pytest.mark.parametrize("text", ["", "x", "-1", "2.5", "1e3"])
+    @pytest.mark.parametrize("text", ["", "x", "-1", "0", "2.5", "1e3"])
     async def test_an_odd_era_is_ignored(
         self, platform: StandinPlatform, store: HttpStore, text: str
     ) -> None:
