Pause between reads of routes that the restored store does not have yet

While the store's copy is older, it read the config again at each status of each home, without a pause.

--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -70,7 +70,7 @@
 HOME_STATUS_TIMEOUT_S = 2.0
 """The routes are read after this time without a status from a home."""
 ROUTES_RETRY_S = 0.3
-"""Pause after a failed read of the routes."""
+"""Pause after a read of the routes that failed, or was older than a home's."""
 FIRST_LIST_TIMEOUT_S = 1.0
 """Time that a starting VM waits for the first list of VMs; a call takes 4 ms. Without a
 list by then, the store is unavailable and the VM serves alone."""
@@ -436,15 +436,19 @@
         table = self.gateway.table
         self._routes_checked_at = self._clock.monotonic()
         if table is not None and status.routes_version > table.version:
-            self._refresh_routes()
+            self._refresh_routes(status.routes_version)
 
-    def _refresh_routes(self) -> None:
+    def _refresh_routes(self, version: int = 0) -> None:
+        """Read the routes, of which a home has `version` in force."""
         self._routes_checked_at = self._clock.monotonic()
         if self._refresh_task is None or self._refresh_task.done():
-            self._refresh_task = self.start_task(self._read_routes())
+            self._refresh_task = self.start_task(self._read_routes(version))
 
-    async def _read_routes(self) -> None:
-        if not await self.refresh_routes():
+    async def _read_routes(self, version: int) -> None:
+        answered = await self.refresh_routes()
+        table = self.gateway.table
+        # A store that came back from an older copy may not have the version yet.
+        if not answered or table is None or table.version < version:
             await asyncio.sleep(ROUTES_RETRY_S)
 
     def _refresh_stale_routes(self) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from types import SimpleNamespace
 
 import pytest
 from _node_support import Deployment
@@ -11,6 +12,9 @@
 
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.gateway.statements import Read, Request
+from celeryjunction.node import ROUTES_RETRY_S
+from celeryjunction.relay.homes import HomeSelector
+from celeryjunction.relay.messages import HomeStatus
 from celeryjunction.replication.group import HEDGE_DELAY_S, MAX_REGISTER_AGE_S
 from celeryjunction.replication.ports import Fault, PromotionResult
 
@@ -220,3 +224,25 @@
         await deployment.start_node("vm-b2", "b")
         seen = await readiness(deployment, 6)
         assert "vm-b2" in seen[-1]
+
+
+class TestRoutesOfHomes:
+    async def test_a_version_that_the_store_lost_is_not_read_at_each_status(
+        self, deployment: Deployment, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against calls without pause while the store's copy is older."""
+        monkeypatch.setattr(HomeSelector, "is_forwarding_only", True)
+        node = deployment.nodes["vm-b"]
+        reads = []
+
+        async def refresh_routes() -> bool:
+            reads.append(asyncio.get_running_loop().time())
+            return True
+
+        node.refresh_routes = refresh_routes
+        status = HomeStatus([], isolated=False, leaving=False, routes_version=2)
+        link = SimpleNamespace(status=status, endpoints=None)
+        for _ in range(100):
+            node._apply_home_update(link)
+            await asyncio.sleep(ROUTES_RETRY_S / 10)
+        assert len(reads) <= 11
