Replace a primary without the votes of VMs that cannot reach the store

Cause: a failover needed the votes of half of the group's homes. While the store turned most of them away, two homes that suspected a crashed primary waited until the leases of the others had expired; meanwhile every VM refused the group's writes. Change: a home that the primary answers objects as soon as it sees another VM's suspicion in the store's changes. Two homes that suspect the primary replace it after 2.5 s without an objection. A vote is one key for each VM and group, so a VM never counts on both sides; an earlier build ignores objections and sends none. The votes only decide when to begin: the commits rest on pausing all replicas.

--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -35,6 +35,11 @@
 MAX_AGREEMENT_PAUSE_S = 0.8
 """Longest pause between two reads of the other VMs' suspicions. The pause doubles from
 `SUSPECT_INTERVAL_S`, because the platform charges for each read."""
+OBJECTION_WAIT_S = 2.5
+"""Time for the objections of other VMs. They see a suspicion within about 1.5 s: a VM
+pauses for 1 s between two calls for changes of the store."""
+MIN_UNOPPOSED = 2
+"""VMs that must suspect a primary to replace it without the agreement of half."""
 RETRY_DELAY_S = 0.6
 """Least time between the starts of two replacements, up to twice as long at random."""
 ABANDONED_PAUSE_S = 2.5
@@ -98,6 +103,9 @@
         self._detector = PrimaryFailureDetector(group, clock=clock)
         self._next_attempt_at = 0.0
         self._agreement_pause_s = SUSPECT_INTERVAL_S
+        self._suspected: tuple[int, str] | None = None
+        """Term and name of the primary that this VM's stored suspicion is about."""
+        self._suspected_since = 0.0
         self._paused_since = 0.0
         self._no_primary_since = 0.0
         self._last_primary = ""
@@ -169,13 +177,33 @@
             reason = None
         if reason is None:
             self._agreement_pause_s = SUSPECT_INTERVAL_S
-            await self._suspicions.withdraw(group.name)
+            self._suspected = None
+            await self._answer_suspicions(started)
         elif self._clock.monotonic() >= self._next_attempt_at:
             await self._replace(reason)
 
+    async def _answer_suspicions(self, started: float) -> None:
+        """Object to other VMs' suspicions if the primary answers this VM.
+
+        `started` is when the check began, in seconds.
+        """
+        group, primary = self._group, self._group.primary
+        if (
+            primary is not None
+            and not self._detector.is_failing
+            and group.last_contact_at(primary) >= started - MAX_CONTACT_AGE_S
+            and self._suspicions.is_suspected_by_others(
+                group.name, term=group.term, primary=primary
+            )
+        ):
+            await self._suspicions.object(group.name, term=group.term, primary=primary)
+        else:
+            await self._suspicions.withdraw(group.name)
+
     async def _stand_by(self) -> None:
         """Leave the group to the VMs that monitor it."""
         self._paused_since = self._no_primary_since = 0.0
+        self._suspected = None
         for control in self._group.controls.values():
             control.close_idle()
         await self._suspicions.withdraw(self._group.name)
@@ -374,8 +402,7 @@
     async def _agreed_position(self, reason: str) -> LogPosition | None:
         """Share this VM's suspicion; return the highest position seen acknowledged.
 
-        None unless the store answers and at least half of the VMs that monitor the
-        group, this one included, suspect the primary.
+        None unless the store answers and the VMs agree to replace the primary.
         """
         group = self._group
         primary = group.primary or self._last_primary or UNKNOWN_PRIMARY
@@ -384,32 +411,55 @@
         self._agreement_pause_s = min(
             2 * self._agreement_pause_s, MAX_AGREEMENT_PAUSE_S
         )
-        stored = await self._suspicions.publish(
+        votes = None
+        if await self._suspicions.publish(
             group.name, term=term, primary=primary, acknowledged=group.acknowledged
-        )
-        if not stored:
+        ):
+            votes = await self._suspicions.list_votes(
+                group.name, term=term, primary=primary
+            )
+        if votes is None:
+            # Objections of this time may not be known.
+            self._suspected = None
             return None
-        found = await self._suspicions.list_against(
-            group.name, term=term, primary=primary
-        )
-        if found is None:
+        if self._suspected != (term, primary):
+            self._suspected = (term, primary)
+            self._suspected_since = self._clock.monotonic()
+        agreeing = [vote for vote in votes if not vote.is_objection]
+        objecting = len(votes) - len(agreeing)
+        if not self._is_agreed(reason, agreeing=len(agreeing), objecting=objecting):
             return None
+        self._next_attempt_at = (
+            self._clock.monotonic() + RETRY_DELAY_S * self._random.uniform(1, 2)
+        )
+        return max(LogPosition(*vote.acknowledged) for vote in agreeing)
+
+    def _is_agreed(self, reason: str, *, agreeing: int, objecting: int) -> bool:
+        """Whether the votes suffice to replace the suspected primary.
+
+        At least half of the VMs that monitor the group, this one included, have to
+        suspect the primary, or at least `MIN_UNOPPOSED` without an objection for
+        `OBJECTION_WAIT_S`: the others cannot reach the store.
+        """
         monitor_count = self._monitor_count()
+        waited_s = self._clock.monotonic() - self._suspected_since
+        term, primary = self._suspected
         _log.info(
             "primary_suspected",
-            group=group.name,
+            group=self._group.name,
             primary=primary,
             term=term,
             reason=reason,
-            agree=len(found),
+            agree=agreeing,
+            against=objecting,
             watchers=monitor_count,
+            waited_s=round(waited_s, 3),
         )
-        if 2 * len(found) < monitor_count:
-            return None
-        self._next_attempt_at = (
-            self._clock.monotonic() + RETRY_DELAY_S * self._random.uniform(1, 2)
+        if 2 * agreeing >= monitor_count:
+            return True
+        return (
+            agreeing >= MIN_UNOPPOSED and not objecting and waited_s >= OBJECTION_WAIT_S
         )
-        return max(LogPosition(*suspicion.acknowledged) for suspicion in found)
 
     async def _demote_stale_primaries(self) -> None:
         """Demote endpoints that still act as primary of an older term."""
--- a/src/celeryjunction/failover/suspicions.py
+++ b/src/celeryjunction/failover/suspicions.py
@@ -1,8 +1,10 @@
-"""Suspicions of a failed primary, shared between the VMs through the store.
+"""Votes on whether a primary has failed, shared between the VMs through the store.
 
 A VM that is cut off from a primary must not replace it while others reach it. Each VM
 that suspects the primary of a term writes so, with the highest position that it saw
-acknowledged, and withdraws this when the primary answers again.
+acknowledged, and withdraws this when the primary answers again. A VM that the primary
+answers objects as soon as it sees the suspicion of another VM. So the silence of VMs
+that cannot reach the store need not hold a failover up until their leases expire.
 """
 
 from __future__ import annotations
@@ -18,6 +20,7 @@
     Put,
     StoreRefused,
     StoreUnavailable,
+    WatchEvent,
 )
 from celeryjunction.replication.ports import LogPosition
 from celeryjunction.store_history import StoreHistory
@@ -31,27 +34,48 @@
 _log = get_logger("failover")
 
 
-class Suspicion(msgspec.Struct, frozen=True):
-    """A VM's record that it considers the primary of a term failed."""
+def suspected_group(key: str) -> str:
+    """Return the group that the vote at a key of the store is about."""
+    return key.removeprefix(SUSPICION_PREFIX).partition("/")[0]
+
+
+class Vote(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A VM's record of whether it considers the primary of a term failed."""
 
     vm: str
     term: int
     primary: str
-    acknowledged: tuple[int, int]
+    acknowledged: tuple[int, int] | None = None
+    """Highest position seen acknowledged; None in an objection."""
+
+    @property
+    def is_objection(self) -> bool:
+        """Whether the primary answers the VM."""
+        return self.acknowledged is None
+
+    def is_about(self, *, term: int, primary: str) -> bool:
+        """Whether the vote is on this primary.
+
+        A VM that knows no primary of the term agrees with one that suspects it.
+        """
+        return self.term == term and (
+            self.primary == primary or UNKNOWN_PRIMARY in (self.primary, primary)
+        )
 
 
 class Suspicions:
-    """Writes this VM's suspicions and reads those of all VMs.
+    """Writes this VM's votes and reads those of all VMs.
 
-    `lease` returns the lease of this VM's announcement, or 0. A suspicion ends with it,
-    so that one of a VM that ended does not count later, and is stored again under the
+    `lease` returns the lease of this VM's announcement, or 0. A vote ends with it, so
+    that one of a VM that ended does not count later, and is stored again under the
     next lease. `history` tells when the store came back from an older copy, which may
-    contain suspicions that were withdrawn.
+    contain votes that were withdrawn. `apply_change` takes the changes of all votes.
     """
 
     __slots__ = (
         "_history",
         "_lease",
+        "_others",
         "_published",
         "_reachable",
         "_store",
@@ -71,33 +95,52 @@
         self._history = history or StoreHistory()
         self._store = store
         self._vm = vm
-        self._published: dict[str, tuple[Suspicion, int]] = {}
-        """The stored suspicion of each group, and its lease."""
+        self._published: dict[str, tuple[Vote, int]] = {}
+        """The stored vote on each group, and its lease."""
         self._withdrawn: dict[str, int] = {}
-        """Era of the store in which each group's suspicion was deleted."""
+        """Era of the store in which the vote on each group was deleted."""
+        self._others: dict[str, Vote] = {}
+        """Suspicions of other VMs by key, as far as their changes were seen."""
         self._reachable = True
 
     async def publish(
         self, group: str, *, term: int, primary: str, acknowledged: LogPosition
     ) -> bool:
         """Store that this VM suspects a primary; return whether it is stored."""
-        suspicion = Suspicion(self._vm, term, primary, tuple(acknowledged))
-        lease = self._lease()
-        last, last_lease = self._published.get(group, (None, 0))
-        if (
+        return await self._publish(
+            group, Vote(self._vm, term, primary, tuple(acknowledged))
+        )
+
+    async def object(self, group: str, *, term: int, primary: str) -> bool:
+        """Store that a primary answers this VM; return whether it is stored."""
+        vote = Vote(self._vm, term, primary)
+        is_new = not self._is_published(group, vote)
+        stored = await self._publish(group, vote)
+        if stored and is_new:
+            _log.info("suspicion_opposed", group=group, primary=primary, term=term)
+        return stored
+
+    def _is_published(self, group: str, vote: Vote) -> bool:
+        last, lease = self._published.get(group, (None, 0))
+        return (
             last is not None
-            and (last.term, last.primary) == (term, primary)
-            and last_lease == lease
-        ):
+            and last.is_objection == vote.is_objection
+            and (last.term, last.primary) == (vote.term, vote.primary)
+            and lease == self._lease()
+        )
+
+    async def _publish(self, group: str, vote: Vote) -> bool:
+        if self._is_published(group, vote):
             return True
-        put = Put(self._key(group), msgspec.json.encode(suspicion))
+        lease = self._lease()
+        put = Put(self._key(group), msgspec.json.encode(vote))
         if not await self._put(put, lease=lease):
             return False
-        self._published[group] = (suspicion, lease)
+        self._published[group] = (vote, lease)
         return True
 
     async def withdraw(self, group: str) -> None:
-        """Delete this VM's suspicion from the store, if it may be there."""
+        """Delete this VM's vote from the store, if it may be there."""
         era = self._history.era
         if group not in self._published and self._withdrawn.get(group, era) == era:
             return
@@ -125,30 +168,42 @@
             self._reachable = reachable
             _log.warning("suspicions_shared", possible=reachable, reason=reason)
 
-    async def list_against(
+    def apply_change(self, event: WatchEvent) -> None:
+        """Take over a change of a vote in the store."""
+        vote = None if event.value is None else _decode(event.key, event.value)
+        if vote is None or vote.is_objection or vote.vm == self._vm:
+            self._others.pop(event.key, None)
+        else:
+            self._others[event.key] = vote
+
+    def is_suspected_by_others(self, group: str, *, term: int, primary: str) -> bool:
+        """Whether another VM is known to suspect a primary."""
+        return any(
+            suspected_group(key) == group and vote.is_about(term=term, primary=primary)
+            for key, vote in self._others.items()
+        )
+
+    async def list_votes(
         self, group: str, *, term: int, primary: str
-    ) -> list[Suspicion] | None:
-        """Return all VMs' suspicions of a primary; None if the store is unavailable.
-
-        A VM that knows no primary of the term agrees with one that suspects it.
-        """
+    ) -> list[Vote] | None:
+        """Return all VMs' votes on a primary; None if the store is unavailable."""
         prefix = f"{SUSPICION_PREFIX}{group}/"
         try:
             listed = await self._store.list(prefix, timeout=CALL_TIMEOUT_S)
         except (StoreUnavailable, StoreRefused) as error:
             self._set_reachable(False, str(error))
             return None
-        found = []
-        for item in listed.items:
-            try:
-                suspicion = msgspec.json.decode(item.value, type=Suspicion)
-            except msgspec.DecodeError as error:
-                _log.warning("suspicion_ignored", entry=item.key, reason=str(error))
-                continue
-            same_primary = suspicion.primary == primary or UNKNOWN_PRIMARY in (
-                suspicion.primary,
-                primary,
-            )
-            if suspicion.term == term and same_primary:
-                found.append(suspicion)
-        return found
+        votes = (_decode(item.key, item.value) for item in listed.items)
+        return [
+            vote
+            for vote in votes
+            if vote is not None and vote.is_about(term=term, primary=primary)
+        ]
+
+
+def _decode(key: str, value: bytes) -> Vote | None:
+    try:
+        return msgspec.json.decode(value, type=Vote)
+    except msgspec.DecodeError as error:
+        _log.warning("vote_ignored", entry=key, reason=str(error))
+        return None
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -23,13 +23,18 @@
 from celeryjunction.failover.coordinator import Coordinator
 from celeryjunction.failover.relief import should_hand_over
 from celeryjunction.failover.supervisor import Supervisor
-from celeryjunction.failover.suspicions import Suspicions
+from celeryjunction.failover.suspicions import (
+    SUSPICION_PREFIX,
+    Suspicions,
+    suspected_group,
+)
+from celeryjunction.follower import PrefixFollower
 from celeryjunction.gateway.gateway import Gateway
 from celeryjunction.gateway.routes import RouteTable
 from celeryjunction.logs import get_logger
 from celeryjunction.membership import Membership
 from celeryjunction.metrics import Metrics
-from celeryjunction.ports import Clock, KeyValueStore
+from celeryjunction.ports import Clock, KeyValueStore, WatchEvent
 from celeryjunction.reach import EndpointContact, is_cut_off
 from celeryjunction.readiness import GroupView, Readiness
 from celeryjunction.relay.home_link import HomeLink
@@ -161,6 +166,10 @@
         self._suspicions = Suspicions(
             store, vm=vm, lease=lambda: membership.lease, history=self._history
         )
+        self._votes = PrefixFollower(
+            store, SUSPICION_PREFIX, clock=clock, random=random, keep_values=False
+        )
+        self._votes.subscribe(self._apply_vote)
         self._homes = HomeSelector(
             membership.record, random=random, on_update=self._apply_home_update
         )
@@ -191,6 +200,7 @@
         self._frontend = frontend
         self.start_service("register", self._register.run)
         self.start_service("membership", self._membership.run)
+        self.start_service("votes", self._follow_votes)
         self.start_service("maintenance", self._maintain)
         _log.info("started", vm=self._vm, zone=self._zone)
 
@@ -246,6 +256,18 @@
                 {key: info for key, info in endpoints.items() if self._is_usable(info)}
             )
 
+    async def _follow_votes(self) -> None:
+        """Follow the votes on primaries once this VM is a home: only homes vote."""
+        while not any(map(self._homes.is_home, self.gateway.groups)):
+            await asyncio.sleep(MAINTENANCE_INTERVAL_S)
+        await self._votes.run()
+
+    def _apply_vote(self, event: WatchEvent) -> None:
+        self._suspicions.apply_change(event)
+        group = self.gateway.groups.get(suspected_group(event.key))
+        if group is not None and self._homes.is_home(group.name):
+            group.check_requested.set()
+
     def _is_usable(self, info: EndpointInfo) -> bool:
         """Whether an endpoint may get statements.
 
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -7,6 +7,7 @@
 from itertools import pairwise
 from random import Random
 
+import msgspec
 import pytest
 from fakes import ManualClock, event_loop_policy  # noqa: F401
 from msgspec.structs import replace
@@ -24,10 +25,17 @@
 from celeryjunction.failover.selection import choose_replica
 from celeryjunction.failover.supervisor import (
     MAX_AGREEMENT_PAUSE_S,
+    OBJECTION_WAIT_S,
     SUSPECT_INTERVAL_S,
     Supervisor,
 )
-from celeryjunction.failover.suspicions import UNKNOWN_PRIMARY, Suspicions
+from celeryjunction.failover.suspicions import (
+    SUSPICION_PREFIX,
+    UNKNOWN_PRIMARY,
+    Suspicions,
+    Vote,
+)
+from celeryjunction.ports import WatchEvent
 from celeryjunction.replication.control import ASK_TIMEOUT_S
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import (
@@ -81,10 +89,11 @@
             dialer=cluster,
             refresh_register=self.refresh,
         )
+        self.suspicions = Suspicions(store, vm=name)
         self.supervisor = Supervisor(
             self.group,
             coordinator=self.coordinator,
-            suspicions=Suspicions(store, vm=name),
+            suspicions=self.suspicions,
             roster=self.roster,
             monitor_count=lambda: monitor_count,
             should_hand_over=lambda: should_hand_over(self),
@@ -119,9 +128,11 @@
     return FakeStore()
 
 
-async def wait_for_term(vm: Vm, term: int) -> bool:
+async def wait_for_term(
+    vm: Vm, term: int, *, limit_s: float = FAILOVER_LIMIT_S
+) -> bool:
     """Wait until the VM knows a primary of the term; False at the time limit."""
-    deadline = asyncio.get_running_loop().time() + FAILOVER_LIMIT_S
+    deadline = asyncio.get_running_loop().time() + limit_s
     while asyncio.get_running_loop().time() < deadline:
         if vm.group.term == term and vm.group.primary is not None:
             return True
@@ -311,10 +322,10 @@
 class TestSuspicions:
     @staticmethod
     async def agreeing(store: FakeStore, *, primary: str = "a1") -> int:
-        found = await Suspicions(store, vm="reader").list_against(
+        votes = await Suspicions(store, vm="reader").list_votes(
             "g", term=1, primary=primary
         )
-        return len(found)
+        return sum(not vote.is_objection for vote in votes)
 
     async def test_one_of_a_vm_that_ended_does_not_count_later(
         self, store: FakeStore
@@ -392,6 +403,107 @@
         await vm.stop()
 
 
+class TestObjections:
+    """Votes of VMs that the primary answers, while most VMs cannot reach the store."""
+
+    VOTERS = 2
+    MONITORS = 6
+
+    async def replaced(
+        self, cluster: FakeCluster, store: FakeStore, *, voters: int = VOTERS
+    ) -> bool:
+        """Whether a silent primary is replaced that some of the VMs suspect."""
+        vms = [
+            Vm(cluster, store, f"vm{n}", monitor_count=self.MONITORS)
+            for n in range(voters)
+        ]
+        for vm in vms:
+            vm.run()
+        assert await wait_for_term(vms[0], 1)
+        await asyncio.sleep(3)
+        cluster["a1"].silent = True
+        assert not await wait_for_term(vms[0], 2, limit_s=OBJECTION_WAIT_S)
+        replaced = await wait_for_term(vms[0], 2)
+        for vm in vms:
+            await vm.stop()
+        return replaced
+
+    async def test_a_failed_primary_is_replaced_though_most_vms_cannot_vote(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against no primary until the leases of the other VMs expire."""
+        assert await self.replaced(cluster, store)
+        assert len(cluster.promotions) == 1
+
+    async def test_a_primary_that_answers_a_vm_is_not_replaced(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        objecting = Suspicions(store, vm="vm9")
+        assert await objecting.object("g", term=1, primary="a1")
+        assert not await self.replaced(cluster, store)
+        assert not cluster.promotions
+
+    async def test_one_vm_alone_does_not_replace_a_primary(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        assert not await self.replaced(cluster, store, voters=1)
+
+    async def test_the_time_for_objections_starts_again_after_an_outage(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against a failover before objections of this time can be seen."""
+        vms = [
+            Vm(cluster, store, f"vm{n}", monitor_count=self.MONITORS)
+            for n in range(self.VOTERS)
+        ]
+        for vm in vms:
+            vm.run()
+        assert await wait_for_term(vms[0], 1)
+        await asyncio.sleep(3)
+        cluster["a1"].silent = True
+        await asyncio.sleep(OBJECTION_WAIT_S)
+        store.unavailable = True
+        await asyncio.sleep(OBJECTION_WAIT_S)
+        store.unavailable = False
+        assert not await wait_for_term(vms[0], 2, limit_s=OBJECTION_WAIT_S)
+        assert await wait_for_term(vms[0], 2)
+        for vm in vms:
+            await vm.stop()
+
+    async def test_a_vm_that_the_primary_answers_objects_until_the_suspicion_ends(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = Vm(cluster, store, monitor_count=self.MONITORS)
+        vm.run()
+        assert await wait_for_term(vm, 1)
+        key = f"{SUSPICION_PREFIX}g/vm9"
+        value = msgspec.json.encode(Vote("vm9", 1, "a1", (0, 0)))
+        vm.suspicions.apply_change(WatchEvent(key, value, 1))
+        await asyncio.sleep(1)
+        votes = await vm.suspicions.list_votes("g", term=1, primary="a1")
+        assert [vote.vm for vote in votes if vote.is_objection] == ["vm1"]
+        vm.suspicions.apply_change(WatchEvent(key, None, 2))
+        await asyncio.sleep(1)
+        assert not await vm.suspicions.list_votes("g", term=1, primary="a1")
+        await vm.stop()
+
+    async def test_a_vm_that_suspects_the_primary_itself_does_not_object(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = Vm(cluster, store, monitor_count=self.MONITORS)
+        vm.run()
+        assert await wait_for_term(vm, 1)
+        value = msgspec.json.encode(Vote("vm9", 1, "a1", (0, 0)))
+        key = f"{SUSPICION_PREFIX}g/vm9"
+        vm.suspicions.apply_change(WatchEvent(key, value, 1))
+        await asyncio.sleep(1)
+        cluster["a1"].silent = True
+        await asyncio.sleep(3)
+        votes = await vm.suspicions.list_votes("g", term=1, primary="a1")
+        assert [vote.is_objection for vote in votes] == [False]
+        await vm.stop()
+
+
 class TestFailover:
     async def test_a_crashed_primary_is_replaced(
         self, cluster: FakeCluster, store: FakeStore
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,12 +11,13 @@
 from fakes import event_loop_policy  # noqa: F401
 
 from celeryjunction.errors import ErrorKind, ProxyError
+from celeryjunction.failover.suspicions import Suspicions
 from celeryjunction.gateway.statements import Read, Request
 from celeryjunction.node import ROUTES_RETRY_S
 from celeryjunction.relay.homes import HomeSelector
 from celeryjunction.relay.messages import HomeStatus
 from celeryjunction.replication.group import HEDGE_DELAY_S, MAX_REGISTER_AGE_S
-from celeryjunction.replication.ports import Fault, PromotionResult
+from celeryjunction.replication.ports import Fault, LogPosition, PromotionResult
 
 Outcome = ErrorKind | Fault | None
 
@@ -246,3 +247,23 @@
             node._apply_home_update(link)
             await asyncio.sleep(ROUTES_RETRY_S / 10)
         assert len(reads) <= 11
+
+
+class TestVotes:
+    async def test_the_homes_object_while_another_vm_suspects_a_live_primary(
+        self, deployment: Deployment
+    ) -> None:
+        """Guards against replacing a primary that only some VMs do not reach."""
+
+        async def objecting() -> set[str]:
+            await asyncio.sleep(2)
+            reader = Suspicions(deployment.store, vm="reader")
+            votes = await reader.list_votes("g1", term=1, primary="a-g1")
+            return {vote.vm for vote in votes if vote.is_objection}
+
+        other = Suspicions(deployment.store, vm="vm-x")
+        position = LogPosition(0, 0)
+        assert await other.publish("g1", term=1, primary="a-g1", acknowledged=position)
+        assert await objecting() == set(VMS)
+        await other.withdraw("g1")
+        assert await objecting() == set()
