Limit the time of a refresh of the config, however long the store was away

Cause: the time-out of lists doubles with the failures of the watch, up to 60 s. After 8 s in which the store refused the VM, the list that a home's newer version asks for was sent on a connection that was never answered; no other was sent until the watch's own time-out of 6.5 s closed the connections. Change: a refresh has 1.5 s, whatever failed before. Its time-out also closes the dead connections, so the watch returns with it. test_a_refresh_after_an_outage_does_not_wait_for_a_dead_connection failed before.

--- a/src/celeryjunction/follower.py
+++ b/src/celeryjunction/follower.py
@@ -26,6 +26,9 @@
 _MAX_LIST_TIMEOUT_S = 60.0
 """The timeout for lists doubles up to this after each failure: when all VMs list 33,000
 groups at once, 5 s may be too short for each of them on every attempt."""
+REFRESH_TIMEOUT_S = 1.5
+"""Time-out of a list besides the watch. It does not grow with failures: while one
+waits on a dead connection, no other is made."""
 RECONNECTS_PER_S = 1_500
 """Rate at which all VMs together call the service after an outage."""
 PREFIXES_PER_VM = 3
@@ -149,7 +152,7 @@
         while True:
             try:
                 if self._needs_list:
-                    await self._relist()
+                    await self._relist(self._list_timeout_s)
                 await self._watch()
             except WatchCompacted as error:
                 self._needs_list = True
@@ -174,7 +177,7 @@
     async def refresh(self) -> bool:
         """List the keys now, besides the watch; return whether the service answered."""
         try:
-            await self._relist()
+            await self._relist(REFRESH_TIMEOUT_S)
         except (StoreUnavailable, StoreRefused) as error:
             _log.warning("refresh_failed", prefix=self._prefix, reason=str(error))
             return False
@@ -192,11 +195,13 @@
             pause = self._random.uniform(ceiling / 2, ceiling)
         await self._sleep(pause)
 
-    async def _relist(self) -> None:
+    @property
+    def _list_timeout_s(self) -> float:
         timeout = _LIST_TIMEOUT_S * 2 ** min(self._failures, 16)
-        listed = await self._store.list(
-            self._prefix, timeout=min(timeout, _MAX_LIST_TIMEOUT_S)
-        )
+        return min(timeout, _MAX_LIST_TIMEOUT_S)
+
+    async def _relist(self, timeout_s: float = _LIST_TIMEOUT_S) -> None:
+        listed = await self._store.list(self._prefix, timeout=timeout_s)
         if listed.revision < self._revision:
             _log.error(
                 "store_went_back",
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -142,6 +142,31 @@
             assert 0.0 <= pauses[0] <= 4.6
             assert all(4.6 <= pause <= 9.2 for pause in pauses[1:])
 
+    async def test_a_refresh_after_an_outage_does_not_wait_for_a_dead_connection(
+        self,
+    ) -> None:
+        """Guards against a config that is not in force until the watch times out."""
+        limits: list[float] = []
+        pauses: list[float] = []
+
+        async def sleep(seconds: float) -> None:
+            pauses.append(seconds)
+            await asyncio.sleep(0)
+
+        class Down:
+            async def list(self, prefix: str, *, timeout: float) -> KeyValueList:
+                limits.append(timeout)
+                raise StoreUnavailable("outage")
+
+        prefix_follower = PrefixFollower(
+            Down(), "/p/", clock=FakeTime(), random=Random(1), sleep=sleep
+        )
+        async with background_tasks(prefix_follower.run()):
+            await eventually(lambda: len(pauses) >= 8)
+        assert not await prefix_follower.refresh()
+        # Shorter than the platform's bounds on the config, 3 to 6 s.
+        assert limits[-1] <= 1.5
+
 
 class TestStoreDirectory:
     async def test_group_and_contract_changes_are_applied(self) -> None:
