--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -35,6 +35,9 @@
 so that a dead connection is noticed in time."""
 PEER_REPORTED_WAIT_MS = 6000
 """Wait of a long poll while a peer reports changes within a second."""
+WAIT_AFTER_FAILURE_MS = 500
+"""Wait of the long poll after a failed one: its connection may have been opened while
+the store answered nothing, and is then dead."""
 BATCH_DELAY_S = 1.0
 """Pause after changes, so that the next call returns several at once: a rolling restart
 changes the list of VMs twice for each VM, and each VM makes a call for each change. It
@@ -90,6 +93,7 @@
             self._poll_changes, batch_delay_s=BATCH_DELAY_S
         )
         self.peer_reports_changes = False
+        self._poll_failed = False
         self.history = StoreHistory()
         # A watch of an earlier era waits for a revision that may not come.
         self.history.subscribe(client.abort_long_polls)
@@ -235,22 +239,37 @@
         """
         return self._shared_watch.watch(prefix, start_revision=start_revision)
 
+    @property
+    def _next_wait_ms(self) -> int:
+        if self._poll_failed:
+            return WAIT_AFTER_FAILURE_MS
+        if self.peer_reports_changes:
+            return max(self._wait_ms, PEER_REPORTED_WAIT_MS)
+        return self._wait_ms
+
     async def _poll_changes(self, after: int) -> WatchPage:
         """Wait for changes of any key after a revision."""
-        wait_ms = self._wait_ms
-        if self.peer_reports_changes:
-            wait_ms = max(wait_ms, PEER_REPORTED_WAIT_MS)
+        wait_ms = self._next_wait_ms
         history = self.history
         if not history.is_current_revision(after):
             raise WatchCompacted("the store was restored from a copy")
-        response = await self._call(
-            "GET",
-            "/kv-watch",
-            query={"prefix": "", "after": local_revision(after), "wait_ms": wait_ms},
-            timeout=wait_ms / 1000 + WATCH_TIMEOUT_MARGIN_S,
-            accept=(200, 410),
-            long_poll=True,
-        )
+        try:
+            response = await self._call(
+                "GET",
+                "/kv-watch",
+                query={
+                    "prefix": "",
+                    "after": local_revision(after),
+                    "wait_ms": wait_ms,
+                },
+                timeout=wait_ms / 1000 + WATCH_TIMEOUT_MARGIN_S,
+                accept=(200, 410),
+                long_poll=True,
+            )
+        except (StoreUnavailable, StoreRefused):
+            self._poll_failed = True
+            raise
+        self._poll_failed = False
         if response.status == 410 or not history.is_current_revision(after):
             raise WatchCompacted(f"changes after revision {after} were compacted")
         page = _decode(response, _ChangesPage)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -76,6 +76,27 @@
             await anext(store.watch("op/", start_revision=1))
         assert f"wait_ms={PEER_REPORTED_WAIT_MS}" in client.paths[0]
 
+    async def test_a_connection_opened_in_an_outage_is_given_up_soon(self) -> None:
+        """Guards against a config that is late because the first watch is dead."""
+        client = RecordingClient()
+        store = HttpStore(client, config_apply_ms=3000.0)
+        store.peer_reports_changes = True
+        for _ in range(2):
+            with pytest.raises(StoreUnavailable):
+                await anext(store.watch("op/", start_revision=1))
+        query = dict(parse_qsl(client.paths[1].partition("?")[2]))
+        # Leaves the follower's pause and a list within the bound.
+        assert int(query["wait_ms"]) <= 1000
+
+    async def test_the_long_wait_returns_with_an_answer(
+        self, platform: StandinPlatform, store: HttpStore
+    ) -> None:
+        watch = store.watch("op/", start_revision=1)
+        store._poll_failed = True
+        await anext(watch)
+        assert store._next_wait_ms > 1000
+        await watch.aclose()
+
 
 class TestHttpStore:
     async def test_a_put_needs_its_compare(self, store: HttpStore) -> None:
