Give up a watch that was opened in an outage soon, decided outside the adapter

The decision how long a watch waits is the product's and moves to watch_wait.py, without the platform's names.

--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -147,7 +147,8 @@
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_POLL_S)
-            self._store.peer_reports_changes = self.node.is_forwarding_only
+            wait = self._store.watch_wait
+            wait.peer_reports_changes = self.node.is_forwarding_only
             self.reload_settings()
 
     def reload_settings(self) -> None:
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -28,16 +28,8 @@
 )
 from celeryjunction.shared_watch import SharedWatch, WatchPage
 from celeryjunction.store_history import StoreHistory, local_lease, local_revision
+from celeryjunction.watch_wait import WatchWait
 
-MIN_WAIT_MS = 500
-WAIT_MARGIN_MS = 500
-"""A long poll for changes waits this much less than the platform's bound on the config,
-so that a dead connection is noticed in time."""
-PEER_REPORTED_WAIT_MS = 6000
-"""Wait of a long poll while a peer reports changes within a second."""
-WAIT_AFTER_FAILURE_MS = 500
-"""Wait of the long poll after a failed one: its connection may have been opened while
-the store answered nothing, and is then dead."""
 BATCH_DELAY_S = 1.0
 """Pause after changes, so that the next call returns several at once: a rolling restart
 changes the list of VMs twice for each VM, and each VM makes a call for each change. It
@@ -81,19 +73,15 @@
 class HttpStore:
     """Implements `KeyValueStore`. All watches share one long poll.
 
-    Changes are seen within `config_apply_ms` even if the connection is dead. While
-    `peer_reports_changes` is set, another VM reports them as well, and the long poll
-    makes fewer calls.
+    Changes are seen within `config_apply_ms` even if the connection is dead.
     """
 
     def __init__(self, client: HttpClient, *, config_apply_ms: float = 3000.0) -> None:
         self._client = client
-        self._wait_ms = max(int(config_apply_ms) - WAIT_MARGIN_MS, MIN_WAIT_MS)
+        self.watch_wait = WatchWait(config_apply_ms)
         self._shared_watch = SharedWatch(
             self._poll_changes, batch_delay_s=BATCH_DELAY_S
         )
-        self.peer_reports_changes = False
-        self._poll_failed = False
         self.history = StoreHistory()
         # A watch of an earlier era waits for a revision that may not come.
         self.history.subscribe(client.abort_long_polls)
@@ -101,7 +89,7 @@
     @property
     def longest_silence_s(self) -> float:
         """Longest time between two answers to a long poll of a VM that has no peer."""
-        return self._wait_ms / 1000 + BATCH_DELAY_S
+        return self.watch_wait.longest_alone_ms / 1000 + BATCH_DELAY_S
 
     async def _call(
         self,
@@ -239,17 +227,9 @@
         """
         return self._shared_watch.watch(prefix, start_revision=start_revision)
 
-    @property
-    def _next_wait_ms(self) -> int:
-        if self._poll_failed:
-            return WAIT_AFTER_FAILURE_MS
-        if self.peer_reports_changes:
-            return max(self._wait_ms, PEER_REPORTED_WAIT_MS)
-        return self._wait_ms
-
     async def _poll_changes(self, after: int) -> WatchPage:
         """Wait for changes of any key after a revision."""
-        wait_ms = self._next_wait_ms
+        wait_ms = self.watch_wait.next_ms
         history = self.history
         if not history.is_current_revision(after):
             raise WatchCompacted("the store was restored from a copy")
@@ -267,9 +247,9 @@
                 long_poll=True,
             )
         except (StoreUnavailable, StoreRefused):
-            self._poll_failed = True
+            self.watch_wait.failed = True
             raise
-        self._poll_failed = False
+        self.watch_wait.failed = False
         if response.status == 410 or not history.is_current_revision(after):
             raise WatchCompacted(f"changes after revision {after} were compacted")
         page = _decode(response, _ChangesPage)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -15,7 +15,7 @@
 from celeryjunction.platform.records import decode_config, decode_endpoint
 from celeryjunction.platform.settings import SettingsError, split_address
 from celeryjunction.platform.standin import StandinPlatform
-from celeryjunction.platform.store import PEER_REPORTED_WAIT_MS, HttpStore
+from celeryjunction.platform.store import HttpStore
 from celeryjunction.ports import (
     Compare,
     KeyValue,
@@ -24,6 +24,7 @@
     StoreUnavailable,
 )
 from celeryjunction.replication.ports import PromotionResult
+from celeryjunction.watch_wait import PEER_REPORTED_WAIT_MS
 
 
 @pytest.fixture
@@ -71,7 +72,7 @@
     async def test_a_peer_that_reports_changes_allows_a_longer_wait(self) -> None:
         client = RecordingClient()
         store = HttpStore(client, config_apply_ms=3000.0)
-        store.peer_reports_changes = True
+        store.watch_wait.peer_reports_changes = True
         with pytest.raises(StoreUnavailable):
             await anext(store.watch("op/", start_revision=1))
         assert f"wait_ms={PEER_REPORTED_WAIT_MS}" in client.paths[0]
@@ -80,7 +81,7 @@
         """Guards against a config that is late because the first watch is dead."""
         client = RecordingClient()
         store = HttpStore(client, config_apply_ms=3000.0)
-        store.peer_reports_changes = True
+        store.watch_wait.peer_reports_changes = True
         for _ in range(2):
             with pytest.raises(StoreUnavailable):
                 await anext(store.watch("op/", start_revision=1))
@@ -92,9 +93,9 @@
         self, platform: StandinPlatform, store: HttpStore
     ) -> None:
         watch = store.watch("op/", start_revision=1)
-        store._poll_failed = True
+        store.watch_wait.failed = True
         await anext(watch)
-        assert store._next_wait_ms > 1000
+        assert store.watch_wait.next_ms > 1000
         await watch.aclose()
 
 
