--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,8 +9,8 @@
 from harness.backend import Backend
 from harness.deployment import BACKEND_HOST, Client, Deployment, run_case
 
-CLIENTS = 18
-PAUSE_S = 0.05
+CLIENTS = 36
+PAUSE_S = 0.03
 USUAL_S = 5.0
 """Time with requests before the release."""
 CUT_S = 5.0
