Log what tells apart the causes of a commit that is lost by a promotion

The events promotion_asked, promotion_took_effect, replicas_resumed and replica_not_asked now have these.

--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -131,7 +131,12 @@
         unanswered = sorted(name for name in to_pause if statuses[name] is None)
         if unanswered or not to_pause:
             _log.warning(
-                "replica_not_asked", group=group.name, term=term, names=unanswered
+                "replica_not_asked",
+                group=group.name,
+                term=term,
+                names=unanswered,
+                members=[member.id for member in stored.members],
+                registered=sorted(group.endpoints),
             )
             return False
         # Replicas found paused: an earlier holder may have requested a promotion.
@@ -163,7 +168,9 @@
         if not await self._still_paused(paused, term):
             await self._abort(claim, to_pause, promotion_pending)
             return False
-        return await self._promote(claim, chosen, term, paused, promotion_pending)
+        return await self._promote(
+            claim, chosen, term, paused, promotion_pending, old_primary=old_primary
+        )
 
     def _remove_if_ended(self, info: EndpointInfo) -> bool:
         """Remove a drained member if its process has ended; return whether it has."""
@@ -262,7 +269,14 @@
         if await self._claims.may_be_taken(claim):
             _log.warning("claim_lost", group=claim.group, token=claim.fencing_token)
             return
-        await asyncio.gather(*(self._send(name, ResumeReceiving()) for name in paused))
+        names = list(paused)
+        _log.info(
+            "replicas_resumed",
+            group=claim.group,
+            endpoints=names,
+            token=claim.fencing_token,
+        )
+        await asyncio.gather(*(self._send(name, ResumeReceiving()) for name in names))
         self._group.refresh_soon()
 
     async def _promote(
@@ -272,8 +286,10 @@
         term: int,
         paused: dict[str, EndpointStatus],
         promotion_pending: bool,
+        *,
+        old_primary: str | None,
     ) -> bool:
-        group = self._group
+        group, checked_at = self._group, self._clock.monotonic()
         if not await self._claims.is_valid(claim):
             _log.warning("claim_lost", group=group.name, token=claim.fencing_token)
             return False
@@ -292,12 +308,28 @@
             received={name: str(s.received) for name, s in paused.items()},
             fencing_token=claim.fencing_token,
             result=result,
+            decided_s=round(self._clock.monotonic() - checked_at, 3),
+            **self._describe_old_primary(old_primary),
+            not_asked=sorted(group.endpoints.keys() - paused.keys() - {old_primary}),
         )
         if result is PromotionResult.REFUSED:
             await self._abort(claim, paused, promotion_pending)
             return False
         return await self._wait_for_takeover(paused, term, TAKEOVER_TIMEOUT_S)
 
+    def _describe_old_primary(self, old_primary: str | None) -> dict[str, object]:
+        """Return the old primary's last known role and log end, for the log."""
+        known = self._group.statuses.get(old_primary or "")
+        if known is None:
+            return {"old_primary": old_primary, "old_received": None}
+        asked_at, status = known
+        return {
+            "old_primary": old_primary,
+            "old_received": str(status.received),
+            "old_is_primary": status.is_primary,
+            "old_age_s": round(self._clock.monotonic() - asked_at, 3),
+        }
+
     async def _wait_for_takeover(
         self, names: Iterable[str], term: int, timeout_s: float
     ) -> bool:
@@ -310,6 +342,13 @@
         while self._clock.monotonic() < deadline:
             statuses = await self._ask_all(names)
             if self._group.term > term and self._group.primary is not None:
+                _log.info(
+                    "promotion_took_effect",
+                    group=self._group.name,
+                    decided_term=term + 1,
+                    term=self._group.term,
+                    primary=self._group.primary,
+                )
                 return True
             for name, status in statuses.items():
                 lost_pause = status is not None and status.held_term <= term
