Let the platform's stand-in play the faults of promotions

A test on the real clock couldn't have a promotion call carried out late, a command of one VM lost, a new replica that isn't registered, or one that ends for good. The stand-in now has these as attributes and methods, keeps the calls that were carried out with holder and fencing token, and tells a test when a promotion takes effect.

A commit that no replica had received was answered with READONLY, "did not run", although other entries behind it kept it in the log. It is now answered with TIMEOUT and stays.

--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -50,6 +50,11 @@
         self.down = False
         self.replication_cut = False
         """Fault: the endpoint receives no log entries from its primary."""
+        self.lag_ms = 0
+        """Lag that the status reports, in ms."""
+        self.ignores: Callable[[str, bytes], bool] = lambda caller, word: False
+        """Fault: whether to leave a caller's command unanswered and not run, by the
+        caller's name and the command's first word."""
         self.statements: list[bytes] = []
         """Texts of the clients' statements."""
         self.port = 0
@@ -110,16 +115,17 @@
         self.applied_count = len(self.log)
 
     def status(self) -> bytes:
-        """Return the row that answers a status command; lag and busy slots are 0."""
+        """Return the row that answers a status command; busy slots are 0."""
         role = b"primary" if self.is_primary else b"replica"
         fields = (
             role,
             self.term,
             *self.received_position,
             self.held_term,
+            self.lag_ms,
             len(self.streams),
         )
-        return b"%b %d %d.%d %d 0 0 %d" % fields
+        return b"%b %d %d.%d %d %d 0 %d" % fields
 
 
 class _AcceptedStream(LineStream):
@@ -154,12 +160,14 @@
             self._stream.write(b"ERROR MISROUTED %b\r\n" % endpoint.id.encode())
             self._stream.close()
             return
-        self._send_ready()
+        caller = fields[2].decode() if len(fields) > 2 else ""
+        if not endpoint.ignores(caller, b"CONNECT"):
+            self._send_ready()
         while (line := await self._stream.read_line()) is not None:
-            if endpoint.silent:
-                continue
             _, _, rest = line.partition(b" ")
             request_id, _, text = rest.partition(b" ")
+            if endpoint.silent or endpoint.ignores(caller, text.partition(b" ")[0]):
+                continue
             await self._run(request_id, text)
             self._send_ready()
 
@@ -234,8 +242,10 @@
     async def _commit(self, request_id: bytes, rest: bytes) -> None:
         writes, self._writes = self._writes, {}
         self._state = b"I"
-        if writes and not await self._endpoint.group.commit(self._endpoint, writes):
+        if writes and not self._endpoint.is_primary:
             return self._fail(b"READONLY")
+        if writes and not await self._endpoint.group.commit(self._endpoint, writes):
+            return self._fail(b"TIMEOUT")
         self._complete(self._make_digest(request_id))
         return None
 
@@ -251,7 +261,7 @@
         if self._state == b"T":
             self._writes[item] = data
         elif not await self._endpoint.group.commit(self._endpoint, {item: data}):
-            return self._fail(b"READONLY")
+            return self._fail(b"TIMEOUT")
         self._complete(self._make_digest(request_id))
         return None
 
@@ -296,16 +306,36 @@
             for number, zone in enumerate(zones)
         ]
         self.endpoints[0].is_primary = True
+        self.promotion_delay_s = PROMOTION_DELAY_S
+        self.on_promotion: Callable[[StandinEndpoint], None] = lambda endpoint: None
+        """Called when a promotion takes effect, before other endpoints follow."""
+
+    async def add(self, name: str, zone: str) -> StandinEndpoint:
+        """Start a new replica with the primary's log; it is not registered."""
+        primary = max(
+            (endpoint for endpoint in self.endpoints if endpoint.is_primary),
+            key=lambda endpoint: endpoint.term,
+        )
+        endpoint = StandinEndpoint(self, name, zone)
+        endpoint.term, endpoint.log = primary.term, list(primary.log)
+        endpoint.applied_count = len(endpoint.log)
+        await endpoint.start()
+        self.endpoints.append(endpoint)
+        return endpoint
+
+    async def remove(self, endpoint: StandinEndpoint) -> None:
+        """End an endpoint for good; its log is lost."""
+        await endpoint.stop()
+        self.endpoints.remove(endpoint)
 
     async def commit(self, primary: StandinEndpoint, changes: dict) -> bool:
         """Commit at a primary and wait until a replica has received the changes.
 
         False if the endpoint stops, loses the primary role or reaches
-        `SYNC_COMMIT_TIMEOUT_S` before that.
+        `SYNC_COMMIT_TIMEOUT_S` before that; the changes stay in its log.
         """
         term, number = primary.term, primary.received_position[1] + 1
-        entry = ((term, number), changes)
-        primary.log.append(entry)
+        primary.log.append(((term, number), changes))
         primary.applied_count = len(primary.log)
         deadline = time.monotonic() + SYNC_COMMIT_TIMEOUT_S
         while time.monotonic() < deadline and primary.is_primary and not primary.down:
@@ -323,15 +353,10 @@
             if receivers:
                 return not primary.down
             await asyncio.sleep(0.01)
-        if primary.log and primary.log[-1] is entry:
-            # No replica received the entry, and the client's error says that it did
-            # not run.
-            primary.log.pop()
-            primary.applied_count = min(primary.applied_count, len(primary.log))
         return False
 
     def promote(self, name: str) -> int:
-        """Make an endpoint the primary after `PROMOTION_DELAY_S`.
+        """Make an endpoint the primary after `promotion_delay_s`.
 
         Returns the HTTP status of the promotion call.
         """
@@ -342,7 +367,7 @@
             return 409
         if not new_primary.is_primary:
             loop = asyncio.get_running_loop()
-            loop.call_later(PROMOTION_DELAY_S, self._apply_promotion, new_primary)
+            loop.call_later(self.promotion_delay_s, self._apply_promotion, new_primary)
         return 200
 
     def rejoin(self, endpoint: StandinEndpoint) -> None:
@@ -356,6 +381,7 @@
         old_primaries = [endpoint for endpoint in self.endpoints if endpoint.is_primary]
         new_primary.term = max(endpoint.term for endpoint in self.endpoints) + 1
         new_primary.is_primary, new_primary.held_term = True, 0
+        self.on_promotion(new_primary)
         for endpoint in self.endpoints:
             if endpoint is not new_primary and endpoint not in old_primaries:
                 self._follow(endpoint, new_primary)
@@ -373,6 +399,20 @@
             stream.abort()
 
 
+class PromotionCall:
+    """A promotion call that was carried out."""
+
+    __slots__ = ("endpoint", "fencing_token", "group", "holder")
+
+    def __init__(
+        self, *, group: str, endpoint: str, holder: str, fencing_token: str
+    ) -> None:
+        self.group = group
+        self.endpoint = endpoint
+        self.holder = holder
+        self.fencing_token = fencing_token
+
+
 class StoreCopy:
     """State of the metadata store at one moment."""
 
@@ -400,6 +440,11 @@
         """Ports that `register` writes for endpoints behind a proxy, by endpoint."""
         self.promotions: list[tuple[str, str, str]] = []
         """Group, endpoint and fencing token of each promotion call."""
+        self.promotion_calls: list[PromotionCall] = []
+        """The promotion calls that were carried out, in this order."""
+        self.late_promotions_s: list[float] = []
+        """Fault: seconds after which the next calls are carried out, one entry a call.
+        They are not answered before."""
         self.responses_to_drop = 0
         """Fault: number of POST calls to execute without sending a response."""
         self.error_status: int = 0
@@ -508,9 +553,7 @@
         query = {name: values[0] for name, values in fields.items()}
         data = json.loads(body) if body else {}
         if url.path == "/promotion":
-            token = headers.get("x-fence-token", "")
-            self.promotions.append((data["service"], data["id"], token))
-            return self.groups[data["service"]].promote(data["id"]), {}
+            return await self._promote(data, headers), {}
         if url.path == "/kv-key":
             item = self.items.get(query["key"])
             return (200, item | {"current_rev": self.revision}) if item else (404, {})
@@ -533,6 +576,19 @@
             return self._transact(data)
         return self._lease_call(method, url.path, data)
 
+    async def _promote(self, data: dict, headers: dict[str, str]) -> int:
+        call = PromotionCall(
+            group=data["service"],
+            endpoint=data["id"],
+            holder=headers.get("x-duty-holder", ""),
+            fencing_token=headers.get("x-fence-token", ""),
+        )
+        self.promotions.append((call.group, call.endpoint, call.fencing_token))
+        if self.late_promotions_s:
+            await asyncio.sleep(self.late_promotions_s.pop(0))
+        self.promotion_calls.append(call)
+        return self.groups[call.group].promote(call.endpoint)
+
     async def _watch(self, query: dict[str, str]) -> object:
         deadline = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
