--- a/bench/platform_cluster.py
+++ b/bench/platform_cluster.py
@@ -90,6 +90,10 @@
         self.has_output = False
         """Whether the process has written to standard output since its start."""
         self.output = b""
+        self.program = "deploy/edge.py"
+        """Path of the program in the repository."""
+        self.environment: dict[str, str] = {}
+        """Further environment variables of the process."""
 
     async def start(self, *, zone: int = 0) -> None:
         """Write the settings and start the process."""
@@ -103,9 +107,13 @@
         self.path.write_text(json.dumps(settings))
         self.process = await create_subprocess_exec(
             sys.executable,
-            "deploy/edge.py",
+            self.program,
             cwd=ROOT,
-            env={**os.environ, "CELERYJUNCTION_CONFIG": str(self.path)},
+            env={
+                **os.environ,
+                **self.environment,
+                "CELERYJUNCTION_CONFIG": str(self.path),
+            },
             stdout=PIPE,
         )
         self.has_output = False
@@ -121,15 +129,18 @@
         """Whether the process was started and has not ended."""
         return self.process is not None and self.process.returncode is None
 
+    @property
+    def state(self) -> str:
+        """State of the running process as in /proc, e.g. ``T`` when it is stopped."""
+        stat = Path(f"/proc/{self.process.pid}/stat").read_text()
+        return stat.rpartition(")")[2].split()[0]
+
     def describe(self) -> str:
         """Return the process's state; SIGUSR1 makes it write its stacks to stderr."""
         if not self.running:
             return f"exited with code {self.process.returncode}"
         self.process.send_signal(signal.SIGUSR1)
-        stat = Path(f"/proc/{self.process.pid}/stat").read_text()
-        return (
-            f"process {self.process.pid} in state {stat.rpartition(')')[2].split()[0]}"
-        )
+        return f"process {self.process.pid} in state {self.state}"
 
     async def probe(self, path: str = "/readiness") -> tuple[int, str]:
         """Send a GET request to the ready address; return status and body."""
