--- a/model/all_checks.py
+++ b/model/all_checks.py
@@ -5,6 +5,7 @@
 from model import (
     acknowledgement,
     at_most_once,
+    confirmed_commits,
     contracts,
     lost_write,
     promotion,
@@ -17,8 +18,10 @@
     read_your_writes,
     lost_write,
     at_most_once,
+    confirmed_commits,
     contracts,
     quota,
     promotion,
+    confirmed_commits,
 )
 CHECKS = [check for module in MODULES for check in module.CHECKS]
