--- a/model/all_checks.py
+++ b/model/all_checks.py
@@ -5,7 +5,9 @@
 from model import (
     acknowledgement,
     at_most_once,
+    confirmed_commits,
     contracts,
+    late_promotion,
     lost_write,
     promotion,
     quota,
@@ -20,5 +22,7 @@
     contracts,
     quota,
     promotion,
+    confirmed_commits,
+    late_promotion,
 )
 CHECKS = [check for module in MODULES for check in module.CHECKS]
