Send RESUME only under a claim that the store has just confirmed

Cause: a holder that gave up let the replicas receive again also when the store didn't answer, although the claim may have been taken from it and the next holder relies on the pauses; and it resumed a replica that hasn't joined the term, which then receives from the primary of an earlier one. model/late_promotion.py refutes both ("RESUME without claim", "RESUME to other terms").

--- a/src/celeryjunction/failover/claims.py
+++ b/src/celeryjunction/failover/claims.py
@@ -122,28 +122,26 @@
 
     async def is_valid(self, claim: Claim) -> bool:
         """Ask the store whether the claim is still held."""
-        if self._clock.monotonic() >= claim.expires_at:
+        if not self.is_unexpired(claim):
             return False
-        unchanged = await self._is_stored(claim)
-        return bool(unchanged) and self._clock.monotonic() < claim.expires_at
+        return await self._is_stored(claim) and self.is_unexpired(claim)
 
-    async def may_be_taken(self, claim: Claim) -> bool:
-        """Whether another VM may hold the claim by now.
+    def is_unexpired(self, claim: Claim) -> bool:
+        """Whether the claim's lease still runs by this VM's clock."""
+        return self._clock.monotonic() < claim.expires_at
 
-        While the store does not answer, the claim counts as held until it expires.
-        """
-        if self._clock.monotonic() >= claim.expires_at:
-            return True
-        return await self._is_stored(claim) is False
+    def condition(self, claim: Claim) -> Compare:
+        """Return the condition that the claim is still held, for a transaction."""
+        return Compare(CLAIM_PREFIX + claim.group, claim.fencing_token)
 
-    async def _is_stored(self, claim: Claim) -> bool | None:
-        """Whether the store still has the claim; None if the store is unavailable."""
+    async def _is_stored(self, claim: Claim) -> bool:
+        """Whether the store answers and still has the claim."""
         try:
             key = CLAIM_PREFIX + claim.group
             current = await self._store.get(key, timeout=CALL_TIMEOUT_S)
         except (StoreUnavailable, StoreRefused) as error:
             _log.warning("claim_not_checked", group=claim.group, reason=str(error))
-            return None
+            return False
         return current is not None and current.revision == claim.fencing_token
 
     async def release(self, claim: Claim) -> None:
--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -261,15 +261,17 @@
     ) -> None:
         """Let the replicas receive again, unless a promotion may rely on their pause.
 
-        That may be an earlier promotion or one of another VM that has the claim now. A
-        later attempt then completes the replacement.
+        That may be an earlier promotion or one of another VM that has the claim now, so
+        the store has to confirm the claim. A later attempt then completes the
+        replacement.
         """
         if promotion_pending:
             return
-        if await self._claims.may_be_taken(claim):
+        if not await self._claims.is_valid(claim):
             _log.warning("claim_lost", group=claim.group, token=claim.fencing_token)
             return
-        names = list(paused)
+        # One that hasn't joined the term would receive from the primary of its own.
+        names = [name for name in paused if self._has_joined(name)]
         _log.info(
             "replicas_resumed",
             group=claim.group,
@@ -279,6 +281,10 @@
         await asyncio.gather(*(self._send(name, ResumeReceiving()) for name in names))
         self._group.refresh_soon()
 
+    def _has_joined(self, endpoint: str) -> bool:
+        known = self._group.statuses.get(endpoint)
+        return known is None or known[1].term == self._group.term
+
     async def _promote(
         self,
         claim: Claim,
