Confirm a commit only once a stored member of its term has received it

What callers saw: commits that were reported as successful are missing after a promotion.

A write or COMMIT is now confirmed after a witness said that it has received it: a member of the stored roster of the commit's term that doesn't drain and isn't paused. A new connection counts once the roster was read without a seal after it was opened. Without a witness the outcome is unknown, and nothing is sent while no witness answers. Evidence for reads comes from members only, too. A write takes one more round trip; test_round_trips.py and test_an_outdated_roster_does_not_hide_a_new_replica follow that.

A member that drained is removed only with the position up to which it may have been the only holder.

--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -288,9 +288,13 @@
         unknown = [member for member in absent if member not in ended]
         if unknown and self._is_probe_due(unknown):
             ended += await self._probe(unknown)
+        removed = False
         for member in ended:
-            self._roster.remove_member(member)
-        return bool(ended)
+            floor = await self._group.floor_without(member)
+            if floor is not None:
+                self._roster.remove_member(member, received=floor)
+                removed = True
+        return removed
 
     def _is_probe_due(self, members: list[EndpointInfo]) -> bool:
         now = self._clock.monotonic()
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -442,6 +442,7 @@
         fault = Fault.BUSY
         for _ in range(MAX_ATTEMPTS):
             pending.required_endpoint = await group.wait_for_primary(deadline)
+            await self._expect_proof(group, deadline=pending.queue_deadline)
             try:
                 grant = await self._dispatcher(route).acquire(pending)
                 answer = await self._run_once(
@@ -454,7 +455,7 @@
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             if answer.fault is None:
-                await self._prove_commit(group, deadline)
+                await self._prove_commit(group, answer.position, deadline)
                 self._record_commit(group, answer.position)
                 return answer
             if answer.fault.may_have_run:
@@ -672,6 +673,8 @@
             raise
         command = Relay(request.id, request.text)
         try:
+            if transaction.wrote:
+                await self._expect_commit_proof(route, request.arrived)
             answer = await self._run_pinned(
                 transaction, command, None, deadline, commits=transaction.wrote
             )
@@ -683,12 +686,22 @@
             self._finish_transaction()
         if answer.fault is None and transaction.wrote:
             group = self._gateway.groups[route.group]
-            await self._prove_commit(group, deadline)
+            await self._prove_commit(group, answer.position, deadline)
             self._record_commit(group, answer.position)
         if answer.fault is Fault.NOT_PRIMARY:
             self._gateway.groups[route.group].refresh_soon()
         return answer._replace(state=_IDLE)
 
+    async def _expect_commit_proof(self, route: Route, arrived: float) -> None:
+        """Check that a COMMIT could be proven; roll back if not."""
+        pending = self._pending_statement(route, arrived=arrived)
+        group = self._gateway.groups[route.group]
+        try:
+            await self._expect_proof(group, deadline=pending.queue_deadline)
+        except ProxyError as error:
+            await self._roll_back()
+            raise rolled_back_error(str(error)) from None
+
     def _fail_transaction(self, transaction: _Transaction, error: ProxyError) -> None:
         """Mark the transaction as failed and close its connection."""
         transaction.failed = error
@@ -776,15 +789,31 @@
             values=self.session_state.values,
         )
 
-    async def _prove_commit(self, group: ReplicationGroup, deadline: float) -> None:
-        """Prove that the primary had not been replaced when it committed.
+    def _is_synchronous(self, group: ReplicationGroup) -> bool:
+        settings = self._gateway.table.groups.get(group.name)
+        return settings is not None and settings.synchronous_replicas > 0
+
+    async def _expect_proof(self, group: ReplicationGroup, *, deadline: float) -> None:
+        """Check that a commit could be proven; raises `ProxyError` (not run)."""
+        if self._is_synchronous(group) and not await group.receipts.expect_witness(
+            deadline=deadline
+        ):
+            raise ProxyError(ErrorKind.NOT_RUN_NO_PRIMARY, {"database": self.database})
 
-        With synchronous replicas the acknowledgement is proof, since replicas that
-        were paused for a promotion receive nothing. Without them the primary must be
-        proven after the commit; raises `ProxyError` (outcome unknown) if it is not.
+    async def _prove_commit(
+        self, group: ReplicationGroup, position: LogPosition | None, deadline: float
+    ) -> None:
+        """Prove that a commit is kept by the next promotion, if there is one.
+
+        With synchronous replicas a member of the stored roster must have received it.
+        Without them the primary must be proven after the commit. Raises `ProxyError`
+        (outcome unknown) if there is no proof by the deadline.
         """
-        settings = self._gateway.table.groups.get(group.name)
-        if settings is not None and settings.synchronous_replicas:
+        if self._is_synchronous(group):
+            if position is None or not await group.receipts.prove(
+                position, deadline=deadline
+            ):
+                raise outcome_unknown_error("no member is known to have the commit")
             return
         term, now = group.term, self._clock.monotonic()
         try:
--- a/src/celeryjunction/replication/drain_watch.py
+++ b/src/celeryjunction/replication/drain_watch.py
@@ -24,12 +24,18 @@
     REACHABLE,
     ControlLink,
 )
-from celeryjunction.replication.ports import EndpointInfo
+from celeryjunction.replication.ports import EndpointInfo, LogPosition
 
 END_MEMORY_S = 3.0
 """An observed end counts for this long. The register shows it within about 1 s, but
 drops an endpoint that is cut off from it only after 3 heartbeats of silence (3.6 s)."""
 
+DRAIN_KNOWN_S = 3.0
+"""All VMs that reach the store know of a draining endpoint after this, and no longer
+take it for a witness. It drains for at least 7 s."""
+MAX_DRAINING = 100
+"""Draining processes whose positions are remembered."""
+
 AskZone = Callable[[EndpointInfo], Awaitable[bool]]
 """Returns whether another endpoint in the zone of the given one answers now."""
 
@@ -41,7 +47,16 @@
     `ask` asks one of them for its status.
     """
 
-    __slots__ = ("_ask", "_ask_zone", "_clock", "_controls", "_ended_at", "_endpoints")
+    __slots__ = (
+        "_ask",
+        "_ask_zone",
+        "_clock",
+        "_controls",
+        "_ended_at",
+        "_endpoints",
+        "_final_received",
+        "_first_drained",
+    )
 
     def __init__(
         self,
@@ -59,6 +74,30 @@
         self._clock = clock
         self._ended_at: dict[tuple[str, int], float] = {}
         """When ends were observed, by endpoint and start of its process; seconds."""
+        self._first_drained: dict[tuple[str, int], float] = {}
+        """When processes were first seen draining; seconds."""
+        self._final_received: dict[tuple[str, int], LogPosition] = {}
+        """How far they had received when all VMs knew that they drain."""
+
+    def record_received(
+        self, info: EndpointInfo, received: LogPosition, *, asked_at: float
+    ) -> None:
+        """Note how far a draining replica has received, once all VMs know it drains.
+
+        What it receives later is confirmed to no client because of it.
+        """
+        key = info.process_key
+        first_at = self._first_drained.setdefault(key, asked_at)
+        if asked_at - first_at >= DRAIN_KNOWN_S:
+            self._final_received.setdefault(key, received)
+        while len(self._first_drained) > MAX_DRAINING:
+            oldest = next(iter(self._first_drained))
+            del self._first_drained[oldest]
+            self._final_received.pop(oldest, None)
+
+    def final_received(self, info: EndpointInfo) -> LogPosition | None:
+        """Return how far an ended replica may be the only holder; None if not known."""
+        return self._final_received.get(info.process_key)
 
     async def check(self) -> None:
         """Ask the draining endpoints that have no open connection.
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -30,6 +30,7 @@
     EndpointStatus,
     LogPosition,
 )
+from celeryjunction.replication.receipts import CommitReceipts
 from celeryjunction.replication.roster import (
     ABSENCE_LIMIT_S,
     GroupRoster,
@@ -39,6 +40,8 @@
 STABLE_CONNECTION_S = 3.0
 """Evidence on a younger connection counts only if all members agree: the endpoint may
 have restarted and lost a pause. Longer than a promotion and its detection take."""
+ROSTER_WAIT_S = 0.1
+"""Longest wait for the roster of a new term before evidence is given up."""
 HEDGE_DELAY_S = 0.04
 """The next replica is asked when none has given evidence for this long."""
 EVIDENCE_TIME_S = 0.1
@@ -123,6 +126,7 @@
         self._expected_term = 0
         self._has_evidence = True
         self._last_contact: dict[str, float] = {}
+        self._roster_read: asyncio.Task[None] | None = None
         self.drain_watch = DrainWatch(
             endpoints=lambda: self.endpoints,
             controls=lambda: self.controls,
@@ -131,6 +135,14 @@
             clock=clock,
         )
         self._primary_answer: tuple[float, LogPosition] | None = None
+        self.receipts = CommitReceipts(
+            name,
+            term=lambda: self.term,
+            witnesses=lambda: self._witnesses,
+            ask=self._gather_evidence,
+            request_refresh=self.refresh_soon,
+            clock=clock,
+        )
         self.sampled_at = 0.0
         """Instant that the newest entry of the history covers; seconds."""
         self.check_requested = asyncio.Event()
@@ -236,6 +248,8 @@
             self.clear_primary("not_primary_any_more")
         elif status.held_term > max(self.term, status.term):
             self._expect_promotion(status.held_term)
+        else:
+            self._record_receipt(endpoint, status, asked_at=asked_at)
 
     @property
     def has_paused_replica(self) -> bool:
@@ -261,6 +275,7 @@
         self.history.clear()
         self.sampled_at = 0.0
         self._primary_answer = None
+        self.receipts.clear()
 
     def _set_primary(self, endpoint: str) -> None:
         _log.info("primary_changed", group=self.name, primary=endpoint, term=self.term)
@@ -317,9 +332,10 @@
     async def ask_unknown(self) -> None:
         """Ask the endpoints of which something is missing.
 
-        These have no open connection, did not answer, or were not seen in this term.
-        Evidence needs a connection that was opened before, and the roster of the term
-        only holds endpoints that were seen in it.
+        These have no open connection, did not answer, were not seen in this term, or
+        drain. Evidence needs a connection that was opened before, the roster of the
+        term only holds endpoints that were seen in it, and the last position of one
+        that drains has to be known when it is gone.
         """
         await asyncio.gather(
             *(self.ask(name) for name in self.endpoints if self._is_unknown(name))
@@ -333,6 +349,7 @@
             or not control.open_s
             or status is None
             or status[1].term != self.term
+            or self.endpoints[name].draining
         )
 
     async def _ask_neighbours(self, info: EndpointInfo) -> bool:
@@ -452,31 +469,77 @@
             self.sampled_at = self.proven_at = instant
             self.history.add(instant, answer[1])
 
-    async def _gather_evidence(self) -> bool:
-        """Ask replicas in order of preference until one gives evidence."""
+    async def _gather_evidence(self, position: LogPosition = NO_POSITION) -> bool:
+        """Ask witnesses in order of preference until one gives evidence.
+
+        With a position, the evidence must come from one that has received it and stays.
+        """
         term = self.term
+        witnesses = await self._find_witnesses()
         stable = self._in_evidence_order(
-            name for name in self.replicas if self._has_stable_connection(name)
+            name for name in witnesses if self._is_settled(name)
         )
         asked: list[asyncio.Task[EndpointStatus | None]] = []
+
+        done: set[asyncio.Task[EndpointStatus | None]] = set()
+
+        def has_evidence() -> bool:
+            return any(self._confirms(task.result(), term) for task in done)
+
         try:
             for name in stable:
                 asked.append(asyncio.create_task(self.ask(name)))
                 done, _ = await asyncio.wait(
                     asked, timeout=HEDGE_DELAY_S, return_when=asyncio.FIRST_COMPLETED
                 )
-                if any(self._confirms(task.result(), term) for task in done):
+                if has_evidence() and self.receipts.received >= position:
                     return True
             if asked:
                 done, _ = await asyncio.wait(asked)
-                if any(self._confirms(task.result(), term) for task in done):
-                    return True
-            return await self._all_confirm(term)
+                if has_evidence():
+                    return self.receipts.received >= position
+            return await self._all_confirm(term, position)
         finally:
             for task in asked:
                 task.cancel()
 
-    async def _all_confirm(self, term: int) -> bool:
+    async def _find_witnesses(self) -> dict[str, EndpointInfo]:
+        """Return the replicas whose statuses prove the primary and commits.
+
+        These are the members that the store names, because a promotion pauses them all.
+        """
+        if self._roster is None:
+            return {name: self.endpoints[name] for name in self.replicas}
+        if self.primary is None:
+            return {}
+        if self._roster.witnesses(self.term, self.primary) is None:
+            await asyncio.wait({self._read_roster()}, timeout=ROSTER_WAIT_S)
+        elif any(
+            self._has_stable_connection(name) and not self._is_settled(name)
+            for name in self._witnesses
+        ):
+            self._read_roster()
+        return self._witnesses
+
+    def _read_roster(self) -> asyncio.Task[None]:
+        """Start to read the roster, unless that is in progress."""
+        if self._roster_read is None or self._roster_read.done():
+            self._roster_read = asyncio.create_task(self._roster.read_again())
+        return self._roster_read
+
+    @property
+    def _witnesses(self) -> dict[str, EndpointInfo]:
+        if self._roster is None or self.primary is None:
+            found = dict(self.endpoints)
+        else:
+            found = self._roster.witnesses(self.term, self.primary) or {}
+        return {
+            name: self.endpoints[name]
+            for name in found
+            if name in self.endpoints and name != self.primary
+        }
+
+    async def _all_confirm(self, term: int, position: LogPosition) -> bool:
         """Ask all replicas that may have been promoted; one that was reports it.
 
         Valid even if a restart has lost a pause. A VM that does not monitor the group
@@ -485,16 +548,85 @@
         members = (
             self._roster.replicas_in_term(term) if self._roster is not None else None
         )
+        if members is None and self._roster is not None:
+            return False
         candidates = set(members or ())
         if members is None or not self.is_monitored:
             candidates |= set(self.replicas)
         if not candidates:
             return False
-        answers = await asyncio.gather(*(self.ask(name) for name in candidates))
-        return all(self._confirms(status, term) for status in answers)
+        witnesses = self._witnesses
+        names = list(candidates)
+        answers = await asyncio.gather(*map(self.ask, names))
+        if not all(self._confirms(status, term) for status in answers):
+            return False
+        if position != NO_POSITION and not await self._still_confirm(names, term):
+            return False
+        for name, status in zip(names, answers, strict=True):
+            if name in witnesses and not witnesses[name].draining:
+                self.receipts.record(status.received)
+        return self.receipts.received >= position
+
+    async def _still_confirm(self, names: Iterable[str], term: int) -> bool:
+        """Whether no pause was lost between the answers, and no promotion is announced.
+
+        A replica may have been paused after its answer, and another one have lost its
+        pause before it received the commit.
+        """
+        answers = await asyncio.gather(*map(self.ask, names))
+        if not all(self._confirms(status, term) for status in answers):
+            return False
+        if self._roster is None:
+            return True
+        asked_at = self._clock.monotonic()
+        await self._roster.read_again()
+        return self._roster.unsealed_at(term, self.primary or "") >= asked_at
 
     def _has_stable_connection(self, endpoint: str) -> bool:
-        return self.controls[endpoint].open_s >= STABLE_CONNECTION_S
+        control = self.controls.get(endpoint)
+        return control is not None and control.open_s >= STABLE_CONNECTION_S
+
+    def _is_settled(self, endpoint: str) -> bool:
+        """Whether no promotion relies on a pause that the replica may have lost.
+
+        A holder seals the roster before it checks the pauses for the last time. So one
+        that was read without a seal after the connection was opened shows that no
+        holder relies on a pause from before a restart.
+        """
+        if not self._has_stable_connection(endpoint):
+            return False
+        if self._roster is None:
+            return True
+        unsealed_at = self._roster.unsealed_at(self.term, self.primary or "")
+        opened_at = self._clock.monotonic() - self.controls[endpoint].open_s
+        return unsealed_at >= opened_at
+
+    async def floor_without(self, member: EndpointInfo) -> LogPosition | None:
+        """Return what the next primary needs if an ended member no longer counts.
+
+        This is how far the member had received when all VMs knew that it drained, or
+        else the primary's position after the end. None if neither is known.
+        """
+        final = self.drain_watch.final_received(member)
+        if final is not None or self.primary is None:
+            return final
+        status = await self.ask(self.primary)
+        is_current = status is not None and status.is_primary
+        return status.received if is_current and status.term == self.term else None
+
+    def _record_receipt(
+        self, endpoint: str, status: EndpointStatus, *, asked_at: float
+    ) -> None:
+        """Note what a replica proves, if it is a witness of this term."""
+        info = self.endpoints.get(endpoint)
+        if info is None or status.term != self.term:
+            return
+        if info.draining:
+            self.drain_watch.record_received(info, status.received, asked_at=asked_at)
+        if endpoint in self._witnesses and self._is_settled(endpoint):
+            self.receipts.record_witness(asked_at)
+            if not info.draining:
+                self.receipts.record(status.received)
 
     def _in_evidence_order(self, names: Iterable[str]) -> list[str]:
         """Order endpoints for evidence: this zone first, then by a hash with the VM.
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -10,11 +10,18 @@
 add them again from what they saw, and a VM that restarts would wait for them. The
 roster also keeps the size of the group, so that a VM that restarts notices that an
 endpoint is missing.
+
+A commit is confirmed to its client once a member has received it, so the members that
+are paused for a promotion have all confirmed commits. Right before the promotion is
+requested its holder seals the roster: a sealed roster takes no further members and
+names the next primary and the members of the next term, because the platform's call
+may be carried out late and names no term.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
+from operator import attrgetter
 
 import msgspec
 
@@ -28,13 +35,19 @@
     StoreRefused,
     StoreUnavailable,
 )
-from celeryjunction.replication.ports import EndpointInfo
+from celeryjunction.replication.ports import NO_POSITION, EndpointInfo, LogPosition
 from celeryjunction.store_history import StoreHistory
 
 ROSTER_PREFIX = "groups/"
 ABSENCE_LIMIT_S = 60.0
 """An absent member is removed after this. Longer than the partitions in which it may
 still receive; until then, a failover that needs the member waits."""
+SEAL_LIMIT_S = 10.0
+"""A sealed promotion may still take effect for this long: the platform carries a call
+out up to 6 s late, and a promotion takes up to 3 s."""
+READ_INTERVAL_S = 0.05
+"""Shortest pause between two reads by VMs that wait for the roster of a new term."""
+SEALED_READ_INTERVAL_S = 0.2
 CALL_TIMEOUT_S = 0.5
 
 _log = get_logger("replication")
@@ -50,6 +63,37 @@
     """Members of this term that ended: id and start time of the process, in ms."""
     size: int = 0
     """Largest number of endpoints that were registered and not draining."""
+    floor: tuple[int, int] = NO_POSITION
+    """Position that the next primary needs: where the term began, or how far a member
+    that was removed had received."""
+    next_primary: str = ""
+    """The endpoint whose promotion was or will be requested; empty if not sealed."""
+    next_members: tuple[EndpointInfo, ...] = ()
+    """Members of the term that this promotion begins, its primary included."""
+    next_floor: tuple[int, int] = NO_POSITION
+    """The end of the log of that endpoint, with which it begins its term."""
+    seal_token: int = 0
+    """Fencing token of the claim under which the roster was sealed."""
+    seals: int = 0
+    """Number of seals for this next primary: each may have led to a call."""
+    outstanding: str = ""
+    """The primary, if a further call for it may still be carried out."""
+
+    @property
+    def is_sealed(self) -> bool:
+        """Whether a promotion was or will be requested under this roster."""
+        return bool(self.next_primary)
+
+    def successor(self) -> Roster:
+        """Return the roster of the next term that the seal announces."""
+        return Roster(
+            term=self.term + 1,
+            primary=self.next_primary,
+            members=self.next_members,
+            size=self.size,
+            floor=self.next_floor,
+            outstanding=self.next_primary if self.seals > 1 else "",
+        )
 
 
 def in_use_count(registered: Mapping[str, EndpointInfo]) -> int:
@@ -68,9 +112,13 @@
         "_absent_since",
         "_clock",
         "_departed",
+        "_floor",
         "_history",
         "_key",
+        "_next_read_at",
+        "_read_at",
         "_registered",
+        "_seal_seen",
         "_seen",
         "_store",
         "_stored_era",
@@ -96,6 +144,12 @@
         self._departed: set[tuple[str, int]] = set()
         self._registered: set[tuple[str, int]] = set()
         self._absent_since: dict[str, float] = {}
+        self._floor = NO_POSITION
+        self._seal_seen: tuple[tuple[int, int, str], float] | None = None
+        """The calls that may be outstanding, and since when they are known; seconds."""
+        self._next_read_at = 0.0
+        self._read_at = 0.0
+        """When the read or write of the known stored roster was sent; seconds."""
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
         yield "term", self._seen.term
@@ -117,9 +171,10 @@
         self._record_absent(registered)
         if term > self._seen.term:
             self._departed.clear()
+            self._floor = NO_POSITION
         merged = {} if term > self._seen.term else _by_id(self._seen)
-        stored = self._stored_roster
-        if stored is not None and stored.term == term:
+        stored = self._stored_in_term(term, primary)
+        if stored is not None:
             merged = _by_id(stored) | merged
         merged |= members
         remaining = {
@@ -136,6 +191,7 @@
             tuple(remaining[name] for name in sorted(remaining)),
             self._departed_members,
             max(self._seen.size, in_use_count(registered)),
+            self._floor,
         )
 
     @property
@@ -161,22 +217,74 @@
             members=tuple(registered.get(m.id, m) for m in self._seen.members),
         )
 
+    def _stored_in_term(self, term: int, primary: str | None = None) -> Roster | None:
+        """Return the stored roster of a term, or what a seal announces for it.
+
+        The announcement counts only if `primary`, where known, is the announced one.
+        """
+        stored = self._stored_roster
+        if stored is None or stored.term == term:
+            return stored
+        if not stored.is_sealed or stored.term + 1 != term:
+            return None
+        if primary not in (None, stored.next_primary):
+            return None
+        return stored.successor()
+
     def replicas_in_term(self, term: int) -> list[str] | None:
         """Return the replicas that may hold acknowledged commits of a term.
 
         None until this VM has read a stored roster of that term with a primary.
         """
-        stored = self._stored_roster
-        if stored is None or stored.term != term or not stored.primary:
+        stored = self._stored_in_term(term)
+        if stored is None or not stored.primary:
             return None
         members = _by_id(self._merged(stored))
         members.pop(stored.primary, None)
         return list(members)
 
+    def witnesses(self, term: int, primary: str) -> dict[str, EndpointInfo] | None:
+        """Return the stored members that prove the primary and commits of a term.
+
+        Only members that every holder of a claim finds in the store count, so not those
+        that this VM has seen and not stored. None if no roster of the term with this
+        primary was read in the store's present era.
+        """
+        stored = self._stored_in_term(term, primary)
+        if stored is None or self._stored_era != self._history.era:
+            return None
+        if stored.primary != primary:
+            return None
+        return {
+            member.id: member
+            for member in stored.members
+            if member.id != primary and not self._is_removed(member)
+        }
+
+    async def read_again(self) -> None:
+        """Read the roster, at most every `READ_INTERVAL_S`."""
+        now = self._clock.monotonic()
+        if now >= self._next_read_at:
+            self._next_read_at = now + READ_INTERVAL_S
+            await self._read_revision()
+            if self._stored_roster is not None and self._stored_roster.is_sealed:
+                # It stays sealed at least until the promotion takes effect.
+                self._next_read_at = now + SEALED_READ_INTERVAL_S
+
+    def unsealed_at(self, term: int, primary: str) -> float:
+        """Return when the roster of a term was last known not to be sealed; seconds.
+
+        0 if it is sealed or not known.
+        """
+        stored = self._stored_in_term(term, primary)
+        if self.witnesses(term, primary) is None or stored.is_sealed:
+            return 0.0
+        return self._read_at
+
     def primary_in_term(self, term: int) -> str | None:
         """Return the stored primary of a term; None if it is not known."""
-        stored = self._stored_roster
-        return stored.primary if stored is not None and stored.term == term else None
+        stored = self._stored_in_term(term)
+        return stored.primary if stored is not None else None
 
     def absent_drained_members(self) -> list[EndpointInfo]:
         """Return the members that drained and that the register no longer lists."""
@@ -188,10 +296,21 @@
             and not self._is_removed(member)
         ]
 
-    def remove_member(self, member: EndpointInfo) -> None:
-        """Remove a drained member that has ended: its log no longer exists."""
+    def remove_member(
+        self, member: EndpointInfo, *, received: LogPosition = NO_POSITION
+    ) -> None:
+        """Remove a drained member that has ended: its log no longer exists.
+
+        `received` is the highest position that it was seen to have received.
+        """
         self._departed.add(member.process_key)
-        _log.info("member_struck_off", entry=self._key, endpoint=member.id)
+        self._floor = max(self._floor, received)
+        _log.info(
+            "member_struck_off",
+            entry=self._key,
+            endpoint=member.id,
+            received=str(received),
+        )
 
     def _is_removed(self, member: EndpointInfo) -> bool:
         since = self._absent_since.get(member.id)
@@ -208,7 +327,11 @@
         seen, stored = self._seen, self._stored_roster
         if not seen.term or (stored is not None and stored.term > seen.term):
             return False
-        if stored is None or stored.term < seen.term:
+        if stored is None:
+            return True
+        if not self._may_replace(stored):
+            return False
+        if stored.term < seen.term or stored.is_sealed:
             return True
         if self._stored_era != self._history.era:
             return True
@@ -216,6 +339,7 @@
             (member.id, member.draining) for member in seen.members
         }
         changed = changed or not set(seen.departed) <= set(stored.departed)
+        changed = changed or self._floor > stored.floor
         changed = changed or seen.size > stored.size
         return changed or (bool(seen.primary) and stored.primary != seen.primary)
 
@@ -225,6 +349,7 @@
         return None if found is None else found[0]
 
     async def _read_revision(self) -> tuple[Roster, int] | None:
+        sent_at = self._clock.monotonic()
         try:
             item = await self._store.get(self._key, timeout=CALL_TIMEOUT_S)
         except (StoreUnavailable, StoreRefused) as error:
@@ -232,22 +357,58 @@
             return None
         if item is None:
             if self._stored_roster is not None:
-                self._set_stored(Roster())
+                self._set_stored(Roster(), sent_at=sent_at)
             return Roster(), 0
         try:
             roster = msgspec.json.decode(item.value, type=Roster)
         except msgspec.DecodeError as error:
             _log.error("roster_ignored", alarm=1, entry=self._key, reason=str(error))
             roster = Roster()
-        self._set_stored(roster)
+        self._set_stored(roster, sent_at=sent_at)
         self._record_departed(roster)
         return roster, item.revision
 
-    def _set_stored(self, roster: Roster) -> None:
+    def _set_stored(self, roster: Roster, *, sent_at: float) -> None:
         era, previous = self._history.era, self._stored_roster
         if previous is not None and era != self._stored_era:
             self._keep_lost(previous)
         self._stored_roster, self._stored_era = roster, era
+        self._read_at = sent_at
+        self._note_seal(roster)
+
+    def _note_seal(self, roster: Roster) -> None:
+        called = roster.next_primary or roster.outstanding
+        seal = (roster.term, roster.seal_token, called)
+        if not called:
+            self._seal_seen = None
+        elif self._seal_seen is None or self._seal_seen[0] != seal:
+            self._seal_seen = (seal, self._clock.monotonic())
+
+    @property
+    def seal_age_s(self) -> float:
+        """Seconds since this VM first saw the present seal; 0 without one."""
+        if self._seal_seen is None:
+            return 0.0
+        return self._clock.monotonic() - self._seal_seen[1]
+
+    def _may_replace(self, stored: Roster) -> bool:
+        """Whether a sealed roster may be changed.
+
+        Until its promotion can no longer take effect, only the roster of the next term
+        with the announced primary replaces it. The roster of any other later term also
+        needs the announced primary to have joined that term.
+        """
+        seen = self._seen
+        if not stored.is_sealed:
+            return True
+        if seen.term > stored.term and seen.primary == stored.next_primary:
+            return True
+        if self.seal_age_s < SEAL_LIMIT_S:
+            return False
+        has_joined = stored.next_primary in _by_id(seen)
+        return (
+            seen.term == stored.term or has_joined or self.seal_age_s >= ABSENCE_LIMIT_S
+        )
 
     def _keep_lost(self, lost: Roster) -> None:
         """Take over what only the roster of an earlier era of the store tells."""
@@ -274,26 +435,130 @@
         if found is None:
             return False
         stored, revision = found
+        if not self._may_replace(stored):
+            return False
         merged = self._merged(stored)
         if merged == stored:
             return True
-        put = Put(self._key, msgspec.json.encode(merged))
+        if not await self._put(merged, [Compare(self._key, revision)]):
+            return False
+        _log.info(
+            "roster_written",
+            entry=self._key,
+            term=merged.term,
+            primary=merged.primary,
+            members=[member.id for member in merged.members],
+        )
+        return True
+
+    async def seal(
+        self,
+        *,
+        term: int,
+        next_primary: str,
+        next_members: Iterable[EndpointInfo],
+        next_floor: LogPosition,
+        paused: Collection[str],
+        claim: Compare,
+        token: int,
+    ) -> bool | None:
+        """Announce a promotion in the stored roster; return whether that is stored.
+
+        False if a member other than the primary isn't in `paused`, or if the claim or
+        the roster changed meanwhile. None if the store's answer was lost.
+        """
+        found = await self._read_revision()
+        if found is None:
+            return False
+        stored, revision = found
+        current = self._stored_in_term(term)
+        if current is None:
+            # No VM has confirmed a commit of a term without a stored roster.
+            current = Roster(term=term, size=stored.size)
+        missing = self._unpaused_members(current, paused)
+        if missing or stored.term > term:
+            _log.warning(
+                "roster_not_sealed",
+                entry=self._key,
+                term=term,
+                stored_term=stored.term,
+                missing=missing,
+            )
+            return False
+        sealed = msgspec.structs.replace(
+            current,
+            next_primary=next_primary,
+            next_members=tuple(sorted(next_members, key=attrgetter("id"))),
+            next_floor=next_floor,
+            seal_token=token,
+            seals=current.seals + 1 if current.next_primary == next_primary else 1,
+        )
+        is_stored = await self._put(sealed, [claim, Compare(self._key, revision)])
+        _log.info(
+            "roster_sealed",
+            entry=self._key,
+            term=term,
+            next_primary=next_primary,
+            next_members=[member.id for member in sealed.next_members],
+            token=token,
+            stored=is_stored,
+        )
+        return is_stored
+
+    def _unpaused_members(self, roster: Roster, paused: Collection[str]) -> list[str]:
+        return [
+            member.id
+            for member in roster.members
+            if member.id not in (*paused, roster.primary)
+            and not self._is_removed(member)
+        ]
+
+    def sealed_choice(self, term: int) -> str:
+        """Return the endpoint whose promotion in a term is announced, or empty."""
+        stored = self._stored_roster
+        if stored is None or stored.term != term:
+            return ""
+        return stored.next_primary
+
+    def outstanding_choice(self, term: int) -> str:
+        """Return the endpoint that a call of an earlier term may promote, or empty."""
+        stored = self._stored_in_term(term)
+        return stored.outstanding if stored is not None else ""
+
+    async def unseal(self, *, token: int) -> bool:
+        """Remove the seal of a promotion that is not requested or was refused.
+
+        Returns whether the store has no seal of this token.
+        """
+        found = await self._read_revision()
+        if found is None:
+            return False
+        stored, revision = found
+        if stored.seal_token != token:
+            return not stored.is_sealed
+        opened = msgspec.structs.replace(
+            stored,
+            next_primary="",
+            next_members=(),
+            next_floor=NO_POSITION,
+            seal_token=0,
+            seals=0,
+        )
+        return bool(await self._put(opened, [Compare(self._key, revision)]))
+
+    async def _put(self, roster: Roster, compares: Sequence[Compare]) -> bool | None:
+        """Store a roster; return whether it is stored, None if the answer was lost."""
+        put = Put(self._key, msgspec.json.encode(roster))
+        sent_at = self._clock.monotonic()
         try:
             result = await self._store.compare_and_put(
-                [Compare(self._key, revision)], [put], timeout=CALL_TIMEOUT_S
+                compares, [put], timeout=CALL_TIMEOUT_S
             )
         except (StoreUnavailable, StoreRefused, LeaseExpired) as error:
             _log.warning("roster_not_written", entry=self._key, reason=str(error))
-            return False
+            return None
         if result.succeeded:
-            self._set_stored(merged)
-            _log.info(
-                "roster_written",
-                entry=self._key,
-                term=merged.term,
-                primary=merged.primary,
-                members=[member.id for member in merged.members],
-            )
+            self._set_stored(roster, sent_at=sent_at)
         return result.succeeded
 
     def _merged(self, stored: Roster) -> Roster:
@@ -301,8 +566,13 @@
         if stored.term > seen.term:
             return stored
         size = max(seen.size, stored.size)
+        if stored.is_sealed and stored.next_primary == seen.primary:
+            announced = stored.successor()
+            stored = announced if announced.term == seen.term else stored
         if stored.term < seen.term:
             return msgspec.structs.replace(seen, size=size)
+        if stored.outstanding and self.seal_age_s >= SEAL_LIMIT_S:
+            stored = msgspec.structs.replace(stored, outstanding="")
         members = _by_id(stored) | _by_id(seen)
         remaining = {name: m for name, m in members.items() if not self._is_removed(m)}
         return Roster(
@@ -311,6 +581,8 @@
             tuple(remaining[name] for name in sorted(remaining)),
             self._departed_members,
             size,
+            max(self._floor, LogPosition(*stored.floor)),
+            outstanding=stored.outstanding,
         )
 
     def endpoints_to_pause(
@@ -321,13 +593,20 @@
         The primary itself is not included, because every acknowledged commit is also at
         a replica.
         """
-        merged = self._merged(stored)
+        effective = self._stored_in_term(term) or stored
+        merged = self._merged(effective)
         needed = dict(registered)
         if merged.term == term:
             needed = _by_id(merged) | needed
             needed.pop(merged.primary, None)
         return needed
 
+    def floor(self, stored: Roster, *, term: int) -> LogPosition:
+        """Return the position up to which members of `term` that left had received."""
+        effective = self._stored_in_term(term) or stored
+        known = LogPosition(*effective.floor) if effective.term == term else NO_POSITION
+        return max(known, self._floor if self._seen.term == term else NO_POSITION)
+
 
 def _by_id(roster: Roster) -> dict[str, EndpointInfo]:
     return {member.id: member for member in roster.members}
--- a/tests/test_confirmed_commits.py
+++ b/tests/test_confirmed_commits.py
@@ -3,18 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
 
 import pytest
 from fakes import ManualClock, event_loop_policy  # noqa: F401
-from replicated_fakes import FakeCluster, FakeStore
+from msgspec.structs import replace
+from replicated_fakes import FakeCluster, FakeEndpoint, FakeStore
 from test_failover import FAILOVER_LIMIT_S, Vm, wait_for_term
+from test_gateway import Proxy, kind_of
 
+from celeryjunction.errors import ErrorKind
 from celeryjunction.failover.claims import LEASE_S
 from celeryjunction.failover.supervisor import ABANDONED_PAUSE_S
+from celeryjunction.gateway.statements import Begin, Commit, Read, Write
+from celeryjunction.ports import Compare
 from celeryjunction.replication.ports import (
+    EndpointInfo,
+    LogPosition,
     PauseReceiving,
     ResumeReceiving,
 )
+from celeryjunction.replication.receipts import MAX_WITNESS_AGE_S
+from celeryjunction.replication.roster import SEAL_LIMIT_S, GroupRoster, Roster
+
+NO_COMMIT = LogPosition(0, 0)
 
 
 @pytest.fixture
@@ -27,6 +39,147 @@
     return FakeStore()
 
 
+class MemberProxy(Proxy):
+    """A VM's gateway to a group whose roster is in a store."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.store = FakeStore()
+        self.roster = GroupRoster("g", self.store, clock=self.clock)
+        self.group._roster = self.roster
+
+    async def start(self) -> None:
+        await self.store_members(*self.cluster.endpoints)
+        await super().start()
+
+    async def store_members(self, *names: str) -> None:
+        infos = {name: self.cluster[name].info for name in names}
+        self.roster.record_members(
+            term=1, primary="a1", members=infos, registered=self.cluster.infos
+        )
+        assert await self.roster.write()
+
+    async def join(self, name: str) -> FakeEndpoint:
+        """Start a replica that no roster names; its connection becomes stable."""
+        endpoint = self.cluster.endpoints[name] = FakeEndpoint(name, zone="a")
+        self.group.update_endpoints(self.cluster.infos)
+        await self.group.refresh()
+        await asyncio.sleep(3.1)
+        return endpoint
+
+    def cut(self, *names: str) -> None:
+        for name in names:
+            self.cluster[name].replication_cut = True
+
+
+@pytest.fixture
+async def proxy() -> AsyncIterator[MemberProxy]:
+    proxy = MemberProxy()
+    await proxy.start()
+    yield proxy
+    proxy.dispatcher.close()
+
+
+class TestWitnesses:
+    async def test_a_commit_at_a_member_is_confirmed(self, proxy: MemberProxy) -> None:
+        proxy.cut("b1")
+        answer = await proxy.run(proxy.session(), Write())
+        assert answer.fault is None
+        assert proxy.group.acknowledged == proxy.cluster["c1"].received
+
+    async def test_a_commit_at_a_replica_in_no_roster_is_not_confirmed(
+        self, proxy: MemberProxy
+    ) -> None:
+        await proxy.join("a4")
+        proxy.cut("b1", "c1")
+        outcome = await kind_of(proxy.run(proxy.session(), Write()))
+        assert outcome is ErrorKind.OUTCOME_UNKNOWN
+        assert proxy.cluster.acknowledged
+
+    async def test_a_replica_counts_once_the_stored_roster_names_it(
+        self, proxy: MemberProxy
+    ) -> None:
+        await proxy.join("a4")
+        await proxy.store_members("a4")
+        proxy.cut("b1", "c1")
+        assert (await proxy.run(proxy.session(), Write())).fault is None
+
+    async def test_a_commit_at_a_draining_replica_alone_is_not_confirmed(
+        self, proxy: MemberProxy
+    ) -> None:
+        proxy.cut("c1")
+        proxy.cluster["b1"].info = replace(proxy.cluster["b1"].info, draining=True)
+        proxy.group.update_endpoints(proxy.cluster.infos)
+        outcome = await kind_of(proxy.run(proxy.session(), Write()))
+        assert outcome is ErrorKind.OUTCOME_UNKNOWN
+
+    async def test_a_transactions_commit_needs_a_witness(
+        self, proxy: MemberProxy
+    ) -> None:
+        await proxy.join("a4")
+        session = proxy.session()
+        await proxy.run(session, Begin(read_only=False))
+        await proxy.run(session, Write())
+        proxy.cut("b1", "c1")
+        outcome = await kind_of(proxy.run(session, Commit()))
+        assert outcome is ErrorKind.OUTCOME_UNKNOWN
+
+    async def test_a_restarted_replica_alone_is_no_witness(
+        self, proxy: MemberProxy
+    ) -> None:
+        proxy.cluster["c1"].held_term = 2
+        proxy.cluster["b1"].restart()
+        outcome = await kind_of(proxy.run(proxy.session(), Write()))
+        assert isinstance(outcome, ErrorKind)
+
+    async def test_a_replica_in_no_roster_gives_no_evidence_for_a_read(
+        self, proxy: MemberProxy
+    ) -> None:
+        await proxy.join("a4")
+        for name in ("b1", "c1"):
+            proxy.cluster[name].held_term = 2
+        proxy.group._expected_term = 2
+        outcome = await kind_of(proxy.run(proxy.session(), Read()))
+        assert isinstance(outcome, ErrorKind)
+        assert not proxy.cluster["a1"].executed
+
+    async def test_a_write_is_not_sent_without_a_witness(
+        self, proxy: MemberProxy
+    ) -> None:
+        for name in ("b1", "c1"):
+            proxy.cluster[name].silent = True
+        await asyncio.sleep(MAX_WITNESS_AGE_S + 0.1)
+        started = proxy.clock.monotonic()
+        outcome = await kind_of(proxy.run(proxy.session(), Write()))
+        assert outcome is ErrorKind.NOT_RUN_NO_PRIMARY
+        assert proxy.clock.monotonic() - started < 0.25
+        assert not proxy.cluster["a1"].log
+
+    async def test_a_transaction_without_a_witness_is_rolled_back(
+        self, proxy: MemberProxy
+    ) -> None:
+        session = proxy.session()
+        await proxy.run(session, Begin(read_only=False))
+        await proxy.run(session, Write())
+        for name in ("b1", "c1"):
+            proxy.cluster[name].silent = True
+        await asyncio.sleep(MAX_WITNESS_AGE_S + 0.1)
+        outcome = await kind_of(proxy.run(session, Commit()))
+        assert outcome is ErrorKind.NOT_RUN_ROLLED_BACK
+        assert not proxy.cluster["a1"].log
+
+    async def test_commits_at_the_same_time_share_the_proof(
+        self, proxy: MemberProxy
+    ) -> None:
+        before = len(proxy.cluster["b1"].commands) + len(proxy.cluster["c1"].commands)
+        outcomes = await asyncio.gather(
+            *(kind_of(proxy.run(proxy.session(), Write())) for _ in range(5))
+        )
+        asked = len(proxy.cluster["b1"].commands) + len(proxy.cluster["c1"].commands)
+        assert outcomes == [None] * 5
+        assert asked - before <= 5
+
+
 async def started_vm(cluster: FakeCluster, store: FakeStore, name: str = "vm1") -> Vm:
     """Return a VM that has stored the roster of term 1, with its supervisor stopped."""
     vm = Vm(cluster, store, name)
@@ -37,6 +190,122 @@
     return vm
 
 
+class TestSeal:
+    @staticmethod
+    def claim(store: FakeStore) -> Compare:
+        return Compare("failover/g", 0)
+
+    async def seal(self, roster: GroupRoster, store: FakeStore, **changes) -> bool:
+        settings = {
+            "term": 1,
+            "next_primary": "b1",
+            "next_members": [],
+            "next_floor": NO_COMMIT,
+            "paused": ["b1", "c1"],
+            "claim": self.claim(store),
+            "token": 5,
+        }
+        return await roster.seal(**(settings | changes))
+
+    @staticmethod
+    async def roster(
+        cluster: FakeCluster, store: FakeStore, clock: ManualClock | None = None
+    ) -> GroupRoster:
+        roster = GroupRoster("g", store, clock=clock or ManualClock())
+        roster.record_members(
+            term=1, primary="a1", members=cluster.infos, registered=cluster.infos
+        )
+        await roster.write()
+        return roster
+
+    async def test_needs_the_pause_of_a_member_that_was_stored_meanwhile(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        roster = await self.roster(cluster, store)
+        cluster.endpoints["a4"] = FakeEndpoint("a4")
+        await self.roster(cluster, store)
+        assert await self.seal(roster, store) is False
+        assert await self.seal(roster, store, paused=["a4", "b1", "c1"])
+
+    async def test_needs_the_claim(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        roster = await self.roster(cluster, store)
+        store.revision += 1
+        store.put("failover/g", b"another holder")
+        assert await self.seal(roster, store) is False
+        assert not (await roster.read()).is_sealed
+
+    async def test_of_a_lost_answer_is_not_known(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        roster = await self.roster(cluster, store)
+        store.lose_answers = 1
+        assert await self.seal(roster, store) is None
+
+    async def test_takes_no_further_members_until_it_is_old(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        roster = await self.roster(cluster, store)
+        assert await self.seal(roster, store)
+        other = await self.roster(cluster, store)
+        cluster.endpoints["a4"] = FakeEndpoint("a4")
+        other.record_members(
+            term=1, primary="a1", members=cluster.infos, registered=cluster.infos
+        )
+        assert not other.needs_write and not await other.write()
+        await asyncio.sleep(SEAL_LIMIT_S)
+        assert other.needs_write and await other.write()
+        assert not (await other.read()).is_sealed
+
+    async def test_announces_the_witnesses_of_the_next_term(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        roster = await self.roster(cluster, store)
+        members = [cluster["b1"].info, cluster["c1"].info]
+        assert await self.seal(roster, store, next_members=members)
+        assert set(roster.witnesses(2, "b1")) == {"c1"}
+        assert roster.witnesses(2, "c1") is None
+
+    async def test_keeps_the_roster_of_an_unexpected_term_away_until_it_is_old(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        roster = await self.roster(cluster, store)
+        assert await self.seal(roster, store)
+        infos = cluster.infos
+        roster.record_members(term=2, primary="c1", members=infos, registered=infos)
+        assert not roster.needs_write and not await roster.write()
+        assert roster.witnesses(2, "c1") is None
+        await asyncio.sleep(SEAL_LIMIT_S)
+        assert roster.needs_write and await roster.write()
+        assert set(roster.witnesses(2, "c1")) == {"a1", "b1"}
+
+    async def test_is_replaced_by_the_roster_of_the_announced_primary(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        roster = await self.roster(cluster, store)
+        assert await self.seal(roster, store)
+        infos = cluster.infos
+        roster.record_members(term=2, primary="b1", members=infos, registered=infos)
+        assert roster.needs_write and await roster.write()
+        stored = await roster.read()
+        assert (stored.term, stored.primary, stored.is_sealed) == (2, "b1", False)
+
+    async def test_is_removed_by_its_holder_only(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        roster = await self.roster(cluster, store)
+        assert await self.seal(roster, store)
+        await roster.unseal(token=4)
+        assert (await roster.read()).is_sealed
+        await roster.unseal(token=5)
+        assert not (await roster.read()).is_sealed
+
+    async def test_an_older_process_writes_rosters_without_one(self) -> None:
+        roster = Roster(3, "b1", (EndpointInfo("b1", "g", "10.0.0.1", 1, "a", 3),))
+        assert not roster.is_sealed and roster.floor == (0, 0)
+
+
 class TestResume:
     async def test_a_holder_without_the_store_leaves_the_replicas_paused(
         self, cluster: FakeCluster, store: FakeStore
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -37,6 +37,7 @@
 from celeryjunction.replication.ports import (
     Answer,
     ClearSession,
+    EndpointInfo,
     Fault,
     LogPosition,
     OpenTransaction,
@@ -351,6 +352,15 @@
             def replicas_in_term(self, term: int) -> list[str]:
                 return ["b1"]
 
+            def witnesses(self, term: int, primary: str) -> dict[str, EndpointInfo]:
+                return {"b1": proxy.cluster["b1"].info}
+
+            def unsealed_at(self, term: int, primary: str) -> float:
+                return proxy.clock.monotonic()
+
+            async def read_again(self) -> None:
+                pass
+
         proxy.group._roster = OutdatedRoster()
         proxy.group.is_monitored = False
         proxy.cluster["c1"].held_term = 2
--- a/tests/test_round_trips.py
+++ b/tests/test_round_trips.py
@@ -50,9 +50,9 @@
         ("kind", "statement", "expected"),
         [
             (Consistency.PRIMARY, Read, 2),
-            (Consistency.PRIMARY, Write, 1),
+            (Consistency.PRIMARY, Write, 2),
             (Consistency.READ_YOUR_WRITES, Read, 1),
-            (Consistency.READ_YOUR_WRITES, Write, 1),
+            (Consistency.READ_YOUR_WRITES, Write, 2),
             (Consistency.BOUNDED_STALENESS, Read, 1),
         ],
     )
@@ -78,4 +78,4 @@
             await round_trips(proxy, session, statement)
             for statement in (Begin(False), Read(), Write(), Commit())
         ]
-        assert found == [0, first, 1, 1]
+        assert found == [0, first, 1, 2]
