Seal the roster before a promotion, and keep what the next primary needs

Causes, each triggered by a test that failed before:

Right before the call one transaction now checks the claim and the roster, which then names the next primary and takes no members. The pauses are checked after it. While it may be carried out, no other endpoint is chosen and no unexpected term's commits are confirmed. - What is required was only what voting VMs had seen confirmed.

--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -16,6 +16,7 @@
 from celeryjunction.replication.control import ControlLink
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import (
+    NO_POSITION,
     Demote,
     EndpointDialer,
     EndpointInfo,
@@ -26,7 +27,7 @@
     PromotionResult,
     ResumeReceiving,
 )
-from celeryjunction.replication.roster import GroupRoster
+from celeryjunction.replication.roster import SEAL_LIMIT_S, GroupRoster, Roster
 
 COMMAND_TIMEOUT_S = 0.3
 """A pause or demotion takes one round trip; the limit allows for a lost packet."""
@@ -38,10 +39,60 @@
 TAKEOVER_TIMEOUT_S = 3.0
 """A promotion without effect after this is abandoned; the next attempt chooses anew."""
 TAKEOVER_POLL_INTERVAL_S = 0.04
+MAX_DECISION_S = 1.0
+"""A promotion is not requested if its announcement took longer: the VM may have stood
+still, and another holder may have begun."""
 
 _log = get_logger("failover")
 
 
+class _Attempt:
+    """One replacement under a claim: what was found, and what a choice must keep."""
+
+    __slots__ = (
+        "claim",
+        "demoted_primary",
+        "infos",
+        "old_primary",
+        "outstanding",
+        "paused",
+        "promotion_pending",
+        "required",
+        "sealed",
+        "term",
+    )
+
+    def __init__(
+        self,
+        claim: Claim,
+        *,
+        term: int,
+        infos: dict[str, EndpointInfo],
+        demoted_primary: str,
+        sealed: str,
+        outstanding: str,
+    ) -> None:
+        self.claim = claim
+        self.term = term
+        """Term of the primary that is replaced."""
+        self.infos = infos
+        """All endpoints that may be chosen, by id."""
+        self.demoted_primary = demoted_primary
+        """The term's primary if an earlier attempt may have demoted it, or empty."""
+        self.old_primary: str | None = None
+        """The endpoint that leads the term, if it is known."""
+        self.required = NO_POSITION
+        """Position that the next primary must have received."""
+        self.sealed = sealed
+        """Endpoint whose promotion to the next term is announced, or empty."""
+        self.outstanding = outstanding
+        """Endpoint that a call of an earlier term may still promote, or empty."""
+        self.paused: dict[str, EndpointStatus] = {}
+        """Statuses of the paused replicas."""
+        self.promotion_pending = False
+        """Whether an earlier promotion may rely on the pauses."""
+
+
 class Coordinator:
     """Runs the replacement of one group's primary."""
 
@@ -106,77 +157,153 @@
         return done
 
     async def _replace(self, claim: Claim, acknowledged: LogPosition) -> bool:
-        group = self._group
+        group, term = self._group, self._group.term
         stored = await self._roster.read()
         if stored is None or not await self._refresh_register():
             return False
-        old_primary, term = group.primary, group.term
-        to_pause = self._roster.endpoints_to_pause(
-            stored, term=term, registered=group.endpoints
-        )
-        to_pause.pop(old_primary or "", None)
-        statuses = await self._ask_all(to_pause)
+        attempt = self._begin_attempt(claim, stored)
+        statuses = await self._ask_all(attempt.infos)
         if group.term != term:
             return True  # Another holder has replaced this primary.
-        if old_primary is None:
-            # The term's primary may have answered again.
-            primaries = {
-                n for n, status in statuses.items() if status and status.is_primary
-            }
-            to_pause = {n: info for n, info in to_pause.items() if n not in primaries}
-            old_primary = next(iter(primaries), None)
-        to_pause = {
-            n: info for n, info in to_pause.items() if not self._remove_if_ended(info)
-        }
-        unanswered = sorted(name for name in to_pause if statuses[name] is None)
-        if unanswered or not to_pause:
-            _log.warning(
-                "replica_not_asked",
-                group=group.name,
-                term=term,
-                names=unanswered,
-                members=[member.id for member in stored.members],
-                registered=sorted(group.endpoints),
-            )
+        to_pause = await self._select_members(attempt, statuses)
+        if not to_pause:
             return False
+        attempt.required = max(acknowledged, self._roster.floor(stored, term=term))
         # Replicas found paused: an earlier holder may have requested a promotion.
-        promotion_pending = any(statuses[name].held_term > term for name in to_pause)
-        if promotion_pending and await self._wait_for_takeover(
+        attempt.promotion_pending = bool(attempt.sealed) or any(
+            statuses[name].held_term > term for name in to_pause
+        )
+        if attempt.promotion_pending and await self._wait_for_takeover(
             to_pause, term, PENDING_PROMOTION_WAIT_S
         ):
             return True
-        paused = await self._pause_all(to_pause, term)
-        if paused is None:
-            await self._abort(claim, to_pause, promotion_pending)
+        attempt.paused = await self._pause_all(to_pause, term) or {}
+        chosen = self._choose(attempt) if attempt.paused else None
+        if chosen is None:
+            await self._abort(claim, to_pause, attempt.promotion_pending)
             return False
-        if old_primary is not None:
-            # A reachable primary stops before the next one starts. An unreachable one
-            # is not waited for.
-            demotion = asyncio.create_task(self._send(old_primary, Demote(term + 1)))
-            await asyncio.wait({demotion}, timeout=DEMOTE_WAIT_S)
-        chosen = choose_replica(paused, group.endpoints, acknowledged=acknowledged)
+        return await self._promote(attempt, chosen)
+
+    def _begin_attempt(self, claim: Claim, stored: Roster) -> _Attempt:
+        group, roster = self._group, self._roster
+        infos = roster.endpoints_to_pause(
+            stored, term=group.term, registered=group.endpoints
+        )
+        infos.pop(group.primary or "", None)
+        demoted = self._find_demoted_primary()
+        if demoted:
+            infos[demoted] = group.endpoints[demoted]
+        return _Attempt(
+            claim,
+            term=group.term,
+            infos=infos,
+            demoted_primary=demoted,
+            sealed=roster.sealed_choice(group.term),
+            outstanding=roster.outstanding_choice(group.term),
+        )
+
+    def _find_demoted_primary(self) -> str:
+        """Return the stored primary of the term if it may have been demoted.
+
+        It has the most log, and is asked if it answered last. Its answer is not needed,
+        since every confirmed commit is also at a member.
+        """
+        group = self._group
+        name = self._roster.primary_in_term(group.term) or ""
+        control = group.controls.get(name)
+        if group.primary is not None or name not in group.endpoints:
+            return ""
+        return name if control is not None and not control.failure else ""
+
+    async def _select_members(
+        self, attempt: _Attempt, statuses: dict[str, EndpointStatus | None]
+    ) -> dict[str, EndpointInfo]:
+        """Return the endpoints to pause; empty if one that is needed has not answered.
+
+        The term's primary may have answered again.
+        """
+        group, term = self._group, attempt.term
+        attempt.old_primary = group.primary
+        for name, status in statuses.items():
+            if status is not None and status.is_primary and status.term == term:
+                attempt.old_primary = attempt.old_primary or name
+        to_pause = {
+            name: info
+            for name, info in attempt.infos.items()
+            if name != attempt.old_primary
+            and (statuses[name] is not None or name != attempt.demoted_primary)
+            and not await self._remove_if_ended(info)
+        }
+        unanswered = sorted(name for name in to_pause if statuses[name] is None)
+        if not unanswered and to_pause:
+            return to_pause
+        _log.warning(
+            "replica_not_asked",
+            group=group.name,
+            term=term,
+            names=unanswered,
+            needed=sorted(attempt.infos),
+            registered=sorted(group.endpoints),
+        )
+        return {}
+
+    def _choose(self, attempt: _Attempt) -> str | None:
+        """Choose the next primary; None if none has the required commits.
+
+        The old primary keeps leading then. One that was demoted is chosen only if no
+        member has them: what it has alone was confirmed to nobody.
+        """
+        group = self._group
+        members = {
+            name: status
+            for name, status in attempt.paused.items()
+            if name != attempt.demoted_primary
+        }
+        chosen = None
+        for candidates in (members, attempt.paused):
+            chosen = chosen or choose_replica(
+                candidates,
+                group.endpoints,
+                acknowledged=attempt.required,
+                sealed=attempt.sealed,
+            )
         if chosen is None:
             _log.error(
                 "no_replica_has_all",
                 alarm=1,
                 group=group.name,
-                acknowledged=str(acknowledged),
-                received={name: str(s.received) for name, s in paused.items()},
+                acknowledged=str(attempt.required),
+                received={n: str(s.received) for n, s in attempt.paused.items()},
             )
-            await self._abort(claim, to_pause, promotion_pending)
-            return False
-        if not await self._still_paused(paused, term):
-            await self._abort(claim, to_pause, promotion_pending)
-            return False
-        return await self._promote(
-            claim, chosen, term, paused, promotion_pending, old_primary=old_primary
+            return None
+        earlier = attempt.sealed or attempt.outstanding
+        if earlier in ("", chosen) or self._roster.seal_age_s >= SEAL_LIMIT_S:
+            return chosen
+        # The earlier promotion may still take effect, in a term of the chosen endpoint.
+        _log.warning(
+            "promotion_outstanding",
+            group=group.name,
+            endpoint=earlier,
+            chosen=chosen,
+            sealed_s=round(self._roster.seal_age_s, 3),
         )
+        return None
 
-    def _remove_if_ended(self, info: EndpointInfo) -> bool:
-        """Remove a drained member if its process has ended; return whether it has."""
-        if not self._group.drain_watch.has_ended(info, self._control(info.id)):
+    async def _demote(self, old_primary: str | None, term: int) -> None:
+        """Stop the old primary before the next one starts, if it can be reached."""
+        if old_primary is not None:
+            demotion = asyncio.create_task(self._send(old_primary, Demote(term + 1)))
+            await asyncio.wait({demotion}, timeout=DEMOTE_WAIT_S)
+
+    async def _remove_if_ended(self, info: EndpointInfo) -> bool:
+        """Remove a drained member if its process has ended; return whether it is."""
+        group = self._group
+        if not group.drain_watch.has_ended(info, self._control(info.id)):
+            return False
+        floor = await group.floor_without(info)
+        if floor is None:
             return False
-        self._roster.remove_member(info)
+        self._roster.remove_member(info, received=floor)
         return True
 
     def _control(self, endpoint: str) -> ControlLink | None:
@@ -285,20 +412,32 @@
         known = self._group.statuses.get(endpoint)
         return known is None or known[1].term == self._group.term
 
-    async def _promote(
-        self,
-        claim: Claim,
-        chosen: str,
-        term: int,
-        paused: dict[str, EndpointStatus],
-        promotion_pending: bool,
-        *,
-        old_primary: str | None,
-    ) -> bool:
-        group, checked_at = self._group, self._clock.monotonic()
-        if not await self._claims.is_valid(claim):
-            _log.warning("claim_lost", group=group.name, token=claim.fencing_token)
-            return False
+    async def _promote(self, attempt: _Attempt, chosen: str) -> bool:
+        """Announce the promotion in the store, and request it at once.
+
+        The pauses are checked after the announcement: a replica that forgets its pause
+        later is no witness on its new connection while the roster is sealed.
+        """
+        group, claim, term = self._group, attempt.claim, attempt.term
+        started = self._clock.monotonic()
+        sealed = await self._roster.seal(
+            term=term,
+            next_primary=chosen,
+            next_members=[attempt.infos[name] for name in attempt.paused],
+            next_floor=attempt.paused[chosen].received,
+            paused=attempt.paused,
+            claim=self._claims.condition(claim),
+            token=claim.fencing_token,
+        )
+        if not sealed:
+            attempt.promotion_pending = attempt.promotion_pending or sealed is None
+            return await self._give_up(attempt, chosen, reason="not_sealed")
+        await self._demote(attempt.old_primary, term)
+        if not await self._still_paused(attempt.paused, term):
+            return await self._give_up(attempt, chosen, reason="pause_lost")
+        decided_s = self._clock.monotonic() - started
+        if decided_s > MAX_DECISION_S or not self._claims.is_unexpired(claim):
+            return await self._give_up(attempt, chosen, reason="too_late")
         group.primary_expected_at = self._clock.monotonic() + group.expected_promotion_s
         result = await self._promoter.promote(
             group=group.name,
@@ -306,22 +445,54 @@
             holder=self._vm,
             fencing_token=claim.fencing_token,
         )
+        self._log_request(attempt, chosen, result=result, decided_s=decided_s)
+        if result is PromotionResult.REFUSED:
+            return await self._give_up(attempt, chosen, reason="refused")
+        return await self._wait_for_takeover(attempt.paused, term, TAKEOVER_TIMEOUT_S)
+
+    async def _give_up(self, attempt: _Attempt, chosen: str, *, reason: str) -> bool:
+        """Take back the announcement of a promotion that won't be carried out.
+
+        One that an earlier holder announced may have been requested and stays.
+        """
+        claim = attempt.claim
+        _log.warning(
+            "promotion_given_up",
+            group=claim.group,
+            endpoint=chosen,
+            token=claim.fencing_token,
+            reason=reason,
+        )
+        if not attempt.sealed and not await self._roster.unseal(
+            token=claim.fencing_token
+        ):
+            attempt.promotion_pending = True
+        await self._abort(claim, attempt.paused, attempt.promotion_pending)
+        return False
+
+    def _log_request(
+        self,
+        attempt: _Attempt,
+        chosen: str,
+        *,
+        result: PromotionResult,
+        decided_s: float,
+    ) -> None:
+        group, old_primary = self._group, attempt.old_primary
+        received = {name: str(s.received) for name, s in attempt.paused.items()}
         _log.warning(
             "promotion_asked",
             group=group.name,
             endpoint=chosen,
-            term=term + 1,
-            received={name: str(s.received) for name, s in paused.items()},
-            fencing_token=claim.fencing_token,
+            term=attempt.term + 1,
+            received=received,
+            required=str(attempt.required),
+            fencing_token=attempt.claim.fencing_token,
             result=result,
-            decided_s=round(self._clock.monotonic() - checked_at, 3),
+            decided_s=round(decided_s, 3),
             **self._describe_old_primary(old_primary),
-            not_asked=sorted(group.endpoints.keys() - paused.keys() - {old_primary}),
+            not_asked=sorted(group.endpoints.keys() - received.keys() - {old_primary}),
         )
-        if result is PromotionResult.REFUSED:
-            await self._abort(claim, paused, promotion_pending)
-            return False
-        return await self._wait_for_takeover(paused, term, TAKEOVER_TIMEOUT_S)
 
     def _describe_old_primary(self, old_primary: str | None) -> dict[str, object]:
         """Return the old primary's last known role and log end, for the log."""
--- a/src/celeryjunction/failover/selection.py
+++ b/src/celeryjunction/failover/selection.py
@@ -16,14 +16,15 @@
     endpoints: Mapping[str, EndpointInfo],
     *,
     acknowledged: LogPosition,
+    sealed: str = "",
 ) -> str | None:
     """Return the replica with the most log; None if all lack an acknowledged commit.
 
-    `statuses` are those of paused replicas. If all replicas are paused, every
-    acknowledged commit is at one of them, so the one with the most log has them all.
-    `acknowledged` is the highest position that VMs saw acknowledged, a safeguard in
-    case one was lost nevertheless. Among equals, one that is not draining is preferred,
-    then the one with the least apply lag.
+    `statuses` are those of paused replicas. If all members are paused, every confirmed
+    commit is at one of them, so the one with the most log has them all. `acknowledged`
+    is the highest position that is known to have been confirmed, or to have been
+    received by a member that left since. Among equals, the one that is already `sealed`
+    is preferred, then one that is not draining, then the one with the least apply lag.
     """
     if not statuses:
         return None
@@ -31,9 +32,10 @@
     if highest < acknowledged:
         return None
 
-    def preference(name: str) -> tuple[bool, float, str]:
+    def preference(name: str) -> tuple[bool, bool, float, str]:
         info = endpoints.get(name)
-        return info is not None and info.draining, statuses[name].lag_s, name
+        draining = info is not None and info.draining
+        return name != sealed, draining, statuses[name].lag_s, name
 
     candidates = [
         name for name, status in statuses.items() if status.received == highest
--- a/tests/test_confirmed_commits.py
+++ b/tests/test_confirmed_commits.py
@@ -13,14 +13,17 @@
 from test_gateway import Proxy, kind_of
 
 from celeryjunction.errors import ErrorKind
+from celeryjunction.failover import coordinator
 from celeryjunction.failover.claims import LEASE_S
 from celeryjunction.failover.supervisor import ABANDONED_PAUSE_S
 from celeryjunction.gateway.statements import Begin, Commit, Read, Write
 from celeryjunction.ports import Compare
+from celeryjunction.replication.drain_watch import DRAIN_KNOWN_S
 from celeryjunction.replication.ports import (
     EndpointInfo,
     LogPosition,
     PauseReceiving,
+    PromotionResult,
     ResumeReceiving,
 )
 from celeryjunction.replication.receipts import MAX_WITNESS_AGE_S
@@ -190,6 +193,92 @@
     return vm
 
 
+class TestDemotedPrimary:
+    """Commits that only the old primary has, as a replica left with its log."""
+
+    @staticmethod
+    async def commit_and_lose_the_replica(cluster: FakeCluster) -> LogPosition:
+        cluster["c1"].replication_cut = True
+        position = await cluster.commit(cluster["a1"])
+        cluster["b1"].replication_cut = True
+        cluster["b1"].log.clear()
+        return position
+
+    async def test_keeps_leading_if_no_replica_has_all_commits(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        position = await self.commit_and_lose_the_replica(cluster)
+        assert not await vm.coordinator.replace(
+            "stalled", term=1, acknowledged=position
+        )
+        assert cluster["a1"].is_primary and not cluster.promotions
+        assert cluster["b1"].held_term == cluster["c1"].held_term == 0
+
+    async def test_is_a_candidate_of_a_later_attempt(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        position = await self.commit_and_lose_the_replica(cluster)
+        cluster["a1"].is_primary = False
+        await vm.group.refresh()
+        assert vm.group.primary is None
+        assert await vm.coordinator.replace("no_primary", term=1, acknowledged=position)
+        assert vm.group.primary == "a1"
+        assert cluster["a1"].received == position
+
+    async def test_is_not_waited_for_if_it_does_not_answer(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        cluster["a1"].silent = True
+        started = vm.group._clock.monotonic()
+        assert await vm.coordinator.replace("silent", term=1, acknowledged=NO_COMMIT)
+        assert vm.group._clock.monotonic() - started < FAILOVER_LIMIT_S
+
+    async def test_what_a_departed_member_had_received_is_required(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        cluster["c1"].replication_cut = True
+        position = await cluster.commit(cluster["a1"])
+        gone = replace(cluster["b1"].info, draining=True)
+        del cluster.endpoints["b1"]
+        vm.roster.remove_member(gone, received=position)
+        vm.group.update_endpoints(cluster.infos)
+        vm.roster.record_members(
+            term=1, primary="a1", members=cluster.infos, registered=cluster.infos
+        )
+        assert await vm.roster.write()
+        cluster["a1"].silent = True
+        assert not await vm.coordinator.replace(
+            "silent", term=1, acknowledged=NO_COMMIT
+        )
+        assert not cluster.promotions
+        cluster["a1"].silent, cluster["a1"].is_primary = False, False
+        vm.group.clear_primary("demoted")
+        await vm.group.refresh()
+        assert await vm.coordinator.replace(
+            "no_primary", term=1, acknowledged=NO_COMMIT
+        )
+        assert vm.group.primary == "a1"
+        assert cluster["a1"].received == position
+
+    async def test_a_draining_replicas_position_is_known_when_it_is_gone(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = Vm(cluster, store)
+        vm.run()
+        assert await wait_for_term(vm, 1)
+        cluster["b1"].info = replace(cluster["b1"].info, draining=True)
+        vm.group.update_endpoints(cluster.infos)
+        cluster["c1"].replication_cut = True
+        position = await cluster.commit(cluster["a1"])
+        await asyncio.sleep(DRAIN_KNOWN_S + 1.5)
+        assert vm.group.drain_watch.final_received(cluster["b1"].info) == position
+        await vm.stop()
+
+
 class TestSeal:
     @staticmethod
     def claim(store: FakeStore) -> Compare:
@@ -306,6 +395,126 @@
         assert not roster.is_sealed and roster.floor == (0, 0)
 
 
+class TestBeginOfTerm:
+    """A primary that fails before its replicas have the log with which it began."""
+
+    async def replace_twice(
+        self, cluster: FakeCluster, store: FakeStore, *, answers: bool
+    ) -> tuple[Vm, LogPosition, bool]:
+        """Promote b1, which alone has a commit; then replace it, as it is stalled."""
+        first = await started_vm(cluster, store)
+        cluster["c1"].replication_cut = True
+        position = await cluster.commit(cluster["a1"])
+        cluster["a1"].silent = True
+        assert await first.coordinator.replace("silent", term=1, acknowledged=NO_COMMIT)
+        assert first.group.primary == "b1"
+        # A VM that confirmed no commit itself, after c1 has missed the new primary.
+        cluster["c1"].log.clear()
+        cluster["c1"].term = 1
+        second = Vm(cluster, store, "vm2")
+        second.group.update_endpoints(cluster.infos)
+        await second.group.refresh()
+        cluster["b1"].silent = not answers
+        del cluster.endpoints["a1"]
+        second.group.update_endpoints(cluster.infos)
+        done = await second.coordinator.replace(
+            "stalled", term=2, acknowledged=NO_COMMIT
+        )
+        return second, position, done
+
+    async def test_no_replica_without_that_log_is_promoted(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        _, _, done = await self.replace_twice(cluster, store, answers=False)
+        assert not done
+        assert [name for name, _, _ in cluster.promotions] == ["b1"]
+
+    async def test_a_primary_that_answers_keeps_leading(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        second, position, done = await self.replace_twice(cluster, store, answers=True)
+        assert not done and cluster["b1"].is_primary
+        assert cluster["b1"].received == position
+        assert await second.group.ask("b1")
+
+
+class TestOutstandingPromotion:
+    """A promotion call that may still be carried out in a later term."""
+
+    async def test_a_holder_that_stood_still_does_not_call(
+        self, cluster: FakeCluster, store: FakeStore, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        monkeypatch.setattr(coordinator, "MAX_DECISION_S", 0.001)
+        assert not await vm.coordinator.replace(
+            "draining", term=1, acknowledged=NO_COMMIT
+        )
+        assert not cluster.promotions
+
+    async def test_the_same_replica_is_promoted_again(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        cluster["a1"].silent = True
+        cluster.take_over = lambda name: None
+        cluster.promotion_answers = [PromotionResult.UNKNOWN]
+        assert not await vm.coordinator.replace(
+            "silent", term=1, acknowledged=NO_COMMIT
+        )
+        ((first, _, _),) = cluster.promotions
+        del cluster.take_over
+        second = await started_second_vm(cluster, store)
+        assert await second.coordinator.replace(
+            "silent", term=1, acknowledged=NO_COMMIT
+        )
+        assert {name for name, _, _ in cluster.promotions} == {first}
+
+    async def test_another_one_is_chosen_only_when_the_call_is_old(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        await self.seal_for(vm, store, "b1")
+        cluster["a1"].silent = True
+        cluster["b1"].replication_cut = True
+        await cluster.commit(cluster["a1"])
+        assert not await vm.coordinator.replace(
+            "silent", term=1, acknowledged=NO_COMMIT
+        )
+        assert not cluster.promotions
+        await asyncio.sleep(SEAL_LIMIT_S)
+        assert await vm.coordinator.replace("silent", term=1, acknowledged=NO_COMMIT)
+        assert vm.group.primary == "c1"
+
+    async def test_a_refused_call_leaves_no_seal(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        cluster.promotion_answers = [PromotionResult.REFUSED]
+        assert not await vm.coordinator.replace(
+            "draining", term=1, acknowledged=NO_COMMIT
+        )
+        assert not (await vm.roster.read()).is_sealed
+
+    @staticmethod
+    async def seal_for(vm: Vm, store: FakeStore, endpoint: str) -> None:
+        assert await vm.roster.seal(
+            term=1,
+            next_primary=endpoint,
+            next_members=[],
+            next_floor=NO_COMMIT,
+            paused=["b1", "c1"],
+            claim=Compare("failover/g", 0),
+            token=5,
+        )
+
+
+async def started_second_vm(cluster: FakeCluster, store: FakeStore) -> Vm:
+    """Return a VM that started after the primary fell silent."""
+    vm = Vm(cluster, store, "vm2")
+    await vm.group.refresh()
+    return vm
+
+
 class TestResume:
     async def test_a_holder_without_the_store_leaves_the_replicas_paused(
         self, cluster: FakeCluster, store: FakeStore
