Ignore register entries that are nested too deeply or out of range

With one entry of 3,000 nested objects under the register's prefix, no process that started became ready, and one that ran kept its old list (`service_failed`, again every 0.5 s): msgspec raises RecursionError, which is no DecodeError, so the whole list was dropped. Slots and start times could be negative or beyond 64 bits, which msgpack can't encode in the list for other VMs; ports were read by `int()`, which accepts signs, blanks, underscores and digits of all scripts; reasons in the log had any length.

Data from other processes is decoded by `celeryjunction.decoding`, which raises one error with a short printable reason and states the range of each kind of number. Such an entry names no endpoint, and the others hold.

--- a/src/celeryjunction/platform/records.py
+++ b/src/celeryjunction/platform/records.py
@@ -2,10 +2,19 @@
 
 from __future__ import annotations
 
-from ipaddress import IPv4Address
+from typing import Literal
 
 import msgspec
 
+from celeryjunction.decoding import (
+    Count,
+    DecodingError,
+    IpAddress,
+    Name,
+    Slots,
+    decode_json,
+    is_word,
+)
 from celeryjunction.gateway.routes import Consistency, GroupSettings, Route, RouteTable
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import KeyValue
@@ -14,7 +23,6 @@
 CONFIG_PREFIX = "op/"
 CONFIG_KEY = "op/config"
 REGISTER_PREFIX = "servers/"
-MAX_PORT = 65_535
 
 _log = get_logger("records")
 
@@ -57,13 +65,13 @@
 
 
 class _RegisterEntry(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
-    slots: int
-    state: str
+    service: Name
+    address: IpAddress
+    zone: Name
+    slots: Slots
+    state: Literal["ready", "draining"]
     db_role: str = ""
-    born: int = 0
+    born: Count = 0
     """Unix time at which the endpoint's process started, in ms; 0 if unknown."""
 
 
@@ -102,31 +110,21 @@
 
 def decode_endpoint(item: KeyValue) -> EndpointInfo | str:
     """Decode an entry of the register; return the reason if it is not valid."""
+    name = item.key.removeprefix(REGISTER_PREFIX)
+    if not is_word(name):
+        return "the id is not a word of printable ASCII"
     try:
-        entry = msgspec.json.decode(item.value, type=_RegisterEntry)
-        host, _, port = entry.address.rpartition(":")
-        info = EndpointInfo(
-            id=item.key.removeprefix(REGISTER_PREFIX),
-            group=entry.service,
-            host=host,
-            port=int(port),
-            zone=entry.zone,
-            slots=entry.slots,
-            draining=entry.state == "draining",
-            started_ms=entry.born,
-        )
-    except (msgspec.DecodeError, ValueError) as error:
+        entry = decode_json(_RegisterEntry, item.value)
+    except DecodingError as error:
         return str(error)
-    known_state = entry.state in ("ready", "draining")
-    if not known_state or not _is_reachable(info) or entry.slots < 1:
-        return f"state {entry.state!r}, address {entry.address!r}, slots {entry.slots}"
-    return info
-
-
-def _is_reachable(info: EndpointInfo) -> bool:
-    """Whether the address is an IPv4 address with a valid port."""
-    try:
-        IPv4Address(info.host)
-    except ValueError:
-        return False
-    return 0 < info.port <= MAX_PORT
+    host, _, port = entry.address.rpartition(":")
+    return EndpointInfo(
+        id=name,
+        group=entry.service,
+        host=host,
+        port=int(port),
+        zone=entry.zone,
+        slots=entry.slots,
+        draining=entry.state == "draining",
+        started_ms=entry.born,
+    )
