Ignore votes and rosters that are nested too deeply or out of range

A vote or a roster of 3,000 nested objects ended each check of its group's supervisor (`supervision_failed`), so the primary was not replaced; a vote ended its change in the follower. msgspec raises RecursionError there, which is no DecodeError. Terms, positions, ports, slots and start times could be negative or beyond 64 bits; a roster with such a number was taken over and written back.

Both are decoded with `decode`, and the types state the range of each number. An odd vote counts as none, an odd roster as missing.

--- a/src/celeryjunction/failover/suspicions.py
+++ b/src/celeryjunction/failover/suspicions.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from celeryjunction.decoding import Count, DecodingError, Name, decode
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     KeyValueStore,
@@ -42,10 +43,10 @@
 class Vote(msgspec.Struct, frozen=True, omit_defaults=True):
     """A VM's record of whether it considers the primary of a term failed."""
 
-    vm: str
-    term: int
-    primary: str
-    acknowledged: tuple[int, int] | None = None
+    vm: Name
+    term: Count
+    primary: Name
+    acknowledged: tuple[Count, Count] | None = None
     """Highest position seen acknowledged; None in an objection."""
 
     @property
@@ -201,9 +202,12 @@
         ]
 
 
+_vote = msgspec.json.Decoder(Vote)
+
+
 def _decode(key: str, value: bytes) -> Vote | None:
     try:
-        return msgspec.json.decode(value, type=Vote)
-    except msgspec.DecodeError as error:
+        return decode(_vote, value)
+    except DecodingError as error:
         _log.warning("vote_ignored", entry=key, reason=str(error))
         return None
--- a/src/celeryjunction/replication/ports.py
+++ b/src/celeryjunction/replication/ports.py
@@ -11,12 +11,14 @@
 
 import msgspec
 
+from celeryjunction.decoding import Count, Name, Port, Slots
+
 
 class LogPosition(NamedTuple):
     """A position in a group's log. Positions of a later term compare as greater."""
 
-    term: int
-    number: int
+    term: Count
+    number: Count
 
     def __str__(self) -> str:
         return f"{self.term}.{self.number}"
@@ -28,16 +30,16 @@
 class EndpointInfo(msgspec.Struct, frozen=True):
     """One endpoint as described by the platform's register."""
 
-    id: str
-    group: str
-    host: str
-    port: int
-    zone: str
-    slots: int
+    id: Name
+    group: Name
+    host: Name
+    port: Port
+    zone: Name
+    slots: Slots
     draining: bool = False
     """Whether it is about to stop: replicas get no new statements, and a primary is
     replaced."""
-    started_ms: int = 0
+    started_ms: Count = 0
     """Unix time at which its process started, in milliseconds; 0 if unknown."""
 
     def is_same_process(self, other: EndpointInfo) -> bool:
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from celeryjunction.decoding import Count, DecodingError, Name, decode
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
@@ -43,15 +44,18 @@
 class Roster(msgspec.Struct, frozen=True):
     """Members of a group's term, the primary included, as stored."""
 
-    term: int = 0
-    primary: str = ""
+    term: Count = 0
+    primary: Name = ""
     members: tuple[EndpointInfo, ...] = ()
-    departed: tuple[tuple[str, int], ...] = ()
+    departed: tuple[tuple[Name, Count], ...] = ()
     """Members of this term that ended: id and start time of the process, in ms."""
-    size: int = 0
+    size: Count = 0
     """Largest number of endpoints that were registered and not draining."""
 
 
+_roster = msgspec.json.Decoder(Roster)
+
+
 def in_use_count(registered: Mapping[str, EndpointInfo]) -> int:
     """Return the number of registered endpoints that do not drain."""
     return sum(not info.draining for info in registered.values())
@@ -235,8 +239,8 @@
                 self._set_stored(Roster())
             return Roster(), 0
         try:
-            roster = msgspec.json.decode(item.value, type=Roster)
-        except msgspec.DecodeError as error:
+            roster = decode(_roster, item.value)
+        except DecodingError as error:
             _log.error("roster_ignored", alarm=1, entry=self._key, reason=str(error))
             roster = Roster()
         self._set_stored(roster)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -3,18 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from random import Random
 
 import msgspec
 import pytest
 from _node_support import WatchedStore
-from _odd_values import ODD_PORTS, odd_values
+from _odd_values import (
+    ODD_NUMBERS,
+    ODD_PORTS,
+    encode_with,
+    nested_arrays,
+    odd_values,
+)
 from fakes import ManualClock, event_loop_policy  # noqa: F401
 
 from celeryjunction.decoding import MAX_REASON_CHARACTERS, MAX_SLOTS
+from celeryjunction.failover.suspicions import Suspicions
 from celeryjunction.platform.records import decode_endpoint
-from celeryjunction.ports import KeyValue
+from celeryjunction.ports import KeyValue, WatchEvent
+from celeryjunction.replication.ports import EndpointInfo
 from celeryjunction.replication.register import REREGISTER_S, EndpointRegister
+from celeryjunction.replication.roster import GroupRoster, Roster
 
 ENTRY = {
     "service": "g",
@@ -146,3 +156,99 @@
         assert set(register.endpoints) == {"a1", "c1"}
         assert not task.done()
         task.cancel()
+
+
+VOTE = {"vm": "vm-1", "term": 1, "primary": "a1", "acknowledged": [1, 5]}
+ODD_VOTES = dict(odd_values(VOTE, required=("vm", "term", "primary"), counts=("term",)))
+ODD_VOTES |= {
+    f"acknowledged: {kind}": encode_with(VOTE, "acknowledged", value)
+    for kind, value in {
+        "one number": b"[1]",
+        "negative": b"[1,-1]",
+        "400 digits": b"[1," + b"9" * 400 + b"]",
+        "nested": nested_arrays(3_000),
+    }.items()
+}
+GOOD_VOTE = json.dumps(VOTE | {"vm": "vm-2"}).encode()
+
+
+class TestVotes:
+    """An odd vote counts as none, and those of the other VMs hold."""
+
+    @pytest.mark.parametrize("kind", ODD_VOTES)
+    async def test_the_others_are_listed(self, kind: str) -> None:
+        store = WatchedStore()
+        store.put("suspects/g/vm-1", ODD_VOTES[kind])
+        store.put("suspects/g/vm-2", GOOD_VOTE)
+        votes = await Suspicions(store, vm="vm-3").list_votes("g", term=1, primary="a1")
+        assert [vote.vm for vote in votes] == ["vm-2"]
+
+    @pytest.mark.parametrize("kind", ODD_VOTES)
+    async def test_changes_are_still_followed(self, kind: str) -> None:
+        suspicions = Suspicions(WatchedStore(), vm="vm-3")
+
+        def is_suspected() -> bool:
+            return suspicions.is_suspected_by_others("g", term=1, primary="a1")
+
+        key = "suspects/g/vm-1"
+        suspicions.apply_change(WatchEvent(key, json.dumps(VOTE).encode(), 1))
+        assert is_suspected()
+        suspicions.apply_change(WatchEvent(key, ODD_VOTES[kind], 2))
+        assert not is_suspected()
+        suspicions.apply_change(WatchEvent("suspects/g/vm-2", GOOD_VOTE, 3))
+        assert is_suspected()
+
+
+MEMBER = {
+    "id": "a1",
+    "group": "g",
+    "host": "10.0.0.1",
+    "port": 8080,
+    "zone": "a",
+    "slots": 3,
+    "draining": False,
+    "started_ms": 17,
+}
+ROSTER = {
+    "term": 1,
+    "primary": "a1",
+    "members": [MEMBER],
+    "departed": [["b1", 17]],
+    "size": 3,
+}
+ODD_ROSTERS = {
+    kind: value
+    for kind, value in odd_values(
+        ROSTER, required=("primary", "term", "members"), counts=("term", "size")
+    )
+    if not kind.endswith(": missing")
+}
+ODD_ROSTERS |= {
+    f"member with {kind}": encode_with(ROSTER, "members", b"[" + value + b"]")
+    for kind, value in odd_values(
+        MEMBER,
+        required=("id", "group", "host", "port", "zone", "slots"),
+        counts=("port", "slots", "started_ms"),
+    )
+    if kind != "empty" and not kind.endswith("blanks") and kind != "blank"
+}
+ODD_ROSTERS |= {
+    f"departed: {kind}": encode_with(ROSTER, "departed", b'[["b1",' + number + b"]]")
+    for kind, number in ODD_NUMBERS.items()
+}
+
+
+class TestRosters:
+    @pytest.mark.parametrize("kind", ODD_ROSTERS)
+    async def test_an_odd_one_is_replaced_by_what_is_seen(self, kind: str) -> None:
+        store = WatchedStore()
+        store.put("groups/g", ODD_ROSTERS[kind])
+        roster = GroupRoster("g", store, clock=ManualClock())
+        assert await roster.read() == Roster()
+        info = EndpointInfo("a1", "g", "10.0.0.1", 8080, "a", 3, started_ms=17)
+        roster.record_members(
+            term=2, primary="a1", members={"a1": info}, registered={"a1": info}
+        )
+        assert roster.needs_write and await roster.write()
+        stored = await GroupRoster("g", store, clock=ManualClock()).read()
+        assert (stored.term, stored.members) == (2, (info,))
