Reject configs that are nested too deeply or out of range

A config of nested objects raised RecursionError in `decode_config`, which the follower reported as `subscriber_failed` instead of `config_ignored`. Negative or huge versions, priorities, limits and times were put in force; a version beyond 64 bits then ended each status that a home sends, because msgpack can't hold it.

The config is decoded with `decode`, and its types state the ranges. The config before stays in force.

--- a/src/celeryjunction/platform/records.py
+++ b/src/celeryjunction/platform/records.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from celeryjunction.decoding import (
+    Amount,
     Count,
     DecodingError,
     IpAddress,
@@ -28,37 +29,37 @@
 
 
 class _Route(msgspec.Struct):
-    name: str
-    host: str
+    name: Name
+    host: Name
     """Name of the database that clients connect to, not of a machine."""
-    service: str
+    service: Name
     """Name of the database group."""
-    kind: str
-    """Consistency of reads, a value of `Consistency`."""
-    timeout_ms: float = 1000.0
+    kind: Consistency
+    """Consistency of reads."""
+    timeout_ms: Amount = 1000.0
     """Time limit of a single statement."""
-    goal_ms: float = 1000.0
+    goal_ms: Amount = 1000.0
     """Latency objective of a whole operation."""
-    priority: int = 1
-    max_staleness_ms: float = 0.0
+    priority: Count = 1
+    max_staleness_ms: Amount = 0.0
 
 
 class _Service(msgspec.Struct):
     """A database group."""
 
-    name: str
-    conn_limit: int = 20
+    name: Name
+    conn_limit: Count = 20
     """Limit of connections to each endpoint, from all VMs together."""
-    sync_replicas: int = 0
+    sync_replicas: Count = 0
 
 
 class _Limits(msgspec.Struct):
-    tx_idle_ms: float = 0.0
+    tx_idle_ms: Amount = 0.0
     """Time after which an idle transaction is rolled back; 0 for no limit."""
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -78,9 +79,8 @@
 def decode_config(value: bytes) -> RouteTable | None:
     """Decode the operator's config; an invalid one is logged, and None returned."""
     try:
-        config = msgspec.json.decode(value, type=_Config)
-        routes = tuple(map(_convert_route, config.routes))
-    except (msgspec.DecodeError, ValueError) as error:
+        config = decode_json(_Config, value)
+    except DecodingError as error:
         _log.error("config_ignored", alarm=1, reason=str(error))
         return None
     groups = tuple(
@@ -89,7 +89,7 @@
     )
     return RouteTable(
         version=config.version,
-        routes=routes,
+        routes=tuple(map(_convert_route, config.routes)),
         groups=groups,
         idle_transaction_s=config.limits.tx_idle_ms / 1000,
     )
@@ -100,7 +100,7 @@
         name=route.name,
         database=route.host,
         group=route.service,
-        consistency=Consistency(route.kind),
+        consistency=route.kind,
         timeout_s=route.timeout_ms / 1000,
         goal_s=route.goal_ms / 1000,
         priority=route.priority,
--- a/tests/_odd_values.py
+++ b/tests/_odd_values.py
@@ -23,6 +23,12 @@
 }
 """JSON values that no count holds."""
 
+ODD_AMOUNTS = {
+    kind: ODD_NUMBERS[kind]
+    for kind in ("400 digits", "1e400", "negative", "NaN", "infinite", "as text")
+}
+"""JSON values that no amount, which may have a fraction, holds."""
+
 ODD_DIGITS = {
     "none": "",
     "non-ASCII": "\u0668\u0660",
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -10,6 +10,7 @@
 import pytest
 from _node_support import WatchedStore
 from _odd_values import (
+    ODD_AMOUNTS,
     ODD_NUMBERS,
     ODD_PORTS,
     encode_with,
@@ -20,7 +21,8 @@
 
 from celeryjunction.decoding import MAX_REASON_CHARACTERS, MAX_SLOTS
 from celeryjunction.failover.suspicions import Suspicions
-from celeryjunction.platform.records import decode_endpoint
+from celeryjunction.follower import PrefixFollower
+from celeryjunction.platform.records import decode_config, decode_endpoint
 from celeryjunction.ports import KeyValue, WatchEvent
 from celeryjunction.replication.ports import EndpointInfo
 from celeryjunction.replication.register import REREGISTER_S, EndpointRegister
@@ -252,3 +254,83 @@
         assert roster.needs_write and await roster.write()
         stored = await GroupRoster("g", store, clock=ManualClock()).read()
         assert (stored.term, stored.members) == (2, (info,))
+
+
+ROUTE = {
+    "name": "r",
+    "host": "d",
+    "service": "g",
+    "kind": "primary",
+    "timeout_ms": 800,
+    "goal_ms": 200,
+    "priority": 1,
+    "max_staleness_ms": 1500,
+}
+SERVICE = {"name": "g", "conn_limit": 22, "sync_replicas": 1}
+CONFIG = {
+    "version": 2,
+    "routes": [ROUTE],
+    "services": [SERVICE],
+    "limits": {"tx_idle_ms": 3000},
+}
+CONFIG_FIELDS = ("version", "routes", "services")
+ODD_CONFIGS = dict(odd_values(CONFIG, required=CONFIG_FIELDS, counts=("version",)))
+for _list, _fields, _required, _counts in (
+    (
+        "routes",
+        ROUTE,
+        ("name", "host", "service", "kind"),
+        ("priority",),
+    ),
+    ("services", SERVICE, ("name",), ("conn_limit", "sync_replicas")),
+):
+    ODD_CONFIGS |= {
+        f"{_list}: {kind}": encode_with(CONFIG, _list, b"[" + value + b"]")
+        for kind, value in odd_values(_fields, required=_required, counts=_counts)
+        if value.strip()
+    }
+for _amount in ("timeout_ms", "goal_ms", "max_staleness_ms"):
+    ODD_CONFIGS |= {
+        f"{_amount}: {kind}": encode_with(
+            CONFIG, "routes", b"[" + encode_with(ROUTE, _amount, number) + b"]"
+        )
+        for kind, number in ODD_AMOUNTS.items()
+    }
+ODD_CONFIGS |= {
+    f"tx_idle_ms: {kind}": encode_with(
+        CONFIG, "limits", b'{"tx_idle_ms":' + number + b"}"
+    )
+    for kind, number in ODD_AMOUNTS.items()
+}
+
+
+class TestConfig:
+    @pytest.mark.parametrize("kind", ODD_CONFIGS)
+    async def test_an_odd_one_leaves_the_one_before_in_force(self, kind: str) -> None:
+        store = WatchedStore()
+        in_force: list[int] = []
+
+        def put(value: bytes) -> None:
+            store.revision += 1
+            store.put("op/config", value)
+
+        def apply(event: WatchEvent) -> None:
+            table = decode_config(event.value)
+            if table is not None:
+                in_force.append(table.version)
+
+        follower = PrefixFollower(store, "op/", clock=ManualClock(), random=Random(1))
+        follower.subscribe(apply)
+        put(ODD_CONFIGS[kind])
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.5)
+        assert decode_config(ODD_CONFIGS[kind]) is None
+        put(json.dumps(CONFIG).encode())
+        await asyncio.sleep(0.5)
+        put(ODD_CONFIGS[kind])
+        await asyncio.sleep(0.5)
+        assert in_force == [2]
+        put(json.dumps(CONFIG | {"version": 3}).encode())
+        await asyncio.sleep(0.5)
+        assert in_force == [2, 3]
+        task.cancel()
