Ignore announcements of VMs that are nested too deeply or out of range

An announcement of 3,000 nested objects raised RecursionError in the follower's subscriber and, under the VM's own name, in the task that announces it. A port beyond 65535, or one of 5,000 digits, ended the update of the homes or the task of the link to the home; a port in non-ASCII digits was used. A VM whose announcement was overwritten did not announce itself again, so VMs that started later never learned of it.

Records are decoded with `decode`, their types state the ranges, and addresses are split by `parse_address`. A VM puts its announcement again if the stored one is odd.

--- a/src/celeryjunction/follower.py
+++ b/src/celeryjunction/follower.py
@@ -5,11 +5,13 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable, Iterator
+from functools import cache
 from random import Random
 from typing import TypeVar
 
 import msgspec
 
+from celeryjunction.decoding import DecodingError, decode, printable_reason
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
@@ -287,13 +289,18 @@
                 )
 
 
+_json_decoder = cache(msgspec.json.Decoder)
+
+
 def decode_record(prefix: str, key: str, value: bytes, kind: type[T]) -> T | str:
     """Decode the record at `key`; return the reason as a string if it is unusable.
 
     A usable record is stored at `prefix` followed by its own name.
     """
     try:
-        record = msgspec.json.decode(value, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        record = decode(_json_decoder(kind), value)
+    except DecodingError as error:
         return str(error)
-    return record if prefix + record.name == key else f"it names {record.name}"
+    if prefix + record.name != key:
+        return printable_reason(f"it names {record.name}")
+    return record
--- a/src/celeryjunction/membership.py
+++ b/src/celeryjunction/membership.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from celeryjunction.decoding import Amount, Count, Name
 from celeryjunction.follower import (
     RECONNECTS_PER_S,
     PrefixFollower,
@@ -57,17 +58,17 @@
     that VMs of two versions can run side by side.
     """
 
-    name: str
-    zone: str
-    peer_address: str
-    sql_address: str
-    status_address: str
-    incarnation: int
-    started_at: float
-    applied_revision: int = 0
+    name: Name
+    zone: Name
+    peer_address: Name
+    sql_address: Name
+    status_address: Name
+    incarnation: Count
+    started_at: Amount
+    applied_revision: Count = 0
     leaving: bool = False
-    heartbeat_address: str = ""
-    link_mbps: float = 1.0
+    heartbeat_address: Name = ""
+    link_mbps: Amount = 1.0
     """Capacity of the VM's network link, Mbit/s."""
 
 
@@ -307,10 +308,14 @@
                 self._vanished_at[name] = self._clock.monotonic()
             return
         record = _decode(event.key, event.value)
-        if record is None:
-            return
         if name == self._record.name:
-            self._check_incarnation(record)
+            if record is None:
+                self._own_record_vanished(event.revision)
+            else:
+                self._check_incarnation(record)
+        elif record is None:
+            # The VM announces itself again; until then, what is known of it holds.
+            return
         else:
             self._update_peer(record)
 
--- a/src/celeryjunction/relay/homes.py
+++ b/src/celeryjunction/relay/homes.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from random import Random
 
+from celeryjunction.decoding import parse_address
 from celeryjunction.membership import VmRecord
 from celeryjunction.relay.home_link import HomeLink
 from celeryjunction.relay.placement import HOMES_PER_ZONE, homes_of_group
@@ -64,7 +65,7 @@
                 if not self.is_home(group)
                 for name in self._homes_in_zone(group)
                 if name in peers
-                and (address := _parse_peer_address(peers[name])) is not None
+                and (address := parse_address(peers[name].peer_address)) is not None
             }
         )
 
@@ -190,8 +191,3 @@
             link.close()
         self._links.clear()
         self._retired.clear()
-
-
-def _parse_peer_address(record: VmRecord) -> tuple[str, int] | None:
-    host, _, port = record.peer_address.rpartition(":")
-    return (host, int(port)) if host and port.isdigit() and int(port) else None
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -22,8 +22,10 @@
 from celeryjunction.decoding import MAX_REASON_CHARACTERS, MAX_SLOTS
 from celeryjunction.failover.suspicions import Suspicions
 from celeryjunction.follower import PrefixFollower
+from celeryjunction.membership import Membership, VmRecord, list_vms
 from celeryjunction.platform.records import decode_config, decode_endpoint
 from celeryjunction.ports import KeyValue, WatchEvent
+from celeryjunction.relay.homes import HomeSelector
 from celeryjunction.replication.ports import EndpointInfo
 from celeryjunction.replication.register import REREGISTER_S, EndpointRegister
 from celeryjunction.replication.roster import GroupRoster, Roster
@@ -334,3 +336,88 @@
         await asyncio.sleep(0.5)
         assert in_force == [2, 3]
         task.cancel()
+
+
+VM = {
+    "name": "vm-1",
+    "zone": "a",
+    "peer_address": "10.0.0.1:7000",
+    "sql_address": "10.0.0.1:7001",
+    "status_address": "10.0.0.1:7002",
+    "incarnation": 17,
+    "started_at": 1.0,
+    "applied_revision": 3,
+    "link_mbps": 2.5,
+}
+ODD_VMS = dict(
+    odd_values(
+        VM,
+        required=(
+            "name",
+            "zone",
+            "peer_address",
+            "sql_address",
+            "status_address",
+            "incarnation",
+            "started_at",
+        ),
+        counts=("incarnation", "applied_revision"),
+    )
+)
+for _amount in ("started_at", "link_mbps"):
+    ODD_VMS |= {
+        f"{_amount}: {kind}": encode_with(VM, _amount, number)
+        for kind, number in ODD_AMOUNTS.items()
+    }
+
+
+class TestVms:
+    """A VM replaces its own odd announcement; the others keep what they know of it."""
+
+    @staticmethod
+    def announcement(name: str, **changes: object) -> bytes:
+        return json.dumps(VM | {"name": name} | changes).encode()
+
+    @pytest.mark.parametrize("kind", ODD_VMS)
+    async def test_the_others_are_followed(self, kind: str) -> None:
+        odd = ODD_VMS[kind]
+        store = WatchedStore()
+
+        def put(name: str, value: bytes) -> None:
+            store.revision += 1
+            store.put(f"/vms/{name}", value)
+
+        put("vm-1", odd)
+        put("vm-2", self.announcement("vm-2"))
+        own = VmRecord("vm-3", "a", "", "", "", 1, 0.0)
+        membership = Membership(store, own, clock=ManualClock(), random=Random(1))
+        task = asyncio.create_task(membership.run())
+        await asyncio.sleep(0.5)
+        assert set(membership.peers()) == {"vm-2"}
+        put("vm-2", odd.replace(b"vm-1", b"vm-2"))
+        put("vm-4", self.announcement("vm-4"))
+        await asyncio.sleep(0.5)
+        assert set(membership.peers()) == {"vm-2", "vm-4"}
+        put("vm-2", self.announcement("vm-2", zone="b"))
+        put("vm-3", odd.replace(b"vm-1", b"vm-3"))
+        await asyncio.sleep(5.0)
+        assert membership.peers()["vm-2"].zone == "b"
+        names = {vm.name for vm in await list_vms(store)}
+        assert names == {"vm-2", "vm-3", "vm-4"}
+        assert not membership.superseded.is_set()
+        assert not task.done()
+        task.cancel()
+
+    @pytest.mark.parametrize("kind", ODD_PORTS)
+    async def test_an_odd_address_is_no_home(self, kind: str) -> None:
+        own = VmRecord("vm-9", "a", "", "", "", 1, 0.0)
+        homes = HomeSelector(own, random=Random(1))
+        records = [
+            VmRecord("vm-1", "a", f"10.0.0.1:{ODD_PORTS[kind]}", "", "", 1, 0.0, 0),
+            VmRecord("vm-2", "a", "10.0.0.1:7000", "", "", 1, 0.0),
+        ]
+        peers = {record.name: record for record in records}
+        groups = [f"g{number}" for number in range(20)]
+        homes.update(peers, groups)
+        assert dict(homes.__rich_repr__())["links"] == ["vm-2"]
+        homes.close()
