Ignore groups and contracts that are nested too deeply or out of range

A contract record of nested objects raised RecursionError in the follower's subscriber before it was noted as ignored, so a VM reported later changes as in force although it had not applied that one. Groups could name ports, slots, connections and terms that no endpoint has. The contract commands ended with a traceback at such a record, and at a deep document in the history.

Records, audit entries and status pages are decoded with `decode`.

--- a/src/celeryjunction/contract_cli.py
+++ b/src/celeryjunction/contract_cli.py
@@ -46,6 +46,7 @@
     lagging_vms,
     stored_contract,
 )
+from celeryjunction.decoding import Count, DecodingError, decode
 from celeryjunction.directory import GROUP_PREFIX
 from celeryjunction.logs import format_event
 from celeryjunction.membership import VmRecord, list_vms
@@ -192,7 +193,7 @@
     for item in listed.items:
         stored = stored_contract(item)
         fields = {"customer": stored.customer, "revision": stored.revision}
-        with suppress(msgspec.MsgspecError, UnicodeDecodeError):
+        with suppress(DecodingError):
             envelope = decode_envelope(item.value)
             fields |= {"at": _format_time(envelope.time), "author": envelope.author}
             fields |= {"change_id": envelope.change_id}
@@ -289,8 +290,8 @@
             echo(f"{item.key} cannot be read and is left out of the check", err=True)
     for item in (await store.list(GROUP_PREFIX)).items:
         try:
-            groups.append(msgspec.json.decode(item.value, type=GroupRecord))
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+            groups.append(decode(_group_record, item.value))
+        except DecodingError:
             echo(f"{item.key} cannot be read and is left out of the check", err=True)
     return contracts, groups
 
@@ -361,7 +362,7 @@
     try:
         envelope = decode_envelope(item.value)
         parse_contract(envelope.document, comments=False)
-    except (msgspec.MsgspecError, UnicodeDecodeError, DocumentError):
+    except (DecodingError, DocumentError):
         echo(
             f"unreadable: revision {item.revision}; VMs still apply the last valid one"
         )
@@ -382,6 +383,16 @@
     return NOT_IN_FORCE if lagging else 0
 
 
+class _StatusPage(msgspec.Struct):
+    """What is used of a VM's status page."""
+
+    applied_revision: Count
+
+
+_status_page = msgspec.json.Decoder(_StatusPage)
+_group_record = msgspec.json.Decoder(GroupRecord)
+
+
 async def _refresh_applied_revisions(
     revision: int, vms: Sequence[VmRecord]
 ) -> list[VmRecord]:
@@ -395,15 +406,15 @@
     async def refresh(vm: VmRecord) -> VmRecord:
         if vm.applied_revision >= revision:
             return vm
-        with suppress(
-            aiohttp.ClientError, TimeoutError, ValueError, LookupError, TypeError
-        ):
+        with suppress(aiohttp.ClientError, TimeoutError, DecodingError):
             async with (
                 limit,
                 session.get(f"http://{vm.status_address}/status") as response,
             ):
-                applied = int((await response.json())["applied_revision"])
-                return msgspec.structs.replace(vm, applied_revision=applied)
+                page = decode(_status_page, await response.read())
+                return msgspec.structs.replace(
+                    vm, applied_revision=page.applied_revision
+                )
         return vm
 
     timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT_S)
--- a/src/celeryjunction/contracts_store.py
+++ b/src/celeryjunction/contracts_store.py
@@ -25,6 +25,7 @@
 import json5
 import msgspec
 
+from celeryjunction.decoding import DecodingError, decode
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
@@ -364,9 +365,13 @@
     return problems
 
 
+_envelope = msgspec.json.Decoder(ContractEnvelope)
+_audit_entry = msgspec.json.Decoder(AuditEntry)
+
+
 def decode_envelope(value: bytes) -> ContractEnvelope:
-    """Decode a contract record; raises `msgspec.MsgspecError`."""
-    return msgspec.json.decode(value, type=ContractEnvelope)
+    """Decode a contract record; raises `DecodingError`."""
+    return decode(_envelope, value)
 
 
 def stored_contract(item: KeyValue) -> StoredContract:
@@ -378,7 +383,7 @@
     customer = item.key.removeprefix(CONTRACT_PREFIX)
     try:
         envelope = decode_envelope(item.value)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DecodingError:
         raw = item.value.decode(errors="replace")
         return StoredContract(customer, raw, item.revision, "")
     return StoredContract(
@@ -389,8 +394,8 @@
 def _audit_records(items: Sequence[KeyValue]) -> Iterator[AuditRecord]:
     for item in items:
         try:
-            entry = msgspec.json.decode(item.value, type=AuditEntry)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            entry = decode(_audit_entry, item.value)
+        except DecodingError as error:
             _log.error("audit_entry_ignored", alarm=1, key=item.key, reason=error)
             continue
         yield AuditRecord(item.key, item.revision, entry)
@@ -401,7 +406,7 @@
     try:
         orders = json5.loads(text)["shed_orders"]
         return tuple(str(order["signed_by"]) for order in orders)
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return ()
 
 
--- a/src/celeryjunction/directory.py
+++ b/src/celeryjunction/directory.py
@@ -19,6 +19,7 @@
     Validate,
     decode_envelope,
 )
+from celeryjunction.decoding import DecodingError
 from celeryjunction.follower import PrefixFollower, Sleep, decode_record
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
@@ -274,7 +275,7 @@
             try:
                 envelope = decode_envelope(event.value)
                 problems = self._check_contract(envelope.document)
-            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            except DecodingError as error:
                 problems = [str(error)]
         if not problems:
             return StoredContract(
--- a/src/celeryjunction/ports.py
+++ b/src/celeryjunction/ports.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from celeryjunction.decoding import Count, Port, Slots
+
 TEXT_FORMAT = 0
 BINARY_FORMAT = 1
 
@@ -63,11 +65,11 @@
 
     name: str
     host: str
-    port: int
+    port: Port
     zone: str
-    connections: int = 20
+    connections: Count = 20
     """Total number of connections that the endpoint accepts."""
-    slots: int = 3
+    slots: Slots = 3
     """Number of statements that the endpoint runs concurrently."""
     leaving: bool = False
 
@@ -80,7 +82,7 @@
     """
 
     name: str
-    term: int
+    term: Count
     primary: str
     endpoints: tuple[EndpointRecord, ...]
     promotion: str = "majority"
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -10,21 +10,25 @@
 import pytest
 from _node_support import WatchedStore
 from _odd_values import (
+    DEPTHS,
     ODD_AMOUNTS,
     ODD_NUMBERS,
     ODD_PORTS,
     encode_with,
     nested_arrays,
+    nested_objects,
     odd_values,
 )
 from fakes import ManualClock, event_loop_policy  # noqa: F401
 
+from celeryjunction.contracts_store import shed_signers, stored_contract
 from celeryjunction.decoding import MAX_REASON_CHARACTERS, MAX_SLOTS
+from celeryjunction.directory import StoreDirectory
 from celeryjunction.failover.suspicions import Suspicions
 from celeryjunction.follower import PrefixFollower
 from celeryjunction.membership import Membership, VmRecord, list_vms
 from celeryjunction.platform.records import decode_config, decode_endpoint
-from celeryjunction.ports import KeyValue, WatchEvent
+from celeryjunction.ports import KeyValue, StoreUnavailable, WatchEvent
 from celeryjunction.relay.homes import HomeSelector
 from celeryjunction.replication.ports import EndpointInfo
 from celeryjunction.replication.register import REREGISTER_S, EndpointRegister
@@ -421,3 +425,86 @@
         homes.update(peers, groups)
         assert dict(homes.__rich_repr__())["links"] == ["vm-2"]
         homes.close()
+
+
+ENDPOINT = {"name": "a1", "host": "10.0.0.1", "port": 8080, "zone": "a", "slots": 3}
+GROUP = {"name": "g", "term": 1, "primary": "a1", "endpoints": [ENDPOINT]}
+ODD_GROUPS = dict(
+    odd_values(
+        GROUP, required=("name", "term", "primary", "endpoints"), counts=("term",)
+    )
+)
+ODD_GROUPS |= {
+    f"endpoint: {kind}": encode_with(GROUP, "endpoints", b"[" + value + b"]")
+    for kind, value in odd_values(
+        ENDPOINT, required=("name", "host", "port", "zone"), counts=("port", "slots")
+    )
+    if value.strip()
+}
+CONTRACT = {
+    "change_id": "c1",
+    "author": "mei",
+    "reason": "test",
+    "time": 1.0,
+    "document": "{}",
+}
+ODD_CONTRACTS = dict(
+    odd_values(
+        CONTRACT,
+        required=("change_id", "author", "reason", "time", "document"),
+        counts=(),
+    )
+)
+
+
+class TestDirectory:
+    """Groups and contracts hold until a valid record replaces them."""
+
+    @staticmethod
+    async def directory(store: WatchedStore) -> tuple[StoreDirectory, asyncio.Task]:
+        directory = StoreDirectory(store, clock=ManualClock(), random=Random(1))
+        task = asyncio.create_task(directory.run())
+        await asyncio.sleep(0.5)
+        return directory, task
+
+    @staticmethod
+    async def put(store: WatchedStore, key: str, value: bytes) -> None:
+        store.revision += 1
+        store.put(key, value)
+        await asyncio.sleep(0.5)
+
+    @pytest.mark.parametrize("kind", ODD_GROUPS)
+    async def test_an_odd_group_leaves_the_one_before(self, kind: str) -> None:
+        store = WatchedStore()
+        directory, task = await self.directory(store)
+        await self.put(store, "/groups/g", json.dumps(GROUP).encode())
+        await self.put(store, "/groups/g", ODD_GROUPS[kind])
+        assert directory.group("g").term == 1
+        with pytest.raises(StoreUnavailable):
+            await directory.read_now("g", timeout=1.0)
+        await self.put(store, "/groups/g", json.dumps(GROUP | {"term": 2}).encode())
+        assert directory.group("g").term == 2
+        assert not task.done()
+        task.cancel()
+
+    @pytest.mark.parametrize("kind", ODD_CONTRACTS)
+    async def test_an_odd_contract_is_not_in_force(self, kind: str) -> None:
+        store = WatchedStore()
+        directory, task = await self.directory(store)
+        await self.put(store, "/contracts/c", json.dumps(CONTRACT).encode())
+        in_force = directory.applied_revision
+        await self.put(store, "/contracts/c", ODD_CONTRACTS[kind])
+        await self.put(store, "/contracts/d", json.dumps(CONTRACT).encode())
+        assert set(directory.contracts) == {"c", "d"}
+        assert directory.applied_revision == in_force
+        item = KeyValue("/contracts/c", ODD_CONTRACTS[kind], 3)
+        assert stored_contract(item).change_id == ""
+        await self.put(store, "/contracts/c", json.dumps(CONTRACT).encode())
+        assert directory.applied_revision == store.revision
+        task.cancel()
+
+    @pytest.mark.parametrize("depth", DEPTHS)
+    def test_a_deep_document_names_no_signers(self, depth: int) -> None:
+        text = nested_objects(depth).decode()
+        assert shed_signers(text) == ()
+        assert shed_signers('{"shed_orders":' + "9" * 5000 + "}") == ()
