Ignore frames of other VMs that are nested too deeply or out of range

A frame of 3,000 levels from a forwarding VM raised RecursionError, so the home ended that VM's connection and rolled back its transactions (`guest_failed`). Frames of a home could name ports, slots, ages and versions that are out of range or not a number. A host that has no IDNA form ended the task of the link to it.

Frames are decoded with `decode`, the types state the ranges, and a link treats such a host as one that can't be reached.

--- a/src/celeryjunction/relay/home_link.py
+++ b/src/celeryjunction/relay/home_link.py
@@ -12,9 +12,8 @@
 from itertools import count
 from random import Random
 
-import msgspec
-
 from celeryjunction.adapters.frame_stream import FrameStream
+from celeryjunction.decoding import DecodingError
 from celeryjunction.errors import ConnectionLost
 from celeryjunction.gateway.session import SessionState
 from celeryjunction.gateway.statements import Request
@@ -171,8 +170,8 @@
                 _, self._stream = await loop.create_connection(
                     FrameStream, *self.address
                 )
-        except (OSError, TimeoutError) as error:
-            return type(error).__name__
+        except (OSError, TimeoutError, UnicodeError) as error:
+            return type(error).__name__  # UnicodeError: no name of a host.
         self.epoch += 1
         polling = asyncio.create_task(self._poll_status(self._stream))
         try:
@@ -185,7 +184,7 @@
             self._heard_at = asyncio.get_running_loop().time()
             try:
                 message = decode_from_home(frame)
-            except msgspec.MsgspecError as error:
+            except DecodingError as error:
                 return f"unreadable: {error}"
             if isinstance(message, HomeStatus):
                 self._handle_status(message)
--- a/src/celeryjunction/relay/home_server.py
+++ b/src/celeryjunction/relay/home_server.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from celeryjunction.adapters.frame_stream import FrameStream
+from celeryjunction.decoding import DecodingError
 from celeryjunction.errors import ErrorKind, ProxyError, rolled_back_error
 from celeryjunction.gateway.gateway import Gateway
 from celeryjunction.gateway.session import StatementSession
@@ -181,7 +182,7 @@
     def _handle(self, frame: bytes) -> None:
         try:
             message = decode_to_home(frame)
-        except msgspec.MsgspecError as error:
+        except DecodingError as error:
             _log.error("message_ignored", reason=str(error))
             return
         if isinstance(message, RunStatement):
--- a/src/celeryjunction/relay/messages.py
+++ b/src/celeryjunction/relay/messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from celeryjunction.decoding import Amount, Count, decode
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.gateway.session import SessionState
 from celeryjunction.gateway.statements import Request
@@ -74,10 +75,10 @@
     """Whether the home reaches no other zone."""
     leaving: bool
     """Whether the home is draining and takes no new transactions."""
-    routes_version: int = 0
-    endpoints_version: int = 0
+    routes_version: Count = 0
+    endpoints_version: Count = 0
     """Version of the home's list of endpoints; it increases with each change."""
-    endpoints_age_s: float = 0.0
+    endpoints_age_s: Amount = 0.0
     """Seconds since the endpoint register confirmed that list."""
     reached: list[str] = []
     """Groups of which an endpoint recently answered the home."""
@@ -86,9 +87,9 @@
 class EndpointList(msgspec.Struct, frozen=True, array_like=True, tag="endpoints"):
     """The home's list of endpoints."""
 
-    version: int
+    version: Count
     endpoints: list[EndpointInfo]
-    revision: int = 0
+    revision: Count = 0
     """Revision of the store that the list reflects; 0 from a home that does not say."""
 
 
@@ -106,13 +107,13 @@
 
 
 def decode_to_home(frame: bytes) -> ToHome:
-    """Decode a message to a home; raises `msgspec.MsgspecError`."""
-    return _to_home.decode(frame)
+    """Decode a message to a home; raises `DecodingError`."""
+    return decode(_to_home, frame)
 
 
 def decode_from_home(frame: bytes) -> FromHome:
-    """Decode a message from a home; raises `msgspec.MsgspecError`."""
-    return _from_home.decode(frame)
+    """Decode a message from a home; raises `DecodingError`."""
+    return decode(_from_home, frame)
 
 
 def error_details(error: ProxyError) -> dict[str, str | int | float | None]:
