Count answers of the store that can't be decoded as no answer

An answer nested 3,000 deep, or a Store-Era header of 5,000 digits, raised an error that no caller expected. In the shared watch it ended the task without a word to the watches of the prefixes, which then waited without an end: register, config and votes were no longer followed. An era in non-ASCII digits or of 31 digits was taken over, and all later answers were refused as late. Revisions and leases could be negative or too large. A response or request that asks for an upgrade raised HttpParserUpgrade in the protocol.

Bodies are decoded with `decode`, and an era is taken over only from ASCII digits up to 2**23. An unexpected error in the shared watch ends its watches with StoreUnavailable.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -7,7 +7,12 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
-from httptools import HttpParserError, HttpRequestParser, HttpResponseParser
+from httptools import (
+    HttpParserError,
+    HttpParserUpgrade,
+    HttpRequestParser,
+    HttpResponseParser,
+)
 
 MAX_IDLE_CONNECTIONS = 4
 """Idle connections that a client keeps for reuse."""
@@ -45,7 +50,8 @@
             return
         try:
             self._parser.feed_data(data)
-        except HttpParserError as error:
+        except (HttpParserError, HttpParserUpgrade) as error:
+            self.abort()
             self._fail(f"bad response: {error}")
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -204,7 +210,7 @@
         """Feed the parser; a malformed request aborts the connection."""
         try:
             self._parser.feed_data(data)
-        except HttpParserError:
+        except (HttpParserError, HttpParserUpgrade):
             self._transport.abort()
 
     def on_url(self, url: bytes) -> None:
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from celeryjunction.adapters.http_client import HttpClient, HttpFailure, HttpResponse
+from celeryjunction.decoding import DecodingError, decode_json
 from celeryjunction.ports import (
     Compare,
     KeyValue,
@@ -27,7 +28,13 @@
     WatchEvent,
 )
 from celeryjunction.shared_watch import SharedWatch, WatchPage
-from celeryjunction.store_history import StoreHistory, local_lease, local_revision
+from celeryjunction.store_history import (
+    Lease,
+    Revision,
+    StoreHistory,
+    local_lease,
+    local_revision,
+)
 from celeryjunction.watch_wait import WatchWait
 
 BATCH_DELAY_S = 1.0
@@ -42,24 +49,24 @@
 
 class _Item(msgspec.Struct):
     key: str
-    revision: int
+    revision: Revision
     value: str = ""
     tombstone: bool = False
 
 
 class _RangePage(msgspec.Struct):
     items: list[_Item]
-    current_rev: int
+    current_rev: Revision
     has_more: bool = False
 
 
 class _ChangesPage(msgspec.Struct):
     events: list[_Item]
-    current_rev: int
+    current_rev: Revision
 
 
 class _PutResponse(msgspec.Struct):
-    revision: int
+    revision: Revision
 
 
 class _ConflictResponse(msgspec.Struct):
@@ -67,7 +74,7 @@
 
 
 class _LeaseResponse(msgspec.Struct):
-    lease: int
+    lease: Lease
 
 
 class HttpStore:
@@ -111,9 +118,7 @@
             )
         except HttpFailure as error:
             raise StoreUnavailable(str(error)) from None
-        era = response.headers.get(ERA_HEADER, "")
-        if era.isdecimal():
-            self.history.observe(int(era))
+        self.history.observe_text(response.headers.get(ERA_HEADER, ""))
         if response.status in accept:
             return response
         if response.status in (429, 503) or response.status >= 500:
@@ -298,8 +303,8 @@
 
 def _decode(response: HttpResponse, kind):
     try:
-        return msgspec.json.decode(response.body, type=kind)
-    except msgspec.DecodeError as error:
+        return decode_json(kind, response.body)
+    except DecodingError as error:
         raise StoreUnavailable(f"unreadable answer: {error}") from None
 
 
--- a/src/celeryjunction/shared_watch.py
+++ b/src/celeryjunction/shared_watch.py
@@ -12,6 +12,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from typing import NamedTuple
 
+from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     StoreRefused,
     StoreUnavailable,
@@ -22,6 +23,8 @@
 RECENT_EVENTS = 1000
 """Events that are kept for a prefix whose watch starts a little behind the others."""
 
+_log = get_logger("store")
+
 Failure = StoreUnavailable | StoreRefused | WatchCompacted
 
 
@@ -131,9 +134,11 @@
             try:
                 page = await self._poll(self._after)
             except (StoreUnavailable, StoreRefused, WatchCompacted) as error:
-                for subscriber in self._subscribers:
-                    subscriber.queue.put_nowait(error)
-                self._subscribers.clear()
+                self._fail(error)
+                return
+            except Exception as error:
+                _log.error("watch_failed", alarm=1, reason=repr(error))
+                self._fail(StoreUnavailable(f"the watch failed: {error!r}"))
                 return
             self._record(page.events)
             self._after = max(self._after, page.revision)
@@ -142,6 +147,11 @@
             if page.events:
                 await self._sleep(self._batch_delay_s)
 
+    def _fail(self, error: Failure) -> None:
+        for subscriber in self._subscribers:
+            subscriber.queue.put_nowait(error)
+        self._subscribers.clear()
+
     def _record(self, events: Sequence[WatchEvent]) -> None:
         for event in events:
             if len(self._recent) == RECENT_EVENTS:
--- a/src/celeryjunction/store_history.py
+++ b/src/celeryjunction/store_history.py
@@ -16,7 +16,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Annotated
 
+from msgspec import Meta
+
+from celeryjunction.decoding import parse_number
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import StoreUnavailable
 
@@ -25,18 +29,26 @@
 _REVISION_BITS = 40
 _LEASE_BITS = 64
 """Lease numbers are not counted up from 0 and may be of any size below this."""
+MAX_REVISION = (1 << _REVISION_BITS) - 1
+MAX_LEASE = (1 << _LEASE_BITS) - 1
+MAX_ERA = 1 << 23
+"""Highest era with which a revision keeps to 63 bits."""
+Revision = Annotated[int, Meta(ge=0, le=MAX_REVISION)]
+"""A revision in an answer of the store; 0 if there is none."""
+Lease = Annotated[int, Meta(ge=1)]
+"""A lease in an answer of the store; `qualify_lease` checks its size."""
 
 _log = get_logger("store")
 
 
 def local_revision(revision: int) -> int:
     """Return a revision as the store knows it in its era."""
-    return revision & ((1 << _REVISION_BITS) - 1)
+    return revision & MAX_REVISION
 
 
 def local_lease(lease: int) -> int:
     """Return a lease as the store knows it in its era."""
-    return lease & ((1 << _LEASE_BITS) - 1)
+    return lease & MAX_LEASE
 
 
 class StoreHistory:
@@ -57,6 +69,12 @@
         """Call `on_restored` whenever the store came back from an older copy."""
         self._listeners.append(on_restored)
 
+    def observe_text(self, text: str) -> None:
+        """Note the era that a response names, if it does; see `observe`."""
+        era = parse_number(text, limit=MAX_ERA)
+        if era is not None:
+            self.observe(era)
+
     def observe(self, era: int) -> None:
         """Note the era of a response; raises `StoreUnavailable` if it is over.
 
@@ -76,7 +94,12 @@
         return revision and (self._losses << _REVISION_BITS) + revision
 
     def qualify_lease(self, lease: int) -> int:
-        """Return a lease of the present era, unique across eras; 0 stays 0."""
+        """Return a lease of the present era, unique across eras; 0 stays 0.
+
+        Raises `StoreUnavailable` for a lease beyond 64 bits.
+        """
+        if lease > MAX_LEASE:
+            raise StoreUnavailable("unreadable answer: a lease beyond 64 bits")
         return lease and (self._losses << _LEASE_BITS) + lease
 
     def is_current_revision(self, revision: int) -> bool:
