Ignore positions and status rows with numbers out of range

A position of 5,000 digits in an answer raised ValueError on the statement's connection, which callers don't expect. Terms and positions beyond 64 bits were taken over, as were numbers with signs and underscores, and lags that are negative, infinite or not a number. A status row with a malformed position counted as one at the start of its term. A host that has no IDNA form raised UnicodeError while connecting.

Numbers are ASCII digits up to 2**63 - 1; an odd position is none, an odd row no status, and a host without an address can't be reached.

--- a/src/celeryjunction/platform/endpoints.py
+++ b/src/celeryjunction/platform/endpoints.py
@@ -173,7 +173,7 @@
         except TimeoutError:
             _abort(stream)
             raise ConnectionLost("silent", sent=False) from None
-        except OSError as error:
+        except (OSError, OverflowError, UnicodeError) as error:
             _abort(stream)
             reason = type(error).__name__
             raise ConnectionLost(reason, sent=False) from None
--- a/src/celeryjunction/platform/wire.py
+++ b/src/celeryjunction/platform/wire.py
@@ -4,6 +4,7 @@
 
 from functools import singledispatch
 
+from celeryjunction.decoding import parse_amount, parse_number
 from celeryjunction.errors import ErrorKind
 from celeryjunction.gateway.statements import (
     Begin,
@@ -215,10 +216,9 @@
 
 def parse_position(text: bytes) -> LogPosition | None:
     """Decode ``TERM.NUMBER``; None for ``-`` and for malformed text."""
-    term, dot, number = text.partition(b".")
-    if not (dot and term.isdigit() and number.isdigit()):
-        return None
-    return LogPosition(int(term), int(number))
+    first, _, second = text.partition(b".")
+    term, number = parse_number(first), parse_number(second)
+    return None if term is None or number is None else LogPosition(term, number)
 
 
 def parse_status(row: bytes) -> EndpointStatus | None:
@@ -227,24 +227,19 @@
     Its fields, separated by spaces: role, term, received position, held term, lag in
     ms, busy slots and connections.
     """
-    fields = row.split(b" ")
+    fields = row.split(b" ", 7)
     if len(fields) < 7 or fields[0] not in (b"primary", b"replica"):
         return None
-    received = parse_position(fields[2])
-    try:
-        term, held_term, lag_ms, busy, connections = (
-            int(fields[1]),
-            int(fields[3]),
-            float(fields[4]),
-            int(fields[5]),
-            int(fields[6]),
-        )
-    except ValueError:
+    term, held_term, busy, connections = (parse_number(fields[i]) for i in (1, 3, 5, 6))
+    received, lag_ms = parse_position(fields[2]), parse_amount(fields[4])
+    if received is None and fields[2] == b"-":
+        received = LogPosition(term or 0, 0)
+    if None in (term, received, held_term, lag_ms, busy, connections):
         return None
     return EndpointStatus(
         is_primary=fields[0] == b"primary",
         term=term,
-        received=received or LogPosition(term, 0),
+        received=received,
         held_term=held_term,
         lag_s=lag_ms / 1000,
         busy=busy,
