Refuse settings that are nested too deeply or out of range

A settings file of nested objects ended the start with a traceback instead of exit code 2 and, when it was read again, the task that watches it. Ports of 0, above 65535, in non-ASCII digits or of 5,000 digits, and negative times, were taken over or ended the start with a traceback.

The file is decoded with `decode_json`; addresses are an IPv4 address with a port, and times are not negative. While the process runs, the settings before hold.

--- a/src/celeryjunction/decoding.py
+++ b/src/celeryjunction/decoding.py
@@ -27,6 +27,8 @@
 Count = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
 """A term, a position, a revision, a version or a time in whole units."""
 Port = Annotated[int, Meta(ge=1, le=MAX_PORT)]
+ListenPort = Annotated[int, Meta(ge=0, le=MAX_PORT)]
+"""A port to listen on; 0 for any free port."""
 Slots = Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
 Name = Annotated[str, Meta(max_length=MAX_NAME_CHARACTERS)]
 Amount = Annotated[float, Meta(ge=0.0, le=1e15)]
--- a/src/celeryjunction/platform/settings.py
+++ b/src/celeryjunction/platform/settings.py
@@ -7,6 +7,15 @@
 
 import msgspec
 
+from celeryjunction.decoding import (
+    Amount,
+    DecodingError,
+    IpAddress,
+    ListenPort,
+    decode_json,
+    parse_address,
+)
+
 SETTINGS_PATH_VARIABLE = "CELERYJUNCTION_CONFIG"
 
 
@@ -17,9 +26,9 @@
 class Listen(msgspec.Struct, frozen=True):
     """Addresses that this process serves, each ``IP:PORT``."""
 
-    front: str
+    front: IpAddress
     """For clients, on the line protocol."""
-    ready: str
+    ready: IpAddress
     """For readiness checks and metrics, over HTTP."""
     control: str = ""
     """Not served by this program."""
@@ -28,24 +37,24 @@
 class Address(msgspec.Struct, frozen=True):
     """Address of a service of the platform, ``IP:PORT``."""
 
-    address: str
+    address: IpAddress
 
 
 class Bounds(msgspec.Struct, frozen=True):
     """Time bounds of the platform that this program keeps with its own timers."""
 
-    drain_ms: float
+    drain_ms: Amount
     """Time after which a draining endpoint must get no new statements."""
-    grace_s: float
+    grace_s: Amount
     """Time from SIGTERM to SIGKILL."""
-    config_apply_ms: float = 3000.0
+    config_apply_ms: Amount = 3000.0
     """Time after which a changed config must be in force."""
 
 
 class Limits(msgspec.Struct, frozen=True):
     """Resource limits of the VM."""
 
-    link_mbps: float = 1.0
+    link_mbps: Amount = 1.0
     """Capacity of the VM's network link, Mbit/s."""
 
 
@@ -61,19 +70,18 @@
     """The service that promotes replicas."""
     bounds: Bounds
     limits: Limits = Limits()
-    heartbeat_ms: float = 1200.0
+    heartbeat_ms: Amount = 1200.0
     """Interval at which endpoints renew their register entries; not used."""
     seeds: list[str] = []
     """Not used: other VMs are found in the store."""
-    internal_port_range: list[int] = []
+    internal_port_range: list[ListenPort] = []
 
 
 def split_address(address: str) -> tuple[str, int]:
     """Split ``IP:PORT`` into host and port; raises `SettingsError`."""
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise SettingsError(f"{address!r} is not an address IP:PORT")
-    return host, int(port)
+    if (parsed := parse_address(address)) is None:
+        raise SettingsError(f"{address[:60]!r} is not an address IP:PORT")
+    return parsed
 
 
 def internal_address(settings: EdgeSettings) -> tuple[str, int]:
@@ -94,6 +102,6 @@
             f"set {SETTINGS_PATH_VARIABLE} to the path of the settings file"
         )
     try:
-        return msgspec.json.decode(Path(path).read_bytes(), type=EdgeSettings)
-    except (OSError, msgspec.DecodeError) as error:
+        return decode_json(EdgeSettings, Path(path).read_bytes())
+    except (OSError, DecodingError) as error:
         raise SettingsError(f"{path}: {error}") from None
