Leave endpoints of groups that the config doesn't name unused

An entry of the register that names an unknown service made each process add a group for it, with a supervisor that asks and tries to replace its primary, although such an entry names no endpoint to use. Endpoints are now passed on only to groups of the config.

Before: the new test found three groups beside the one of the config.

--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -243,7 +243,9 @@
         if gateway.table is not None:
             by_group.update({name: {} for name in gateway.table.groups})
         for info in self._register.endpoints.values():
-            by_group.setdefault(info.group, {})[info.id] = info
+            # Another writer's entry may name a group that the config doesn't have.
+            if info.group in by_group:
+                by_group[info.group][info.id] = info
         for name, endpoints in by_group.items():
             group = gateway.groups.get(name) or self._add_group(name)
             settings = gateway.table.groups.get(name) if gateway.table else None
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -8,7 +8,7 @@
 
 import msgspec
 import pytest
-from _node_support import WatchedStore
+from _node_support import Deployment, WatchedStore
 from _odd_values import (
     DEPTHS,
     ODD_AMOUNTS,
@@ -508,3 +508,20 @@
         text = nested_objects(depth).decode()
         assert shed_signers(text) == ()
         assert shed_signers('{"shed_orders":' + "9" * 5000 + "}") == ()
+
+
+class TestUnknownGroups:
+    async def test_an_entry_of_an_unknown_group_is_not_used(self) -> None:
+        """Guards against supervising a group that the config does not name."""
+        deployment = Deployment("g1")
+        strangers = [
+            EndpointInfo(f"x{number}", f"odd{number}", "10.0.0.9", 9, "a", 3)
+            for number in range(3)
+        ]
+        for info in strangers:
+            deployment.register(info)
+        node = await deployment.start_node("vm-1", "a")
+        await asyncio.sleep(10.0)
+        assert set(node.gateway.groups) == {"g1"}
+        assert node.check_readiness()
+        await deployment.close()
