Count only zones of the config's groups when a VM looks for isolation

A VM reports that it is isolated if each other zone has failed contacts only. An entry of an unknown group in a zone of its own has no contacts, so that VM was never isolated. The zones are now taken from the endpoints of the groups.

Before: the new test failed, the VM that reached no other zone did not report it.

--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -500,7 +500,11 @@
             for gate in self.gateway.dispatchers[name].gates.values()
             if gate.info.zone != self._zone
         ]
-        zones = {info.zone for info in self._register.endpoints.values()}
+        zones = {
+            info.zone
+            for group in self.gateway.groups.values()
+            for info in group.endpoints.values()
+        }
         return is_cut_off(contacts, zones=zones - {self._zone})
 
     @staticmethod
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -525,3 +525,16 @@
         assert set(node.gateway.groups) == {"g1"}
         assert node.check_readiness()
         await deployment.close()
+
+    async def test_its_zone_does_not_hide_an_isolation(self) -> None:
+        """Guards against a VM that does not notice that it is cut off."""
+        deployment = Deployment("g1")
+        deployment.register(EndpointInfo("x1", "odd", "10.0.0.9", 9, "z", 3))
+        node = await deployment.start_node("vm-1", "a")
+        await asyncio.sleep(10.0)
+        assert not node._reaches_no_zone
+        for endpoint in deployment.endpoints_in("b") + deployment.endpoints_in("c"):
+            endpoint.silent = True
+        await asyncio.sleep(10.0)
+        assert node._reaches_no_zone
+        await deployment.close()
