Test that odd register entries stop no edge process

Two processes, one started after the entry, are tested with an entry nested 3,000 deep, a start time of 401 digits and port 65536, also in place of the primary's own entry, and with a failover afterwards.

--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -11,6 +11,7 @@
 
 from bench.platform_cluster import START_TIMEOUT_S, EdgeProcess, LineClient
 from celeryjunction.platform.standin import StandinPlatform
+from celeryjunction.replication.register import REREGISTER_S
 
 RETRY_S = 0.1
 FAILOVER_LIMIT_S = 15.0
@@ -18,6 +19,15 @@
 CONFIG_LIMIT_S = 3.0
 """The platform's bound on the time until a changed config is in force."""
 
+ODD_ENTRIES = {
+    "nested": b'{"a":' * 3000,
+    "number too large": b'{"service":"db","address":"127.0.0.1:9","zone":"zone-0",'
+    b'"slots":3,"state":"ready","born":1' + b"0" * 400 + b"}",
+    "port out of range": b'{"service":"db","address":"127.0.0.1:65536",'
+    b'"zone":"zone-0","slots":3,"state":"ready","born":1}',
+}
+"""Entries of another writer."""
+
 
 def ignores_hup(status: Path) -> bool:
     (mask,) = (
@@ -127,6 +137,30 @@
         assert (await client.send("READ 7"))[0].startswith("ROW")
         assert edge.process.returncode is None
 
+    @pytest.mark.parametrize("kind", ODD_ENTRIES)
+    async def test_an_odd_register_entry_stops_no_process(
+        self, edge: EdgeProcess, platform: StandinPlatform, tmp_path: Path, kind: str
+    ) -> None:
+        """Guards against a process that ends, or stops following, at such an entry."""
+        platform.store.put("servers/odd", ODD_ENTRIES[kind])
+        started_later = EdgeProcess(platform, tmp_path, "edge-2")
+        await started_later.start()
+        await started_later.wait_until_ready()
+        primary = platform.groups["db"].endpoints[0]
+        platform.store.put(f"servers/{primary.id}", ODD_ENTRIES[kind])
+        await asyncio.sleep(REREGISTER_S + RETRY_S)
+        platform.store.register(primary)
+        for one in (edge, started_later):
+            client = await connect_client(one, "lock-db")
+            await wait_until_served(client, "WRITE 7 after")
+        current = next(e for e in platform.groups["db"].endpoints if e.is_primary)
+        await current.stop()
+        for one in (edge, started_later):
+            client = await connect_client(one, "lock-db")
+            await wait_until_served(client, "WRITE 8 after")
+            assert one.process.returncode is None
+        await started_later.stop(signal.SIGKILL)
+
     async def test_metrics_count_failed_requests(self, edge: EdgeProcess) -> None:
         client = await connect_client(edge, "lock-db")
         await client.send("EXECUTE none 7")
