--- a/src/celeryjunction/platform/records.py
+++ b/src/celeryjunction/platform/records.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
-from ipaddress import IPv4Address
+from typing import Literal
 
 import msgspec
 
+from celeryjunction.decoding import (
+    Amount,
+    Count,
+    DecodingError,
+    IpAddress,
+    Name,
+    Slots,
+    decode_json,
+    is_word,
+)
 from celeryjunction.gateway.routes import Consistency, GroupSettings, Route, RouteTable
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import KeyValue
@@ -14,65 +24,63 @@
 CONFIG_PREFIX = "op/"
 CONFIG_KEY = "op/config"
 REGISTER_PREFIX = "servers/"
-MAX_PORT = 65_535
 
 _log = get_logger("records")
 
 
 class _Route(msgspec.Struct):
-    name: str
-    host: str
+    name: Name
+    host: Name
     """Name of the database that clients connect to, not of a machine."""
-    service: str
+    service: Name
     """Name of the database group."""
-    kind: str
-    """Consistency of reads, a value of `Consistency`."""
-    timeout_ms: float = 1000.0
+    kind: Consistency
+    """Consistency of reads."""
+    timeout_ms: Amount = 1000.0
     """Time limit of a single statement."""
-    goal_ms: float = 1000.0
+    goal_ms: Amount = 1000.0
     """Latency objective of a whole operation."""
-    priority: int = 1
-    max_staleness_ms: float = 0.0
+    priority: Count = 1
+    max_staleness_ms: Amount = 0.0
 
 
 class _Service(msgspec.Struct):
     """A database group."""
 
-    name: str
-    conn_limit: int = 20
+    name: Name
+    conn_limit: Count = 20
     """Limit of connections to each endpoint, from all VMs together."""
-    sync_replicas: int = 0
+    sync_replicas: Count = 0
 
 
 class _Limits(msgspec.Struct):
-    tx_idle_ms: float = 0.0
+    tx_idle_ms: Amount = 0.0
     """Time after which an idle transaction is rolled back; 0 for no limit."""
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class _RegisterEntry(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
-    slots: int
-    state: str
+    service: Name
+    address: IpAddress
+    zone: Name
+    slots: Slots
+    state: Literal["ready", "draining"]
     db_role: str = ""
-    born: int = 0
+    born: Count = 0
     """Unix time at which the endpoint's process started, in ms; 0 if unknown."""
 
 
 def decode_config(value: bytes) -> RouteTable | None:
     """Decode the operator's config; an invalid one is logged, and None returned."""
     try:
-        config = msgspec.json.decode(value, type=_Config)
-        routes = tuple(map(_convert_route, config.routes))
-    except (msgspec.DecodeError, ValueError) as error:
+        config = decode_json(_Config, value)
+    except DecodingError as error:
         _log.error("config_ignored", alarm=1, reason=str(error))
         return None
     groups = tuple(
@@ -81,7 +89,7 @@
     )
     return RouteTable(
         version=config.version,
-        routes=routes,
+        routes=tuple(map(_convert_route, config.routes)),
         groups=groups,
         idle_transaction_s=config.limits.tx_idle_ms / 1000,
     )
@@ -92,7 +100,7 @@
         name=route.name,
         database=route.host,
         group=route.service,
-        consistency=Consistency(route.kind),
+        consistency=route.kind,
         timeout_s=route.timeout_ms / 1000,
         goal_s=route.goal_ms / 1000,
         priority=route.priority,
@@ -102,31 +110,21 @@
 
 def decode_endpoint(item: KeyValue) -> EndpointInfo | str:
     """Decode an entry of the register; return the reason if it is not valid."""
+    name = item.key.removeprefix(REGISTER_PREFIX)
+    if not is_word(name):
+        return "the id is not a word of printable ASCII"
     try:
-        entry = msgspec.json.decode(item.value, type=_RegisterEntry)
-        host, _, port = entry.address.rpartition(":")
-        info = EndpointInfo(
-            id=item.key.removeprefix(REGISTER_PREFIX),
-            group=entry.service,
-            host=host,
-            port=int(port),
-            zone=entry.zone,
-            slots=entry.slots,
-            draining=entry.state == "draining",
-            started_ms=entry.born,
-        )
-    except (msgspec.DecodeError, ValueError) as error:
+        entry = decode_json(_RegisterEntry, item.value)
+    except DecodingError as error:
         return str(error)
-    known_state = entry.state in ("ready", "draining")
-    if not known_state or not _is_reachable(info) or entry.slots < 1:
-        return f"state {entry.state!r}, address {entry.address!r}, slots {entry.slots}"
-    return info
-
-
-def _is_reachable(info: EndpointInfo) -> bool:
-    """Whether the address is an IPv4 address with a valid port."""
-    try:
-        IPv4Address(info.host)
-    except ValueError:
-        return False
-    return 0 < info.port <= MAX_PORT
+    host, _, port = entry.address.rpartition(":")
+    return EndpointInfo(
+        id=name,
+        group=entry.service,
+        host=host,
+        port=int(port),
+        zone=entry.zone,
+        slots=entry.slots,
+        draining=entry.state == "draining",
+        started_ms=entry.born,
+    )
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -25,6 +25,7 @@
 
 import msgspec
 
+from celeryjunction.decoding import Count, DecodingError, Name, decode
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
@@ -56,12 +57,12 @@
 class Roster(msgspec.Struct, frozen=True):
     """Members of a group's term, the primary included, as stored."""
 
-    term: int = 0
-    primary: str = ""
+    term: Count = 0
+    primary: Name = ""
     members: tuple[EndpointInfo, ...] = ()
-    departed: tuple[tuple[str, int], ...] = ()
+    departed: tuple[tuple[Name, Count], ...] = ()
     """Members of this term that ended: id and start time of the process, in ms."""
-    size: int = 0
+    size: Count = 0
     """Largest number of endpoints that were registered and not draining."""
     floor: tuple[int, int] = NO_POSITION
     """Position that the next primary needs: where the term began, or how far a member
@@ -96,6 +97,9 @@
         )
 
 
+_roster = msgspec.json.Decoder(Roster)
+
+
 def in_use_count(registered: Mapping[str, EndpointInfo]) -> int:
     """Return the number of registered endpoints that do not drain."""
     return sum(not info.draining for info in registered.values())
@@ -360,8 +364,8 @@
                 self._set_stored(Roster(), sent_at=sent_at)
             return Roster(), 0
         try:
-            roster = msgspec.json.decode(item.value, type=Roster)
-        except msgspec.DecodeError as error:
+            roster = decode(_roster, item.value)
+        except DecodingError as error:
             _log.error("roster_ignored", alarm=1, entry=self._key, reason=str(error))
             roster = Roster()
         self._set_stored(roster, sent_at=sent_at)
