--- a/tests/test_commits_lost.py
+++ b/tests/test_commits_lost.py
@@ -24,6 +24,8 @@
 """Time for a promotion that may rightly not happen."""
 EFFECT_DELAY_S = 1.0
 """Delay of a promotion's effect on the slowest site."""
+PATH_DELAY_S = 0.05
+"""Delay of a message to a distant endpoint."""
 WRITES = 20
 THINK_S = 0.01
 REPORTED = 3
@@ -40,7 +42,7 @@
         self.judge = CommitJudge(self.platform)
         self._folder = folder
         self.edges: list[EdgeProcess] = []
-        self._proxies: list[FaultProxy] = []
+        self.proxies: list[FaultProxy] = []
         self._clients: list[LineClient] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -65,7 +67,7 @@
         port = int(self.store.address.rpartition(":")[2])
         proxy = FaultProxy(lambda: port)
         await proxy.start()
-        self._proxies.append(proxy)
+        self.proxies.append(proxy)
         self.platform.store_address = f"127.0.0.1:{proxy.port}"
         edge = await self.start_edge(zone=1)
         self.platform.store_address = ""
@@ -142,7 +144,7 @@
         for edge in self.edges:
             if edge.running:
                 await edge.stop(signal.SIGKILL)
-        for proxy in self._proxies:
+        for proxy in self.proxies:
             proxy.close()
         await self.platform.close()
 
@@ -305,6 +307,25 @@
         await occurs(lambda: cluster.judge.promotions, FENCED_LIMIT_S)
         cluster.check()
 
+    async def test_commit_between_the_pauses_and_the_demotion_is_kept(
+        self, cluster: Cluster
+    ) -> None:
+        primary, _, distant = cluster.group.endpoints
+        proxy = FaultProxy(lambda: distant.port)
+        await proxy.start()
+        cluster.proxies.append(proxy)
+        proxy.delay_s = PATH_DELAY_S
+        cluster.store.advertised_ports[distant.id] = proxy.port
+        cluster.store.register(distant)
+        for zone in (0, 1):
+            await (await cluster.start_edge(zone=zone)).wait_until_ready()
+        cluster.write_through(cluster.edges[0], clients=4)
+        await cluster.wait_for_writes()
+        await cluster.group.add("i-db3", primary.zone)
+        cluster.store.register(primary, state="draining")
+        await occurs(lambda: cluster.judge.promotions, FENCED_LIMIT_S)
+        cluster.check()
+
 
 async def commit_when(client: LineClient, cluster: Cluster) -> None:
     """Commit a transaction when a promotion is called for, and record its outcome."""
