Soak: check acknowledged commits at each promotion, and add faults around it

The soak compared the last primary's log with what clients saw, once, at the end, and its faults rarely met a promotion. It now judges each promotion when it takes effect. After these faults the recovery has the platform's 12 s.

A stand-in that came back from an older copy listed endpoints that had left for good; their entries are now deleted.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -5,8 +5,11 @@
 through a loopback proxy that delays or withholds bytes, in one direction or both, and
 resets connections. Signals pause, stop and kill edges, which are then restarted; the
 store refuses requests, drops responses, is unreachable or comes back from an older
-copy. Clients check the consistency guarantees of each answer; at the end the last
-primary's log is checked, and that each edge has the newest config in force.
+copy. Clients check the consistency guarantees of each answer; each promoted endpoint's
+log is checked when its promotion takes effect, and at the end the last primary's log,
+and that each edge has the newest config in force. With ``--promotions`` the faults are
+those around promotions: late calls, VMs that stand still while they replace a primary,
+replicas that register late, restart, or leave.
 """
 
 from __future__ import annotations
@@ -25,7 +28,9 @@
 
 import typer
 
+from bench.commit_judge import CommitJudge
 from bench.platform_cluster import EdgeProcess, LineClient
+from bench.promotion_faults import PromotionFaults
 from bench.report import print_result
 from celeryjunction.platform.standin import StandinEndpoint, StandinPlatform
 
@@ -40,6 +45,8 @@
 """Time-out of a client; longer than the 2 s after which routes time out."""
 RECOVERY_S = 4.0
 """Time without faults at the end, after which every edge must serve again."""
+PROMOTION_RECOVERY_S = 12.0
+"""The same after faults around promotions; the platform's bound for a recovery."""
 NOT_EXECUTED_CODES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD")
 """Error codes which state that the statement had no effect."""
 
@@ -142,14 +149,18 @@
 class Soak:
     """The run of one seed: its platform, edges, clients and faults."""
 
-    def __init__(self, seed: int, *, seconds: float, folder: Path) -> None:
+    def __init__(
+        self, seed: int, *, seconds: float, folder: Path, promotions: bool = False
+    ) -> None:
         self.seed = seed
+        self._promotions = promotions
         self.history = History()
         self.faults: Counter[str] = Counter()
         self._random = Random(seed)
         self._seconds = seconds
         self._folder = folder
         self._platform = StandinPlatform()
+        self.judge = CommitJudge(self._platform)
         self._proxies: dict[str, FaultProxy] = {}
         self._edges: list[EdgeProcess] = []
         self._clients: set[LineClient] = set()
@@ -172,7 +183,10 @@
             clients = [self._write(n) for n in range(WRITERS)]
             clients += [self._read(n) for n in range(READERS)]
             tasks = [asyncio.create_task(client) for client in clients]
-            await asyncio.gather(self._inject_faults(), self._inject_restores())
+            if self._promotions:
+                await self._inject_promotion_faults()
+            else:
+                await asyncio.gather(self._inject_faults(), self._inject_restores())
             await self._check_recovery()
             self._ending = True
             await asyncio.gather(*tasks)
@@ -188,14 +202,10 @@
 
     async def _start(self) -> None:
         await self._platform.start()
-        store = self._platform.store
         for endpoint in self._endpoints:
-            proxy = FaultProxy(lambda endpoint=endpoint: endpoint.port)
-            await proxy.start()
-            self._proxies[endpoint.id] = proxy
-            store.advertised_ports[endpoint.id] = proxy.port
-            store.register(endpoint)
-        address = store.address
+            await self._add_endpoint(endpoint)
+            self._platform.store.register(endpoint)
+        address = self._platform.store.address
         proxy = FaultProxy(lambda: int(address.rpartition(":")[2]))
         await proxy.start()
         self._proxies["store"] = proxy
@@ -207,6 +217,12 @@
         for edge in self._edges:
             await edge.wait_until_ready()
 
+    async def _add_endpoint(self, endpoint: StandinEndpoint) -> None:
+        proxy = FaultProxy(lambda: endpoint.port)
+        await proxy.start()
+        self._proxies[endpoint.id] = proxy
+        self._platform.store.advertised_ports[endpoint.id] = proxy.port
+
     # Clients
 
     async def _open_session(self, database: str, turn: int) -> LineClient | None:
@@ -289,6 +305,7 @@
         if lines[0].startswith("COMPLETE d."):
             entry = (time.monotonic(), value)
             history.acknowledged.setdefault(item, []).append(entry)
+            self.judge.record(item, str(value))
         elif lines[0].startswith("COMPLETE"):
             history.add_violation(f"{item}={value} was acknowledged without a digest")
         elif code in NOT_EXECUTED_CODES:
@@ -415,6 +432,17 @@
                 self._platform.configure()
             proxy.unblock()
 
+    async def _inject_promotion_faults(self) -> None:
+        faults = PromotionFaults(
+            self._platform,
+            self._edges,
+            seed=self.seed,
+            counts=self.faults,
+            add_endpoint=self._add_endpoint,
+            remove_endpoint=lambda endpoint: self._proxies[endpoint.id].close(),
+        )
+        await faults.run(self._seconds)
+
     async def _lose_answers(self, random: Random, seconds: float) -> None:
         self._platform.store.responses_to_drop = random.randint(1, 5)
 
@@ -464,7 +492,7 @@
                 self.history.add_violation(
                     f"{edge.name} did not get ready again: {edge.describe()}"
                 )
-        await asyncio.sleep(RECOVERY_S)
+        await asyncio.sleep(PROMOTION_RECOVERY_S if self._promotions else RECOVERY_S)
         for edge in self._edges:
             in_force = _last_config_version(edge.output)
             if in_force != self._platform.version:
@@ -481,8 +509,13 @@
                 )
 
     def _check_logs(self) -> None:
-        """Check acknowledged and rejected values against the last primary's log."""
-        primary = next(e for e in self._endpoints if e.is_primary)
+        """Check acknowledged and rejected values against the primaries' logs."""
+        self.history.violations[:0] = self.judge.describe(self.outputs.values())
+        self.faults["promotions that took effect"] = self.judge.promotions
+        primary = next((e for e in self._endpoints if e.is_primary), None)
+        if primary is None:
+            self.history.add_violation("the group has no primary at the end")
+            return
         found: Counter[tuple[str, int]] = Counter()
         for _, changes in primary.log:
             for item, data in changes.items():
@@ -517,10 +550,10 @@
     return int(text) if text.isdigit() else 0
 
 
-async def run_seed(seed: int, seconds: float) -> Soak:
+async def run_seed(seed: int, seconds: float, *, promotions: bool = False) -> Soak:
     """Run one seed; violations are in `Soak.history`."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, seconds=seconds, folder=Path(folder))
+        soak = Soak(seed, seconds=seconds, folder=Path(folder), promotions=promotions)
         await soak.run()
         return soak
 
@@ -538,6 +571,9 @@
     seconds: Annotated[
         float, typer.Option(help="Seconds of faults for each seed.")
     ] = 12.0,
+    promotions: Annotated[
+        bool, typer.Option(help="Inject faults around promotions instead.")
+    ] = False,
     keep: Annotated[Path, typer.Option(help="Folder for logs of failed seeds.")] = Path(
         ".bench"
     ),
@@ -547,7 +583,7 @@
     counts: Counter[str] = Counter()
     failed: list[int] = []
     for number in range(seed, seed + seeds):
-        soak = asyncio.run(run_seed(number, seconds))
+        soak = asyncio.run(run_seed(number, seconds, promotions=promotions))
         faults += soak.faults
         counts += soak.history.counts
         if soak.history.violations:
--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -765,8 +765,19 @@
         return self._version
 
     def restore_store(self, copy: StoreCopy) -> None:
-        """Restore the store; the operator and the endpoints write again."""
+        """Restore the store; the operator and the endpoints write again.
+
+        The entries of endpoints that have left are deleted.
+        """
         self.store.restore(copy)
+        running = {
+            f"servers/{endpoint.id}"
+            for group in self.groups.values()
+            for endpoint in group.endpoints
+        }
+        for key in list(self.store.items):
+            if key.startswith("servers/") and key not in running:
+                self.store.put(key, None)
         self.store.put_json("op/config", self._config)
         for group in self.groups.values():
             for endpoint in group.endpoints:
