Bound the fields of a sealed roster like its other fields

A number out of range or a name that is too long in the fields of a seal makes the roster unreadable, as in its other fields; tests/test_odd_entries.py has them.

--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -64,20 +64,20 @@
     """Members of this term that ended: id and start time of the process, in ms."""
     size: Count = 0
     """Largest number of endpoints that were registered and not draining."""
-    floor: tuple[int, int] = NO_POSITION
+    floor: tuple[Count, Count] = NO_POSITION
     """Position that the next primary needs: where the term began, or how far a member
     that was removed had received."""
-    next_primary: str = ""
+    next_primary: Name = ""
     """The endpoint whose promotion was or will be requested; empty if not sealed."""
     next_members: tuple[EndpointInfo, ...] = ()
     """Members of the term that this promotion begins, its primary included."""
-    next_floor: tuple[int, int] = NO_POSITION
+    next_floor: tuple[Count, Count] = NO_POSITION
     """The end of the log of that endpoint, with which it begins its term."""
-    seal_token: int = 0
+    seal_token: Count = 0
     """Fencing token of the claim under which the roster was sealed."""
-    seals: int = 0
+    seals: Count = 0
     """Number of seals for this next primary: each may have led to a call."""
-    outstanding: str = ""
+    outstanding: Name = ""
     """The primary, if a further call for it may still be carried out."""
 
     @property
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -223,11 +223,20 @@
     "members": [MEMBER],
     "departed": [["b1", 17]],
     "size": 3,
+    "floor": [1, 4],
+    "next_primary": "b1",
+    "next_members": [MEMBER],
+    "next_floor": [1, 5],
+    "seal_token": 7,
+    "seals": 1,
+    "outstanding": "",
 }
 ODD_ROSTERS = {
     kind: value
     for kind, value in odd_values(
-        ROSTER, required=("primary", "term", "members"), counts=("term", "size")
+        ROSTER,
+        required=("primary", "term", "members", "next_primary", "next_members"),
+        counts=("term", "size", "seal_token", "seals"),
     )
     if not kind.endswith(": missing")
 }
@@ -240,6 +249,11 @@
     )
     if kind != "empty" and not kind.endswith("blanks") and kind != "blank"
 }
+ODD_ROSTERS |= {
+    f"{position}: {kind}": encode_with(ROSTER, position, b"[1," + number + b"]")
+    for position in ("floor", "next_floor")
+    for kind, number in ODD_NUMBERS.items()
+}
 ODD_ROSTERS |= {
     f"departed: {kind}": encode_with(ROSTER, "departed", b'[["b1",' + number + b"]]")
     for kind, number in ODD_NUMBERS.items()
