Let the test of a withdrawn revision wait for the store

Seen once beside load: test_a_withdrawn_applied_revision_is_announced failed. Cause: it waited until the change was taken up, not until the store had it, and then ended the task, which cancels a put in progress. With 50 ms added to each put it failed; it now waits for the put at the store and passes with the same delay. What it checks is unchanged.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -110,14 +110,15 @@
 
     async def test_a_withdrawn_applied_revision_is_announced(self) -> None:
         time = FakeTime()
-        async with running_store(clock=time) as (_, store):
+        async with running_store(clock=time) as (server, store):
             membership = member(store, time, record())
             membership.update(applied_revision=7)
             async with background_tasks(membership.run()):
                 await eventually(membership.announced.is_set)
                 assert (await list_vms(store))[0].applied_revision == 7
+                puts = server.state()["calls"]["Txn"]
                 membership.withdraw_applied_revision()
-                await eventually(lambda: not membership._dirty.is_set(), time)
+                await eventually(lambda: server.state()["calls"]["Txn"] > puts, time)
             assert (await list_vms(store))[0].applied_revision == 0
 
     async def test_with_many_vms_applied_revisions_are_put_with_a_delay(self) -> None:
