Test on real processes that a new primary's own commits survive its replacement

The stand-in let a replica that receives nothing follow a new primary at once; it now does so when it can receive again.

--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -22,6 +22,7 @@
 """Time from an accepted promotion call until it takes effect."""
 OLD_PRIMARY_DELAY_S = 0.5
 """Time after which a replaced primary that was not demoted follows the new one."""
+FOLLOW_RETRY_S = 0.02
 APPLY_DELAY_S = 0.005
 """Time until a replica applies the entries that it received."""
 FIRST_LEASE = 200_000_000_000_000
@@ -392,6 +393,11 @@
     def _follow(self, endpoint: StandinEndpoint, primary: StandinEndpoint) -> None:
         if endpoint.term >= primary.term or not primary.is_primary:
             return
+        if endpoint.replication_cut:
+            # It learns of the later term when it can receive again.
+            loop = asyncio.get_running_loop()
+            loop.call_later(FOLLOW_RETRY_S, self._follow, endpoint, primary)
+            return
         endpoint.is_primary, endpoint.held_term, endpoint.term = False, 0, primary.term
         endpoint.log = list(primary.log)
         endpoint.applied_count = len(endpoint.log)
--- a/tests/test_commits_lost.py
+++ b/tests/test_commits_lost.py
@@ -291,6 +291,24 @@
         finally:
             await cluster.close()
 
+    async def test_commits_that_only_a_new_primary_has_survive_its_replacement(
+        self, cluster: Cluster
+    ) -> None:
+        primary, _, second = cluster.group.endpoints
+        for zone in (0, 1):
+            await (await cluster.start_edge(zone=zone)).wait_until_ready()
+        confirming, _ = cluster.edges
+        second.replication_cut = True
+        cluster.write_through(confirming)
+        await cluster.wait_for_writes()
+        await primary.stop()
+        cluster.store.put(f"servers/{primary.id}", None)
+        await wait_for(lambda: cluster.term > 1)
+        # Only this edge knows how far it confirmed commits.
+        await confirming.stop(signal.SIGKILL)
+        await occurs(lambda: cluster.judge.promotions > 1, STEP_LIMIT_S)
+        cluster.check()
+
     async def test_unregistered_replica_does_not_acknowledge_during_a_promotion(
         self, cluster: Cluster
     ) -> None:
