--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -57,6 +57,8 @@
         caller's name and the command's first word."""
         self.statements: list[bytes] = []
         """Texts of the clients' statements."""
+        self.born = 1
+        """Start time of the process in its register entry, in ms."""
         self.port = 0
         """Port of the listener, which a restart after `stop` may reuse."""
         self._server: asyncio.Server | None = None
@@ -525,7 +527,7 @@
             "cold_left_ms": 0,
             "db_role": "primary" if endpoint.is_primary else "replica",
             "sequence": self.revision,
-            "born": 1,
+            "born": endpoint.born,
         }
         self.put_json(f"servers/{endpoint.id}", entry | changes)
 
