--- a/src/celeryjunction/failover/suspicions.py
+++ b/src/celeryjunction/failover/suspicions.py
@@ -127,6 +127,7 @@
             last is not None
             and last.is_objection == vote.is_objection
             and (last.term, last.primary) == (vote.term, vote.primary)
+            and (vote.is_objection or last.acknowledged >= vote.acknowledged)
             and lease == self._lease()
         )
 
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -402,6 +402,18 @@
         assert store.calls - calls <= 8 / MAX_AGREEMENT_PAUSE_S + 2
         await vm.stop()
 
+    async def test_a_vote_is_stored_again_when_later_commits_were_confirmed(
+        self, store: FakeStore
+    ) -> None:
+        """Guards against a choice that lacks what was confirmed since the vote."""
+        suspicions = Suspicions(store, vm="vm1")
+        for number in (1, 9):
+            assert await suspicions.publish(
+                "g", term=1, primary="a1", acknowledged=LogPosition(1, number)
+            )
+        (vote,) = await suspicions.list_votes("g", term=1, primary="a1")
+        assert vote.acknowledged == (1, 9)
+
 
 class TestObjections:
     """Votes of VMs that the primary answers, while most VMs cannot reach the store."""
