--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -169,7 +169,15 @@
         to_pause = await self._select_members(attempt, statuses)
         if not to_pause:
             return False
-        attempt.required = max(acknowledged, self._roster.floor(stored, term=term))
+        restart_floor = await self._floor_of_restarts(attempt, stored)
+        if restart_floor is None:
+            return False
+        attempt.required = max(
+            acknowledged,
+            restart_floor,
+            self._roster.floor(stored, term=term),
+            *map(group.highest_received, to_pause),
+        )
         # Replicas found paused: an earlier holder may have requested a promotion.
         attempt.promotion_pending = bool(attempt.sealed) or any(
             statuses[name].held_term > term for name in to_pause
@@ -248,6 +256,29 @@
         )
         return {}
 
+    async def _floor_of_restarts(
+        self, attempt: _Attempt, stored: Roster
+    ) -> LogPosition | None:
+        """Return what the next primary needs if members started again without a log.
+
+        That is the primary's position; None if it doesn't answer. The roster takes over
+        the new processes soon, so a failover waits for that only once.
+        """
+        group = self._group
+        members = {member.id: member for member in stored.members}
+        restarted = self._roster.restarted_members(members, group.endpoints)
+        if attempt.old_primary in restarted:
+            restarted.remove(attempt.old_primary)
+        if stored.term != attempt.term or not restarted:
+            return NO_POSITION
+        status = None
+        if attempt.old_primary is not None:
+            status = await self._send(attempt.old_primary)
+        if status is not None and status.is_primary:
+            return status.received
+        _log.warning("member_restarted", group=group.name, endpoints=restarted)
+        return None
+
     def _choose(self, attempt: _Attempt) -> str | None:
         """Choose the next primary; None if none has the required commits.
 
@@ -433,9 +464,9 @@
         if not sealed:
             attempt.promotion_pending = attempt.promotion_pending or sealed is None
             return await self._give_up(attempt, chosen, reason="not_sealed")
-        await self._demote(attempt.old_primary, term)
         if not await self._still_paused(attempt.paused, term):
             return await self._give_up(attempt, chosen, reason="pause_lost")
+        await self._demote(attempt.old_primary, term)
         decided_s = self._clock.monotonic() - started
         if decided_s > MAX_DECISION_S or not self._claims.is_unexpired(claim):
             return await self._give_up(attempt, chosen, reason="too_late")
--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -15,6 +15,7 @@
 from celeryjunction.replication.control import OVERLOADED, ControlLink
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import (
+    NO_POSITION,
     Demote,
     EndpointDialer,
     EndpointInfo,
@@ -223,16 +224,23 @@
         group = self._group
         if not group.term:
             return
+        if group.primary is not None and self._roster.needs_primary_position(
+            group.term, group.endpoints
+        ):
+            await group.ask(group.primary)
         members = {
             name: group.endpoints[name]
             for name, (_, status) in group.statuses.items()
             if status.term == group.term and name in group.endpoints
         }
+        leader = group.statuses.get(group.primary or "")
+        is_current = leader is not None and leader[1].term == group.term
         self._roster.record_members(
             term=group.term,
-            primary=group.primary,
+            primary=group.primary if is_current else None,
             members=members,
             registered=group.endpoints,
+            primary_received=leader[1].received if is_current else NO_POSITION,
         )
         self._start_member_check()
         now = self._clock.monotonic()
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -40,6 +40,9 @@
 STABLE_CONNECTION_S = 3.0
 """Evidence on a younger connection counts only if all members agree: the endpoint may
 have restarted and lost a pause. Longer than a promotion and its detection take."""
+ANNOUNCEMENT_DELAY_S = 0.1
+"""A promotion is announced in the roster about this long after the first pause. The
+roster is read then, as the store may be away when the promotion takes effect."""
 ROSTER_WAIT_S = 0.1
 """Longest wait for the roster of a new term before evidence is given up."""
 HEDGE_DELAY_S = 0.04
@@ -135,6 +138,8 @@
             clock=clock,
         )
         self._primary_answer: tuple[float, LogPosition] | None = None
+        self._highest_received: dict[str, LogPosition] = {}
+        """How far each replica was seen to have received in this term."""
         self.receipts = CommitReceipts(
             name,
             term=lambda: self.term,
@@ -265,6 +270,9 @@
         if held_term <= self._expected_term:
             return
         self._expected_term = held_term
+        if self._roster is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(ANNOUNCEMENT_DELAY_S, self._read_roster)
         self.primary_expected_at = self._clock.monotonic() + self.expected_promotion_s
         self.clear_primary("promotion_under_way")
 
@@ -276,6 +284,7 @@
         self.sampled_at = 0.0
         self._primary_answer = None
         self.receipts.clear()
+        self._highest_received.clear()
 
     def _set_primary(self, endpoint: str) -> None:
         _log.info("primary_changed", group=self.name, primary=endpoint, term=self.term)
@@ -475,7 +484,7 @@
         With a position, the evidence must come from one that has received it and stays.
         """
         term = self.term
-        witnesses = await self._find_witnesses()
+        witnesses = await self._find_witnesses(commit=position != NO_POSITION)
         stable = self._in_evidence_order(
             name for name in witnesses if self._is_settled(name)
         )
@@ -503,20 +512,23 @@
             for task in asked:
                 task.cancel()
 
-    async def _find_witnesses(self) -> dict[str, EndpointInfo]:
+    async def _find_witnesses(self, *, commit: bool) -> dict[str, EndpointInfo]:
         """Return the replicas whose statuses prove the primary and commits.
 
         These are the members that the store names, because a promotion pauses them all.
+        Only ones that don't drain prove a `commit`.
         """
         if self._roster is None:
             return {name: self.endpoints[name] for name in self.replicas}
         if self.primary is None:
             return {}
-        if self._roster.witnesses(self.term, self.primary) is None:
+        witnesses = self._witnesses
+        settled = {name for name in witnesses if self._is_settled(name)}
+        if not settled or (commit and all(witnesses[n].draining for n in settled)):
+            # The roster of a new term, or one read after the connections were opened.
             await asyncio.wait({self._read_roster()}, timeout=ROSTER_WAIT_S)
         elif any(
-            self._has_stable_connection(name) and not self._is_settled(name)
-            for name in self._witnesses
+            self._has_stable_connection(name) for name in witnesses.keys() - settled
         ):
             self._read_roster()
         return self._witnesses
@@ -529,8 +541,10 @@
 
     @property
     def _witnesses(self) -> dict[str, EndpointInfo]:
-        if self._roster is None or self.primary is None:
+        if self._roster is None:
             found = dict(self.endpoints)
+        elif self.primary is None:
+            found = {}
         else:
             found = self._roster.witnesses(self.term, self.primary) or {}
         return {
@@ -560,7 +574,9 @@
         answers = await asyncio.gather(*map(self.ask, names))
         if not all(self._confirms(status, term) for status in answers):
             return False
-        if position != NO_POSITION and not await self._still_confirm(names, term):
+        if position == NO_POSITION:
+            return True
+        if not await self._still_confirm(names, term):
             return False
         for name, status in zip(names, answers, strict=True):
             if name in witnesses and not witnesses[name].draining:
@@ -593,26 +609,35 @@
         that was read without a seal after the connection was opened shows that no
         holder relies on a pause from before a restart.
         """
-        if not self._has_stable_connection(endpoint):
-            return False
         if self._roster is None:
-            return True
+            return self._has_stable_connection(endpoint)
+        control = self.controls.get(endpoint)
+        if control is None or not control.open_s:
+            return False
         unsealed_at = self._roster.unsealed_at(self.term, self.primary or "")
-        opened_at = self._clock.monotonic() - self.controls[endpoint].open_s
-        return unsealed_at >= opened_at
+        return unsealed_at >= self._clock.monotonic() - control.open_s
 
     async def floor_without(self, member: EndpointInfo) -> LogPosition | None:
         """Return what the next primary needs if an ended member no longer counts.
 
-        This is how far the member had received when all VMs knew that it drained, or
-        else the primary's position after the end. None if neither is known.
+        This is the primary's position after the end, or without its answer how far the
+        member had received when all VMs knew that it drained. None if neither is known.
         """
         final = self.drain_watch.final_received(member)
-        if final is not None or self.primary is None:
+        if self.primary is None:
             return final
         status = await self.ask(self.primary)
         is_current = status is not None and status.is_primary
-        return status.received if is_current and status.term == self.term else None
+        if not is_current or status.term != self.term:
+            return final
+        return max(status.received, final or NO_POSITION)
+
+    def highest_received(self, endpoint: str) -> LogPosition:
+        """Return how far a replica was seen to have received in this term.
+
+        One that has less now has started again without its log.
+        """
+        return self._highest_received.get(endpoint, NO_POSITION)
 
     def _record_receipt(
         self, endpoint: str, status: EndpointStatus, *, asked_at: float
@@ -621,6 +646,9 @@
         info = self.endpoints.get(endpoint)
         if info is None or status.term != self.term:
             return
+        self._highest_received[endpoint] = max(
+            status.received, self.highest_received(endpoint)
+        )
         if info.draining:
             self.drain_watch.record_received(info, status.received, asked_at=asked_at)
         if endpoint in self._witnesses and self._is_settled(endpoint):
--- a/src/celeryjunction/replication/receipts.py
+++ b/src/celeryjunction/replication/receipts.py
@@ -18,7 +18,7 @@
 
 MIN_RETRY_DELAY_S = 0.005
 """First pause between two attempts to prove a commit, which may be on its way."""
-MAX_RETRY_DELAY_S = 0.05
+MAX_RETRY_DELAY_S = 0.1
 EVIDENCE_RETRY_DELAY_S = 0.03
 """Pause between two attempts to reach a witness."""
 MIN_EVIDENCE_TIME_S = 0.1
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -46,7 +46,7 @@
 SEAL_LIMIT_S = 10.0
 """A sealed promotion may still take effect for this long: the platform carries a call
 out up to 6 s late, and a promotion takes up to 3 s."""
-READ_INTERVAL_S = 0.05
+READ_INTERVAL_S = 0.1
 """Shortest pause between two reads by VMs that wait for the roster of a new term."""
 SEALED_READ_INTERVAL_S = 0.2
 SEAL_ATTEMPTS = 3
@@ -119,9 +119,11 @@
         "_absent_since",
         "_clock",
         "_departed",
+        "_first_received",
         "_floor",
         "_history",
         "_key",
+        "_newest_stored_term",
         "_next_read_at",
         "_read_at",
         "_registered",
@@ -152,6 +154,9 @@
         self._registered: set[tuple[str, int]] = set()
         self._absent_since: dict[str, float] = {}
         self._floor = NO_POSITION
+        self._first_received = NO_POSITION
+        """The end of the primary's log when this VM first saw it in the term."""
+        self._newest_stored_term = 0
         self._seal_seen: tuple[tuple[int, int, str], float] | None = None
         """The calls that may be outstanding, and since when they are known; seconds."""
         self._next_read_at = 0.0
@@ -169,21 +174,28 @@
         primary: str | None,
         members: dict[str, EndpointInfo],
         registered: dict[str, EndpointInfo],
+        primary_received: LogPosition = NO_POSITION,
     ) -> None:
         """Record the members that report a term in their status.
 
-        `registered` are the entries that the register has now.
+        `registered` are the entries that the register has now, `primary_received` is
+        the end of the primary's log. The next primary needs that if no promotion to
+        this term was announced.
         """
         self._registered = {info.process_key for info in registered.values()}
-        self._record_absent(registered)
         if term > self._seen.term:
             self._departed.clear()
-            self._floor = NO_POSITION
+            self._floor = self._first_received = NO_POSITION
+        if primary is not None and self._first_received == NO_POSITION:
+            self._first_received = primary_received
         merged = {} if term > self._seen.term else _by_id(self._seen)
         stored = self._stored_in_term(term, primary)
         if stored is not None:
             merged = _by_id(stored) | merged
-        merged |= members
+        if self.restarted_members(merged, registered):
+            self._floor = max(self._floor, primary_received)
+        self._record_absent(registered)
+        merged |= {m: registered[m] for m in merged if m in registered} | members
         remaining = {
             name: member
             for name, member in merged.items()
@@ -342,8 +354,8 @@
             return True
         if self._stored_era != self._history.era:
             return True
-        changed = {(member.id, member.draining) for member in stored.members} != {
-            (member.id, member.draining) for member in seen.members
+        changed = {(m.process_key, m.draining) for m in stored.members} != {
+            (m.process_key, m.draining) for m in seen.members
         }
         changed = changed or not set(seen.departed) <= set(stored.departed)
         changed = changed or self._floor > stored.floor
@@ -383,6 +395,7 @@
             self._keep_lost(previous)
         self._stored_roster, self._stored_era = roster, era
         self._read_at = sent_at
+        self._newest_stored_term = max(self._newest_stored_term, roster.term)
         self._note_seal(roster)
 
     def _note_seal(self, roster: Roster) -> None:
@@ -405,10 +418,11 @@
 
         Until its promotion can no longer take effect, only the roster of the next term
         with the announced primary replaces it. The roster of any other later term also
-        needs the announced primary to have joined that term.
+        needs the announced primary to have joined that term. One that a later roster
+        had replaced was brought back by the store.
         """
         seen = self._seen
-        if not stored.is_sealed:
+        if not stored.is_sealed or stored.term < self._newest_stored_term:
             return True
         if seen.term > stored.term and seen.primary == stored.next_primary:
             return True
@@ -515,9 +529,13 @@
         if stored.seal_token == announced.seal_token:
             return True  # An earlier attempt, whose answer was lost.
         current = self._stored_in_term(term)
+        if current is None and stored.term:
+            _log.warning(
+                "roster_not_sealed", entry=self._key, term=term, stored_term=stored.term
+            )
+            return False  # The roster of this term has to be stored first.
         if current is None:
-            # No VM has confirmed a commit of a term without a stored roster.
-            current = Roster(term=term, size=stored.size)
+            current = Roster(term=term)
         missing = self._unpaused_members(current, paused)
         if missing or stored.term > term:
             _log.warning(
@@ -610,7 +628,8 @@
             announced = stored.successor()
             stored = announced if announced.term == seen.term else stored
         if stored.term < seen.term:
-            return msgspec.structs.replace(seen, size=size)
+            floor = max(self._floor, self._first_received)
+            return msgspec.structs.replace(seen, size=size, floor=floor)
         if stored.outstanding and self.seal_age_s >= SEAL_LIMIT_S:
             stored = msgspec.structs.replace(stored, outstanding="")
         members = _by_id(stored) | _by_id(seen)
@@ -625,6 +644,25 @@
             outstanding=stored.outstanding,
         )
 
+    def needs_primary_position(
+        self, term: int, registered: Mapping[str, EndpointInfo]
+    ) -> bool:
+        """Whether a new term or a restarted member is to be recorded next."""
+        return term > self._seen.term or bool(
+            self.restarted_members(_by_id(self._seen), registered)
+        )
+
+    @staticmethod
+    def restarted_members(
+        members: Mapping[str, EndpointInfo], registered: Mapping[str, EndpointInfo]
+    ) -> list[str]:
+        """Return the members that started again: they may hold nothing of before."""
+        return [
+            name
+            for name, member in members.items()
+            if name in registered and registered[name].process_key != member.process_key
+        ]
+
     def endpoints_to_pause(
         self, stored: Roster, *, term: int, registered: dict[str, EndpointInfo]
     ) -> dict[str, EndpointInfo]:
@@ -639,6 +677,12 @@
         if merged.term == term:
             needed = _by_id(merged) | needed
             needed.pop(merged.primary, None)
+        if effective.term == term and self.seal_age_s < ABSENCE_LIMIT_S:
+            # Its promotion may have taken effect for some VMs.
+            announced = {member.id: member for member in effective.next_members}
+            if effective.next_primary in announced:
+                info = announced[effective.next_primary]
+                needed.setdefault(info.id, info)
         return needed
 
     def floor(self, stored: Roster, *, term: int) -> LogPosition:
--- a/tests/test_confirmed_commits.py
+++ b/tests/test_confirmed_commits.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import AsyncIterator
 
 import pytest
 from fakes import ManualClock, event_loop_policy  # noqa: F401
+from msgspec import to_builtins
 from msgspec.structs import replace
 from replicated_fakes import FakeCluster, FakeEndpoint, FakeStore
 from test_failover import FAILOVER_LIMIT_S, Vm, wait_for_term
@@ -27,7 +29,12 @@
     ResumeReceiving,
 )
 from celeryjunction.replication.receipts import MAX_WITNESS_AGE_S
-from celeryjunction.replication.roster import SEAL_LIMIT_S, GroupRoster, Roster
+from celeryjunction.replication.roster import (
+    READ_INTERVAL_S,
+    SEAL_LIMIT_S,
+    GroupRoster,
+    Roster,
+)
 
 NO_COMMIT = LogPosition(0, 0)
 
@@ -127,13 +134,51 @@
         outcome = await kind_of(proxy.run(session, Commit()))
         assert outcome is ErrorKind.OUTCOME_UNKNOWN
 
-    async def test_a_restarted_replica_alone_is_no_witness(
+    async def seal(self, proxy: MemberProxy) -> None:
+        """Announce the promotion of c1, as another VM does."""
+        other = GroupRoster("g", proxy.store, clock=proxy.clock)
+        assert await other.seal(
+            term=1,
+            next_primary="c1",
+            next_members=[proxy.cluster["c1"].info],
+            next_floor=NO_COMMIT,
+            paused=["b1", "c1"],
+            claim=Compare("failover/g", 0),
+            token=5,
+        )
+
+    async def test_a_replica_that_restarts_during_a_promotion_is_no_witness(
         self, proxy: MemberProxy
     ) -> None:
-        proxy.cluster["c1"].held_term = 2
+        await self.seal(proxy)
+        proxy.cut("c1")
+        position = await proxy.cluster.commit(proxy.cluster["a1"])
         proxy.cluster["b1"].restart()
-        outcome = await kind_of(proxy.run(proxy.session(), Write()))
-        assert isinstance(outcome, ErrorKind)
+        proxy.cluster["c1"].silent = True
+        assert not await proxy.group.receipts.prove(
+            position, deadline=proxy.clock.monotonic() + 5
+        )
+
+    async def test_a_replica_that_restarts_during_a_promotion_gives_no_evidence(
+        self, proxy: MemberProxy
+    ) -> None:
+        await self.seal(proxy)
+        proxy.cluster["b1"].restart()
+        proxy.cluster["c1"].silent = True
+        outcome = await kind_of(proxy.run(proxy.session(), Read()))
+        assert outcome is ErrorKind.FRESHNESS_UNPROVEN
+        assert not proxy.cluster["a1"].executed
+
+    async def test_a_new_replica_is_a_witness_as_soon_as_it_is_a_member(
+        self, proxy: MemberProxy
+    ) -> None:
+        """Guards against unknown outcomes while all others drain or are cut off."""
+        proxy.cluster.endpoints["a4"] = FakeEndpoint("a4", zone="a")
+        proxy.group.update_endpoints(proxy.cluster.infos)
+        await proxy.group.refresh()
+        await proxy.store_members("a4")
+        proxy.cut("b1", "c1")
+        assert (await proxy.run(proxy.session(), Write())).fault is None
 
     async def test_a_replica_in_no_roster_gives_no_evidence_for_a_read(
         self, proxy: MemberProxy
@@ -171,6 +216,52 @@
         assert outcome is ErrorKind.NOT_RUN_ROLLED_BACK
         assert not proxy.cluster["a1"].log
 
+    async def test_the_evidence_of_a_read_on_new_connections_proves_no_commit(
+        self, proxy: MemberProxy
+    ) -> None:
+        """One replica may be paused after its answer, another lose its pause before."""
+        for name in ("b1", "c1"):
+            proxy.cluster[name].restart()
+        proxy.cut("b1")
+        position = await proxy.cluster.commit(proxy.cluster["a1"])
+        assert await proxy.group._gather_evidence()
+        assert proxy.group.receipts.received < position
+        assert await proxy.group.receipts.prove(
+            position, deadline=proxy.clock.monotonic() + 1
+        )
+
+    async def test_a_pause_between_the_answers_of_new_connections_proves_nothing(
+        self, proxy: MemberProxy
+    ) -> None:
+        for name in ("b1", "c1"):
+            proxy.cluster[name].restart()
+        proxy.cut("b1")
+        position = await proxy.cluster.commit(proxy.cluster["a1"])
+        ask, asked = proxy.group.ask, []
+
+        async def pause_after_the_first_answers(name: str) -> object:
+            status = await ask(name)
+            asked.append(name)
+            if len(asked) == 2:
+                proxy.cluster["b1"].held_term = 2
+            return status
+
+        proxy.group.ask = pause_after_the_first_answers
+        assert not await proxy.group.receipts.prove(
+            position, deadline=proxy.clock.monotonic() + 0.2
+        )
+
+    async def test_a_new_connection_counts_after_a_read_of_the_unsealed_roster(
+        self, proxy: MemberProxy
+    ) -> None:
+        await asyncio.sleep(READ_INTERVAL_S)
+        proxy.cluster["b1"].restart()
+        await proxy.group.ask("b1")
+        await proxy.group.ask("b1")
+        assert not proxy.group._is_settled("b1")
+        await proxy.roster.read_again()
+        assert proxy.group._is_settled("b1")
+
     async def test_commits_at_the_same_time_share_the_proof(
         self, proxy: MemberProxy
     ) -> None:
@@ -405,6 +496,56 @@
         stored = await roster.read()
         assert (stored.term, stored.primary, stored.is_sealed) == (2, "b1", False)
 
+    async def test_that_a_later_roster_had_replaced_does_not_count(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """A store that comes back from an older copy may bring it back."""
+        roster = await self.roster(cluster, store)
+        assert await self.seal(roster, store)
+        copy = dict(store.items)
+        infos = cluster.infos
+        for term, primary in ((2, "b1"), (3, "c1")):
+            roster.record_members(
+                term=term, primary=primary, members=infos, registered=infos
+            )
+            assert await roster.write()
+        store.items = copy
+        assert await roster.write()
+        assert (await roster.read()).term == 3
+
+    async def test_of_an_endpoint_that_is_no_member_needs_its_pause(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        roster = await self.roster(cluster, store)
+        joined = FakeEndpoint("d1").info
+        assert await self.seal(roster, store, next_primary="d1", next_members=[joined])
+        needed = roster.endpoints_to_pause(
+            await roster.read(), term=1, registered=cluster.infos
+        )
+        assert "d1" in needed
+
+    async def test_counts_the_calls_for_the_next_term(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        roster = await self.roster(cluster, store)
+        assert await self.seal(roster, store)
+        assert (await roster.read()).successor().outstanding == ""
+        assert await self.seal(roster, store, token=6)
+        assert (await roster.read()).successor().outstanding == "b1"
+        assert roster.outstanding_choice(2) == "b1"
+
+    async def test_of_an_unexpected_term_needs_the_announced_primary_in_it(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        roster = await self.roster(cluster, store)
+        assert await self.seal(roster, store)
+        others = {n: i for n, i in cluster.infos.items() if n != "b1"}
+        roster.record_members(
+            term=2, primary="c1", members=others, registered=cluster.infos
+        )
+        await asyncio.sleep(SEAL_LIMIT_S)
+        assert not await roster.write()
+
     async def test_is_removed_by_its_holder_only(
         self, cluster: FakeCluster, store: FakeStore
     ) -> None:
@@ -415,9 +556,101 @@
         await roster.unseal(token=5)
         assert not (await roster.read()).is_sealed
 
-    async def test_an_older_process_writes_rosters_without_one(self) -> None:
-        roster = Roster(3, "b1", (EndpointInfo("b1", "g", "10.0.0.1", 1, "a", 3),))
-        assert not roster.is_sealed and roster.floor == (0, 0)
+    async def test_an_older_process_writes_rosters_without_one(
+        self, store: FakeStore
+    ) -> None:
+        member = EndpointInfo("b1", "g", "10.0.0.1", 1, "a", 3)
+        value = {"term": 3, "primary": "b1", "members": [to_builtins(member)]}
+        store.put("groups/g", json.dumps(value).encode())
+        roster = await GroupRoster("g", store, clock=ManualClock()).read()
+        assert roster == Roster(3, "b1", (member,)) and not roster.is_sealed
+
+
+class TestRestartedMember:
+    """A member that starts again under its id, and holds nothing of before."""
+
+    async def restart_empty(self, cluster: FakeCluster, vm: Vm) -> LogPosition:
+        cluster["c1"].replication_cut = True
+        position = await cluster.commit(cluster["a1"])
+        restarted = cluster["b1"]
+        restarted.log.clear()
+        restarted.restart()
+        restarted.replication_cut = True
+        restarted.info = replace(restarted.info, started_ms=7)
+        vm.group.update_endpoints(cluster.infos)
+        return position
+
+    async def test_a_primary_that_answers_keeps_leading(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        position = await self.restart_empty(cluster, vm)
+        assert not await vm.coordinator.replace(
+            "draining", term=1, acknowledged=NO_COMMIT
+        )
+        assert cluster["a1"].is_primary and cluster["a1"].received == position
+
+    async def test_nobody_is_promoted_while_the_primary_is_silent(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        await self.restart_empty(cluster, vm)
+        cluster["a1"].silent = True
+        assert not await vm.coordinator.replace(
+            "silent", term=1, acknowledged=NO_COMMIT
+        )
+        assert not cluster.promotions
+
+    async def test_what_it_was_seen_to_have_is_required(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        cluster["c1"].replication_cut = True
+        await cluster.commit(cluster["a1"])
+        await vm.group.refresh()
+        cluster["b1"].log.clear()
+        cluster["b1"].restart()
+        cluster["a1"].silent = True
+        assert not await vm.coordinator.replace(
+            "silent", term=1, acknowledged=NO_COMMIT
+        )
+        assert not cluster.promotions
+
+    async def test_its_new_process_is_stored_with_the_primarys_position(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        position = await self.restart_empty(cluster, vm)
+        vm.run()
+        await asyncio.sleep(2)
+        await vm.stop()
+        stored = await vm.roster.read()
+        assert cluster["b1"].info in stored.members
+        assert LogPosition(*stored.floor) == position
+
+
+class TestUnannouncedTerm:
+    """A term that no seal announced: nobody knows where its log began."""
+
+    async def test_its_roster_requires_the_primarys_position(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        roster = await TestSeal.roster(cluster, store)
+        roster.record_members(
+            term=2,
+            primary="b1",
+            members=cluster.infos,
+            registered=cluster.infos,
+            primary_received=LogPosition(1, 9),
+        )
+        assert await roster.write()
+        assert LogPosition(*(await roster.read()).floor) == (1, 9)
+
+    async def test_is_not_sealed_before_its_roster_is_stored(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        roster = await TestSeal.roster(cluster, store)
+        assert await TestSeal().seal(roster, store, term=2) is False
 
 
 class TestBeginOfTerm:
