Know the position of a draining member that ended while it was paused

A holder stopped after it had paused the replicas; one of them drained and ended, and as neither its position (paused replicas were not recorded) nor the primary's (unknown because of the pause) was taken, the member stayed and blocked every failover. Both are taken now: the term's stored primary is asked, also if it was demoted.

--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -1,7 +1,8 @@
 """Replaces a group's primary: pauses the replicas, chooses one, demotes, promotes.
 
 A claim holder may stop safely between any two steps: the replicas stay paused until
-another holder finishes, and no step relies on what an earlier holder saw.
+another holder finishes. The only thing that a later holder relies on is the seal in the
+roster, which announces a promotion that may have been requested.
 """
 
 from __future__ import annotations
--- a/src/celeryjunction/replication/drain_watch.py
+++ b/src/celeryjunction/replication/drain_watch.py
@@ -96,7 +96,10 @@
             self._final_received.pop(oldest, None)
 
     def final_received(self, info: EndpointInfo) -> LogPosition | None:
-        """Return how far an ended replica may be the only holder; None if not known."""
+        """Return up to where an ended replica alone may have confirmed commits.
+
+        None if it was not asked late enough in its drain.
+        """
         return self._final_received.get(info.process_key)
 
     async def check(self) -> None:
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -251,10 +251,12 @@
                 self._set_primary(endpoint)
         elif endpoint == self.primary:
             self.clear_primary("not_primary_any_more")
-        elif status.held_term > max(self.term, status.term):
-            self._expect_promotion(status.held_term)
         else:
-            self._record_receipt(endpoint, status, asked_at=asked_at)
+            self._record_received(endpoint, status, asked_at=asked_at)
+            if status.held_term > max(self.term, status.term):
+                self._expect_promotion(status.held_term)
+            else:
+                self._record_receipt(endpoint, asked_at=asked_at)
 
     @property
     def has_paused_replica(self) -> bool:
@@ -603,7 +605,7 @@
         return control is not None and control.open_s >= STABLE_CONNECTION_S
 
     def _is_settled(self, endpoint: str) -> bool:
-        """Whether no promotion relies on a pause that the replica may have lost.
+        """Whether a pause that the replica lost can no longer matter to a promotion.
 
         A holder seals the roster before it checks the pauses for the last time. So one
         that was read without a seal after the connection was opened shows that no
@@ -624,11 +626,14 @@
         member had received when all VMs knew that it drained. None if neither is known.
         """
         final = self.drain_watch.final_received(member)
-        if self.primary is None:
+        primary = self.primary
+        if primary is None and self._roster is not None:
+            # It may be unknown because of a pause, or demoted; it has all commits.
+            primary = self._roster.primary_in_term(self.term)
+        if primary is None:
             return final
-        status = await self.ask(self.primary)
-        is_current = status is not None and status.is_primary
-        if not is_current or status.term != self.term:
+        status = await self.ask(primary)
+        if status is None or status.term != self.term:
             return final
         return max(status.received, final or NO_POSITION)
 
@@ -639,10 +644,10 @@
         """
         return self._highest_received.get(endpoint, NO_POSITION)
 
-    def _record_receipt(
+    def _record_received(
         self, endpoint: str, status: EndpointStatus, *, asked_at: float
     ) -> None:
-        """Note what a replica proves, if it is a witness of this term."""
+        """Note how far a replica of this term has received."""
         info = self.endpoints.get(endpoint)
         if info is None or status.term != self.term:
             return
@@ -651,9 +656,15 @@
         )
         if info.draining:
             self.drain_watch.record_received(info, status.received, asked_at=asked_at)
-        if endpoint in self._witnesses and self._is_settled(endpoint):
+
+    def _record_receipt(self, endpoint: str, *, asked_at: float) -> None:
+        """Note what a replica that isn't paused proves, if it is a witness."""
+        status = self.statuses[endpoint][1]
+        if status.term != self.term or endpoint not in self._witnesses:
+            return
+        if self._is_settled(endpoint):
             self.receipts.record_witness(asked_at)
-            if not info.draining:
+            if not self.endpoints[endpoint].draining:
                 self.receipts.record(status.received)
 
     def _in_evidence_order(self, names: Iterable[str]) -> list[str]:
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -81,7 +81,8 @@
     seals: Count = 0
     """Number of seals for this next primary: each may have led to a call."""
     outstanding: Name = ""
-    """The primary, if a further call for it may still be carried out."""
+    """The primary, if a second call under the seal of the term before may promote it
+    again; empty if there was only one."""
 
     @property
     def is_sealed(self) -> bool:
@@ -89,7 +90,10 @@
         return bool(self.next_primary)
 
     def successor(self) -> Roster:
-        """Return the roster of the next term that the seal announces."""
+        """Return the roster of the next term, as announced by the seal.
+
+        It isn't sealed: a promotion beyond that term needs a roster of it first.
+        """
         return Roster(
             term=self.term + 1,
             primary=self.next_primary,
@@ -620,6 +624,10 @@
         return result.succeeded
 
     def _merged(self, stored: Roster) -> Roster:
+        """Return the stored roster with what this VM saw, without a seal.
+
+        A stored roster of a later term is returned as it is.
+        """
         seen = self._seen
         if stored.term > seen.term:
             return stored
--- a/tests/test_confirmed_commits.py
+++ b/tests/test_confirmed_commits.py
@@ -369,6 +369,47 @@
         assert vm.group.drain_watch.final_received(cluster["b1"].info) == position
         await vm.stop()
 
+    async def test_a_member_that_ends_while_it_is_paused_does_not_block_a_failover(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against a group without a primary after a holder that stopped.
+
+        Found by the soak with promotions, seed 403.
+        """
+        vm = await started_vm(cluster, store)
+        cluster["b1"].info = replace(cluster["b1"].info, draining=True)
+        vm.group.update_endpoints(cluster.infos)
+        vm.roster.record_members(
+            term=1, primary="a1", members=cluster.infos, registered=cluster.infos
+        )
+        assert await vm.roster.write()
+        infos = {name: cluster[name].info for name in ("b1", "c1")}
+        await vm.coordinator._pause_all(infos, 1)
+        assert vm.group.primary is None
+        gone = cluster["b1"].info
+        vm.group.drain_watch.record_end(gone)
+        del cluster.endpoints["b1"]
+        vm.group.update_endpoints(cluster.infos)
+        vm.roster.record_members(
+            term=1, primary="a1", members=cluster.infos, registered=cluster.infos
+        )
+        assert await vm.coordinator.replace("abandoned", term=1, acknowledged=NO_COMMIT)
+        assert vm.group.primary == "c1"
+
+    @pytest.mark.parametrize("held_term", [0, 2])
+    async def test_a_paused_draining_replicas_position_is_known(
+        self, cluster: FakeCluster, store: FakeStore, held_term: int
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        cluster["b1"].info = replace(cluster["b1"].info, draining=True)
+        vm.group.update_endpoints(cluster.infos)
+        cluster["b1"].held_term = held_term
+        await vm.group.ask("b1")
+        await asyncio.sleep(DRAIN_KNOWN_S)
+        await vm.group.ask("b1")
+        final = vm.group.drain_watch.final_received(cluster["b1"].info)
+        assert final == cluster["b1"].received
+
 
 class TestSeal:
     @staticmethod
