Model the check of the pauses after the seal

Cause: the holder seals the roster first and then checks that the paused replicas are as before; a fresh connection counts after a read of the unsealed roster, without a wait. The model had the earlier order: check, seal within a bounded time, and a wait as long as that.

Change: the code's order is the default of model/confirmed_commits.py. The check asks the paused replicas one by one between the seal and the call, and the holder may stand still or lose the claim at each step. Seals are removed and written again, calls are refused. The earlier order stays as a variant. The read of the roster and the choice are one step, and steps that cannot change a verdict any more are left out, to keep the number of states down. All members' agreement is also checked with a read of the unsealed roster after the answers.

--- a/model/confirmed_commits.py
+++ b/model/confirmed_commits.py
@@ -7,10 +7,17 @@
 
 The holder of the claim reads the roster, checks that all its members are paused,
 chooses the one with the highest log, and seals the roster in a transaction that fails
-if the claim or the roster changed. The promotion takes effect at any time after that.
+if the claim or the roster changed. It then asks all paused replicas again. If all are
+still paused with the same positions, it calls, and the promotion takes effect at any
+time after that, or the call is refused. Otherwise it gives up. A holder that gives up
+or whose call was refused removes its seal, unless it had found one: an earlier call may
+be outstanding then, and the holder chooses the endpoint in that seal.
+
 The holder may stand still between any two steps, and another one take the claim; the
-new holder starts anew, and the old one's transaction fails. Pauses and the demotion may
-arrive at any time before the seal, from either of them.
+new holder starts anew, and the old one's transaction and call fail. It may still remove
+its seal if no other holder has sealed the roster since. The read of the roster and the
+choice are one step: the roster never returns to an earlier value, and the seal fails if
+it changed. Pauses and the demotion may arrive at any time, from any holder.
 
 Endpoint 2 may drain and leave with its log. The VM that confirms learns of the drain
 before the endpoint leaves; another VM may remove the endpoint from the roster. An ended
@@ -20,12 +27,16 @@
 VM that confirmed W need not vote.
 
 A restart drops the pause and closes the connections. A new connection is fresh: a
-replica is no witness on it until the VM, after the longest time from a holder's check
-to its seal, has read the roster and found it unsealed. Alternatively all members are
-asked after one of them reported W, and all answer that they are not paused.
-
-Left out: a VM that is cut off from the store for longer than a drain lasts, and a store
-that comes back from an older copy.
+replica is no witness on it until the VM has read the roster after the connection was
+opened, and found it unsealed. Any later seal is followed by a check that finds the
+pause missing. Instead of that check, the VM may wait before the read for the longest
+time from a holder's choice to its seal. Alternatively all members are asked after one
+of them reported W, and all answer that they are not paused; this holds for restarts of
+one member only, unless the roster is found unsealed after the answers.
+
+Left out: a VM that is cut off from the store for longer than a drain lasts, a store
+that comes back from an older copy, and the end of a seal whose limit has passed, which
+is a subject of late_promotion.
 """
 
 from __future__ import annotations
@@ -41,7 +52,7 @@
 JOINING = 3
 """The replica that may join after the roster was stored."""
 NOBODY = -1
-IDLE, READ, CHOSEN = range(3)
+IDLE, CHOSEN, SEALED = range(3)
 """Steps of the holder of the claim."""
 UNSEEN, WITHOUT_W, WITH_W = range(3)
 """Positions that a VM may have seen."""
@@ -60,11 +71,17 @@
 
 
 class Holder(NamedTuple):
-    """The holder of the claim, what it read and whom it chose."""
+    """The holder of the claim, what it found and whom it chose."""
 
     step: int = IDLE
     roster: Roster = Roster()
+    found: int = NOBODY
+    """The endpoint in the seal that the holder found."""
     chosen: int = NOBODY
+    paused: frozenset[int] = frozenset()
+    """Paused replicas; after the seal, those that have not been asked again."""
+    with_w: frozenset[int] = frozenset()
+    """Those of them that had W."""
 
 
 class State(NamedTuple):
@@ -88,6 +105,12 @@
     holder: Holder = Holder()
     sealed: int = NOBODY
     """The endpoint in the seal."""
+    removable: bool = False
+    """Whether the holder that wrote the seal found none, and may remove it."""
+    called: int = NOBODY
+    """The endpoint that a call may still promote."""
+    has_read: bool = False
+    """Whether the VM read the unsealed roster at any time, if that is enough."""
     demoted: bool = False
     promoted: int = NOBODY
     confirmed: bool = False
@@ -102,8 +125,19 @@
     exclude_fresh: bool = True
     read_on_reconnect: bool = True
     """Whether a fresh connection counts only after a read of the unsealed roster."""
-    bounded_seal: bool = True
-    """Whether the wait on a fresh connection is as long as a holder takes to seal."""
+    read_after_open: bool = True
+    """Whether that read must follow the opening of the connection."""
+    check_after_seal: bool = True
+    """Whether the holder checks the pauses between the seal and the call."""
+    check_positions: bool = True
+    """Whether that check compares the positions, too."""
+    bounded_seal: bool = False
+    """Whether the VM waits on a fresh connection, before that read, for as long as a
+    holder takes from the choice to the seal."""
+    calls_again: bool = False
+    """Whether holders go on while a call is outstanding."""
+    keep_found_seal: bool = True
+    """Whether a holder that gives up keeps a seal that it found."""
     floor_source: str = "either"
     """Also "primary" (its position after the member's end), "drain" (the member's
     position when all VMs know of the drain), "sight" (that position at any time),
@@ -116,8 +150,8 @@
     choose_demoted: bool = True
     agreement: str = ""
     """Whether the answers of all members are enough on fresh connections: "" (no),
-    "ordered" (the others are asked after the report), "unordered", or "received" (all
-    report W)."""
+    "ordered" (the others are asked after the report), "unordered", "received" (all
+    report W), or "unsealed" (like "ordered", and the roster is unsealed afterwards)."""
     joins: bool = True
     drains: bool = True
     restarts: tuple[int, ...] = ()
@@ -125,7 +159,7 @@
 
 
 def _steps(state: State, rules: Variant) -> Iterator[tuple[str, State]]:
-    if _is_lost(state):
+    if state.promoted != NOBODY and (state.confirmed or state.has_w[state.promoted]):
         return
     yield from _commit_steps(state)
     yield from _confirm_steps(state, rules)
@@ -134,14 +168,12 @@
     if rules.drains:
         yield from _drain_steps(state, rules)
     yield from _roster_steps(state, rules)
-    if state.sealed == NOBODY:
-        yield from _command_steps(state)
+    if state.promoted != NOBODY:
+        return
+    yield from _command_steps(state)
+    if state.called == NOBODY or rules.calls_again:
         yield from _holder_steps(state, rules)
-    elif state.promoted == NOBODY and _is_present(state, state.sealed):
-        yield (
-            f"the promotion of e{state.sealed} takes effect",
-            state._replace(promoted=state.sealed),
-        )
+    yield from _seal_steps(state)
 
 
 def _is_lost(state: State) -> bool:
@@ -178,11 +210,23 @@
         if not state.has_w[r] or not _in_term_1(state, r):
             continue
         if not rules.require_witness:
-            yield "e0 acknowledges W; W is confirmed", state._replace(confirmed=True)
+            yield "e0 acknowledges W; W is confirmed", _confirmed(state)
         elif _may_testify(state, rules, r) and not (
             rules.exclude_fresh and state.fresh[r]
         ):
-            yield f"W is confirmed by e{r}", state._replace(confirmed=True)
+            yield f"W is confirmed by e{r}", _confirmed(state)
+
+
+def _confirmed(state: State) -> State:
+    """Confirm W, and forget what matters to the confirmation only."""
+    return state._replace(
+        confirmed=True,
+        fresh=State().fresh,
+        vm_members=frozenset(),
+        reported=NOBODY,
+        unpaused=frozenset(),
+        has_read=False,
+    )
 
 
 def _may_testify(state: State, rules: Variant, replica: int) -> bool:
@@ -209,27 +253,42 @@
         if asked and (state.has_w[r] or rules.agreement != "received"):
             unpaused = state.unpaused | {r}
             yield f"e{r} says it isn't paused", state._replace(unpaused=unpaused)
-    if state.reported != NOBODY and state.vm_members <= state.unpaused:
-        yield "W is confirmed by all members", state._replace(confirmed=True)
+    is_sealed = rules.agreement == "unsealed" and state.sealed != NOBODY
+    have_answered = state.reported != NOBODY and state.vm_members <= state.unpaused
+    if have_answered and not is_sealed:
+        yield "W is confirmed by all members", _confirmed(state)
 
 
 def _replica_steps(state: State, rules: Variant) -> Iterator[tuple[str, State]]:
     if rules.joins and not state.joined:
-        fresh = put(state.fresh, JOINING, True)
+        fresh = put(state.fresh, JOINING, not state.confirmed)
         yield f"e{JOINING} joins", state._replace(joined=True, fresh=fresh)
     for r in rules.restarts:
         if _in_term_1(state, r):
             after = state._replace(
-                paused=put(state.paused, r, False), fresh=put(state.fresh, r, True)
+                paused=put(state.paused, r, False),
+                fresh=put(state.fresh, r, not state.confirmed),
             )
             yield f"e{r} restarts", after
-    is_unsealed = state.sealed == NOBODY or not rules.read_on_reconnect
+    if not state.confirmed:
+        yield from _settling_steps(state, rules)
+
+
+def _settling_steps(state: State, rules: Variant) -> Iterator[tuple[str, State]]:
+    settled = state._replace(fresh=State().fresh)
     is_waiting = rules.bounded_seal and state.holder.step == CHOSEN
-    if any(state.fresh) and is_unsealed and not is_waiting:
-        label = "after a wait, the VM reads the unsealed roster"
-        if not rules.read_on_reconnect:
-            label = "3 s pass"
-        yield label, state._replace(fresh=State().fresh)
+    if not rules.read_on_reconnect:
+        if any(state.fresh) and not is_waiting:
+            yield "3 s pass", settled
+        return
+    if state.sealed == NOBODY and not is_waiting:
+        label = "the VM reads the unsealed roster"
+        if not rules.read_after_open and not state.has_read:
+            yield label, settled._replace(has_read=True)
+        elif any(state.fresh):
+            yield label, settled
+    if state.has_read and any(state.fresh):
+        yield "the VM relies on its earlier read of the unsealed roster", settled
 
 
 def _drain_steps(state: State, rules: Variant) -> Iterator[tuple[str, State]]:
@@ -254,7 +313,8 @@
 
 
 def _sight_steps(state: State, rules: Variant) -> Iterator[tuple[str, State]]:
-    if state.leaving == LEFT or state.sealed != NOBODY:
+    is_final = state.sealed != NOBODY and not state.removable
+    if state.leaving == LEFT or is_final:
         return
     source = 0 if rules.floor_source == "earlier" else LEAVING
     is_late = state.leaving == DRAIN_KNOWN
@@ -270,14 +330,15 @@
 
 def _roster_steps(state: State, rules: Variant) -> Iterator[tuple[str, State]]:
     roster = state.roster
-    if state.vm_members != roster.members:
+    if state.vm_members != roster.members and not state.confirmed:
         yield "the VM reads the roster", state._replace(vm_members=roster.members)
     is_open = state.sealed == NOBODY or not rules.seal_refuses_members
     if state.joined and JOINING not in roster.members and is_open:
         stored = roster._replace(members=roster.members | {JOINING})
+        known = frozenset() if state.confirmed else stored.members
         yield (
             f"the VM stores e{JOINING} as a member",
-            state._replace(roster=stored, vm_members=stored.members),
+            state._replace(roster=stored, vm_members=known),
         )
     if state.leaving == LEFT and not roster.removed and state.sealed == NOBODY:
         for floor in sorted(_floors(state, rules)):
@@ -312,21 +373,67 @@
 def _holder_steps(state: State, rules: Variant) -> Iterator[tuple[str, State]]:
     holder = state.holder
     if holder.step == IDLE:
-        read = Holder(READ, state.roster)
-        yield "the holder reads the roster", state._replace(holder=read)
+        yield from _choice_steps(state, rules)
         return
     yield "another holder takes the claim", state._replace(holder=Holder())
-    if holder.step == READ:
-        yield from _choice_steps(state, rules)
+    if holder.step == SEALED:
+        yield from _check_steps(state, rules)
     elif holder.roster == state.roster or not rules.reread_roster:
+        is_new = holder.found == NOBODY
+        after = state._replace(sealed=holder.chosen, removable=is_new, holder=Holder())
+        if not is_new:
+            after = after._replace(sight=UNSEEN)
+        label = f"the holder seals the roster with e{holder.chosen}"
+        if rules.check_after_seal:
+            checking = Holder(SEALED, paused=holder.paused, with_w=holder.with_w)
+            yield label, after._replace(holder=checking)
+        else:
+            yield label, after._replace(called=holder.chosen)
+
+
+def _check_steps(state: State, rules: Variant) -> Iterator[tuple[str, State]]:
+    """Yield the answers after the seal; the last one leads to the call."""
+    holder = state.holder
+    for r in holder.paused:
+        has_moved = state.has_w[r] != (r in holder.with_w)
+        if not state.paused[r] or (has_moved and rules.check_positions):
+            yield f"e{r} is not as before, the holder gives up", _given_up(state, rules)
+            continue
+        left = Holder(SEALED, paused=holder.paused - {r}, with_w=holder.with_w - {r})
+        yield f"e{r} is still paused", state._replace(holder=left)
+    if not holder.paused:
+        called = state._replace(holder=Holder(), called=state.sealed)
+        yield f"the holder calls for e{state.sealed}", called
+
+
+def _given_up(state: State, rules: Variant) -> State:
+    if state.removable or not rules.keep_found_seal:
+        state = _unsealed(state)
+    return state._replace(holder=Holder())
+
+
+def _unsealed(state: State) -> State:
+    return state._replace(sealed=NOBODY, removable=False)
+
+
+def _seal_steps(state: State) -> Iterator[tuple[str, State]]:
+    """Yield what the calls lead to, and what holders that lost the claim may do."""
+    if state.removable and state.called != NOBODY:
+        yield (
+            "the call is refused, and its holder removes the seal",
+            _unsealed(state)._replace(called=NOBODY),
+        )
+    elif state.removable and state.holder.step != SEALED:
+        yield "an earlier holder gives up and removes its seal", _unsealed(state)
+    if state.called != NOBODY and _is_present(state, state.called):
         yield (
-            f"the holder seals the roster with e{holder.chosen}",
-            state._replace(sealed=holder.chosen, holder=Holder(), sight=UNSEEN),
+            f"the promotion of e{state.called} takes effect",
+            state._replace(promoted=state.called, holder=Holder()),
         )
 
 
 def _choice_steps(state: State, rules: Variant) -> Iterator[tuple[str, State]]:
-    roster = state.holder.roster
+    roster, found = state.roster, state.sealed
     needed = set(roster.members)
     if not rules.remove_ended:
         needed = {r for r in needed if _is_present(state, r)}
@@ -334,19 +441,24 @@
     if not candidates or not needed <= set(candidates):
         return
     with_w = [r for r in candidates if state.has_w[r]]
+    choice = Holder(
+        CHOSEN,
+        roster,
+        found,
+        paused=frozenset(candidates),
+        with_w=frozenset(with_w),
+    )
     if rules.choose_highest and with_w:
         candidates = with_w
     for r in candidates:
-        if state.has_w[r] or not roster.floor:
-            yield f"the holder chooses e{r}", _with_choice(state, r)
+        if found in (NOBODY, r) and (state.has_w[r] or not roster.floor):
+            chosen = choice._replace(chosen=r)
+            yield f"the holder chooses e{r}", state._replace(holder=chosen)
     has_enough = state.demoted and state.has_w[0]
-    if rules.choose_demoted and has_enough and roster.floor and not with_w:
-        yield "the holder chooses e0 again", _with_choice(state, 0)
-
-
-def _with_choice(state: State, endpoint: int) -> State:
-    holder = state.holder._replace(step=CHOSEN, chosen=endpoint)
-    return state._replace(holder=holder)
+    is_free = found in (NOBODY, 0)
+    if is_free and rules.choose_demoted and has_enough and roster.floor and not with_w:
+        chosen = choice._replace(chosen=0)
+        yield "the holder chooses e0 again", state._replace(holder=chosen)
 
 
 def _is_promoted_after(state: State, endpoint: int) -> bool:
@@ -387,13 +499,37 @@
 
 
 _RESTARTS = Variant(drains=False, restarts=(1, 2))
+_NO_JOINS = _RESTARTS._replace(joins=False)
+_WAIT = Variant(check_after_seal=False, bounded_seal=True)
+"""The VM's wait on a fresh connection instead of the holder's check after the seal."""
 _AGREEMENT = Variant(drains=False, joins=False, restarts=(2,), agreement="ordered")
 
 CHECKS = [
     _check(Variant(), expect_refuted=False),
     _check(Variant(restarts=(2,)), expect_refuted=False),
     _check(_RESTARTS, expect_refuted=False),
+    _check(_NO_JOINS._replace(calls_again=True), expect_refuted=False),
+    _check(Variant(joins=False, restarts=(2,), calls_again=True), expect_refuted=False),
     _check(_AGREEMENT, expect_refuted=False),
+    _check(
+        _AGREEMENT._replace(restarts=(1, 2), agreement="unsealed"),
+        expect_refuted=False,
+    ),
+    _check(
+        _WAIT,
+        "the check after the seal; the wait replaces it (no member restarts)",
+        expect_refuted=False,
+    ),
+    _check(
+        _WAIT._replace(restarts=(2,)),
+        "the check after the seal; the wait replaces it (a member restarts)",
+        expect_refuted=False,
+    ),
+    _check(
+        _WAIT._replace(drains=False, restarts=(1, 2)),
+        "the check after the seal; the wait replaces it (two members restart)",
+        expect_refuted=False,
+    ),
     _check(
         Variant(),
         "nothing; a replica is promoted after W is confirmed",
@@ -419,14 +555,35 @@
         "primary's position makes it redundant",
         expect_refuted=False,
     ),
-    _check(_RESTARTS._replace(exclude_fresh=False), "the wait on a fresh connection"),
+    _check(
+        _RESTARTS._replace(exclude_fresh=False),
+        "the exclusion of a witness on a fresh connection",
+    ),
     _check(
         _RESTARTS._replace(read_on_reconnect=False),
-        "the read of the unsealed roster after the wait (the promotion may be late)",
+        "the read of the unsealed roster (the promotion may be late)",
+    ),
+    _check(
+        _RESTARTS._replace(read_after_open=False),
+        "the read of the unsealed roster after the connection was opened (any earlier "
+        "read is enough)",
+    ),
+    _check(_RESTARTS._replace(check_after_seal=False), "the check after the seal"),
+    _check(
+        _RESTARTS._replace(check_positions=False),
+        "the comparison of the positions in the check after the seal",
+    ),
+    _check(
+        _WAIT._replace(drains=False, restarts=(1, 2), exclude_fresh=False),
+        "the check after the seal, and the wait on a fresh connection",
+    ),
+    _check(
+        _WAIT._replace(drains=False, restarts=(1, 2), read_on_reconnect=False),
+        "the check after the seal, and the read of the unsealed roster after the wait",
     ),
     _check(
-        _RESTARTS._replace(bounded_seal=False),
-        "the limit of the time from the holder's check to the seal",
+        _NO_JOINS._replace(calls_again=True, keep_found_seal=False),
+        "the seal that a holder found when it gives up (its call may be outstanding)",
     ),
     _check(
         _AGREEMENT._replace(agreement="unordered"),
