Log which transactions an abort rolls back

Nothing in the log told which transactions a stopping or idle VM rolled back, nor whether a statement of one of them ran at that moment. `transaction_aborted` has the transaction's id, its endpoint, the reason and `statement_running`.

--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -126,6 +126,7 @@
         self._transaction: _Transaction | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
         self._abort_task: asyncio.Task[None] | None = None
+        self._statement_running = False
         self._endpoint = ""
         self._timeout_s = 0.0
 
@@ -145,6 +146,7 @@
         gateway = self._gateway
         self._stop_idle_timer()
         gateway.running += 1
+        self._statement_running = True
         self._endpoint = ""
         route = gateway.route(self.database)
         self._timeout_s = route.timeout_s if route is not None else 0.0
@@ -165,6 +167,7 @@
             raise
         finally:
             gateway.running -= 1
+            self._statement_running = False
             self._start_idle_timer()
             self._record_outcome(request, route, outcome)
 
@@ -230,8 +233,18 @@
 
     def abort(self, error: ProxyError) -> None:
         """Roll back an idle open transaction; its next statement gets `error`."""
-        if self._transaction is not None and self._abort_task is None:
-            self._abort_task = asyncio.create_task(self._abort_transaction(error))
+        transaction = self._transaction
+        if transaction is None or self._abort_task is not None:
+            return
+        self._gateway.request_log.write(
+            "transaction_aborted",
+            id=transaction.request_id.decode("latin-1"),
+            database=self.database,
+            endpoint=transaction.grant.endpoint if transaction.grant else None,
+            statement_running=self._statement_running,
+            reason=error.kind.value,
+        )
+        self._abort_task = asyncio.create_task(self._abort_transaction(error))
 
     # Statements
 
