Abort only transactions that run no statement

Cause: HomeServer.abort_idle aborts all forwarded transactions, also those that run a statement. A statement that the endpoint answered with BUSY waits 20 ms before it is sent again. An abort in that pause rolls the transaction back and returns the connection to the pool; the statement then runs on it outside of any transaction, or inside that of another session. A COMMIT that waits for a witness met the same abort and ended in an AttributeError.

Change: StatementSession.abort does nothing while a statement runs. The drain polls, so the transaction is aborted once its statement has ended. The fake endpoint forgets the writes of a transaction that is rolled back.

--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -232,16 +232,20 @@
         self._gateway.open_transactions += 1
 
     def abort(self, error: ProxyError) -> None:
-        """Roll back an idle open transaction; its next statement gets `error`."""
+        """Roll back an open transaction that runs no statement; COMMIT gets `error`.
+
+        Without effect while a statement runs, also while it waits before a retry.
+        """
         transaction = self._transaction
         if transaction is None or self._abort_task is not None:
             return
+        if self._statement_running:
+            return
         self._gateway.request_log.write(
             "transaction_aborted",
             id=transaction.request_id.decode("latin-1"),
             database=self.database,
             endpoint=transaction.grant.endpoint if transaction.grant else None,
-            statement_running=self._statement_running,
             reason=error.kind.value,
         )
         self._abort_task = asyncio.create_task(self._abort_transaction(error))
--- a/tests/replicated_fakes.py
+++ b/tests/replicated_fakes.py
@@ -259,7 +259,7 @@
                 return self._answer(fault=Fault.NOT_PRIMARY)
             self._state, self._wrote = TransactionState.OPEN, False
         elif isinstance(command, RollBack):
-            self._state = TransactionState.IDLE
+            self._state, self._wrote = TransactionState.IDLE, False
         elif isinstance(command, ClearSession):
             self.server_values.clear()
             self.server_prepared.clear()
