Cancel a running statement before its session is closed

Callers: a client that left, or whose forwarding VM gave a statement up, could leave a write behind that is committed alone; a transaction that was being opened at that moment stayed open at the endpoint, its connection pinned and its locks held.

EndTransaction closes the home's session in a task beside the one of its statement. The rollback takes the connection while the statement waits before a retry, and finds none while the transaction is being opened; the statement then goes on without its transaction.

Change: StatementSession.close cancels the statement's task and waits for it before the rollback. A closed session refuses statements, which would run outside of their transaction. A statement in flight lost its connection before as well.

The five tests fail before (a write acknowledged alone at the VM and through a home, a COMMIT repeated after its rollback, a pinned connection, a write run on a closed session) and pass now.

--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -113,6 +113,10 @@
     `execute` returns the endpoint's answer, or an answer of the session itself with
     the digest ``-``. It raises `ProxyError` if the session refuses the statement or
     gives it up.
+
+    While a statement runs, only its own task uses or releases the transaction's
+    connection. Other tasks end the transaction with `abort`, which does nothing
+    beside a running statement, or with `close`, which cancels the statement first.
     """
 
     def __init__(
@@ -126,7 +130,9 @@
         self._transaction: _Transaction | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
         self._abort_task: asyncio.Task[None] | None = None
-        self._statement_running = False
+        self._statement_task: asyncio.Task[object] | None = None
+        """The task that runs a statement, also while it waits before a retry."""
+        self._closed = False
         self._endpoint = ""
         self._timeout_s = 0.0
 
@@ -146,7 +152,7 @@
         gateway = self._gateway
         self._stop_idle_timer()
         gateway.running += 1
-        self._statement_running = True
+        self._statement_task = asyncio.current_task()
         self._endpoint = ""
         route = gateway.route(self.database)
         self._timeout_s = route.timeout_s if route is not None else 0.0
@@ -154,6 +160,8 @@
         try:
             if self._abort_task is not None:
                 await self._abort_task
+            if self._closed:
+                raise rolled_back_error("its session was closed")
             if route is None and self._transaction is None:
                 raise ProxyError(
                     ErrorKind.UNKNOWN_DATABASE, {"database": self.database}
@@ -167,7 +175,7 @@
             raise
         finally:
             gateway.running -= 1
-            self._statement_running = False
+            self._statement_task = None
             self._start_idle_timer()
             self._record_outcome(request, route, outcome)
 
@@ -214,7 +222,15 @@
         }
 
     async def close(self) -> None:
-        """Roll back an open transaction and release its connection."""
+        """Cancel a running statement, roll back and release the connection.
+
+        A COMMIT that was sent may still take effect. Later statements are refused.
+        """
+        self._closed = True
+        statement = self._statement_task
+        if statement is not None and statement is not asyncio.current_task():
+            statement.cancel()
+            await asyncio.wait({statement})
         self._stop_idle_timer()
         if self._abort_task is not None:
             await self._abort_task
@@ -239,7 +255,7 @@
         transaction = self._transaction
         if transaction is None or self._abort_task is not None:
             return
-        if self._statement_running:
+        if self._statement_task is not None:
             return
         self._gateway.request_log.write(
             "transaction_aborted",
--- a/tests/test_session_ends.py
+++ b/tests/test_session_ends.py
@@ -109,6 +109,56 @@
         assert len(proxy.cluster.acknowledged) == 1
 
 
+class TestClose:
+    async def test_a_statement_that_waits_to_be_retried_is_not_sent_again(
+        self,
+        proxy: Proxy,  # noqa: F811
+    ) -> None:
+        """Guards against a write that is committed alone after its client left."""
+        session = await open_transaction(proxy)
+        running = await start_refused(proxy, session, Write())
+        await session.close()
+        assert running.cancelled()
+        assert not proxy.cluster.acknowledged
+        assert not open_links(proxy.cluster["a1"])
+        assert proxy.gateway.open_transactions == 0
+
+    async def test_a_commit_that_waits_to_be_retried_is_rolled_back(
+        self,
+        proxy: Proxy,  # noqa: F811
+    ) -> None:
+        session = await open_transaction(proxy)
+        running = await start_refused(proxy, session, Commit())
+        await session.close()
+        assert running.cancelled()
+        assert not proxy.cluster.acknowledged
+        assert not open_links(proxy.cluster["a1"])
+
+    async def test_a_transaction_that_is_being_opened_is_not_left_open(
+        self,
+        proxy: Proxy,  # noqa: F811
+    ) -> None:
+        """Guards against a pinned connection that no session knows any more."""
+        session = proxy.session()
+        await proxy.run(session, Begin(read_only=False))
+        running = asyncio.create_task(proxy.run(session, Write()))
+        gate = proxy.dispatcher.gates["a1"]
+        while not gate.running:
+            await asyncio.sleep(0.0001)
+        await session.close()
+        await asyncio.wait({running})
+        assert gate.pinned == gate.running == 0
+        assert not open_links(proxy.cluster["a1"])
+
+    async def test_a_closed_session_runs_nothing(self, proxy: Proxy) -> None:  # noqa: F811
+        """Guards against a statement that runs outside its ended transaction."""
+        session = await open_transaction(proxy)
+        await session.close()
+        outcome = await kind_of(proxy.run(session, Write()))
+        assert outcome is ErrorKind.NOT_RUN_ROLLED_BACK
+        assert not proxy.cluster.acknowledged
+
+
 class TestDrainOfAHome:
     async def test_only_transactions_without_a_running_statement_are_aborted(
         self,
@@ -132,3 +182,26 @@
         assert (await site.run(waiting, Commit())).fault is None
         assert await kind_of(site.run(idle, Commit())) is ErrorKind.SHUTTING_DOWN
         assert len(site.cluster.acknowledged) == 1
+
+
+class TestEndAtAHome:
+    async def test_a_client_that_leaves_during_a_retry_commits_nothing(
+        self,
+        site: Site,  # noqa: F811
+    ) -> None:
+        """Guards against a forwarded write that runs after its transaction's end."""
+        session = site.session()
+        await site.run(session, Begin(read_only=False))
+        await site.run(session, Write())
+        endpoint = site.cluster["a1"]
+        endpoint.faults = [Fault.BUSY]
+        running = asyncio.create_task(site.run(session, Write()))
+        await site.until(lambda: not endpoint.faults)
+        running.cancel()
+        await asyncio.wait({running})
+        await session.close()
+        home = site.homes[0]
+        await site.until(lambda: not home.server.busy)
+        assert not site.cluster.acknowledged
+        assert not open_links(endpoint)
+        assert home.dispatcher.gates["a1"].pinned == 0
