Keep a transaction as failed while its abort rolls back

Callers: on a VM that forwards statements, a statement that arrived while an idle or draining transaction was rolled back could run alone at a home and be committed. The client believed that it belonged to its transaction.

Cause: _abort_transaction removed the transaction from the session, rolled back, and put it back as a failed one. Meanwhile the session was idle for ForwardingSession, which forwards the statements of idle sessions. A client that left during the rollback also cancelled it, which closed the connection.

Change: abort marks the transaction as failed at once, and the rollback releases only its connection. Waiting for an abort does not cancel it.

The two tests fail before (state idle during the rollback; connection closed) and pass now.

--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -158,8 +158,7 @@
         self._timeout_s = route.timeout_s if route is not None else 0.0
         outcome = ""
         try:
-            if self._abort_task is not None:
-                await self._abort_task
+            await self._wait_for_abort()
             if self._closed:
                 raise rolled_back_error("its session was closed")
             if route is None and self._transaction is None:
@@ -232,8 +231,7 @@
             statement.cancel()
             await asyncio.wait({statement})
         self._stop_idle_timer()
-        if self._abort_task is not None:
-            await self._abort_task
+        await self._wait_for_abort()
         await self._roll_back()
 
     def adopt_failed_transaction(self, request_id: bytes, error: ProxyError) -> None:
@@ -250,12 +248,13 @@
     def abort(self, error: ProxyError) -> None:
         """Roll back an open transaction that runs no statement; COMMIT gets `error`.
 
-        Without effect while a statement runs, also while it waits before a retry.
+        Without effect while a statement runs, also while it waits before a retry. The
+        transaction stays, as a failed one, until the client ends it.
         """
         transaction = self._transaction
-        if transaction is None or self._abort_task is not None:
+        if self._statement_task is not None or transaction is None:
             return
-        if self._statement_task is not None:
+        if transaction.failed is not None:
             return
         self._gateway.request_log.write(
             "transaction_aborted",
@@ -264,7 +263,8 @@
             endpoint=transaction.grant.endpoint if transaction.grant else None,
             reason=error.kind.value,
         )
-        self._abort_task = asyncio.create_task(self._abort_transaction(error))
+        transaction.failed = error
+        self._abort_task = asyncio.create_task(self._abort_transaction(transaction))
 
     # Statements
 
@@ -759,6 +759,11 @@
         if transaction is None:
             return
         self._gateway.open_transactions -= 1
+        await self._release_rolled_back(transaction)
+
+    @staticmethod
+    async def _release_rolled_back(transaction: _Transaction) -> None:
+        """Roll back at the endpoint and release the transaction's connection."""
         grant, transaction.grant = transaction.grant, None
         if grant is None:
             return
@@ -794,17 +799,17 @@
             self._idle_timer.cancel()
             self._idle_timer = None
 
-    async def _abort_transaction(self, error: ProxyError) -> None:
-        transaction = self._transaction
+    async def _abort_transaction(self, transaction: _Transaction) -> None:
         try:
-            await self._roll_back()
-            if transaction is not None:
-                self._transaction = transaction
-                self._gateway.open_transactions += 1
-                transaction.failed = error
+            await self._release_rolled_back(transaction)
         finally:
             self._abort_task = None
 
+    async def _wait_for_abort(self) -> None:
+        """Wait until a running abort has ended, without cancelling it."""
+        if self._abort_task is not None:
+            await asyncio.wait({self._abort_task})
+
     # Helpers
 
     def _dispatcher(self, route: Route) -> Dispatcher:
--- a/tests/test_session_ends.py
+++ b/tests/test_session_ends.py
@@ -205,3 +205,48 @@
         assert not site.cluster.acknowledged
         assert not open_links(endpoint)
         assert home.dispatcher.gates["a1"].pinned == 0
+
+
+class TestStatementDuringAnAbort:
+    async def test_it_is_not_forwarded(
+        self,
+        site: Site,  # noqa: F811
+    ) -> None:
+        """Guards against a write that runs alone while its transaction is rolled back.
+
+        The transaction is open on a VM that forwards, since it found no home.
+        """
+        for vm in site.homes:
+            await vm.server.close()
+        await site.until(lambda: not any(link.usable for link in site.links))
+        session = site.session()
+        await site.run(session, Begin(read_only=False))
+        await site.run(session, Write())
+        for vm in site.homes:
+            await vm.server.start("127.0.0.1", vm.port)
+        await site.until(lambda: all(link.usable for link in site.links))
+        session.abort(shutting_down())
+        await asyncio.sleep(0)
+        assert session.state is TransactionState.FAILED
+        outcome = await kind_of(site.run(session, Write()))
+        assert outcome is ErrorKind.TRANSACTION_ABORTED
+        assert await kind_of(site.run(session, Commit())) is ErrorKind.SHUTTING_DOWN
+        assert not site.cluster.acknowledged
+
+    async def test_a_client_that_leaves_does_not_stop_the_rollback(
+        self,
+        proxy: Proxy,  # noqa: F811
+    ) -> None:
+        """Guards against a connection that is closed in the middle of a rollback."""
+        session = await open_transaction(proxy)
+        session.abort(shutting_down())
+        running = asyncio.create_task(proxy.run(session, Write()))
+        await asyncio.sleep(0)
+        running.cancel()
+        await asyncio.wait({running})
+        await session.close()
+        gate = proxy.dispatcher.gates["a1"]
+        assert gate.pinned == gate.running == 0
+        assert all(link.usable for link in proxy.cluster["a1"].links)
+        assert not open_links(proxy.cluster["a1"])
+        assert proxy.gateway.open_transactions == 0
