Finish the rollback of an ended transaction when its VM is lost

Callers: a transaction that its client ended could stay open at the endpoint for the idle time-out (3 s), with its locks, when the connection of the forwarding VM broke at the same moment.

Cause: the home removes an ended transaction from its list and rolls it back in a task that the loss of the connection cancels along with the statements. If that task still waits for the transaction's statement to stop, nothing is rolled back.

Change: rollbacks have their own set of tasks, which are waited for and not cancelled.

--- a/src/celeryjunction/relay/home_server.py
+++ b/src/celeryjunction/relay/home_server.py
@@ -86,7 +86,7 @@
     @property
     def busy(self) -> bool:
         """Whether transactions are open or statements run for other VMs."""
-        return any(vm.transactions or vm.running for vm in self._forwarding_vms)
+        return any(vm.busy for vm in self._forwarding_vms)
 
     def send_status(self) -> None:
         """Send the status unasked to all VMs, because it changed."""
@@ -144,11 +144,19 @@
         self.stream = stream
         self.transactions: dict[int, StatementSession] = {}
         """Sessions with an open transaction, by transaction number."""
-        self.running: set[asyncio.Task[None]] = set()
+        self._running: set[asyncio.Task[None]] = set()
+        """Tasks of statements."""
+        self._ending: set[asyncio.Task[None]] = set()
+        """Tasks that roll back transactions which the VM ended."""
         self._gateway = gateway
         self._status = status
         self._endpoints = endpoints
 
+    @property
+    def busy(self) -> bool:
+        """Whether transactions are open or statements run for the VM."""
+        return bool(self.transactions or self._running or self._ending)
+
     async def serve(self) -> None:
         """Serve the VM until the connection ends, then roll back open transactions."""
         try:
@@ -163,10 +171,10 @@
                 self._handle(frame)
         finally:
             self.stream.abort()
-            running = list(self.running)
+            running = list(self._running)
             for task in running:
                 task.cancel()
-            await asyncio.gather(*running, return_exceptions=True)
+            await asyncio.gather(*running, *self._ending, return_exceptions=True)
             transactions, self.transactions = self.transactions, {}
             for session in transactions.values():
                 await session.close()
@@ -189,14 +197,14 @@
             # The session is looked up before the task starts, so that an
             # `EndTransaction` that was received together with it finds it.
             task = asyncio.create_task(self._run(message, self._session(message)))
-            self.running.add(task)
-            task.add_done_callback(self.running.discard)
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
         elif isinstance(message, EndTransaction):
             session = self.transactions.pop(message.seat, None)
             if session is not None:
                 task = asyncio.create_task(session.close())
-                self.running.add(task)
-                task.add_done_callback(self.running.discard)
+                self._ending.add(task)
+                task.add_done_callback(self._ending.discard)
         elif isinstance(message, AskEndpoints):
             self._send(self._endpoints())
         else:
--- a/tests/test_session_ends.py
+++ b/tests/test_session_ends.py
@@ -17,6 +17,7 @@
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.gateway.session import StatementSession
 from celeryjunction.gateway.statements import Begin, Commit, Write
+from celeryjunction.relay.messages import EndTransaction, encode
 from celeryjunction.replication.ports import Answer, Fault, TransactionState
 
 
@@ -206,6 +207,29 @@
         assert not open_links(endpoint)
         assert home.dispatcher.gates["a1"].pinned == 0
 
+    async def test_a_forwarding_vm_that_is_lost_does_not_stop_a_rollback(
+        self,
+        site: Site,  # noqa: F811
+    ) -> None:
+        """Guards against a transaction that stays open at a home after its end."""
+        session = site.session()
+        await site.run(session, Begin(read_only=False))
+        await site.run(session, Write())
+        home = site.homes[0]
+        ((vm, serving),) = home.server._forwarding_vms.items()
+        site.cluster["a1"].silent = True
+        running = asyncio.create_task(kind_of(site.run(session, Write())))
+        await site.until(lambda: home.dispatcher.gates["a1"].running)
+        (seat,) = vm.transactions
+        vm._handle(encode(EndTransaction(seat)))
+        await asyncio.sleep(0)
+        serving.cancel()
+        await running
+        await site.until(lambda: not home.server._forwarding_vms)
+        assert home.gateway.open_transactions == 0
+        assert home.dispatcher.gates["a1"].pinned == 0
+        assert not open_links(site.cluster["a1"])
+
 
 class TestStatementDuringAnAbort:
     async def test_it_is_not_forwarded(
