End a transaction at its home when its client leaves during BEGIN

Callers: none directly; the transaction stayed open at the home until the idle time-out and then as a failed one, so that the home's next drain took the whole grace time.

Cause: ForwardingSession._begin keeps the number of the transaction only once the home has answered. A client that leaves before cancels the call, and nobody ends it.

Change: a cancelled BEGIN ends its transaction at the home.

The test fails before (the link and the home stay busy) and passes now.

--- a/src/celeryjunction/relay/session.py
+++ b/src/celeryjunction/relay/session.py
@@ -175,6 +175,9 @@
                 chosen.end_transaction(number)
                 chosen = await self._homes.choose(route.group, other_than=chosen)
                 continue
+            except BaseException:  # The client left.
+                chosen.end_transaction(number)
+                raise
             if outcome.error is not None:
                 chosen.end_transaction(number)
                 break
--- a/tests/test_session_ends.py
+++ b/tests/test_session_ends.py
@@ -16,7 +16,7 @@
 
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.gateway.session import StatementSession
-from celeryjunction.gateway.statements import Begin, Commit, Write
+from celeryjunction.gateway.statements import Begin, Commit, Read, Write
 from celeryjunction.relay.messages import EndTransaction, encode
 from celeryjunction.replication.ports import Answer, Fault, TransactionState
 
@@ -230,6 +230,26 @@
         assert home.dispatcher.gates["a1"].pinned == 0
         assert not open_links(site.cluster["a1"])
 
+    async def test_a_begin_that_is_cancelled_opens_nothing_at_the_home(
+        self,
+        site: Site,  # noqa: F811
+    ) -> None:
+        """Guards against a transaction that nobody ends: its client left at BEGIN.
+
+        It would delay the drain of the home until the grace time ends.
+        """
+        running = asyncio.create_task(site.run(site.session(), Begin(read_only=False)))
+        link = site.links[0]
+        await asyncio.sleep(0)
+        assert link._outcomes
+        running.cancel()
+        await asyncio.wait({running})
+        assert not link.busy
+        home = site.homes[0]
+        await site.run(site.session(), Read())
+        await site.until(lambda: not home.server.busy)
+        assert home.gateway.open_transactions == 0
+
 
 class TestStatementDuringAnAbort:
     async def test_it_is_not_forwarded(
