Close a transaction that is aborted while it is being opened

Callers of the PostgreSQL side: a transaction could stay open at the endpoint, with its locks, its connection and its place in the admission control, and nobody could end it.

Cause: Transaction.abort runs without the transaction's lock, so that it can close the connection of a running statement. While the transaction is being opened there is no connection to close, and the statement opened it afterwards. A home aborts and forgets the transactions of a peer that it suspects, or whose stream broke, in this way.

Change: an aborted transaction closes the connection on which it was opened, and its statement fails as rolled back.

The test fails before (the statement is answered, the connection stays in use), for both kinds of transactions, and passes now.

--- a/src/celeryjunction/transaction.py
+++ b/src/celeryjunction/transaction.py
@@ -42,6 +42,7 @@
         self._xid = b""
         self._term = 0
         self._lock = asyncio.Lock()
+        self._aborted = False
         self.failed = False
 
     @property
@@ -109,8 +110,11 @@
             await self._roll_back()
 
     def abort(self) -> None:
-        """Close the connection at once, which rolls the transaction back."""
-        self.failed = True
+        """Close the connection at once, which rolls the transaction back.
+
+        A statement that is opening the transaction fails.
+        """
+        self.failed = self._aborted = True
         checkout, self._checkout = self._checkout, None
         if checkout is not None:
             checkout.release(ok=False, reusable=False)
@@ -133,7 +137,7 @@
             checkout, results = await self._group.reader.open_transaction(
                 work, [self._begin_step, step]
             )
-            self._checkout = checkout
+            self._keep(checkout)
             checkout.end_statement()
             return results[-1]
         checkout = await self._open_at_primary(work)
@@ -172,11 +176,21 @@
             except BaseException:
                 checkout.release(ok=False, reusable=False)
                 raise
-            self._checkout = checkout
+            self._keep(checkout)
             self._term = proof.term
             self._xid = xid.rows[0][0] or b""
             return checkout
 
+    def _keep(self, checkout: Checkout) -> None:
+        """Keep the connection on which the transaction was opened.
+
+        Raises `ProxyError` and closes the connection if it was aborted meanwhile.
+        """
+        if self._aborted:
+            checkout.release(ok=False, reusable=False)
+            raise rolled_back_error("it was aborted while it was being opened")
+        self._checkout = checkout
+
     async def _pass_read_barrier(self, work: Work) -> None:
         """Wait for proof that the term was current when the transaction began.
 
--- a/tests/test_transaction.py
+++ b/tests/test_transaction.py
@@ -120,6 +120,27 @@
         await asyncio.wait([task])
         assert task.cancelled() and transaction.failed and fake.connection_count() == 0
 
+    @pytest.mark.parametrize("read_only", [False, True])
+    async def test_abort_while_it_is_being_opened_closes_it(
+        self, fake: FakeGroup, read_only: bool
+    ) -> None:
+        """Guards against a transaction that stays open and that nobody can end.
+
+        A home aborts the transactions of a peer that it suspects, also while one is
+        being opened.
+        """
+        for endpoint in (fake.a, fake.b, fake.c):
+            endpoint.script.append(("BEGIN", delay(0.5)))
+        transaction = begin(fake, read_only=read_only)
+        call = result_or_error(transaction.execute(fake.work(9.0), SELECT))
+        task = asyncio.create_task(call)
+        await asyncio.sleep(0.2)
+        transaction.abort()
+        assert await task is ROLLED_BACK
+        assert transaction.failed and not transaction.opened
+        for handle in fake.proxy.handles.values():
+            assert handle.admission.running == handle.admission.connections_held == 0
+
     async def test_lost_rollback_closes_it(self, fake: FakeGroup) -> None:
         transaction = await begin_with_insert(fake)
         fake.a.script.append(("ROLLBACK", lose_connection()))
