Soak: transactions that are held open while edges are stopped

The soak ran transactions of one statement and its endpoints never answered BUSY, so it could not meet a transaction that is ended beside its statement.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -9,7 +9,9 @@
 log is checked when its promotion takes effect, and at the end the last primary's log,
 and that each edge has the newest config in force. With ``--promotions`` the faults are
 those around promotions: late calls, VMs that stand still while they replace a primary,
-replicas that register late, restart, or leave.
+replicas that register late, restart, or leave. With ``--transactions`` further clients
+hold transactions open (`bench.transactions`) while endpoints refuse statements as busy
+and edges are stopped.
 """
 
 from __future__ import annotations
@@ -20,7 +22,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from itertools import count
 from pathlib import Path
 from random import Random
@@ -32,6 +34,7 @@
 from bench.platform_cluster import EdgeProcess, LineClient
 from bench.promotion_faults import PromotionFaults
 from bench.report import print_result
+from bench.transactions import TransactionClients
 from celeryjunction.platform.standin import StandinEndpoint, StandinPlatform
 
 EDGES = 4
@@ -39,6 +42,9 @@
 """Zone of each edge: the first zone holds two homes and a forwarding VM."""
 WRITERS = 4
 READERS = 4
+TRANSACTION_CLIENTS = 48
+GRACE_S = 6.0
+"""Time from SIGTERM to the end of an edge; it aborts idle transactions after half."""
 THINK_S = 0.01
 """Pause of a client between two operations."""
 REPLY_TIMEOUT_S = 8.0
@@ -150,10 +156,19 @@
     """The run of one seed: its platform, edges, clients and faults."""
 
     def __init__(
-        self, seed: int, *, seconds: float, folder: Path, promotions: bool = False
+        self,
+        seed: int,
+        *,
+        seconds: float,
+        folder: Path,
+        promotions: bool = False,
+        transactions: bool = False,
+        edges: int = EDGES,
     ) -> None:
         self.seed = seed
         self._promotions = promotions
+        self._transactions = transactions
+        self._edge_count = edges
         self.history = History()
         self.faults: Counter[str] = Counter()
         self._random = Random(seed)
@@ -166,6 +181,15 @@
         self._clients: set[LineClient] = set()
         """Clients with an open session."""
         self._ending = False
+        self._transaction_clients = TransactionClients(
+            seed=seed,
+            judge=self.judge,
+            counts=self.history.counts,
+            open_session=lambda turn: self._open_session("lock-db", turn),
+            close_session=self._close_session,
+            execute=self._execute,
+            not_executed=NOT_EXECUTED_CODES,
+        )
 
     @property
     def outputs(self) -> dict[str, bytes]:
@@ -182,6 +206,11 @@
         try:
             clients = [self._write(n) for n in range(WRITERS)]
             clients += [self._read(n) for n in range(READERS)]
+            if self._transactions:
+                clients += [
+                    self._transaction_clients.run(n, ended=lambda: self._ending)
+                    for n in range(TRANSACTION_CLIENTS)
+                ]
             tasks = [asyncio.create_task(client) for client in clients]
             if self._promotions:
                 await self._inject_promotion_faults()
@@ -210,10 +239,10 @@
         await proxy.start()
         self._proxies["store"] = proxy
         self._platform.store_address = f"127.0.0.1:{proxy.port}"
-        for number in range(EDGES):
+        for number in range(self._edge_count):
             edge = EdgeProcess(self._platform, self._folder, f"edge-{number}")
             self._edges.append(edge)
-            await edge.start(zone=ZONES[number])
+            await edge.start(zone=ZONES[number % len(ZONES)])
         for edge in self._edges:
             await edge.wait_until_ready()
 
@@ -226,7 +255,7 @@
     # Clients
 
     async def _open_session(self, database: str, turn: int) -> LineClient | None:
-        edge = self._edges[turn % EDGES]
+        edge = self._edges[turn % self._edge_count]
         client = LineClient(edge.front_port)
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
@@ -358,6 +387,17 @@
             self._change_config,
             self._hup_edge,
         ]
+        if self._transactions:
+            faults = [
+                self._refuse_statements,
+                self._stop_edges_in_burst,
+                self._stop_edges_in_burst,
+                self._restart_edge,
+                self._pause_edge,
+                self._reset_endpoint,
+                self._delay_endpoint,
+                self._hup_edge,
+            ]
         for number in count():
             if time.monotonic() >= end:
                 break
@@ -398,6 +438,14 @@
         await asyncio.sleep(seconds)
         await primaries[0].start(port)
 
+    async def _refuse_statements(self, random: Random, seconds: float) -> None:
+        share = random.uniform(0.2, 0.8)
+        for endpoint in self._endpoints:
+            endpoint.is_too_busy = lambda: random.random() < share
+        await asyncio.sleep(seconds)
+        for endpoint in self._endpoints:
+            endpoint.is_too_busy = lambda: False
+
     async def _deafen_replica(self, random: Random, seconds: float) -> None:
         endpoint = self._random_endpoint(random)
         endpoint.replication_cut = True
@@ -454,8 +502,26 @@
             if edge.running:
                 edge.process.send_signal(signal.SIGCONT)
 
-    async def _restart_edge(self, random: Random, seconds: float) -> None:
-        number = random.randrange(EDGES)
+    async def _stop_edges_in_burst(self, random: Random, seconds: float) -> None:
+        """Stop edges; refuse statements while they roll open transactions back."""
+        await asyncio.gather(
+            self._restart_edge(random, seconds, signals=[signal.SIGTERM]),
+            self._restart_edge(random, seconds, signals=[signal.SIGTERM]),
+            self._refuse_late_in_drain(random, seconds),
+        )
+
+    async def _refuse_late_in_drain(self, random: Random, seconds: float) -> None:
+        await asyncio.sleep(GRACE_S / 2 - random.uniform(0.1, 0.5))
+        await self._refuse_statements(random, seconds)
+
+    async def _restart_edge(
+        self,
+        random: Random,
+        seconds: float,
+        *,
+        signals: Sequence[signal.Signals] = (signal.SIGTERM, signal.SIGKILL),
+    ) -> None:
+        number = random.randrange(self._edge_count)
         edge = self._edges[number]
         if edge.restarting:
             return
@@ -467,11 +533,11 @@
         allowed = {0, -signal.SIGKILL} | (
             set() if edge.has_output else {-signal.SIGTERM}
         )
-        code = await edge.stop(random.choice([signal.SIGTERM, signal.SIGKILL]))
+        code = await edge.stop(random.choice(signals))
         if code not in allowed:
             self.history.add_violation(f"{edge.name} exited with code {code}")
         await asyncio.sleep(seconds / 4)
-        await edge.start(zone=ZONES[number])
+        await edge.start(zone=ZONES[number % len(ZONES)])
         edge.restarting = False
 
     async def _change_config(self, random: Random, seconds: float) -> None:
@@ -516,6 +582,7 @@
         if primary is None:
             self.history.add_violation("the group has no primary at the end")
             return
+        self.history.violations += self._transaction_clients.violations(primary)
         found: Counter[tuple[str, int]] = Counter()
         for _, changes in primary.log:
             for item, data in changes.items():
@@ -550,10 +617,24 @@
     return int(text) if text.isdigit() else 0
 
 
-async def run_seed(seed: int, seconds: float, *, promotions: bool = False) -> Soak:
+async def run_seed(
+    seed: int,
+    seconds: float,
+    *,
+    promotions: bool = False,
+    transactions: bool = False,
+    edges: int = EDGES,
+) -> Soak:
     """Run one seed; violations are in `Soak.history`."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, seconds=seconds, folder=Path(folder), promotions=promotions)
+        soak = Soak(
+            seed,
+            seconds=seconds,
+            folder=Path(folder),
+            promotions=promotions,
+            transactions=transactions,
+            edges=edges,
+        )
         await soak.run()
         return soak
 
@@ -574,6 +655,10 @@
     promotions: Annotated[
         bool, typer.Option(help="Inject faults around promotions instead.")
     ] = False,
+    transactions: Annotated[
+        bool, typer.Option(help="Inject faults around open transactions instead.")
+    ] = False,
+    edges: Annotated[int, typer.Option(help="Number of edge processes.")] = EDGES,
     keep: Annotated[Path, typer.Option(help="Folder for logs of failed seeds.")] = Path(
         ".bench"
     ),
@@ -583,7 +668,14 @@
     counts: Counter[str] = Counter()
     failed: list[int] = []
     for number in range(seed, seed + seeds):
-        soak = asyncio.run(run_seed(number, seconds, promotions=promotions))
+        run = run_seed(
+            number,
+            seconds,
+            promotions=promotions,
+            transactions=transactions,
+            edges=edges,
+        )
+        soak = asyncio.run(run)
         faults += soak.faults
         counts += soak.history.counts
         if soak.history.violations:
--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -56,6 +56,8 @@
         self.ignores: Callable[[str, bytes], bool] = lambda caller, word: False
         """Fault: whether to leave a caller's command unanswered and not run, by the
         caller's name and the command's first word."""
+        self.is_too_busy: Callable[[], bool] = lambda: False
+        """Fault: whether to refuse the next statement as BUSY, without running it."""
         self.statements: list[bytes] = []
         """Texts of the clients' statements."""
         self.born = 1
@@ -204,6 +206,10 @@
             if kind is None:
                 return self._fail(b"NOSTMT")
             word = kind
+        if word in _REFUSABLE and endpoint.is_too_busy():
+            # The statement has not run, so its transaction stays open.
+            self._stream.write(b"ERROR BUSY %b\r\n" % endpoint.id.encode())
+            return None
         handler = _HANDLERS.get(word)
         if handler is None:
             return self._fail(b"MALFORMED")
@@ -298,6 +304,10 @@
 }
 
 
+_REFUSABLE = frozenset((b"BEGIN", b"COMMIT", b"READ", b"WRITE"))
+"""Statements of clients, which need a slot at the endpoint."""
+
+
 class StandinGroup:
     """A group of endpoints. A commit succeeds once a replica has received it."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,3 +24,8 @@
         soak = await run_seed(seed, SECONDS)
         assert not soak.history.violations
         assert soak.history.acknowledged
+
+    async def test_transactions_are_kept_as_a_whole_or_not_at_all(self) -> None:
+        soak = await run_seed(1, SECONDS, transactions=True, edges=6)
+        assert not soak.history.violations
+        assert soak.history.counts["transactions committed"]
