--- a/tests/test_contract_cli.py
+++ b/tests/test_contract_cli.py
@@ -116,7 +116,8 @@
         # Guards against accepting a contract that exceeds the group's connections or
         # the shares left by others, and against a rejection without a reason.
         async with running_operator(tmp_path) as operator:
-            assert (await operator.set(customer="other"))[0] == 0
+            code, _, errors = await operator.set(customer="other")
+            assert code == 0, errors
             code, _, errors = await operator.set(connections=30, shares={"urgent": 1.5})
             assert code == 2 and "shares.urgent (line" in errors and "1.5" in errors
             code, _, errors = await operator.set(connections=30)
