--- a/bench/transactions.py
+++ b/bench/transactions.py
@@ -32,7 +32,7 @@
 
 
 class Transaction:
-    """What a client knows of one transaction; items map to the written data."""
+    """What a client knows of one transaction."""
 
     __slots__ = ("commit_sent", "committed", "failed", "items", "name", "refused")
 
@@ -48,7 +48,7 @@
         self.committed = False
 
     def describe(self, found: set[str]) -> str:
-        """Return a violation by the items found in the log; empty if there is none."""
+        """Return what is wrong with the items found in the log; empty if nothing is."""
         if found & self.refused:
             problem = "refused writes were committed"
         elif self.committed and found != self.items:
