Log what tells the causes of a lower fencing token apart

A VM did not log the era that it starts with, how old its claim is when it calls, nor that its token is not higher than one in a seal that it has seen. store_era_known, claimed_s of promotion_asked, and token_not_higher say it. No decision changes.

--- a/src/celeryjunction/failover/claims.py
+++ b/src/celeryjunction/failover/claims.py
@@ -39,7 +39,14 @@
 class Claim:
     """A VM's right to promote in one group, until `expires_at` (seconds)."""
 
-    __slots__ = ("expires_at", "fencing_token", "group", "lease", "value")
+    __slots__ = (
+        "expires_at",
+        "fencing_token",
+        "group",
+        "lease",
+        "requested_at",
+        "value",
+    )
 
     def __init__(
         self,
@@ -48,14 +55,16 @@
         value: bytes,
         lease: int,
         fencing_token: int,
-        expires_at: float,
+        requested_at: float,
     ) -> None:
         self.group = group
         self.value = value
         """The stored value, which no other claim has."""
         self.lease = lease
         self.fencing_token = fencing_token
-        self.expires_at = expires_at
+        self.requested_at = requested_at
+        """When the claim was requested; seconds."""
+        self.expires_at = requested_at + LEASE_S - LEASE_MARGIN_S
 
 
 class Claims:
@@ -97,7 +106,7 @@
             value=value,
             lease=lease,
             fencing_token=revision,
-            expires_at=started + LEASE_S - LEASE_MARGIN_S,
+            requested_at=started,
         )
 
     def _attempt_id(self, started: float) -> int:
--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -453,6 +453,7 @@
         """
         group, claim, term = self._group, attempt.claim, attempt.term
         started = self._clock.monotonic()
+        self._check_token(claim)
         sealed = await self._roster.seal(
             term=term,
             next_primary=chosen,
@@ -483,6 +484,18 @@
             return await self._give_up(attempt, chosen, reason="refused")
         return await self._wait_for_takeover(attempt.paused, term, TAKEOVER_TIMEOUT_S)
 
+    def _check_token(self, claim: Claim) -> None:
+        """Log a token that is not higher than all that this VM has seen in seals."""
+        highest = self._roster.highest_token
+        if claim.fencing_token <= highest:
+            _log.error(
+                "token_not_higher",
+                alarm=1,
+                group=claim.group,
+                fencing_token=claim.fencing_token,
+                highest=highest,
+            )
+
     async def _give_up(self, attempt: _Attempt, chosen: str, *, reason: str) -> bool:
         """Take back the announcement of a promotion that won't be carried out.
 
@@ -523,6 +536,7 @@
             fencing_token=attempt.claim.fencing_token,
             result=result,
             decided_s=round(decided_s, 3),
+            claimed_s=round(self._clock.monotonic() - attempt.claim.requested_at, 3),
             **self._describe_old_primary(old_primary),
             not_asked=sorted(group.endpoints.keys() - received.keys() - {old_primary}),
         )
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -125,6 +125,7 @@
         "_departed",
         "_first_received",
         "_floor",
+        "_highest_token",
         "_history",
         "_key",
         "_newest_stored_term",
@@ -161,6 +162,7 @@
         self._first_received = NO_POSITION
         """The end of the primary's log when this VM first saw it in the term."""
         self._newest_stored_term = 0
+        self._highest_token = 0
         self._seal_seen: tuple[tuple[int, int, str], float] | None = None
         """The calls that may be outstanding, and since when they are known; seconds."""
         self._next_read_at = 0.0
@@ -217,6 +219,11 @@
             self._floor,
         )
 
+    @property
+    def highest_token(self) -> int:
+        """Highest fencing token in a seal that this VM has read or written."""
+        return self._highest_token
+
     @property
     def size(self) -> int:
         """Largest number of endpoints that the group is known to have had in use."""
@@ -400,6 +407,7 @@
         self._stored_roster, self._stored_era = roster, era
         self._read_at = sent_at
         self._newest_stored_term = max(self._newest_stored_term, roster.term)
+        self._highest_token = max(self._highest_token, roster.seal_token)
         self._note_seal(roster)
 
     def _note_seal(self, roster: Roster) -> None:
--- a/src/celeryjunction/store_history.py
+++ b/src/celeryjunction/store_history.py
@@ -54,10 +54,11 @@
 class StoreHistory:
     """The store's era, from its responses."""
 
-    __slots__ = ("_era", "_listeners")
+    __slots__ = ("_era", "_is_named", "_listeners")
 
     def __init__(self) -> None:
         self._era = FIRST_ERA
+        self._is_named = False
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -80,6 +81,9 @@
 
         Eras below the first one are taken for it.
         """
+        if not self._is_named:
+            self._is_named = True
+            _log.info("store_era_known", era=era)
         era = max(era, FIRST_ERA)
         if era < self._era:
             raise StoreUnavailable(f"a late response of era {era}")
