--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -450,14 +450,15 @@
         self.items: dict[str, dict] = {}
         self.changes: list[dict] = []
         self.revision = 1
-        self.era = 1
-        """How often the store came back from an older copy, plus one."""
+        self.era: int | None = 1
+        """Rises by one each time the store comes back from an older copy; None if the
+        store does not tell."""
         self.leases: dict[int, float] = {}
         self.groups: dict[str, StandinGroup] = {}
         self.advertised_ports: dict[str, int] = {}
         """Ports that `register` writes for endpoints behind a proxy, by endpoint."""
-        self.promotions: list[tuple[str, str, str]] = []
-        """Group, endpoint and fencing token of each promotion call."""
+        self.received_calls: list[PromotionCall] = []
+        """All promotion calls, in the order of their arrival."""
         self.promotion_calls: list[PromotionCall] = []
         """The promotion calls that were carried out, in this order."""
         self.late_promotions_s: list[float] = []
@@ -477,6 +478,14 @@
         """Address of the listener."""
         return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
+    @property
+    def promotions(self) -> list[tuple[str, str, str]]:
+        """Group, endpoint and fencing token of each promotion call."""
+        return [
+            (call.group, call.endpoint, call.fencing_token)
+            for call in self.received_calls
+        ]
+
     async def start(self) -> None:
         """Listen on loopback."""
         loop = asyncio.get_running_loop()
@@ -502,7 +511,8 @@
         """
         self.items, self.changes = dict(copy.items), list(copy.changes)
         self.revision, self.leases = copy.revision, dict(copy.leases)
-        self.era += 1
+        if self.era is not None:
+            self.era += 1
         for connection in list(self.connections):
             connection.abort()
 
@@ -601,7 +611,7 @@
             holder=headers.get("x-duty-holder", ""),
             fencing_token=headers.get("x-fence-token", ""),
         )
-        self.promotions.append((call.group, call.endpoint, call.fencing_token))
+        self.received_calls.append(call)
         if self.late_promotions_s:
             await asyncio.sleep(self.late_promotions_s.pop(0))
         self.promotion_calls.append(call)
@@ -703,11 +713,10 @@
             self._transport.abort()
             return
         data = json.dumps(answer).encode()
-        head = (
-            f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n"
-            f"Store-Era: {self._store.era}\r\n\r\n"
-        )
-        self._transport.write(head.encode() + data)
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n"
+        if self._store.era is not None:
+            head += f"Store-Era: {self._store.era}\r\n"
+        self._transport.write(head.encode() + b"\r\n" + data)
 
 
 class StandinPlatform:
