Notice the first restore of a store that counts its eras from 0

Callers: two VMs promote under falling fencing tokens, and changes with a reused revision are skipped, once, after the first restore.

Cause: StoreHistory took an era below 1 for 1, so the step from 0 to 1 was no step.

Tests that began with era 2 as the first one now begin the next era, as that is what they mean. test_an_odd_era_is_not_taken_over names an era before and after the odd one, which is stricter; 0 is no odd era any more.

--- a/src/celeryjunction/adapters/etcd.py
+++ b/src/celeryjunction/adapters/etcd.py
@@ -367,7 +367,7 @@
             return
         previous, self._cluster_id = self._cluster_id, cluster_id
         if previous:
-            self.history.observe(self.history.era + 1)
+            self.history.begin_next_era()
 
     @contextlib.contextmanager
     def _translate_errors(self) -> Iterator[None]:
--- a/src/celeryjunction/directory.py
+++ b/src/celeryjunction/directory.py
@@ -29,7 +29,7 @@
     StoreUnavailable,
     WatchEvent,
 )
-from celeryjunction.store_history import FIRST_ERA, StoreHistory
+from celeryjunction.store_history import StoreHistory
 
 GROUP_PREFIX = "/groups/"
 _MAX_DECODED_GROUPS = 256
@@ -157,7 +157,7 @@
         once the service was restored from a copy, as changes with a known revision are
         not seen until the process is restarted.
         """
-        if self._history.era != FIRST_ERA:
+        if self._history.is_restored:
             return 0
         if self._ignored_contracts:
             return min(self._ignored_contracts.values()) - 1
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -146,12 +146,12 @@
         self, query: dict[str, object], timeout: float
     ) -> KeyValueList:
         items: list[KeyValue] = []
-        revision, era = 0, 0
+        revision, era = 0, None
         while True:
             response = await self._call(
                 "GET", "/kv-range", query=query, timeout=timeout
             )
-            era = era or self.history.era
+            era = self.history.era if era is None else era
             page = _decode(response, _RangePage)
             self.history.check_unchanged(era)
             revision = revision or self.history.qualify_revision(page.current_rev)
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -112,11 +112,12 @@
     async def test_a_response_of_another_cluster_begins_an_era(self) -> None:
         async with running_store() as (server, store):
             await write(store, "/k", b"1")
-            assert store.history.era == 1
+            assert not store.history.is_restored
             server.become_restored()
             await store.get("/k")
             await store.get("/k")
-            assert store.history.era == 2
+            assert store.history.is_restored
+            assert store.history.era == 1
 
 
 class TestWatch:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -368,7 +368,7 @@
         await suspicions.withdraw("g")
         assert await self.agreeing(store) == 0
         store.items = copy
-        history.observe(2)
+        history.begin_next_era()
         await suspicions.withdraw("g")
         assert await self.agreeing(store) == 0
         calls = store.calls
@@ -951,7 +951,7 @@
             assert await roster.write()
         assert not roster.needs_write
         store.items = copy
-        history.observe(2)
+        history.begin_next_era()
         assert roster.needs_write and await roster.write()
         assert not roster.needs_write
         stored = await GroupRoster("g", store, clock=ManualClock()).read()
@@ -969,7 +969,7 @@
         known = {"b1": cluster["b1"].info}
         roster.record_members(term=1, primary="b1", members=known, registered=known)
         store.items = {}
-        history.observe(2)
+        history.begin_next_era()
         assert roster.needs_write and await roster.write()
         stored = await GroupRoster("g", store, clock=ManualClock()).read()
         assert (stored.size, len(stored.members)) == (3, 3)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -257,7 +257,7 @@
             None, record(), clock=time, random=Random(1), history=history
         )
         membership._vm_changed(self.peer_event(record("vm2"), 1))
-        history.observe(2)
+        history.begin_next_era()
         membership._vm_changed(WatchEvent("/vms/vm2", None, 2))
         time.advance(9.0)
         assert set(membership.peers()) == {"vm2"}
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -137,11 +137,12 @@
         call, valid, status = CALLS[name]
         headers = {"store-era": ODD_ERAS[kind]}
         odd = answer(valid, status=status, headers=headers)
-        later = answer(valid, status=status, headers={"store-era": "1"})
-        store = HttpStore(AnsweringClient(odd, later))
-        await call(store)
-        assert store.history.era == 1
-        await call(store)
+        named = answer(valid, status=status, headers={"store-era": "0"})
+        store = HttpStore(AnsweringClient(named, odd, named))
+        for _ in range(3):
+            await call(store)
+            assert store.history.era == 0
+        assert not store.history.is_restored
 
     @pytest.mark.parametrize("text", ["", "\u00e9", "=", "e", "\x00", "e" * 99_999])
     async def test_a_value_that_is_no_base64_is_passed_on(self, text: str) -> None:
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -237,7 +237,7 @@
         history = StoreHistory()
         history.subscribe(site.register.await_reregistration)
         await self.draining_for(site, 2.0)
-        history.observe(2)
+        history.begin_next_era()
         site.put("b1", None)
         assert await site.names_after(1.0) == {"a1", "b1"}
         assert await site.names_after(REREGISTER_S) == {"a1"}
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -228,10 +228,28 @@
         with pytest.raises(StoreUnavailable):
             await store.get("op/config")
 
-    @pytest.mark.parametrize("text", ["", "x", "-1", "0", "2.5", "1e3"])
+    @pytest.mark.parametrize("era", [0, 1, 2, 41])
+    async def test_a_loss_is_noticed_from_whatever_era_the_store_counts(
+        self, platform: StandinPlatform, store: HttpStore, era: int
+    ) -> None:
+        """Guards against reused revisions after the first restore."""
+        platform.store.era = era
+        before = await store.list("op/")
+        assert not store.history.is_restored
+        platform.store.restore(platform.store.copy())
+        await notice_restore(store)
+        assert store.history.is_restored
+        assert store.history.era == era + 1
+        assert (await store.list("op/")).revision > before.revision
+
+    @pytest.mark.parametrize("text", ["", "x", "-1", "2.5", "1e3"])
     async def test_an_odd_era_is_ignored(
         self, platform: StandinPlatform, store: HttpStore, text: str
     ) -> None:
         platform.store.era = text
         assert await store.get("op/config") is not None
+        assert store.history.era == 0
+        platform.store.era = 1
+        assert await store.get("op/config") is not None
         assert store.history.era == 1
+        assert not store.history.is_restored
