Give promotions fencing tokens that do not depend on what the store kept

Cause: the token was the revision of the claim's key. It was right only if every VM noticed each loss of the store by its header; a store that names no era, or one that a VM does not learn of, gives the same revisions out again.

Change: the token rises with the group's term, which the endpoints keep: all members were paused for the next term right before, and one of a later term refuses that pause. Below the term stands the time of day, and the token is always above the highest one that the VM has read in any roster of the group or written; the roster keeps it through refused calls, merges and later terms, and is sealed only with a token above its own. A VM that knows more than the stored roster writes it again.

--- a/src/celeryjunction/failover/claims.py
+++ b/src/celeryjunction/failover/claims.py
@@ -1,8 +1,7 @@
-"""The right to promote in a group: a leased key whose revision is the fencing token.
+"""The right to promote in a group: a leased key in the store.
 
-The token grows with each claim because the store's revision does. The claim is checked
-at the store again right before it is used, so that a holder whose key was removed
-notices. The lease time counts from before the lease was requested.
+The claim is checked at the store again right before it is used, so that a holder whose
+key was removed notices. The lease time counts from before the lease was requested.
 """
 
 from __future__ import annotations
@@ -41,10 +40,10 @@
 
     __slots__ = (
         "expires_at",
-        "fencing_token",
         "group",
         "lease",
         "requested_at",
+        "revision",
         "value",
     )
 
@@ -54,14 +53,14 @@
         group: str,
         value: bytes,
         lease: int,
-        fencing_token: int,
+        revision: int,
         requested_at: float,
     ) -> None:
         self.group = group
         self.value = value
         """The stored value, which no other claim has."""
         self.lease = lease
-        self.fencing_token = fencing_token
+        self.revision = revision
         self.requested_at = requested_at
         """When the claim was requested; seconds."""
         self.expires_at = requested_at + LEASE_S - LEASE_MARGIN_S
@@ -100,12 +99,12 @@
         if revision is None:
             await self._revoke(lease)
             return None
-        _log.info("claim_taken", group=group, fencing_token=revision, lease=lease)
+        _log.info("claim_taken", group=group, revision=revision, lease=lease)
         return Claim(
             group=group,
             value=value,
             lease=lease,
-            fencing_token=revision,
+            revision=revision,
             requested_at=started,
         )
 
@@ -141,7 +140,7 @@
 
     def condition(self, claim: Claim) -> Compare:
         """Return the condition that the claim is still held, for a transaction."""
-        return Compare(CLAIM_PREFIX + claim.group, claim.fencing_token)
+        return Compare(CLAIM_PREFIX + claim.group, claim.revision)
 
     async def _is_stored(self, claim: Claim) -> bool:
         """Whether the store answers and still has the claim."""
@@ -151,7 +150,7 @@
         except (StoreUnavailable, StoreRefused) as error:
             _log.warning("claim_not_checked", group=claim.group, reason=str(error))
             return False
-        return current is not None and current.revision == claim.fencing_token
+        return current is not None and current.revision == claim.revision
 
     async def release(self, claim: Claim) -> None:
         """End the claim, so that other VMs need not wait for its lease to expire."""
--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -62,6 +62,7 @@
         "required",
         "sealed",
         "term",
+        "token",
     )
 
     def __init__(
@@ -93,6 +94,8 @@
         """Statuses of the paused replicas."""
         self.promotion_pending = False
         """Whether an earlier promotion may rely on the pauses."""
+        self.token = 0
+        """Fencing token of the promotion; 0 until one is decided."""
 
 
 class Coordinator:
@@ -141,7 +144,7 @@
             reason=reason,
             primary=group.primary,
             term=group.term,
-            fencing_token=claim.fencing_token,
+            claim=claim.revision,
         )
         started = self._clock.monotonic()
         try:
@@ -428,7 +431,7 @@
         if promotion_pending:
             return
         if not await self._claims.is_valid(claim):
-            _log.warning("claim_lost", group=claim.group, token=claim.fencing_token)
+            _log.warning("claim_lost", group=claim.group, claim=claim.revision)
             return
         # One that hasn't joined the term would receive from the primary of its own.
         names = [name for name in paused if self._has_joined(name)]
@@ -436,7 +439,7 @@
             "replicas_resumed",
             group=claim.group,
             endpoints=names,
-            token=claim.fencing_token,
+            claim=claim.revision,
         )
         await asyncio.gather(*(self._send(name, ResumeReceiving()) for name in names))
         self._group.refresh_soon()
@@ -453,7 +456,7 @@
         """
         group, claim, term = self._group, attempt.claim, attempt.term
         started = self._clock.monotonic()
-        self._check_token(claim)
+        attempt.token = self._roster.next_token(term)
         sealed = await self._roster.seal(
             term=term,
             next_primary=chosen,
@@ -461,7 +464,7 @@
             next_floor=attempt.paused[chosen].received,
             paused=attempt.paused,
             claim=self._claims.condition(claim),
-            token=claim.fencing_token,
+            token=attempt.token,
         )
         if not sealed:
             attempt.promotion_pending = attempt.promotion_pending or sealed is None
@@ -477,25 +480,13 @@
             group=group.name,
             endpoint=chosen,
             holder=self._vm,
-            fencing_token=claim.fencing_token,
+            fencing_token=attempt.token,
         )
         self._log_request(attempt, chosen, result=result, decided_s=decided_s)
         if result is PromotionResult.REFUSED:
             return await self._give_up(attempt, chosen, reason="refused")
         return await self._wait_for_takeover(attempt.paused, term, TAKEOVER_TIMEOUT_S)
 
-    def _check_token(self, claim: Claim) -> None:
-        """Log a token that is not higher than all that this VM has seen in seals."""
-        highest = self._roster.highest_token
-        if claim.fencing_token <= highest:
-            _log.error(
-                "token_not_higher",
-                alarm=1,
-                group=claim.group,
-                fencing_token=claim.fencing_token,
-                highest=highest,
-            )
-
     async def _give_up(self, attempt: _Attempt, chosen: str, *, reason: str) -> bool:
         """Take back the announcement of a promotion that won't be carried out.
 
@@ -506,12 +497,10 @@
             "promotion_given_up",
             group=claim.group,
             endpoint=chosen,
-            token=claim.fencing_token,
+            token=attempt.token,
             reason=reason,
         )
-        if not attempt.sealed and not await self._roster.unseal(
-            token=claim.fencing_token
-        ):
+        if not attempt.sealed and not await self._roster.unseal(token=attempt.token):
             attempt.promotion_pending = True
         await self._abort(claim, attempt.paused, attempt.promotion_pending)
         return False
@@ -533,7 +522,7 @@
             term=attempt.term + 1,
             received=received,
             required=str(attempt.required),
-            fencing_token=attempt.claim.fencing_token,
+            fencing_token=attempt.token,
             result=result,
             decided_s=round(decided_s, 3),
             claimed_s=round(self._clock.monotonic() - attempt.claim.requested_at, 3),
--- a/src/celeryjunction/platform/promotion.py
+++ b/src/celeryjunction/platform/promotion.py
@@ -23,8 +23,8 @@
     ) -> PromotionResult:
         """Ask the platform to make a replica the primary of the next term.
 
-        `holder` is the VM that holds the claim to promote, `fencing_token` the token
-        of its claim. Returns `UNKNOWN` if the call may have been executed.
+        `holder` is the VM that holds the claim, `fencing_token` rises with each call
+        for the group. Returns `UNKNOWN` if the call may have been executed.
         """
         headers = {"X-Duty-Holder": holder, "X-Fence-Token": str(fencing_token)}
         body = msgspec.json.encode({"service": group, "id": endpoint})
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -25,7 +25,7 @@
 
 import msgspec
 
-from celeryjunction.decoding import Count, DecodingError, Name, decode
+from celeryjunction.decoding import MAX_NUMBER, Count, DecodingError, Name, decode
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
@@ -53,6 +53,10 @@
 SEAL_TIMEOUT_S = 0.3
 """Time limit of a call while replicas are paused; a slow store takes 0.2 s."""
 CALL_TIMEOUT_S = 0.5
+_TOKEN_TIME_BITS = 42
+"""Milliseconds since the epoch until the year 2109, below the term in a token."""
+_MAX_TOKEN_TIME_MS = (1 << _TOKEN_TIME_BITS) - 1
+_MAX_TOKEN_TERM = MAX_NUMBER >> _TOKEN_TIME_BITS
 
 _log = get_logger("replication")
 
@@ -77,18 +81,25 @@
     next_floor: tuple[Count, Count] = NO_POSITION
     """The end of the log of that endpoint, with which it begins its term."""
     seal_token: Count = 0
-    """Fencing token of the claim under which the roster was sealed."""
+    """Fencing token of the promotion that the seal announces."""
     seals: Count = 0
     """Number of seals for this next primary: each may have led to a call."""
     outstanding: Name = ""
     """The primary, if a second call under the seal of the term before may promote it
     again; empty if there was only one."""
+    fence: Count = 0
+    """Highest fencing token of the group's promotions, in this term and before."""
 
     @property
     def is_sealed(self) -> bool:
         """Whether a promotion was or will be requested under this roster."""
         return bool(self.next_primary)
 
+    @property
+    def highest_token(self) -> int:
+        """Highest fencing token known; VMs of earlier versions keep only the seal's."""
+        return max(self.fence, self.seal_token)
+
     def successor(self) -> Roster:
         """Return the roster of the next term, as announced by the seal.
 
@@ -101,6 +112,7 @@
             size=self.size,
             floor=self.next_floor,
             outstanding=self.next_primary if self.seals > 1 else "",
+            fence=self.highest_token,
         )
 
 
@@ -219,11 +231,6 @@
             self._floor,
         )
 
-    @property
-    def highest_token(self) -> int:
-        """Highest fencing token in a seal that this VM has read or written."""
-        return self._highest_token
-
     @property
     def size(self) -> int:
         """Largest number of endpoints that the group is known to have had in use."""
@@ -370,6 +377,7 @@
         }
         changed = changed or not set(seen.departed) <= set(stored.departed)
         changed = changed or self._floor > stored.floor
+        changed = changed or self._highest_token > stored.highest_token
         changed = changed or seen.size > stored.size
         return changed or (bool(seen.primary) and stored.primary != seen.primary)
 
@@ -407,7 +415,7 @@
         self._stored_roster, self._stored_era = roster, era
         self._read_at = sent_at
         self._newest_stored_term = max(self._newest_stored_term, roster.term)
-        self._highest_token = max(self._highest_token, roster.seal_token)
+        self._highest_token = max(self._highest_token, roster.highest_token)
         self._note_seal(roster)
 
     def _note_seal(self, roster: Roster) -> None:
@@ -486,6 +494,18 @@
         )
         return True
 
+    def next_token(self, term: int) -> int:
+        """Return the fencing token for a promotion that replaces the primary of `term`.
+
+        It is higher than all that this VM knows. It also rises with the term, which the
+        endpoints keep, and within a term with the time: the store may have lost the
+        highest token without this VM noticing.
+        """
+        next_term = min(term + 1, _MAX_TOKEN_TERM)
+        time_ms = min(max(0, int(self._clock.wall() * 1000)), _MAX_TOKEN_TIME_MS)
+        by_term = (next_term << _TOKEN_TIME_BITS) + time_ms
+        return max(by_term, self._highest_token + 1)
+
     async def seal(
         self,
         *,
@@ -499,8 +519,9 @@
     ) -> bool | None:
         """Announce a promotion in the stored roster; return whether that is stored.
 
-        False if a member other than the primary isn't in `paused`, or if the claim or
-        the roster changed meanwhile. None if the store's answers were lost.
+        False if a member other than the primary isn't in `paused`, if the claim or the
+        roster changed meanwhile, or if `token`, from `next_token`, is not the highest
+        one. None if the store's answers were lost.
         """
         announced = Roster(
             next_primary=next_primary,
@@ -549,13 +570,15 @@
         if current is None:
             current = Roster(term=term)
         missing = self._unpaused_members(current, paused)
-        if missing or stored.term > term:
+        is_highest = announced.seal_token > stored.highest_token
+        if missing or stored.term > term or not is_highest:
             _log.warning(
                 "roster_not_sealed",
                 entry=self._key,
                 term=term,
                 stored_term=stored.term,
                 missing=missing,
+                highest_token=stored.highest_token,
             )
             return False
         is_repeated = current.next_primary == announced.next_primary
@@ -566,6 +589,7 @@
             next_floor=announced.next_floor,
             seal_token=announced.seal_token,
             seals=current.seals + 1 if is_repeated else 1,
+            fence=announced.seal_token,
         )
         return await self._put(
             sealed, [claim, Compare(self._key, revision)], timeout=SEAL_TIMEOUT_S
@@ -645,7 +669,9 @@
             stored = announced if announced.term == seen.term else stored
         if stored.term < seen.term:
             floor = max(self._floor, self._first_received)
-            return msgspec.structs.replace(seen, size=size, floor=floor)
+            return msgspec.structs.replace(
+                seen, size=size, floor=floor, fence=self._highest_token
+            )
         if stored.outstanding and self.seal_age_s >= SEAL_LIMIT_S:
             stored = msgspec.structs.replace(stored, outstanding="")
         members = _by_id(stored) | _by_id(seen)
@@ -658,6 +684,7 @@
             size,
             max(self._floor, LogPosition(*stored.floor)),
             outstanding=stored.outstanding,
+            fence=self._highest_token,
         )
 
     def needs_primary_position(
--- a/tests/test_fencing_tokens.py
+++ b/tests/test_fencing_tokens.py
@@ -5,14 +5,19 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest
 from _cluster_support import Cluster, wait_for
+from replicated_fakes import FakeCluster, FakeStore
 
 from bench.fence_judge import find_token_violations
+from celeryjunction.failover.claims import Claims
 from celeryjunction.platform.standin import PromotionCall
+from celeryjunction.replication.ports import NO_POSITION
+from celeryjunction.replication.roster import ROSTER_PREFIX, GroupRoster
 
 WRITES_SINCE_THE_COPY = 500
 """Changes that the restored store has lost."""
@@ -63,6 +68,140 @@
         cluster.check()
 
 
+class SetClock:
+    """Clock whose time of day is set."""
+
+    def __init__(self, wall_s: float = 1_700_000_000.0) -> None:
+        self.wall_s = wall_s
+
+    def monotonic(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def wall(self) -> float:
+        return self.wall_s
+
+
+class Holder:
+    """A VM that seals the roster of the group ``g`` as a holder of the claim does."""
+
+    def __init__(
+        self, store: FakeStore, name: str, *, clock: SetClock | None = None
+    ) -> None:
+        clock = clock or SetClock()
+        self.infos = FakeCluster().infos
+        self.roster = GroupRoster("g", store, clock=clock)
+        self._claims = Claims(store, vm=name, clock=clock)
+
+    async def see_term(self, term: int, *, primary: str = "a1") -> bool:
+        """Store the roster of a term, as VMs do once they know its primary."""
+        self.roster.record_members(
+            term=term, primary=primary, members=self.infos, registered=self.infos
+        )
+        return await self.roster.write()
+
+    async def seal(self, term: int, *, token: int = 0) -> int:
+        """Seal the roster of a term; return the token, 0 if it was not sealed."""
+        await self.roster.read()
+        claim = await self._claims.acquire("g")
+        token = token or self.roster.next_token(term)
+        sealed = await self.roster.seal(
+            term=term,
+            next_primary="b1",
+            next_members=[self.infos["b1"], self.infos["c1"]],
+            next_floor=NO_POSITION,
+            paused=["b1", "c1"],
+            claim=self._claims.condition(claim),
+            token=token,
+        )
+        await self._claims.release(claim)
+        return token if sealed else 0
+
+
+class TestTokens:
+    @pytest.fixture
+    def store(self) -> FakeStore:
+        return FakeStore()
+
+    async def test_a_later_term_has_a_higher_token_though_all_else_is_lost(
+        self, store: FakeStore
+    ) -> None:
+        first = Holder(store, "vm1", clock=SetClock(4_000_000_000.0))
+        token = await first.seal(1)
+        store.items.clear()
+        store.revision = 0
+        later = Holder(store, "vm2", clock=SetClock(0.0))
+        assert await later.seal(2) > token > 0
+
+    async def test_a_lost_token_of_the_same_term_is_not_used_again(
+        self, store: FakeStore
+    ) -> None:
+        clock = SetClock()
+        token = await Holder(store, "vm1", clock=clock).seal(1)
+        store.items.clear()
+        clock.wall_s += 0.1
+        assert await Holder(store, "vm2", clock=clock).seal(1) > token > 0
+
+    async def test_a_vm_that_knows_a_lost_token_exceeds_it_with_a_slow_clock(
+        self, store: FakeStore
+    ) -> None:
+        token = await Holder(store, "vm1").seal(1)
+        other = Holder(store, "vm2", clock=SetClock(0.0))
+        await other.roster.read()
+        store.items.clear()
+        assert await other.seal(1) > token > 0
+
+    async def test_a_holder_with_a_slow_clock_exceeds_the_stored_token(
+        self, store: FakeStore
+    ) -> None:
+        token = await Holder(store, "vm1").seal(1)
+        assert await Holder(store, "vm2", clock=SetClock(0.0)).seal(1) > token > 0
+
+    async def test_a_token_that_is_not_the_highest_seals_nothing(
+        self, store: FakeStore
+    ) -> None:
+        token = await Holder(store, "vm1").seal(1)
+        assert not await Holder(store, "vm2").seal(1, token=token - 1)
+
+    async def test_a_refused_promotion_keeps_its_token_in_the_roster(
+        self, store: FakeStore
+    ) -> None:
+        first = Holder(store, "vm1")
+        token = await first.seal(1)
+        assert await first.roster.unseal(token=token)
+        assert await Holder(store, "vm2", clock=SetClock(0.0)).seal(1) > token > 0
+
+    @pytest.mark.parametrize("is_refused", [False, True])
+    async def test_the_roster_of_the_next_term_keeps_the_token(
+        self, store: FakeStore, is_refused: bool
+    ) -> None:
+        first, other = Holder(store, "vm1"), Holder(store, "vm2")
+        assert await first.see_term(1)
+        token = await first.seal(1)
+        assert not is_refused or await first.roster.unseal(token=token)
+        assert await other.see_term(2, primary="b1")
+        stored = await Holder(store, "vm3").roster.read()
+        assert (stored.term, stored.highest_token) == (2, token)
+
+    async def test_a_vm_writes_a_token_that_the_store_lost(
+        self, store: FakeStore
+    ) -> None:
+        first = Holder(store, "vm1")
+        assert await first.see_term(1)
+        copy = store.items[ROSTER_PREFIX + "g"]
+        token = await first.seal(1)
+        assert await first.roster.unseal(token=token)
+        store.items[ROSTER_PREFIX + "g"] = copy
+        assert (await first.roster.read()).highest_token == 0
+        assert first.roster.needs_write and await first.roster.write()
+        assert (await Holder(store, "vm2").roster.read()).highest_token == token
+
+    async def test_a_term_beyond_any_number_gives_a_token_that_can_be_stored(
+        self, store: FakeStore
+    ) -> None:
+        holder = Holder(store, "vm1", clock=SetClock(1e12))
+        assert holder.roster.next_token(2**63 - 1) <= 2**63 - 1
+
+
 class TestJudge:
     @staticmethod
     def calls(*holders_and_tokens: tuple[str, int]) -> list[PromotionCall]:
