Know a claim by its value, and release it by its value

Cause: a claim was known by its key's revision and ended by its lease's number. A store that came back from an older copy gives both out again, also when the VM does not notice.

Change: a claim is valid only with its own value, and its release deletes the key if it has that value; the lease lapses by itself.

Evidence: test_an_unnoticed_loss_does_not_make_another_vms_claim_valid and test_the_release_of_a_lost_claim_does_not_end_another_vms failed before.

--- a/src/celeryjunction/failover/claims.py
+++ b/src/celeryjunction/failover/claims.py
@@ -1,7 +1,9 @@
 """The right to promote in a group: a leased key in the store.
 
 The claim is checked at the store again right before it is used, so that a holder whose
-key was removed notices. The lease time counts from before the lease was requested.
+key was removed notices. The lease time counts from before the lease was requested. A
+claim is known by its value, which no other claim has: a store that came back from an
+older copy gives revisions and leases out again, also to the claims of other VMs.
 """
 
 from __future__ import annotations
@@ -18,7 +20,6 @@
     StoreRefused,
     StoreUnavailable,
 )
-from celeryjunction.store_history import StoreHistory
 
 CLAIM_PREFIX = "failover/"
 LEASE_S = 5
@@ -69,18 +70,10 @@
 class Claims:
     """Acquires, checks and releases claims in the store."""
 
-    __slots__ = ("_attempts", "_clock", "_history", "_store", "_vm")
+    __slots__ = ("_attempts", "_clock", "_store", "_vm")
 
-    def __init__(
-        self,
-        store: KeyValueStore,
-        *,
-        vm: str,
-        clock: Clock,
-        history: StoreHistory | None = None,
-    ) -> None:
+    def __init__(self, store: KeyValueStore, *, vm: str, clock: Clock) -> None:
         self._store = store
-        self._history = history or StoreHistory()
         self._vm = vm
         self._clock = clock
         self._attempts = 0
@@ -150,17 +143,17 @@
         except (StoreUnavailable, StoreRefused) as error:
             _log.warning("claim_not_checked", group=claim.group, reason=str(error))
             return False
-        return current is not None and current.revision == claim.revision
+        return (
+            current is not None
+            and current.revision == claim.revision
+            and current.value == claim.value
+        )
 
     async def release(self, claim: Claim) -> None:
-        """End the claim, so that other VMs need not wait for its lease to expire."""
-        if self._history.is_current_lease(claim.lease):
-            await self._revoke(claim.lease)
-        else:
-            await self._delete_restored(claim)
-
-    async def _delete_restored(self, claim: Claim) -> None:
-        """Delete a claim that the store brought back, as its lease is not known."""
+        """Delete the claim, so that other VMs need not wait for its lease to expire.
+
+        The lease is left to lapse: its number may be that of another VM's lease now.
+        """
         key = CLAIM_PREFIX + claim.group
         try:
             current = await self._store.get(key, timeout=CALL_TIMEOUT_S)
@@ -171,7 +164,7 @@
                     timeout=CALL_TIMEOUT_S,
                 )
         except (StoreUnavailable, StoreRefused) as error:
-            _log.info("lease_left_to_lapse", lease=claim.lease, reason=str(error))
+            _log.info("claim_left_to_lapse", group=claim.group, reason=str(error))
 
     async def _revoke(self, lease: int) -> None:
         try:
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -162,7 +162,7 @@
         self._random = random
         self._history = history or StoreHistory()
         self._history.subscribe(register.await_reregistration)
-        self._claims = Claims(store, vm=vm, clock=clock, history=self._history)
+        self._claims = Claims(store, vm=vm, clock=clock)
         self._suspicions = Suspicions(
             store, vm=vm, lease=lambda: membership.lease, history=self._history
         )
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -112,7 +112,7 @@
 class TestClaims:
     @staticmethod
     def claims(store: HttpStore, vm: str) -> Claims:
-        return Claims(store, vm=vm, clock=SystemClock(), history=store.history)
+        return Claims(store, vm=vm, clock=SystemClock())
 
     async def test_a_lost_claim_is_not_valid_though_its_revision_is_reused(
         self, platform: StandinPlatform, store: HttpStore
@@ -128,6 +128,36 @@
         assert not await self.claims(store, "vm1").is_valid(lost)
         await other.close()
 
+    async def test_an_unnoticed_loss_does_not_make_another_vms_claim_valid(
+        self, platform: StandinPlatform, store: HttpStore
+    ) -> None:
+        """Guards against two holders that both promote."""
+        platform.store.era = None
+        copy = platform.store.copy()
+        first, second = self.claims(store, "vm1"), self.claims(store, "vm2")
+        lost = await first.acquire("db")
+        platform.store.restore(copy)
+        claim = None
+        while claim is None:
+            claim = await second.acquire("db")
+        assert (claim.revision, claim.lease) == (lost.revision, lost.lease)
+        assert not await first.is_valid(lost)
+
+    async def test_the_release_of_a_lost_claim_does_not_end_another_vms(
+        self, platform: StandinPlatform, store: HttpStore
+    ) -> None:
+        """Guards against two holders, as the lease's number is given out again."""
+        platform.store.era = None
+        copy = platform.store.copy()
+        first, second = self.claims(store, "vm1"), self.claims(store, "vm2")
+        lost = await first.acquire("db")
+        platform.store.restore(copy)
+        claim = None
+        while claim is None:
+            claim = await second.acquire("db")
+        await first.release(lost)
+        assert await second.is_valid(claim)
+
     async def test_a_claim_that_the_copy_holds_does_not_block_the_next_one(
         self, platform: StandinPlatform, store: HttpStore
     ) -> None:
