Confirm the claim right before a promotion is requested

Cause, found by the model and the review: after the seal the holder relied on the claim for up to 2 s. A store that comes back from an older copy meanwhile has lost claim and seal; another VM claims, waits 1.5 s for the pending promotion and calls first. A seal was also taken for one's own by its token alone, which two VMs can have.

Change: the claim is asked for, by its value, beside the last check of the pauses, and the call is sent within 0.5 s of that. The seal names its holder.

Evidence: test_a_claim_that_the_store_lost_after_the_seal_promotes_nobody, test_a_claim_that_was_confirmed_long_before_the_call_promotes_nobody and test_a_seal_of_ another_vm_with_the_same_token_is_not_taken_for_ones_own fail without it. Not seen in a run of processes.

--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -44,6 +44,10 @@
 """A promotion is not requested if its announcement took longer: the VM may have stood
 still, and another holder may have begun. Announcing it takes up to 1.5 s while the
 store loses answers."""
+MAX_CLAIM_AGE_S = 0.5
+"""A promotion is not requested later than this after the claim was asked for. With the
+call timeout (0.4 s) that is less than `PENDING_PROMOTION_WAIT_S`, for which another
+holder waits that finds the replicas paused."""
 
 _log = get_logger("failover")
 
@@ -452,7 +456,8 @@
         """Announce the promotion in the store, and request it at once.
 
         The pauses are checked after the announcement: a replica that forgets its pause
-        later is no witness on its new connection while the roster is sealed.
+        later is no witness on its new connection while the roster is sealed. So is the
+        claim, as a store that came back from an older copy may have lost it.
         """
         group, claim, term = self._group, attempt.claim, attempt.term
         started = self._clock.monotonic()
@@ -469,11 +474,21 @@
         if not sealed:
             attempt.promotion_pending = attempt.promotion_pending or sealed is None
             return await self._give_up(attempt, chosen, reason="not_sealed")
-        if not await self._still_paused(attempt.paused, term):
-            return await self._give_up(attempt, chosen, reason="pause_lost")
+        confirming_at = self._clock.monotonic()
+        still_paused, still_claimed = await asyncio.gather(
+            self._still_paused(attempt.paused, term), self._claims.is_valid(claim)
+        )
+        if not still_paused or not still_claimed:
+            reason = "claim_lost" if still_paused else "pause_lost"
+            return await self._give_up(attempt, chosen, reason=reason)
         await self._demote(attempt.old_primary, term)
-        decided_s = self._clock.monotonic() - started
-        if decided_s > MAX_DECISION_S or not self._claims.is_unexpired(claim):
+        now = self._clock.monotonic()
+        decided_s = now - started
+        if (
+            decided_s > MAX_DECISION_S
+            or now - confirming_at > MAX_CLAIM_AGE_S
+            or not self._claims.is_unexpired(claim)
+        ):
             return await self._give_up(attempt, chosen, reason="too_late")
         group.primary_expected_at = self._clock.monotonic() + group.expected_promotion_s
         result = await self._promoter.promote(
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -285,7 +285,7 @@
 
     def _add_group(self, name: str) -> ReplicationGroup:
         roster = GroupRoster(
-            name, self._store, clock=self._clock, history=self._history
+            name, self._store, clock=self._clock, history=self._history, vm=self._vm
         )
         dispatcher = Dispatcher(
             zone=self._zone,
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -82,6 +82,8 @@
     """The end of the log of that endpoint, with which it begins its term."""
     seal_token: Count = 0
     """Fencing token of the promotion that the seal announces."""
+    seal_holder: Name = ""
+    """The VM that announced it."""
     seals: Count = 0
     """Number of seals for this next primary: each may have led to a call."""
     outstanding: Name = ""
@@ -149,6 +151,7 @@
         "_store",
         "_stored_era",
         "_stored_roster",
+        "_vm",
     )
 
     def __init__(
@@ -158,7 +161,9 @@
         *,
         clock: Clock,
         history: StoreHistory | None = None,
+        vm: str = "",
     ) -> None:
+        self._vm = vm
         self._key = ROSTER_PREFIX + group
         self._store = store
         self._clock = clock
@@ -528,6 +533,7 @@
             next_members=tuple(sorted(next_members, key=attrgetter("id"))),
             next_floor=next_floor,
             seal_token=token,
+            seal_holder=self._vm,
         )
         sealed: bool | None = False
         for _ in range(SEAL_ATTEMPTS):
@@ -559,7 +565,7 @@
         paused: Collection[str],
         claim: Compare,
     ) -> bool | None:
-        if stored.seal_token == announced.seal_token:
+        if self._is_own_seal(stored, announced.seal_token):
             return True  # An earlier attempt, whose answer was lost.
         current = self._stored_in_term(term)
         if current is None and stored.term:
@@ -588,6 +594,7 @@
             next_members=announced.next_members,
             next_floor=announced.next_floor,
             seal_token=announced.seal_token,
+            seal_holder=announced.seal_holder,
             seals=current.seals + 1 if is_repeated else 1,
             fence=announced.seal_token,
         )
@@ -595,6 +602,9 @@
             sealed, [claim, Compare(self._key, revision)], timeout=SEAL_TIMEOUT_S
         )
 
+    def _is_own_seal(self, stored: Roster, token: int) -> bool:
+        return (stored.seal_token, stored.seal_holder) == (token, self._vm)
+
     def _unpaused_members(self, roster: Roster, paused: Collection[str]) -> list[str]:
         return [
             member.id
@@ -624,7 +634,7 @@
         if found is None:
             return False
         stored, revision = found
-        if stored.seal_token != token:
+        if not self._is_own_seal(stored, token):
             return not stored.is_sealed
         opened = msgspec.structs.replace(
             stored,
@@ -632,6 +642,7 @@
             next_members=(),
             next_floor=NO_POSITION,
             seal_token=0,
+            seal_holder="",
             seals=0,
         )
         return bool(await self._put(opened, [Compare(self._key, revision)]))
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from itertools import pairwise
 from random import Random
 
@@ -35,7 +35,7 @@
     Suspicions,
     Vote,
 )
-from celeryjunction.ports import WatchEvent
+from celeryjunction.ports import Compare, KeyValue, Put, PutResult, WatchEvent
 from celeryjunction.replication.control import ASK_TIMEOUT_S
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import (
@@ -45,7 +45,7 @@
     PauseReceiving,
     PromotionResult,
 )
-from celeryjunction.replication.roster import GroupRoster
+from celeryjunction.replication.roster import ROSTER_PREFIX, GroupRoster
 from celeryjunction.store_history import StoreHistory
 
 MARGIN_S = 0.01
@@ -73,7 +73,7 @@
         clock = ManualClock()
         random = Random(name)
         self.cluster = cluster
-        self.roster = GroupRoster("g", store, clock=clock)
+        self.roster = GroupRoster("g", store, clock=clock, vm=name)
         self.group = ReplicationGroup(
             "g", zone="a", dialer=cluster, clock=clock, roster=self.roster
         )
@@ -152,6 +152,19 @@
     return EndpointStatus(False, 1, LogPosition(term, received), 2, lag_s, 0, 1)
 
 
+class ClaimLosingStore(FakeStore):
+    """Has another VM's claim, with the same revision, once a roster was written."""
+
+    async def compare_and_put(
+        self, compares: Sequence[Compare], puts: Sequence[Put], **options: float
+    ) -> PutResult:
+        result = await super().compare_and_put(compares, puts, **options)
+        key = CLAIM_PREFIX + "g"
+        if puts[0].key == ROSTER_PREFIX + "g":
+            self.items[key] = KeyValue(key, b"vm2", self.items[key].revision)
+        return result
+
+
 class ShortestPauses(Random):
     """Draws the lower bound of each range."""
 
@@ -641,6 +654,36 @@
         assert not await vm.coordinator._replace(claim, LogPosition(0, 0))
         assert not cluster.promotions
 
+    async def test_a_claim_that_the_store_lost_after_the_seal_promotes_nobody(
+        self, cluster: FakeCluster
+    ) -> None:
+        """Guards against two holders: another VM can claim since, and call first."""
+        vm = Vm(cluster, ClaimLosingStore())
+        await vm.group.refresh()
+        assert not await vm.coordinator.replace(
+            "draining", term=1, acknowledged=LogPosition(0, 0)
+        )
+        assert not cluster.promotions
+        assert cluster["a1"].is_primary
+
+    async def test_a_claim_that_was_confirmed_long_before_the_call_promotes_nobody(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against a call after another holder's: that one waits 1.5 s."""
+        vm = Vm(cluster, store)
+        await vm.group.refresh()
+        demote = vm.coordinator._demote
+
+        async def demote_late(*arguments: object) -> None:
+            await demote(*arguments)
+            vm.claims._clock.advance(1.0)
+
+        vm.coordinator._demote = demote_late
+        assert not await vm.coordinator.replace(
+            "draining", term=1, acknowledged=LogPosition(0, 0)
+        )
+        assert not cluster.promotions
+
     async def test_a_refused_promotion_lets_the_replicas_receive_again(
         self, cluster: FakeCluster, store: FakeStore
     ) -> None:
--- a/tests/test_fencing_tokens.py
+++ b/tests/test_fencing_tokens.py
@@ -89,7 +89,7 @@
     ) -> None:
         clock = clock or SetClock()
         self.infos = FakeCluster().infos
-        self.roster = GroupRoster("g", store, clock=clock)
+        self.roster = GroupRoster("g", store, clock=clock, vm=name)
         self._claims = Claims(store, vm=name, clock=clock)
 
     async def see_term(self, term: int, *, primary: str = "a1") -> bool:
@@ -162,6 +162,12 @@
         token = await Holder(store, "vm1").seal(1)
         assert not await Holder(store, "vm2").seal(1, token=token - 1)
 
+    async def test_a_seal_of_another_vm_with_the_same_token_is_not_taken_for_ones_own(
+        self, store: FakeStore
+    ) -> None:
+        token = await Holder(store, "vm1").seal(1)
+        assert not await Holder(store, "vm2").seal(1, token=token)
+
     async def test_a_refused_promotion_keeps_its_token_in_the_roster(
         self, store: FakeStore
     ) -> None:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -228,6 +228,8 @@
     "next_members": [MEMBER],
     "next_floor": [1, 5],
     "seal_token": 7,
+    "seal_holder": "vm1",
+    "fence": 7,
     "seals": 1,
     "outstanding": "",
 }
@@ -236,7 +238,7 @@
     for kind, value in odd_values(
         ROSTER,
         required=("primary", "term", "members", "next_primary", "next_members"),
-        counts=("term", "size", "seal_token", "seals"),
+        counts=("term", "size", "seal_token", "seals", "fence"),
     )
     if not kind.endswith(": missing")
 }
