Put the store's era below the term in fencing tokens

Cause, found by the review: within a term the token depended on the clocks of two VMs also after a loss that both had noticed.

Change: term, era, time of day in sixteenths of a second, in 63 bits. A token beyond them seals nothing.

Evidence: test_after_a_noticed_loss_clocks_do_not_matter failed before. Tests for what mutants of the review survived: a seal whose answer was lost, an earlier version's seal.

--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -53,10 +53,13 @@
 SEAL_TIMEOUT_S = 0.3
 """Time limit of a call while replicas are paused; a slow store takes 0.2 s."""
 CALL_TIMEOUT_S = 0.5
-_TOKEN_TIME_BITS = 42
-"""Milliseconds since the epoch until the year 2109, below the term in a token."""
-_MAX_TOKEN_TIME_MS = (1 << _TOKEN_TIME_BITS) - 1
-_MAX_TOKEN_TERM = MAX_NUMBER >> _TOKEN_TIME_BITS
+TOKEN_TICKS_PER_S = 16
+_TOKEN_TIME_BITS = 36
+"""Ticks since the epoch, until the year 2106."""
+_TOKEN_ERA_BITS = 11
+_MAX_TOKEN_TIME = (1 << _TOKEN_TIME_BITS) - 1
+_MAX_TOKEN_ERA = (1 << _TOKEN_ERA_BITS) - 1
+_MAX_TOKEN_TERM = MAX_NUMBER >> (_TOKEN_ERA_BITS + _TOKEN_TIME_BITS)
 
 _log = get_logger("replication")
 
@@ -502,14 +505,15 @@
     def next_token(self, term: int) -> int:
         """Return the fencing token for a promotion that replaces the primary of `term`.
 
-        It is higher than all that this VM knows. It also rises with the term, which the
-        endpoints keep, and within a term with the time: the store may have lost the
-        highest token without this VM noticing.
+        It is higher than all that this VM knows. As the store may have lost the highest
+        one, it also rises with the term, which the endpoints keep, within a term with
+        the store's era, and with the time if the VM does not notice the loss.
         """
         next_term = min(term + 1, _MAX_TOKEN_TERM)
-        time_ms = min(max(0, int(self._clock.wall() * 1000)), _MAX_TOKEN_TIME_MS)
-        by_term = (next_term << _TOKEN_TIME_BITS) + time_ms
-        return max(by_term, self._highest_token + 1)
+        ticks = int(self._clock.wall() * TOKEN_TICKS_PER_S)
+        token = (next_term << _TOKEN_ERA_BITS) + (self._history.era & _MAX_TOKEN_ERA)
+        token = (token << _TOKEN_TIME_BITS) + min(max(0, ticks), _MAX_TOKEN_TIME)
+        return max(token, self._highest_token + 1)
 
     async def seal(
         self,
@@ -576,7 +580,7 @@
         if current is None:
             current = Roster(term=term)
         missing = self._unpaused_members(current, paused)
-        is_highest = announced.seal_token > stored.highest_token
+        is_highest = stored.highest_token < announced.seal_token <= MAX_NUMBER
         if missing or stored.term > term or not is_highest:
             _log.warning(
                 "roster_not_sealed",
--- a/tests/test_fencing_tokens.py
+++ b/tests/test_fencing_tokens.py
@@ -11,6 +11,8 @@
 
 import pytest
 from _cluster_support import Cluster, wait_for
+from msgspec.json import encode
+from msgspec.structs import replace
 from replicated_fakes import FakeCluster, FakeStore
 
 from bench.fence_judge import find_token_violations
@@ -18,6 +20,7 @@
 from celeryjunction.platform.standin import PromotionCall
 from celeryjunction.replication.ports import NO_POSITION
 from celeryjunction.replication.roster import ROSTER_PREFIX, GroupRoster
+from celeryjunction.store_history import StoreHistory
 
 WRITES_SINCE_THE_COPY = 500
 """Changes that the restored store has lost."""
@@ -85,11 +88,17 @@
     """A VM that seals the roster of the group ``g`` as a holder of the claim does."""
 
     def __init__(
-        self, store: FakeStore, name: str, *, clock: SetClock | None = None
+        self,
+        store: FakeStore,
+        name: str,
+        *,
+        clock: SetClock | None = None,
+        era: int = 1,
     ) -> None:
-        clock = clock or SetClock()
+        clock, history = clock or SetClock(), StoreHistory()
+        history.observe(era)
         self.infos = FakeCluster().infos
-        self.roster = GroupRoster("g", store, clock=clock, vm=name)
+        self.roster = GroupRoster("g", store, clock=clock, history=history, vm=name)
         self._claims = Claims(store, vm=name, clock=clock)
 
     async def see_term(self, term: int, *, primary: str = "a1") -> bool:
@@ -141,6 +150,14 @@
         clock.wall_s += 0.1
         assert await Holder(store, "vm2", clock=clock).seal(1) > token > 0
 
+    async def test_after_a_noticed_loss_clocks_do_not_matter(
+        self, store: FakeStore
+    ) -> None:
+        token = await Holder(store, "vm1").seal(1)
+        store.items.clear()
+        other = Holder(store, "vm2", clock=SetClock(0.0), era=2)
+        assert await other.seal(1) > token > 0
+
     async def test_a_vm_that_knows_a_lost_token_exceeds_it_with_a_slow_clock(
         self, store: FakeStore
     ) -> None:
@@ -168,6 +185,24 @@
         token = await Holder(store, "vm1").seal(1)
         assert not await Holder(store, "vm2").seal(1, token=token)
 
+    async def test_a_seal_whose_answer_was_lost_is_ones_own(
+        self, store: FakeStore
+    ) -> None:
+        holder = Holder(store, "vm1")
+        assert await holder.see_term(1)
+        store.lose_answers = 2  # Of the claim and of the seal.
+        assert await holder.seal(1)
+        assert (await holder.roster.read()).seals == 1
+
+    async def test_the_token_of_an_earlier_versions_seal_is_exceeded(
+        self, store: FakeStore
+    ) -> None:
+        token = await Holder(store, "vm1").seal(1)
+        stored = await Holder(store, "vm1").roster.read()
+        value = encode(replace(stored, fence=0))
+        store.put(ROSTER_PREFIX + "g", value)
+        assert await Holder(store, "vm2", clock=SetClock(0.0)).seal(1) > token > 0
+
     async def test_a_refused_promotion_keeps_its_token_in_the_roster(
         self, store: FakeStore
     ) -> None:
@@ -204,8 +239,9 @@
     async def test_a_term_beyond_any_number_gives_a_token_that_can_be_stored(
         self, store: FakeStore
     ) -> None:
-        holder = Holder(store, "vm1", clock=SetClock(1e12))
-        assert holder.roster.next_token(2**63 - 1) <= 2**63 - 1
+        holder = Holder(store, "vm1", clock=SetClock(1e12), era=2**23)
+        assert holder.roster.next_token(2**63 - 2) <= 2**63 - 1
+        assert not await holder.seal(1, token=2**63)
 
 
 class TestJudge:
