Don't take a replica of a later term for one that is paused

Callers: none known; a promotion for an earlier term than the group's would have a lower token.

Evidence: test_replicas_of_a_later_term_do_not_count_as_paused failed before. Also a test that the call has the token of the seal, which no test asked for.

--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -403,7 +403,7 @@
         paused = {
             name: status
             for name, status in statuses.items()
-            if status is not None and status.held_term > term and not status.is_primary
+            if status is not None and self._is_paused(status, term)
         }
         if len(paused) < len(to_pause):
             missing = sorted(set(to_pause) - set(paused))
@@ -413,12 +413,17 @@
             return None
         return paused
 
+    @staticmethod
+    def _is_paused(status: EndpointStatus, term: int) -> bool:
+        """Whether a replica is paused for the end of `term`, not of a later one."""
+        return status.held_term > term >= status.term and not status.is_primary
+
     async def _still_paused(self, paused: dict[str, EndpointStatus], term: int) -> bool:
         """Check the pauses again: a replica that restarted has forgotten its pause."""
         again = await self._ask_all(list(paused))
         return all(
             status is not None
-            and status.held_term > term
+            and self._is_paused(status, term)
             and status.received == paused[name].received
             for name, status in again.items()
         )
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -654,6 +654,28 @@
         assert not await vm.coordinator._replace(claim, LogPosition(0, 0))
         assert not cluster.promotions
 
+    async def test_the_call_has_the_token_of_the_seal(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = Vm(cluster, store)
+        await vm.group.refresh()
+        assert await vm.coordinator.replace(
+            "draining", term=1, acknowledged=LogPosition(0, 0)
+        )
+        stored = await GroupRoster("g", store, clock=ManualClock()).read()
+        assert cluster.promotions == [("b1", "vm1", stored.seal_token)]
+        assert stored.seal_token == stored.fence > 0
+
+    async def test_replicas_of_a_later_term_do_not_count_as_paused(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against a token of an earlier term after one of a later term."""
+        vm = Vm(cluster, store)
+        needed = {name: cluster[name].info for name in ("b1", "c1")}
+        for name in needed:
+            cluster[name].term, cluster[name].held_term = 3, 4
+        assert await vm.coordinator._pause_all(needed, 1) is None
+
     async def test_a_claim_that_the_store_lost_after_the_seal_promotes_nobody(
         self, cluster: FakeCluster
     ) -> None:
