Send a promotion call only while it is due, also once the connection is open

Cause: the holder checked its claim before it opened the connection; a VM that was stopped there, or whose connection took long, called after another holder.

Change: whether the call is due is asked right before the request is written, on the clock that counts suspensions. What is left is a stop between that and the write. The request became a class of its own, PromotionRequest.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -25,6 +25,10 @@
     """No complete response arrived; the request may have been executed."""
 
 
+class HttpNotSent(HttpFailure):
+    """The request was not due any more when its connection was ready."""
+
+
 class HttpResponse(NamedTuple):
     """A complete response."""
 
@@ -116,13 +120,15 @@
         timeout: float,
         new_connection: bool = False,
         long_poll: bool = False,
+        is_due: Callable[[], bool] = lambda: True,
     ) -> HttpResponse:
         """Send a request; raises `HttpFailure` without a response in `timeout` seconds.
 
         With `new_connection` the request opens a connection of its own. With
         `long_poll` the service may hold back the response on purpose; the request is
         aborted when another one gets no response, because its connection is then
-        likely to be dead as well.
+        likely to be dead as well. Raises `HttpNotSent` if `is_due` is False when the
+        connection is ready.
         """
         name = path.partition("?")[0]
         self.calls[name] = self.calls.get(name, 0) + 1
@@ -142,6 +148,8 @@
                 connection = await self._acquire(new_connection)
                 if long_poll:
                     self._long_polls.add(connection)
+                if not is_due():
+                    raise HttpNotSent(f"{name}: not due any more")
                 response = await connection.request(data)
         except (TimeoutError, OSError) as error:
             self._abort_suspect_connections()
--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -25,6 +25,7 @@
     LogPosition,
     PauseReceiving,
     Promoter,
+    PromotionRequest,
     PromotionResult,
     ResumeReceiving,
 )
@@ -487,20 +488,19 @@
             reason = "claim_lost" if still_paused else "pause_lost"
             return await self._give_up(attempt, chosen, reason=reason)
         await self._demote(attempt.old_primary, term)
-        now = self._clock.monotonic()
-        decided_s = now - started
-        if (
-            decided_s > MAX_DECISION_S
-            or now - confirming_at > MAX_CLAIM_AGE_S
-            or not self._claims.is_unexpired(claim)
-        ):
+        decided_s = self._clock.monotonic() - started
+        send_before = min(confirming_at + MAX_CLAIM_AGE_S, claim.expires_at)
+        if decided_s > MAX_DECISION_S or self._clock.monotonic() >= send_before:
             return await self._give_up(attempt, chosen, reason="too_late")
         group.primary_expected_at = self._clock.monotonic() + group.expected_promotion_s
         result = await self._promoter.promote(
-            group=group.name,
-            endpoint=chosen,
-            holder=self._vm,
-            fencing_token=attempt.token,
+            PromotionRequest(
+                group=group.name,
+                endpoint=chosen,
+                holder=self._vm,
+                fencing_token=attempt.token,
+                is_due=lambda: self._clock.monotonic() < send_before,
+            )
         )
         self._log_request(attempt, chosen, result=result, decided_s=decided_s)
         if result is PromotionResult.REFUSED:
--- a/src/celeryjunction/platform/promotion.py
+++ b/src/celeryjunction/platform/promotion.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from celeryjunction.adapters.http_client import HttpClient, HttpFailure
-from celeryjunction.replication.ports import PromotionResult
+from celeryjunction.adapters.http_client import HttpClient, HttpFailure, HttpNotSent
+from celeryjunction.replication.ports import PromotionRequest, PromotionResult
 
 CALL_TIMEOUT_S = 0.4
 """A promotion usually takes about 20 ms. After the time-out the connection is reset, so
@@ -18,16 +18,11 @@
     def __init__(self, client: HttpClient) -> None:
         self._client = client
 
-    async def promote(
-        self, *, group: str, endpoint: str, holder: str, fencing_token: int
-    ) -> PromotionResult:
-        """Ask the platform to make a replica the primary of the next term.
-
-        `holder` is the VM that holds the claim, `fencing_token` rises with each call
-        for the group. Returns `UNKNOWN` if the call may have been executed.
-        """
-        headers = {"X-Duty-Holder": holder, "X-Fence-Token": str(fencing_token)}
-        body = msgspec.json.encode({"service": group, "id": endpoint})
+    async def promote(self, request: PromotionRequest) -> PromotionResult:
+        """Send the request; `UNKNOWN` if the call may have been executed."""
+        token = str(request.fencing_token)
+        headers = {"X-Duty-Holder": request.holder, "X-Fence-Token": token}
+        body = msgspec.json.encode({"service": request.group, "id": request.endpoint})
         try:
             response = await self._client.request(
                 "POST",
@@ -36,7 +31,10 @@
                 headers=headers,
                 timeout=CALL_TIMEOUT_S,
                 new_connection=True,
+                is_due=request.is_due,
             )
+        except HttpNotSent:
+            return PromotionResult.REFUSED
         except HttpFailure:
             return PromotionResult.UNKNOWN
         if response.status == 200:
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -190,7 +190,7 @@
             "put_items": [
                 {
                     "key": put.key,
-                    "value": _encode_value(put.value),
+                    "value": base64.b64encode(put.value).decode(),
                     "lease": local_lease(lease),
                 }
                 for put in puts
@@ -306,7 +306,3 @@
         return decode_json(kind, response.body)
     except DecodingError as error:
         raise StoreUnavailable(f"unreadable answer: {error}") from None
-
-
-def _encode_value(value: bytes) -> str:
-    return base64.b64encode(value).decode()
--- a/src/celeryjunction/replication/ports.py
+++ b/src/celeryjunction/replication/ports.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import Enum
 from typing import NamedTuple, Protocol
 
@@ -260,11 +260,35 @@
     UNKNOWN = "unknown"
 
 
+class PromotionRequest:
+    """A request to make a replica the primary of its group's next term.
+
+    `holder` is the VM that holds the claim to promote; `fencing_token` rises with each
+    request for the group. `is_due` is asked right before the request is sent; if it is
+    False, the request is not sent and counts as refused.
+    """
+
+    __slots__ = ("endpoint", "fencing_token", "group", "holder", "is_due")
+
+    def __init__(
+        self,
+        *,
+        group: str,
+        endpoint: str,
+        holder: str,
+        fencing_token: int,
+        is_due: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self.group = group
+        self.endpoint = endpoint
+        self.holder = holder
+        self.fencing_token = fencing_token
+        self.is_due = is_due
+
+
 class Promoter(Protocol):
     """The platform's call that makes a replica the primary of the next term."""
 
-    async def promote(
-        self, *, group: str, endpoint: str, holder: str, fencing_token: int
-    ) -> PromotionResult:
+    async def promote(self, request: PromotionRequest) -> PromotionResult:
         """Request the promotion; `UNKNOWN` if the answer was lost."""
         ...
--- a/tests/_node_support.py
+++ b/tests/_node_support.py
@@ -18,6 +18,7 @@
     Answer,
     EndpointInfo,
     EndpointStatus,
+    PromotionRequest,
     PromotionResult,
 )
 from celeryjunction.replication.register import EndpointRegister
@@ -173,12 +174,8 @@
     def status(answer: Answer) -> EndpointStatus | None:
         return answer.rows[0] if answer.rows else None  # type: ignore[return-value]
 
-    async def promote(
-        self, *, group: str, endpoint: str, holder: str, fencing_token: int
-    ) -> PromotionResult:
-        return await self.groups[group].promote(
-            group=group, endpoint=endpoint, holder=holder, fencing_token=fencing_token
-        )
+    async def promote(self, request: PromotionRequest) -> PromotionResult:
+        return await self.groups[request.group].promote(request)
 
 
 def _decode(item: KeyValue) -> EndpointInfo:
--- a/tests/edge_stopped_before.py
+++ b/tests/edge_stopped_before.py
@@ -19,6 +19,7 @@
 from celeryjunction.replication.ports import (  # noqa: E402
     Command,
     EndpointStatus,
+    PromotionRequest,
     PromotionResult,
     ResumeReceiving,
 )
@@ -36,9 +37,11 @@
 _promote, _ask = HttpPromoter.promote, ControlLink.ask
 
 
-async def _promote_after_stop(self: HttpPromoter, **fields: object) -> PromotionResult:
+async def _promote_after_stop(
+    self: HttpPromoter, request: PromotionRequest
+) -> PromotionResult:
     _stop("promotion")
-    return await _promote(self, **fields)
+    return await _promote(self, request)
 
 
 async def _ask_after_stop(
--- a/tests/replicated_fakes.py
+++ b/tests/replicated_fakes.py
@@ -34,6 +34,7 @@
     OpenTransaction,
     PauseReceiving,
     PrepareStatement,
+    PromotionRequest,
     PromotionResult,
     Relay,
     RelayPrepared,
@@ -135,10 +136,11 @@
 
     # Promoter
 
-    async def promote(
-        self, *, group: str, endpoint: str, holder: str, fencing_token: int
-    ) -> PromotionResult:
-        self.promotions.append((endpoint, holder, fencing_token))
+    async def promote(self, request: PromotionRequest) -> PromotionResult:
+        if not request.is_due():
+            return PromotionResult.REFUSED
+        endpoint = request.endpoint
+        self.promotions.append((endpoint, request.holder, request.fencing_token))
         answer = PromotionResult.ACCEPTED
         if self.promotion_answers:
             answer = self.promotion_answers.pop(0)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -23,7 +23,7 @@
     Put,
     StoreUnavailable,
 )
-from celeryjunction.replication.ports import PromotionResult
+from celeryjunction.replication.ports import PromotionRequest, PromotionResult
 from celeryjunction.watch_wait import PEER_REPORTED_WAIT_MS
 
 
@@ -240,14 +240,22 @@
             split_address(address)
 
 
+def make_request(endpoint: str, *, is_due: bool = True) -> PromotionRequest:
+    return PromotionRequest(
+        group="db",
+        endpoint=endpoint,
+        holder="vm1",
+        fencing_token=41,
+        is_due=lambda: is_due,
+    )
+
+
 class TestHttpPromoter:
     async def test_sends_group_endpoint_and_token(
         self, platform: StandinPlatform
     ) -> None:
         promoter = HttpPromoter(HttpClient(*split_address(platform.store.address)))
-        result = await promoter.promote(
-            group="db", endpoint="i-db1", holder="vm1", fencing_token=41
-        )
+        result = await promoter.promote(make_request("i-db1"))
         assert result is PromotionResult.ACCEPTED
         assert platform.store.promotions == [("db", "i-db1", "41")]
 
@@ -255,15 +263,20 @@
         self, platform: StandinPlatform
     ) -> None:
         promoter = HttpPromoter(HttpClient(*split_address(platform.store.address)))
-        result = await promoter.promote(
-            group="db", endpoint="i-none", holder="vm1", fencing_token=41
-        )
+        result = await promoter.promote(make_request("i-none"))
         assert result is PromotionResult.REFUSED
 
+    async def test_a_call_that_is_not_due_any_more_is_not_sent(
+        self, platform: StandinPlatform
+    ) -> None:
+        """Guards against a lower token after another holder's, from a VM that stood."""
+        promoter = HttpPromoter(HttpClient(*split_address(platform.store.address)))
+        result = await promoter.promote(make_request("i-db1", is_due=False))
+        assert result is PromotionResult.REFUSED
+        assert not platform.store.promotions
+
     async def test_a_lost_answer_is_unknown(self, platform: StandinPlatform) -> None:
         address = split_address(platform.store.address)
         await platform.store.close()
-        result = await HttpPromoter(HttpClient(*address)).promote(
-            group="db", endpoint="i-db1", holder="vm1", fencing_token=41
-        )
+        result = await HttpPromoter(HttpClient(*address)).promote(make_request("i-db1"))
         assert result is PromotionResult.UNKNOWN
