Notice a loss of the store from an answer older than what it told

Callers saw: after a store that names no era came back from an older copy, a config change that it acknowledged was not in force while the store's revisions were lower than before, and never if it got a known revision; peers that were announced then were not seen.

Cause: only the header Store-Era told that revisions start anew. Without it, lists of the copy were rejected as late answers, and a reused revision was taken for the known change.

Responses are linearizable, so one with a lower revision than one that was known when its call was sent proves a loss. StoreEvidence compares them for each call; StoreHistory counts losses beside the era, which stays as other VMs know it, and calls its listeners as for a later era. Lists carry the count: after a loss the follower takes them whatever their revision, and compares values. All watches end at once and are listed again; an answer that is only older than one that arrived meanwhile is no evidence.

At rest and after an outage without a loss no call is added.

--- a/src/celeryjunction/follower.py
+++ b/src/celeryjunction/follower.py
@@ -49,8 +49,8 @@
     failure it resumes the watch at its last revision, with jittered back-off; it lists
     again only if the service has compacted the changes in between. Subscribers get
     each change once and in order; a key that vanished between two lists is passed on
-    as a deletion. An answer older than the known revision is ignored. The keys stay
-    available during an outage.
+    as a deletion. An answer older than the known revision is ignored, unless the
+    service was found to have lost changes. The keys stay available during an outage.
 
     `max_backoff_s` bounds the pause between two attempts, in seconds. With the default
     a contract change is in force within 3 s after an outage. `set_vm_count` makes the
@@ -67,6 +67,7 @@
         "_items",
         "_keep_values",
         "_last_contact",
+        "_losses",
         "_max_backoff_s",
         "_needs_list",
         "_prefix",
@@ -106,6 +107,7 @@
         self._items: dict[str, KeyValue] = {}
         self._revisions: dict[str, int] = {}
         self._revision = 0
+        self._losses = 0
         self._failures = 0
         self._last_contact = -math.inf
         self._needs_list = True
@@ -204,7 +206,9 @@
 
     async def _relist(self, timeout_s: float = _LIST_TIMEOUT_S) -> None:
         listed = await self._store.list(self._prefix, timeout=timeout_s)
-        if listed.revision < self._revision:
+        if listed.losses < self._losses:
+            raise StoreUnavailable("the list is from before a loss")
+        if listed.losses == self._losses and listed.revision < self._revision:
             _log.error(
                 "store_went_back",
                 alarm=1,
@@ -224,8 +228,8 @@
             changes=len(changes),
         )
         for event in changes:
-            self._apply(event)
-        self._revision = listed.revision
+            self._pass_on(event)
+        self._revision, self._losses = listed.revision, listed.losses
         self._needs_list = False
         self.synced.set()
         callbacks, self._synced_listeners = self._synced_listeners, []
@@ -238,11 +242,26 @@
         changed = [
             WatchEvent(item.key, item.value, item.revision)
             for item in sorted(listed.items, key=lambda item: item.revision)
-            if item.revision > self._revisions.get(item.key, 0)
+            if self._is_change(item, listed)
         ]
         deleted = sorted(self._revisions.keys() - present)
         return changed + [WatchEvent(key, None, listed.revision) for key in deleted]
 
+    def _is_change(self, item: KeyValue, listed: KeyValueList) -> bool:
+        """Whether a listed item is to replace the known one.
+
+        A revision that the service gave out again may be equal or lower and stand for
+        another value. Lists are not snapshots, so an item whose known revision is
+        higher than the list's may be older than the known one.
+        """
+        revision = self._revisions.get(item.key, 0)
+        if item.revision > revision or listed.losses != self._losses:
+            return True
+        known = self._items.get(item.key, item)
+        return revision <= listed.revision and (
+            item.revision != revision or item.value != known.value
+        )
+
     async def _watch(self) -> None:
         events = self._store.watch(self._prefix, start_revision=self._revision + 1)
         try:
@@ -266,6 +285,9 @@
     def _apply(self, event: WatchEvent) -> None:
         if event.revision <= self._revisions.get(event.key, 0):
             return
+        self._pass_on(event)
+
+    def _pass_on(self, event: WatchEvent) -> None:
         if event.value is None:
             self._items.pop(event.key, None)
             if self._revisions.pop(event.key, None) is None:
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -28,6 +28,7 @@
     WatchEvent,
 )
 from celeryjunction.shared_watch import SharedWatch, WatchPage
+from celeryjunction.store_evidence import StoreEvidence
 from celeryjunction.store_history import (
     Lease,
     Revision,
@@ -54,6 +55,10 @@
     tombstone: bool = False
 
 
+class _KeyResponse(_Item):
+    current_rev: Revision = 0
+
+
 class _RangePage(msgspec.Struct):
     items: list[_Item]
     current_rev: Revision
@@ -90,8 +95,10 @@
             self._poll_changes, batch_delay_s=BATCH_DELAY_S
         )
         self.history = StoreHistory()
+        self._evidence = StoreEvidence(self.history)
         # A watch of an earlier era waits for a revision that may not come.
         self.history.subscribe(client.abort_long_polls)
+        self.history.subscribe(self._shared_watch.restart_after_loss)
 
     @property
     def longest_silence_s(self) -> float:
@@ -127,12 +134,15 @@
 
     async def get(self, key: str, *, timeout: float = 2.0) -> KeyValue | None:
         """Read one key with a linearizable read."""
+        call = self._evidence.begin()
         response = await self._call(
             "GET", "/kv-key", query={"key": key}, timeout=timeout, accept=(200, 404)
         )
         if response.status == 404:
             return None
-        return self._key_value(_decode(response, _Item))
+        item = _decode(response, _KeyResponse)
+        self._evidence.confirm(call, item.current_rev)
+        return self._key_value(item)
 
     async def list(self, prefix: str, *, timeout: float = 2.0) -> KeyValueList:
         """Read all keys under a prefix with linearizable reads.
@@ -146,18 +156,20 @@
         self, query: dict[str, object], timeout: float
     ) -> KeyValueList:
         items: list[KeyValue] = []
-        revision, era = 0, None
+        revision, losses = 0, None
         while True:
+            call = self._evidence.begin()
             response = await self._call(
                 "GET", "/kv-range", query=query, timeout=timeout
             )
-            era = self.history.era if era is None else era
             page = _decode(response, _RangePage)
-            self.history.check_unchanged(era)
+            self._evidence.confirm(call, page.current_rev)
+            losses = self.history.losses if losses is None else losses
+            self.history.check_no_loss_since(losses)
             revision = revision or self.history.qualify_revision(page.current_rev)
             items += map(self._key_value, page.items)
             if not page.has_more or not page.items:
-                return KeyValueList(tuple(items), revision)
+                return KeyValueList(tuple(items), revision, losses)
             query["after"] = page.items[-1].key
 
     async def compare_and_put(
@@ -174,7 +186,7 @@
         not 0 and no longer exists, and `StoreUnavailable` also if the store was
         restored during the call.
         """
-        history, era = self.history, self.history.era
+        history = self.history
         if not history.is_current_lease(lease):
             raise LeaseExpired("the store has lost the lease")
         if not all(
@@ -198,18 +210,20 @@
             ],
             "delete_keys": [put.key for put in puts if put.value is None],
         }
+        call = self._evidence.begin()
         response = await self._call(
             "POST", "/kv-txn", body=body, timeout=timeout, accept=(200, 404, 412)
         )
+        succeeded, revision = response.status == 200, 0
+        if succeeded:
+            revision = _decode(response, _PutResponse).revision
+            self._evidence.confirm(call, revision)
+            revision = history.qualify_revision(revision)
         if lease or any(compare.revision for compare in compares):
-            history.check_unchanged(era)
+            history.check_no_loss_since(call.losses)
         if response.status == 404:
             raise LeaseExpired("the lease has expired")
-        succeeded, revision = response.status == 200, 0
         if succeeded:
-            revision = history.qualify_revision(
-                _decode(response, _PutResponse).revision
-            )
             found = {
                 put.key: KeyValue(put.key, put.value, revision)
                 for put in puts
@@ -238,6 +252,7 @@
         history = self.history
         if not history.is_current_revision(after):
             raise WatchCompacted("the store was restored from a copy")
+        call = self._evidence.begin()
         try:
             response = await self._call(
                 "GET",
@@ -258,6 +273,9 @@
         if response.status == 410 or not history.is_current_revision(after):
             raise WatchCompacted(f"changes after revision {after} were compacted")
         page = _decode(response, _ChangesPage)
+        self._evidence.confirm(call, page.current_rev, after=after)
+        if call.losses != history.losses:
+            raise WatchCompacted("the store has lost changes")
         events = [
             WatchEvent(
                 item.key,
--- a/src/celeryjunction/ports.py
+++ b/src/celeryjunction/ports.py
@@ -214,10 +214,15 @@
 
 
 class KeyValueList(NamedTuple):
-    """The keys under a prefix as of the service's `revision`."""
+    """The keys under a prefix as of the service's `revision`.
+
+    Revisions of lists are in order only if `losses` is the same: it counts how often
+    the service was found to have lost changes.
+    """
 
     items: tuple[KeyValue, ...]
     revision: int
+    losses: int = 0
 
 
 class WatchEvent(NamedTuple):
--- a/src/celeryjunction/shared_watch.py
+++ b/src/celeryjunction/shared_watch.py
@@ -44,6 +44,12 @@
         self.prefix = prefix
         self.queue: asyncio.Queue[WatchEvent | Failure] = asyncio.Queue()
 
+    def end(self, error: Failure) -> None:
+        """Raise an error at once, instead of the events that still wait."""
+        while not self.queue.empty():
+            self.queue.get_nowait()
+        self.queue.put_nowait(error)
+
     def deliver(self, page: WatchPage) -> None:
         for event in page.events:
             if event.key.startswith(self.prefix):
@@ -64,7 +70,9 @@
         "_after",
         "_batch_delay_s",
         "_floor",
+        "_outdated",
         "_poll",
+        "_prefixes",
         "_recent",
         "_sleep",
         "_subscribers",
@@ -87,6 +95,9 @@
         self._floor = 0
         """`_recent` holds all changes after this revision."""
         self._task: asyncio.Task[None] | None = None
+        self._prefixes: set[str] = set()
+        self._outdated: set[str] = set()
+        """Prefixes whose next watch must not go on where the last one ended."""
 
     async def watch(
         self, prefix: str, *, start_revision: int
@@ -96,6 +107,10 @@
         After each answer of the store, an event with an empty key gives the revision
         reached. Raises what `poll` raises.
         """
+        if prefix in self._outdated:
+            self._outdated.discard(prefix)
+            raise WatchCompacted("the service may have lost changes")
+        self._prefixes.add(prefix)
         subscriber = _Subscriber(prefix)
         self._join(subscriber, start_revision - 1)
         try:
@@ -147,6 +162,21 @@
             if page.events:
                 await self._sleep(self._batch_delay_s)
 
+    def restart_after_loss(self) -> None:
+        """End all watches, also those that are about to be resumed.
+
+        Those of prefixes that were followed before raise `WatchCompacted` once.
+        """
+        ended = {subscriber.prefix for subscriber in self._subscribers}
+        self._outdated |= self._prefixes - ended
+        self._recent.clear()
+        task, self._task = self._task, None
+        for subscriber in self._subscribers:
+            subscriber.end(WatchCompacted("the service has lost changes"))
+        self._subscribers.clear()
+        if task is not None and task is not asyncio.current_task():
+            task.cancel()
+
     def _fail(self, error: Failure) -> None:
         for subscriber in self._subscribers:
             subscriber.queue.put_nowait(error)
--- a/src/celeryjunction/store_history.py
+++ b/src/celeryjunction/store_history.py
@@ -55,11 +55,11 @@
 class StoreHistory:
     """The store's era, from its responses."""
 
-    __slots__ = ("_era", "_ignored_text", "_is_restored", "_listeners")
+    __slots__ = ("_era", "_ignored_text", "_listeners", "_losses")
 
     def __init__(self) -> None:
         self._era: int | None = None
-        self._is_restored = False
+        self._losses = 0
         self._ignored_text = ""
         self._listeners: list[Callable[[], None]] = []
 
@@ -71,7 +71,16 @@
     @property
     def is_restored(self) -> bool:
         """Whether the store came back from an older copy since the first response."""
-        return self._is_restored
+        return self._losses > 0
+
+    @property
+    def losses(self) -> int:
+        """How often this VM found that the store came back from an older copy.
+
+        Unlike the era, it also counts what the store didn't tell, and other VMs may
+        have another number.
+        """
+        return self._losses
 
     def subscribe(self, on_restored: Callable[[], None]) -> None:
         """Call `on_restored` whenever the store came back from an older copy."""
@@ -100,9 +109,21 @@
         """Note a loss of a store that names no era."""
         self._begin_era(self.era + 1)
 
+    def note_loss(self, *, reason: str, **evidence: int) -> None:
+        """Note evidence that the store came back from an older copy and doesn't tell.
+
+        The era stays, because revisions with it are compared with other VMs'.
+        """
+        _log.warning("store_loss_noticed", reason=reason, **evidence)
+        self._restored()
+
     def _begin_era(self, era: int) -> None:
         _log.warning("store_era_changed", era=era, before=self._era)
-        self._era, self._is_restored = era, True
+        self._era = era
+        self._restored()
+
+    def _restored(self) -> None:
+        self._losses += 1
         for listener in self._listeners:
             listener()
 
@@ -127,7 +148,7 @@
         """Whether a lease, if there is one, is of the present era."""
         return not lease or lease >> _LEASE_BITS == self.era
 
-    def check_unchanged(self, era: int) -> None:
-        """Raise `StoreUnavailable` if the store was restored since `era`."""
-        if era != self.era:
+    def check_no_loss_since(self, losses: int) -> None:
+        """Raise `StoreUnavailable` if the store was restored since `losses` counted."""
+        if losses != self._losses:
             raise StoreUnavailable("the store was restored during the call")
