Take the register's and a home's list after a loss though it is older

Callers saw: after a loss that the store doesn't tell, statements went to endpoints that drained or had left, and new ones got none, until the store's revisions had passed those of before: the register ignored each list of the copy, while it counted it as an answer. A VM that forwards kept the list of a home, and with it the home's revision, from before the loss, and ignored what the homes passed on later, and its own lists.

Cause: an older revision was always taken for a late answer. An own list that is older than the revision known when it was requested cannot be late, as the store's answers are linearizable, and the revisions that one home passes on fall only after a loss. Both are used now; an own list that a newer one overtook is still dropped, as is another home's older one.

No call is added.

--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -456,6 +456,7 @@
                 listed.endpoints,
                 age_s=status.endpoints_age_s,
                 revision=listed.revision,
+                peer=link.vm,
             )
         table = self.gateway.table
         self._routes_checked_at = self._clock.monotonic()
--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -79,6 +79,8 @@
         self._clock = clock
         self._random = random
         self._revision = 0
+        self._peer_revisions: dict[str, int] = {}
+        """Revision of the last list that each other VM passed on."""
         self._answered_at = 0.0
         self._available_since = 0.0
         self._listeners: list[OnEndpoints] = []
@@ -148,17 +150,28 @@
         return self._revision
 
     def update_from_peer(
-        self, endpoints: Iterable[EndpointInfo], *, age_s: float, revision: int = 0
+        self,
+        endpoints: Iterable[EndpointInfo],
+        *,
+        age_s: float,
+        revision: int = 0,
+        peer: str = "",
     ) -> None:
         """Use the endpoints that another VM's register confirmed `age_s` seconds ago.
 
         Until they are older than a watch allows, the register is not read. A list of an
         older `revision` than the known one is ignored, since it may name endpoints that
-        have left; 0 means that the peer does not tell the revision.
+        have left; 0 means that the peer does not tell the revision. The revisions of
+        one `peer` fall only if the store came back from an older copy.
         """
-        if age_s > self._max_age_s or 0 < revision < self._revision:
+        if age_s > self._max_age_s:
+            return
+        previous = self._peer_revisions.get(peer, 0) if peer else 0
+        self._peer_revisions[peer] = revision
+        if 0 < revision < self._revision and revision >= previous:
             return
-        self._revision = max(self._revision, revision)
+        if revision:
+            self._revision = revision
         now = self._clock.monotonic()
         self._peer_list_until = now + self._max_age_s - age_s
         self._answered_at = max(self._answered_at, now - age_s)
@@ -168,6 +181,7 @@
 
     async def poll(self) -> bool:
         """List the register once; return whether the store answered."""
+        known = self._revision
         try:
             listed = await self._store.list(self._prefix, timeout=LIST_TIMEOUT_S)
         except (StoreUnavailable, StoreRefused) as error:
@@ -176,7 +190,9 @@
             self._available_since = 0.0
             return False
         now = self._clock.monotonic()
-        if listed.revision < self._revision:
+        if known <= listed.revision < self._revision:
+            # A newer answer arrived meanwhile. Below `known`, the store has lost
+            # changes: its answers are linearizable.
             return True
         if not self._available_since or now - self._answered_at > self._max_age_s:
             _log.info("register_available", revision=listed.revision)
--- a/tests/test_unnoticed_loss.py
+++ b/tests/test_unnoticed_loss.py
@@ -3,21 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from random import Random
 
 import msgspec
 import pytest
 from _store_support import background_tasks, eventually
+from test_register import info
 from test_store_restored import ConfigReader, make_store
 
 from celeryjunction.membership import VM_PREFIX, Membership, VmRecord
+from celeryjunction.platform.records import REGISTER_PREFIX, decode_endpoint
 from celeryjunction.platform.standin import StandinPlatform
 from celeryjunction.platform.store import HttpStore
 from celeryjunction.ports import (
+    KeyValueList,
+    KeyValueStore,
     StoreUnavailable,
     SystemClock,
 )
+from celeryjunction.replication.register import EndpointRegister
 from celeryjunction.store_evidence import StoreEvidence
 from celeryjunction.store_history import StoreHistory
 
@@ -92,6 +97,49 @@
             await reader.wait_for(version)
 
 
+def make_register(store: KeyValueStore) -> EndpointRegister:
+    return EndpointRegister(
+        store,
+        REGISTER_PREFIX,
+        decode=decode_endpoint,
+        clock=SystemClock(),
+        random=Random(1),
+    )
+
+
+class ListingStore:
+    """Lists no keys, at one revision."""
+
+    def __init__(self, revision: int) -> None:
+        self.revision = revision
+        self.while_listing: Callable[[], None] = lambda: None
+
+    async def list(self, prefix: str, *, timeout: float) -> KeyValueList:
+        """Return the list after `while_listing`."""
+        self.while_listing()
+        return KeyValueList((), self.revision)
+
+
+class TestRegister:
+    @OTHERS
+    async def test_an_endpoint_registered_after_the_loss_is_seen(
+        self, platform: StandinPlatform, store: HttpStore, others: int
+    ) -> None:
+        register = make_register(store)
+        endpoint = platform.groups["db"].endpoints[0]
+        async with background_tasks(register.run()):
+            await register.synced.wait()
+            copy = platform.store.copy()
+            for _ in range(4):
+                platform.store.register(endpoint)
+            platform.store.register(endpoint, version="v2")
+            await eventually(lambda: register.revision == platform.store.revision)
+            platform.store.restore(copy)
+            platform.store.register(endpoint, state="draining")
+            write_others(platform, others)
+            await eventually(lambda: register.endpoints[endpoint.id].draining)
+
+
 class TestMembership:
     @staticmethod
     def member(store: HttpStore, name: str) -> Membership:
@@ -126,6 +174,37 @@
             await eventually(lambda: "vm5" in member.peers())
 
 
+class TestPeerLists:
+    def test_a_homes_list_of_before_the_loss_hides_no_later_one(self) -> None:
+        """Guards against endpoints that a forwarding VM doesn't see."""
+        register = make_register(ListingStore(6))
+        register.update_from_peer([info("a1")], age_s=0.1, revision=9, peer="vm1")
+        register.update_from_peer([info("b1")], age_s=0.1, revision=7, peer="vm2")
+        assert set(register.endpoints) == {"a1"}
+        register.update_from_peer([info("b1")], age_s=0.1, revision=5, peer="vm1")
+        assert set(register.endpoints) == {"b1"}
+        register.update_from_peer([info("c1")], age_s=0.1, revision=6, peer="vm1")
+        assert set(register.endpoints) == {"c1"}
+
+    async def test_a_homes_list_of_before_the_loss_hides_no_own_one(self) -> None:
+        """Guards against a home that ends before it notices the loss."""
+        register = make_register(ListingStore(6))
+        register.update_from_peer([info("a1")], age_s=0.1, revision=9, peer="vm1")
+        assert await register.poll()
+        assert register.revision == 6
+
+    async def test_an_answer_that_a_newer_one_overtook_is_dropped(self) -> None:
+        """Guards against taking a late answer for a loss."""
+        store = ListingStore(6)
+        register = make_register(store)
+        store.while_listing = lambda: register.update_from_peer(
+            [info("a1")], age_s=0.1, revision=9, peer="vm1"
+        )
+        assert await register.poll()
+        assert register.revision == 9
+        assert set(register.endpoints) == {"a1"}
+
+
 class TestEvidence:
     """What is no evidence of a loss, and what is."""
 
