Store and withdraw votes again after each loss that a VM notices

Callers saw: after a loss that the store doesn't tell, a failover could wait for a vote that its VM counted as stored, and a vote that came back with the copy counted on, though its VM had withdrawn it.

Cause: whether a vote is stored or deleted was kept with the lease, which may be in the copy, and with the store's era, which doesn't rise. It is kept with the number of losses now, which counts both kinds.

--- a/src/celeryjunction/failover/suspicions.py
+++ b/src/celeryjunction/failover/suspicions.py
@@ -96,10 +96,12 @@
         self._history = history or StoreHistory()
         self._store = store
         self._vm = vm
-        self._published: dict[str, tuple[Vote, int]] = {}
-        """The stored vote on each group, and its lease."""
+        self._published: dict[str, tuple[Vote, int, int]] = {}
+        """The stored vote on each group, its lease, and how often the store had lost
+        changes before."""
         self._withdrawn: dict[str, int] = {}
-        """Era of the store in which the vote on each group was deleted."""
+        """How often the store had lost changes when the vote on each group was
+        deleted."""
         self._others: dict[str, Vote] = {}
         """Suspicions of other VMs by key, as far as their changes were seen."""
         self._reachable = True
@@ -122,33 +124,34 @@
         return stored
 
     def _is_published(self, group: str, vote: Vote) -> bool:
-        last, lease = self._published.get(group, (None, 0))
+        last, lease, losses = self._published.get(group, (None, 0, 0))
         return (
             last is not None
             and last.is_objection == vote.is_objection
             and (last.term, last.primary) == (vote.term, vote.primary)
             and (vote.is_objection or last.acknowledged >= vote.acknowledged)
-            and lease == self._lease()
+            and (lease, losses) == (self._lease(), self._history.losses)
         )
 
     async def _publish(self, group: str, vote: Vote) -> bool:
         if self._is_published(group, vote):
             return True
-        lease = self._lease()
+        lease, losses = self._lease(), self._history.losses
         put = Put(self._key(group), msgspec.json.encode(vote))
         if not await self._put(put, lease=lease):
             return False
-        self._published[group] = (vote, lease)
+        self._published[group] = (vote, lease, losses)
         return True
 
     async def withdraw(self, group: str) -> None:
         """Delete this VM's vote from the store, if it may be there."""
-        era = self._history.era
-        if group not in self._published and self._withdrawn.get(group, era) == era:
+        losses = self._history.losses
+        is_deleted = self._withdrawn.get(group, losses) == losses
+        if group not in self._published and is_deleted:
             return
         if await self._put(Put(self._key(group), None)):
             self._published.pop(group, None)
-            self._withdrawn[group] = era
+            self._withdrawn[group] = losses
 
     def _key(self, group: str) -> str:
         return f"{SUSPICION_PREFIX}{group}/{self._vm}"
--- a/src/celeryjunction/metrics.py
+++ b/src/celeryjunction/metrics.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
@@ -136,6 +136,17 @@
                 yield {"rank": rank.label, **labels, **values}
 
 
+def format_counters(counters: Mapping[str, object]) -> list[str]:
+    """Return counters as lines of name, kind if there are several, and value."""
+    lines = []
+    for name, value in counters.items():
+        if isinstance(value, dict):
+            lines += [f'{name}{{kind="{k}"}} {v}' for k, v in sorted(value.items())]
+        else:
+            lines.append(f"{name} {value}")
+    return lines
+
+
 def format_metrics(metrics: Metrics) -> list[str]:
     """Return the counters and latencies as lines of name, labels and value."""
     snapshot = metrics.snapshot()
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -15,7 +15,7 @@
 from celeryjunction.log_stream import BackgroundStream
 from celeryjunction.logs import get_logger, set_up_logs
 from celeryjunction.membership import Membership, VmRecord
-from celeryjunction.metrics import format_metrics
+from celeryjunction.metrics import format_counters, format_metrics
 from celeryjunction.node import Node, NodeLimits
 from celeryjunction.platform.endpoints import LineDialer
 from celeryjunction.platform.frontend import LineFrontend
@@ -68,7 +68,7 @@
             decode=decode_endpoint,
             clock=clock,
             random=random,
-            watch_silence_s=store.longest_silence_s,
+            watch_silence_s=store.watch_wait.longest_silence_s,
         )
         promotion_client = HttpClient(*split_address(settings.cloud_api.address))
         self.node = Node(
@@ -136,12 +136,7 @@
         }
 
     def _metrics_text(self) -> bytes:
-        lines = format_metrics(self.node.metrics)
-        for name, value in self._io_counters().items():
-            if isinstance(value, dict):
-                lines += [f'{name}{{kind="{k}"}} {v}' for k, v in sorted(value.items())]
-            else:
-                lines.append(f"{name} {value}")
+        lines = format_metrics(self.node.metrics) + format_counters(self._io_counters())
         return ("\n".join(lines) + "\n").encode()
 
     async def _watch_settings(self) -> None:
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -27,7 +27,7 @@
     WatchCompacted,
     WatchEvent,
 )
-from celeryjunction.shared_watch import SharedWatch, WatchPage
+from celeryjunction.shared_watch import BATCH_DELAY_S, SharedWatch, WatchPage
 from celeryjunction.store_evidence import StoreEvidence
 from celeryjunction.store_history import (
     Lease,
@@ -38,10 +38,6 @@
 )
 from celeryjunction.watch_wait import WatchWait
 
-BATCH_DELAY_S = 1.0
-"""Pause after changes, so that the next call returns several at once: a rolling restart
-changes the list of VMs twice for each VM, and each VM makes a call for each change. It
-is well within the platform's bound on the config."""
 WATCH_TIMEOUT_MARGIN_S = 0.5
 """A long poll without a response this long after its wait is taken as broken."""
 ERA_HEADER = "store-era"
@@ -100,11 +96,6 @@
         self.history.subscribe(client.abort_long_polls)
         self.history.subscribe(self._shared_watch.restart_after_loss)
 
-    @property
-    def longest_silence_s(self) -> float:
-        """Longest time between two answers to a long poll of a VM that has no peer."""
-        return self.watch_wait.longest_alone_ms / 1000 + BATCH_DELAY_S
-
     async def _call(
         self,
         method: str,
--- a/src/celeryjunction/shared_watch.py
+++ b/src/celeryjunction/shared_watch.py
@@ -23,6 +23,11 @@
 RECENT_EVENTS = 1000
 """Events that are kept for a prefix whose watch starts a little behind the others."""
 
+BATCH_DELAY_S = 1.0
+"""Pause after changes, so that the next call returns several at once: a rolling restart
+changes the list of VMs twice for each VM, and each VM makes a call for each change. It
+is well within the platform's bound on the config."""
+
 _log = get_logger("store")
 
 Failure = StoreUnavailable | StoreRefused | WatchCompacted
--- a/src/celeryjunction/watch_wait.py
+++ b/src/celeryjunction/watch_wait.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from celeryjunction.shared_watch import BATCH_DELAY_S
+
 MIN_WAIT_MS = 500
 WAIT_MARGIN_MS = 500
 """A long poll waits this much less than the platform's bound on the config, so that a
@@ -33,6 +35,11 @@
         self.failed = False
         """Whether the last long poll got no answer."""
 
+    @property
+    def longest_silence_s(self) -> float:
+        """Longest time between two answers to a long poll of a VM that has no peer."""
+        return self.longest_alone_ms / 1000 + BATCH_DELAY_S
+
     @property
     def next_ms(self) -> int:
         """Milliseconds that the next long poll waits."""
