Take no proof from a roster that was read before a loss without a later era

Callers: LOST is possible; a member that the restored store lacks proves commits.

Cause: whether a roster was read since the last loss was kept with the store's era, which doesn't rise if the store names none. It is kept with the number of losses now.

--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -152,7 +152,7 @@
         "_seal_seen",
         "_seen",
         "_store",
-        "_stored_era",
+        "_stored_losses",
         "_stored_roster",
         "_vm",
     )
@@ -172,8 +172,8 @@
         self._clock = clock
         self._history = history or StoreHistory()
         self._stored_roster: Roster | None = None
-        self._stored_era = self._history.era
-        """Era of the store in which the stored roster was read or written."""
+        self._stored_losses = self._history.losses
+        """Losses of the store that were known when the roster was read or written."""
         self._seen = Roster()
         self._departed: set[tuple[str, int]] = set()
         self._registered: set[tuple[str, int]] = set()
@@ -293,10 +293,10 @@
 
         Only members that every holder of a claim finds in the store count, so not those
         that this VM has seen and not stored. None if no roster of the term with this
-        primary was read in the store's present era.
+        primary was read since the last loss of the store.
         """
         stored = self._stored_in_term(term, primary)
-        if stored is None or self._stored_era != self._history.era:
+        if stored is None or self._stored_losses != self._history.losses:
             return None
         if stored.primary != primary:
             return None
@@ -378,7 +378,7 @@
             return False
         if stored.term < seen.term or stored.is_sealed:
             return True
-        if self._stored_era != self._history.era:
+        if self._stored_losses != self._history.losses:
             return True
         changed = {(m.process_key, m.draining) for m in stored.members} != {
             (m.process_key, m.draining) for m in seen.members
@@ -417,10 +417,10 @@
         return roster, item.revision
 
     def _set_stored(self, roster: Roster, *, sent_at: float) -> None:
-        era, previous = self._history.era, self._stored_roster
-        if previous is not None and era != self._stored_era:
+        losses, previous = self._history.losses, self._stored_roster
+        if previous is not None and losses != self._stored_losses:
             self._keep_lost(previous)
-        self._stored_roster, self._stored_era = roster, era
+        self._stored_roster, self._stored_losses = roster, losses
         self._read_at = sent_at
         self._newest_stored_term = max(self._newest_stored_term, roster.term)
         self._highest_token = max(self._highest_token, roster.highest_token)
