--- a/model/all_checks.py
+++ b/model/all_checks.py
@@ -7,6 +7,7 @@
     at_most_once,
     confirmed_commits,
     contracts,
+    fencing_tokens,
     late_promotion,
     lost_write,
     promotion,
@@ -24,5 +25,6 @@
     promotion,
     confirmed_commits,
     late_promotion,
+    fencing_tokens,
 )
 CHECKS = [check for module in MODULES for check in module.CHECKS]
