Reserve the ports of edges outside the range of connections

reserve_port takes them from 12000 to 31999 and keeps each bound at 127.0.0.2 until the process ends, so that no other bench process gets it.

--- a/bench/platform_cluster.py
+++ b/bench/platform_cluster.py
@@ -10,6 +10,7 @@
 import sys
 from asyncio.subprocess import PIPE, Process, create_subprocess_exec
 from pathlib import Path
+from random import sample
 
 from celeryjunction.platform.standin import StandinPlatform
 
@@ -17,13 +18,31 @@
 START_TIMEOUT_S = 20.0
 """Time-out for the start or the end of a process, with room for a busy machine."""
 ANSWER_TIMEOUT_S = 10.0
+RESERVED_PORTS = range(12_000, 32_000)
+RESERVATION_HOST = "127.0.0.2"
+"""Address at which a reserved port is held, so that it is free at 127.0.0.1."""
+_reservations: list[socket.socket] = []
 
 
-def free_port() -> int:
-    """Return a loopback port that is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def reserve_port() -> int:
+    """Return a free loopback port that no other process is given.
+
+    It is below the ports that the system gives to connections. Other calls, also those
+    of other processes, skip it until this process ends. Raises `OSError` if no port is
+    left.
+    """
+    for port in sample(RESERVED_PORTS, len(RESERVED_PORTS)):
+        reservation = socket.socket()
+        try:
+            reservation.bind((RESERVATION_HOST, port))
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", port))
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
+        return port
+    raise OSError("no free port is left")
 
 
 class LineClient:
@@ -82,9 +101,9 @@
         self._platform = platform
         self.path = folder / f"{name}.json"
         self.name = name
-        self.front_port = free_port()
-        self.ready_port = free_port()
-        self.internal_port = free_port()
+        self.front_port = reserve_port()
+        self.ready_port = reserve_port()
+        self.internal_port = reserve_port()
         self.process: Process | None = None
         self.restarting = False
         self.has_output = False
