Move the wait for a claim into a module of the bench

Endpoints that come back get a new port, since the edges reach them through proxies: their earlier port may have been given to a connection.

--- a/bench/promotion_faults.py
+++ b/bench/promotion_faults.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import base64
-import json
 import signal
 import time
 from collections import Counter
@@ -12,6 +10,7 @@
 from itertools import count
 from random import Random
 
+from bench.claims import wait_for_holder
 from bench.platform_cluster import EdgeProcess
 from celeryjunction.platform.standin import (
     PROMOTION_DELAY_S,
@@ -19,9 +18,6 @@
     StandinPlatform,
 )
 
-CLAIM_POLL_S = 0.002
-CLAIM_WAIT_S = 3.0
-"""Time for which a fault waits for a VM that claims the right to promote."""
 SMALLEST_GROUP = 3
 """Endpoints that a group keeps when one leaves."""
 LARGEST_GROUP = 5
@@ -82,6 +78,12 @@
         await asyncio.gather(*running)
         self._store.late_promotions_s.clear()
 
+    def register_draining(self) -> None:
+        """Write the entries of draining endpoints again, after a restore."""
+        for endpoint in self._draining:
+            if endpoint in self._group.endpoints:
+                self._drain(endpoint)
+
     def _running(self, *, primary: bool) -> list[StandinEndpoint]:
         return [
             endpoint
@@ -103,7 +105,7 @@
             return
         await endpoint.stop()
         await asyncio.sleep(random.uniform(0.0, 0.5))
-        await endpoint.start(endpoint.port)
+        await endpoint.start()
         endpoint.born += 1
         self._draining.discard(endpoint)
         self._register(endpoint)
@@ -128,15 +130,7 @@
 
     async def _stop_holder(self, random: Random) -> None:
         """Stop the VM that takes the next claim, at a random moment of its work."""
-        key = "failover/db"
-        last = self._store.items.get(key, {}).get("revision")
-        deadline = time.monotonic() + CLAIM_WAIT_S
-        while self._store.items.get(key, {}).get("revision") in (None, last):
-            if time.monotonic() >= deadline:
-                return
-            await asyncio.sleep(CLAIM_POLL_S)
-        value = base64.b64decode(self._store.items[key]["value"])
-        holder = json.loads(value)["vm"]
+        holder = await wait_for_holder(self._store, self._group.name)
         await asyncio.sleep(random.choice([0.0, random.uniform(0.0, 0.1)]))
         for edge in self._edges:
             if edge.name == holder and edge.running:
@@ -162,7 +156,7 @@
         await endpoint.stop()
         await asyncio.sleep(random.uniform(0.0, 0.5))
         if endpoint in self._group.endpoints:
-            await endpoint.start(endpoint.port)
+            await endpoint.start()
 
     async def _cut_replication(self, random: Random) -> None:
         endpoint = random.choice(self._group.endpoints)
