--- a/bench/commit_judge.py
+++ b/bench/commit_judge.py
@@ -72,9 +72,12 @@
 
 
 class CommitJudge:
-    """Records what clients saw acknowledged, and checks each promotion against it."""
+    """Records what clients saw acknowledged, and checks each promotion against it.
 
-    def __init__(self, platform: StandinPlatform) -> None:
+    All recorded commits are those of one group.
+    """
+
+    def __init__(self, platform: StandinPlatform, *, group: str = "db") -> None:
         self._platform = platform
         self.acknowledged: dict[tuple[str, str], float] = {}
         """Time of the acknowledgement of each commit, by item and data; seconds."""
@@ -82,8 +85,7 @@
         self._reported: set[tuple[str, str]] = set()
         self.promotions = 0
         """Number of promotions that took effect."""
-        for group in platform.groups.values():
-            group.on_promotion = self._check
+        platform.groups[group].on_promotion = self._check
 
     def record(self, item: str, data: str) -> None:
         """Record that a client saw a write of its own acknowledged."""
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -5,13 +5,16 @@
 through a loopback proxy that delays or withholds bytes, in one direction or both, and
 resets connections. Signals pause, stop and kill edges, which are then restarted; the
 store refuses requests, drops responses, is unreachable or comes back from an older
-copy. Clients check the consistency guarantees of each answer; each promoted endpoint's
-log is checked when its promotion takes effect, and at the end the last primary's log,
-and that each edge has the newest config in force. With ``--promotions`` the faults are
-those around promotions: late calls, VMs that stand still while they replace a primary,
-replicas that register late, restart, or leave. With ``--transactions`` further clients
-hold transactions open (`bench.transactions`) while endpoints refuse statements as busy
-and edges are stopped.
+copy; its first era differs from seed to seed, and some seeds' stores name none. Clients
+check the consistency guarantees of each answer; each promoted endpoint's log is checked
+when its promotion takes effect, and at the end the last primary's log, the fencing
+tokens of all promotion calls, and that each edge has the newest config in force. With
+``--promotions`` the faults are those around promotions: late calls, VMs that stand
+still while they replace a primary, replicas that register late, restart, or leave, and
+restores of the store. With ``--failovers`` several groups' primaries are replaced in
+series (`bench.failover_series`) while the store is restored and edges are stopped and
+restarted. With ``--transactions`` further clients hold transactions open
+(`bench.transactions`) while endpoints refuse statements as busy and edges are stopped.
 """
 
 from __future__ import annotations
@@ -31,17 +34,20 @@
 import typer
 
 from bench.commit_judge import CommitJudge
+from bench.failover_series import GROUPS, FailoverSeries
+from bench.fence_judge import find_token_violations
 from bench.platform_cluster import EdgeProcess, LineClient
 from bench.promotion_faults import PromotionFaults
 from bench.report import print_result
+from bench.store_restores import StoreRestores, draw_first_era
 from bench.transactions import TransactionClients
 from celeryjunction.platform.standin import StandinEndpoint, StandinPlatform
 
 EDGES = 4
 ZONES = (0, 0, 0, 1)
 """Zone of each edge: the first zone holds two homes and a forwarding VM."""
-WRITERS = 4
-READERS = 4
+CLIENTS = 4
+"""Number of clients that write, and of those that read."""
 TRANSACTION_CLIENTS = 48
 GRACE_S = 6.0
 """Time from SIGTERM to the end of an edge; it aborts idle transactions after half."""
@@ -163,18 +169,23 @@
         folder: Path,
         promotions: bool = False,
         transactions: bool = False,
+        failovers: bool = False,
         edges: int = EDGES,
+        clients: int = CLIENTS,
     ) -> None:
         self.seed = seed
         self._promotions = promotions
         self._transactions = transactions
+        self._failovers = failovers
         self._edge_count = edges
+        self._client_count = clients
         self.history = History()
         self.faults: Counter[str] = Counter()
         self._random = Random(seed)
         self._seconds = seconds
         self._folder = folder
-        self._platform = StandinPlatform()
+        self._platform = StandinPlatform(groups=GROUPS if failovers else ("db",))
+        self._platform.store.era = draw_first_era(seed)
         self.judge = CommitJudge(self._platform)
         self._proxies: dict[str, FaultProxy] = {}
         self._edges: list[EdgeProcess] = []
@@ -204,8 +215,8 @@
         """Run the seed and record outcomes and violations in `history`."""
         await self._start()
         try:
-            clients = [self._write(n) for n in range(WRITERS)]
-            clients += [self._read(n) for n in range(READERS)]
+            clients = [self._write(n) for n in range(self._client_count)]
+            clients += [self._read(n) for n in range(self._client_count)]
             if self._transactions:
                 clients += [
                     self._transaction_clients.run(n, ended=lambda: self._ending)
@@ -214,8 +225,11 @@
             tasks = [asyncio.create_task(client) for client in clients]
             if self._promotions:
                 await self._inject_promotion_faults()
+            elif self._failovers:
+                await self._inject_failovers()
             else:
-                await asyncio.gather(self._inject_faults(), self._inject_restores())
+                restores = self._restores().run(self._seconds)
+                await asyncio.gather(self._inject_faults(), restores)
             await self._check_recovery()
             self._ending = True
             await asyncio.gather(*tasks)
@@ -231,9 +245,10 @@
 
     async def _start(self) -> None:
         await self._platform.start()
-        for endpoint in self._endpoints:
-            await self._add_endpoint(endpoint)
-            self._platform.store.register(endpoint)
+        for group in self._platform.groups.values():
+            for endpoint in group.endpoints:
+                await self._add_endpoint(endpoint)
+                self._platform.store.register(endpoint)
         address = self._platform.store.address
         proxy = FaultProxy(lambda: int(address.rpartition(":")[2]))
         await proxy.start()
@@ -352,7 +367,7 @@
                 turn += 1
                 client = await self._open_session(database, turn)
                 continue
-            item = f"w{self._random.randrange(WRITERS)}"
+            item = f"w{self._random.randrange(self._client_count)}"
             began = time.monotonic()
             lowest_allowed = self.history.highest_acknowledged(
                 item, began - staleness_s
@@ -398,6 +413,16 @@
                 self._delay_endpoint,
                 self._hup_edge,
             ]
+        if self._failovers:
+            faults = [
+                self._pause_edge,
+                self._restart_edge,
+                self._hup_edge,
+                self._change_config,
+                self._reset_endpoint,
+                self._delay_endpoint,
+                self._lose_answers,
+            ]
         for number in count():
             if time.monotonic() >= end:
                 break
@@ -433,10 +458,9 @@
         primaries = [e for e in self._endpoints if e.is_primary and not e.down]
         if not primaries or any(e.down for e in self._endpoints):
             return
-        port = primaries[0].port
         await primaries[0].stop()
         await asyncio.sleep(seconds)
-        await primaries[0].start(port)
+        await primaries[0].start()
 
     async def _refuse_statements(self, random: Random, seconds: float) -> None:
         share = random.uniform(0.2, 0.8)
@@ -462,23 +486,16 @@
         await asyncio.sleep(seconds)
         self._platform.store.error_status = 0
 
-    async def _inject_restores(self) -> None:
-        """Let the store come back from older copies, beside all other faults."""
-        end = time.monotonic() + self._seconds
-        random = Random(f"{self.seed} restores")
-        store, proxy = self._platform.store, self._proxies["store"]
-        while time.monotonic() < end:
-            copy = store.copy()
-            for _ in range(random.randint(0, 3)):
-                await asyncio.sleep(random.uniform(0.2, 1.5))
-                self._platform.configure()
-            proxy.block("up", "down")
-            await asyncio.sleep(random.uniform(0.05, 1.0))
-            self._platform.restore_store(copy)
-            self.faults["restore_store"] += 1
-            if random.random() < 0.5:
-                self._platform.configure()
-            proxy.unblock()
+    def _restores(
+        self, on_restored: Callable[[], None] = lambda: None
+    ) -> StoreRestores:
+        return StoreRestores(
+            self._platform,
+            self._proxies["store"],
+            seed=self.seed,
+            counts=self.faults,
+            on_restored=on_restored,
+        )
 
     async def _inject_promotion_faults(self) -> None:
         faults = PromotionFaults(
@@ -489,7 +506,28 @@
             add_endpoint=self._add_endpoint,
             remove_endpoint=lambda endpoint: self._proxies[endpoint.id].close(),
         )
-        await faults.run(self._seconds)
+        restores = self._restores(faults.register_draining)
+        await asyncio.gather(
+            faults.run(self._seconds),
+            restores.run(self._seconds, among_failovers=True),
+        )
+
+    async def _inject_failovers(self) -> None:
+        series = FailoverSeries(
+            self._platform,
+            self._edges,
+            seed=self.seed,
+            counts=self.faults,
+            restart_edge=lambda edge, random: self._restart(
+                edge, signal.SIGKILL, pause_s=random.uniform(0.0, 0.6)
+            ),
+        )
+        restores = self._restores(series.register_draining)
+        await asyncio.gather(
+            series.run(self._seconds),
+            restores.run(self._seconds, among_failovers=True),
+            self._inject_faults(),
+        )
 
     async def _lose_answers(self, random: Random, seconds: float) -> None:
         self._platform.store.responses_to_drop = random.randint(1, 5)
@@ -521,8 +559,13 @@
         *,
         signals: Sequence[signal.Signals] = (signal.SIGTERM, signal.SIGKILL),
     ) -> None:
-        number = random.randrange(self._edge_count)
-        edge = self._edges[number]
+        edge = random.choice(self._edges)
+        if not edge.restarting:
+            await self._restart(edge, random.choice(signals), pause_s=seconds / 4)
+
+    async def _restart(
+        self, edge: EdgeProcess, signum: signal.Signals, *, pause_s: float
+    ) -> None:
         if edge.restarting:
             return
         edge.restarting = True
@@ -533,11 +576,11 @@
         allowed = {0, -signal.SIGKILL} | (
             set() if edge.has_output else {-signal.SIGTERM}
         )
-        code = await edge.stop(random.choice(signals))
+        code = await edge.stop(signum)
         if code not in allowed:
             self.history.add_violation(f"{edge.name} exited with code {code}")
-        await asyncio.sleep(seconds / 4)
-        await edge.start(zone=ZONES[number % len(ZONES)])
+        await asyncio.sleep(pause_s)
+        await edge.start(zone=ZONES[self._edges.index(edge) % len(ZONES)])
         edge.restarting = False
 
     async def _change_config(self, random: Random, seconds: float) -> None:
@@ -558,7 +601,8 @@
                 self.history.add_violation(
                     f"{edge.name} did not get ready again: {edge.describe()}"
                 )
-        await asyncio.sleep(PROMOTION_RECOVERY_S if self._promotions else RECOVERY_S)
+        around_promotions = self._promotions or self._failovers
+        await asyncio.sleep(PROMOTION_RECOVERY_S if around_promotions else RECOVERY_S)
         for edge in self._edges:
             in_force = _last_config_version(edge.output)
             if in_force != self._platform.version:
@@ -566,17 +610,25 @@
                     f"{edge.name} routes by config {in_force}, not by "
                     f"{self._platform.version}"
                 )
-        for number, edge in enumerate(self._edges):
-            client = await self._open_session("lock-db", number)
-            lines = await self._execute(client, "WRITE last x") if client else ["?"]
-            if not lines[0].startswith("COMPLETE d."):
-                self.history.add_violation(
-                    f"{edge.name} served no write after the faults: {lines[0]}"
-                )
+        for group in self._platform.groups:
+            for number in range(self._edge_count):
+                await self._check_write(number, f"lock-{group}")
+
+    async def _check_write(self, number: int, database: str) -> None:
+        client = await self._open_session(database, number)
+        lines = await self._execute(client, "WRITE last x") if client else ["?"]
+        if not lines[0].startswith("COMPLETE d."):
+            self.history.add_violation(
+                f"{self._edges[number].name} served no write to {database} after the "
+                f"faults: {lines[0]}"
+            )
 
     def _check_logs(self) -> None:
         """Check acknowledged and rejected values against the primaries' logs."""
         self.history.violations[:0] = self.judge.describe(self.outputs.values())
+        calls = self._platform.store.received_calls
+        self.history.violations[:0] = find_token_violations(calls)
+        self.faults["promotion calls"] = len(calls)
         self.faults["promotions that took effect"] = self.judge.promotions
         primary = next((e for e in self._endpoints if e.is_primary), None)
         if primary is None:
@@ -623,7 +675,9 @@
     *,
     promotions: bool = False,
     transactions: bool = False,
+    failovers: bool = False,
     edges: int = EDGES,
+    clients: int = CLIENTS,
 ) -> Soak:
     """Run one seed; violations are in `Soak.history`."""
     with tempfile.TemporaryDirectory() as folder:
@@ -633,15 +687,19 @@
             folder=Path(folder),
             promotions=promotions,
             transactions=transactions,
+            failovers=failovers,
             edges=edges,
+            clients=clients,
         )
         await soak.run()
         return soak
 
 
 def save_logs(soak: Soak, folder: Path) -> None:
-    """Write the edges' output to files, one for each edge."""
+    """Write the violations to a file, and the edges' output, one for each edge."""
     folder.mkdir(parents=True, exist_ok=True)
+    text = "\n".join(soak.history.violations)
+    (folder / f"{soak.seed}-violations.txt").write_text(text + "\n")
     for name, output in soak.outputs.items():
         (folder / f"{soak.seed}-{name}.log").write_bytes(output)
 
@@ -658,7 +716,13 @@
     transactions: Annotated[
         bool, typer.Option(help="Inject faults around open transactions instead.")
     ] = False,
+    failovers: Annotated[
+        bool, typer.Option(help="Inject failovers in series instead.")
+    ] = False,
     edges: Annotated[int, typer.Option(help="Number of edge processes.")] = EDGES,
+    clients: Annotated[
+        int, typer.Option(help="Number of clients that write, and of those that read.")
+    ] = CLIENTS,
     keep: Annotated[Path, typer.Option(help="Folder for logs of failed seeds.")] = Path(
         ".bench"
     ),
@@ -673,7 +737,9 @@
             seconds,
             promotions=promotions,
             transactions=transactions,
+            failovers=failovers,
             edges=edges,
+            clients=clients,
         )
         soak = asyncio.run(run)
         faults += soak.faults
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,9 @@
 
 SEEDS = (1, 2)
 SECONDS = 4.0
+FAILOVER_SEEDS = (60,)
+FAILOVER_SECONDS = 5.0
+"""Room for a restore between two failovers of a group."""
 
 FAILED_SEEDS: tuple[int, ...] = (
     102,  # Two edges ended at a restart, most likely for the cause of seed 103.
@@ -29,3 +32,10 @@
         soak = await run_seed(1, SECONDS, transactions=True, edges=6)
         assert not soak.history.violations
         assert soak.history.counts["transactions committed"]
+
+    @pytest.mark.parametrize("seed", FAILOVER_SEEDS)
+    async def test_tokens_rise_when_the_store_was_restored(self, seed: int) -> None:
+        soak = await run_seed(seed, FAILOVER_SECONDS, failovers=True, edges=6)
+        assert not soak.history.violations
+        assert soak.faults["promotion calls"] > 1
+        assert soak.faults["restore_store"]
