Let the stand-in lose answers by call and name its era in some

Tests of competing holders need calls that are executed without an answer, at once or seconds later, answers that name no era, an address of the promotion call for each edge, and an edge that stops itself before its claim, its seal or the check of the pauses. Without these faults the stand-in behaves as before.

--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -466,6 +466,13 @@
         They are not answered before."""
         self.responses_to_drop = 0
         """Fault: number of POST calls to execute without sending a response."""
+        self.unanswered_after: Callable[[str, dict], float | None] = lambda *call: None
+        """Fault: seconds after which a call is executed without a response, by its
+        path and JSON body; None to answer it."""
+        self.names_era: Callable[[str, int], bool] = lambda path, status: True
+        """Fault: whether a response names the era, by the path and the status."""
+        self.on_executed: Callable[[str, dict, int], None] = lambda *call: None
+        """Called with path, JSON body and status when a call was executed."""
         self.error_status: int = 0
         """Fault: HTTP status that answers all calls; 0 to serve them."""
         self._changed = asyncio.Event()
@@ -707,14 +714,21 @@
     async def _respond(
         self, method: str, target: str, headers: dict[str, str], body: bytes
     ) -> None:
+        path, fields = target.partition("?")[0], json.loads(body) if body else {}
+        unanswered_after = self._store.unanswered_after(path, fields)
+        if unanswered_after:
+            await asyncio.sleep(unanswered_after)
         status, answer = await self._store.handle_request(method, target, headers, body)
+        self._store.on_executed(path, fields, status)
+        if unanswered_after is not None:
+            return
         if method == "POST" and self._store.responses_to_drop:
             self._store.responses_to_drop -= 1
             self._transport.abort()
             return
         data = json.dumps(answer).encode()
         head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n"
-        if self._store.era is not None:
+        if self._store.era is not None and self._store.names_era(path, status):
             head += f"Store-Era: {self._store.era}\r\n"
         self._transport.write(head.encode() + b"\r\n" + data)
 
@@ -731,6 +745,8 @@
         self._config: dict = {}
         self.store_address = ""
         """Address of the store in the edges' settings, if not the store's own."""
+        self.cloud_addresses: dict[str, str] = {}
+        """Addresses of the promotion call in edges' settings, by the edge's name."""
 
     async def start(self) -> None:
         """Start the store and the endpoints, and write the first config."""
@@ -825,6 +841,6 @@
             },
             "internal_port_range": [internal, internal],
             "platform": {"address": address},
-            "cloud_api": {"address": address},
+            "cloud_api": {"address": self.cloud_addresses.get(name, address)},
             "bounds": {"drain_ms": 7000, "grace_s": 6},
         }
--- a/tests/edge_stopped_before.py
+++ b/tests/edge_stopped_before.py
@@ -1,6 +1,7 @@
-"""Runs an edge that stops itself with SIGSTOP, once, before it sends one command.
+"""Runs an edge that stops itself with SIGSTOP, once, before one step of a failover.
 
-`CELERYJUNCTION_STOP_BEFORE` names the command: ``promotion`` or ``resume``.
+`CELERYJUNCTION_STOP_BEFORE` names the step: ``claim`` (its put), ``seal``, ``check``
+(of the pauses, after the seal), ``promotion`` (its call) or ``resume``.
 """
 
 from __future__ import annotations
@@ -13,6 +14,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "src"))
 
+from celeryjunction.failover.claims import Claims  # noqa: E402
+from celeryjunction.failover.coordinator import Coordinator  # noqa: E402
 from celeryjunction.platform.edge import main  # noqa: E402
 from celeryjunction.platform.promotion import HttpPromoter  # noqa: E402
 from celeryjunction.replication.control import ControlLink  # noqa: E402
@@ -23,6 +26,7 @@
     PromotionResult,
     ResumeReceiving,
 )
+from celeryjunction.replication.roster import GroupRoster  # noqa: E402
 
 _stops_left = 1
 
@@ -35,6 +39,8 @@
 
 
 _promote, _ask = HttpPromoter.promote, ControlLink.ask
+_put_claim, _seal = Claims._put, GroupRoster.seal
+_still_paused = Coordinator._still_paused
 
 
 async def _promote_after_stop(
@@ -52,8 +58,30 @@
     return await _ask(self, command, **options)
 
 
+async def _put_claim_after_stop(
+    self: Claims, group: str, lease: int, value: bytes
+) -> int | None:
+    _stop("claim")
+    return await _put_claim(self, group, lease, value)
+
+
+async def _seal_after_stop(self: GroupRoster, **fields: object) -> bool | None:
+    _stop("seal")
+    return await _seal(self, **fields)
+
+
+async def _still_paused_after_stop(
+    self: Coordinator, paused: dict[str, EndpointStatus], term: int
+) -> bool:
+    _stop("check")
+    return await _still_paused(self, paused, term)
+
+
 HttpPromoter.promote = _promote_after_stop
 ControlLink.ask = _ask_after_stop
+Claims._put = _put_claim_after_stop
+GroupRoster.seal = _seal_after_stop
+Coordinator._still_paused = _still_paused_after_stop
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 import pytest
 
+from celeryjunction.adapters.http_client import HttpClient, HttpFailure
 from celeryjunction.platform.standin import (
     StandinEndpoint,
     StandinGroup,
@@ -145,3 +146,50 @@
         assert promoted == [second.id, first.id]
         assert [call.endpoint for call in store.promotion_calls] == promoted
         assert first.term == 3
+
+
+class TestStoreFaults:
+    @pytest.fixture
+    def client(self, platform: StandinPlatform) -> Iterator[HttpClient]:
+        host, _, port = platform.store.address.rpartition(":")
+        client = HttpClient(host, int(port))
+        yield client
+        client.close()
+
+    async def test_a_call_without_an_answer_is_executed_after_a_while(
+        self, platform: StandinPlatform, client: HttpClient
+    ) -> None:
+        store = platform.store
+        store.unanswered_after = lambda path, data: 2 * STILL_WAITING_S
+        with pytest.raises(HttpFailure):
+            await client.request(
+                "POST", "/kv-lease", body=b'{"ttl_ms": 5000}', timeout=STILL_WAITING_S
+            )
+        assert not store.leases
+        await asyncio.sleep(2 * STILL_WAITING_S)
+        assert len(store.leases) == 1
+
+    async def test_an_answer_names_the_era_unless_it_is_withheld(
+        self, platform: StandinPlatform, client: HttpClient
+    ) -> None:
+        platform.store.names_era = lambda path, status: path != "/kv-lease"
+        named = [
+            "store-era"
+            in (
+                await client.request(
+                    method, path, body=b'{"ttl_ms": 5000}', timeout=LIMIT_S
+                )
+            ).headers
+            for method, path in (("POST", "/kv-lease"), ("GET", "/kv-key?key=x"))
+        ]
+        assert named == [False, True]
+
+    async def test_an_edge_has_its_own_address_of_the_promotion_call(
+        self, platform: StandinPlatform
+    ) -> None:
+        platform.cloud_addresses["edge-1"] = "127.0.0.1:9"
+        addresses = [
+            platform.settings(name, front=1, ready=2)["cloud_api"]["address"]
+            for name in ("edge-1", "edge-2")
+        ]
+        assert addresses == ["127.0.0.1:9", platform.store.address]
