--- a/bench/soak.py
+++ b/bench/soak.py
@@ -5,15 +5,15 @@
 through a loopback proxy that delays or withholds bytes, in one direction or both, and
 resets connections. Signals pause, stop and kill edges, which are then restarted; the
 store refuses requests, drops responses, is unreachable or comes back from an older
-copy; its first era differs from seed to seed, and with ``--no-era`` it names none. Clients
-check the consistency guarantees of each answer; each promoted endpoint's log is checked
-when its promotion takes effect, and at the end the last primary's log, the fencing
-tokens of all promotion calls, and that each edge has the newest config in force. With
-``--promotions`` the faults are those around promotions: late calls, VMs that stand
-still while they replace a primary, replicas that register late, restart, or leave, and
-restores of the store. With ``--failovers`` several groups' primaries are replaced in
-series (`bench.failover_series`) while the store is restored and edges are stopped and
-restarted. With ``--transactions`` further clients hold transactions open
+copy; its first era differs from seed to seed, and with ``--no-era`` it names none.
+Clients check the consistency guarantees of each answer; each promoted endpoint's log is
+checked when its promotion takes effect, and at the end the last primary's log, the
+fencing tokens of all promotion calls, and that each edge has the newest config in
+force. With ``--promotions`` the faults are those around promotions: late calls, VMs
+that stand still while they replace a primary, replicas that register late, restart, or
+leave, and restores of the store. With ``--failovers`` several groups' primaries are
+replaced in series (`bench.failover_series`) while the store is restored and edges are
+stopped and restarted. With ``--transactions`` further clients hold transactions open
 (`bench.transactions`) while endpoints refuse statements as busy and edges are stopped.
 """
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 
 SEEDS = (1, 2)
 SECONDS = 4.0
-FAILOVER_SEEDS = (60,)
+FAILOVER_SEEDS = (29,)
 FAILOVER_SECONDS = 5.0
 """Room for a restore between two failovers of a group."""
 
