Show that a holder may call after the holder that took its claim

A holder may call until MAX_DECISION_S (2 s) after it began to seal, and the store checks its claim for the last time in the seal. The next holder waits only PENDING_PROMOTION_WAIT_S (1.5 s) before its own call.

--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -15,7 +15,7 @@
 
 from celeryjunction.failover import supervisor
 from celeryjunction.failover.claims import CLAIM_PREFIX, LEASE_S, Claim, Claims
-from celeryjunction.failover.coordinator import Coordinator
+from celeryjunction.failover.coordinator import MAX_DECISION_S, Coordinator
 from celeryjunction.failover.detector import (
     REFUSED_LIMIT_S,
     SILENT_LIMIT_S,
@@ -51,6 +51,9 @@
 MARGIN_S = 0.01
 """Covers the rounding of times."""
 
+SHORT_S = 0.1
+"""Covers the check of the pauses and the demotion."""
+
 ANSWER_LIMIT_S = 0.3
 """Limit of the calls and commands of a failover, all of which are answered."""
 FAILOVER_LIMIT_S = 4.0
@@ -750,6 +753,37 @@
         assert token > first_token
         await second.stop()
 
+    async def test_a_holder_that_stood_still_after_its_seal_sends_no_lower_token(
+        self,
+        cluster: FakeCluster,
+        store: FakeStore,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        first, second = Vm(cluster, store, "vm1"), Vm(cluster, store, "vm2")
+        others: list[asyncio.Task[bool]] = []
+        check_pauses = first.coordinator._still_paused
+
+        def replace_primary(vm: Vm) -> Awaitable[bool]:
+            return vm.coordinator.replace(
+                "draining", term=1, acknowledged=LogPosition(0, 0)
+            )
+
+        async def check_pauses_late(
+            paused: dict[str, EndpointStatus], term: int
+        ) -> bool:
+            store.end_lease(max(store.leases))
+            others.append(asyncio.create_task(replace_primary(second)))
+            await asyncio.sleep(MAX_DECISION_S - SHORT_S)
+            return await check_pauses(paused, term)
+
+        for vm in (first, second):
+            await vm.group.refresh()
+        monkeypatch.setattr(first.coordinator, "_still_paused", check_pauses_late)
+        await replace_primary(first)
+        await asyncio.gather(*others)
+        tokens = [token for _, _, token in cluster.promotions]
+        assert tokens == sorted(tokens)
+
     async def test_a_replica_that_lost_its_pause_stops_the_promotion(
         self, cluster: FakeCluster, store: FakeStore
     ) -> None:
