--- a/model/fencing_tokens.py
+++ b/model/fencing_tokens.py
@@ -12,17 +12,18 @@
 only claims count. The platform accepts or refuses a call. An accepted call takes effect
 at any later time or never, also if the endpoints have begun a later term.
 
-A token of the design "wall" is the term that the pause is for, with the wall clock
-below, but higher than all tokens that the VM knows. A VM knows the tokens that it has
-read or written since it started. Labels show a token as term and clock.
+A token of the design "wall" is the term that the pause is for, with the store's era,
+as the VM knows it, and the wall clock below, but higher than all tokens that the VM
+knows. A VM knows the tokens that it has read or written since it started. Labels show a
+token as term and what is below it.
 
 Time exists as the wall clock and as these premises, each of which a variant leaves out:
 - A holder has called or given up when its claim's lease ends (`in_lease`).
 - A holder that finds the members paused, or the roster sealed, waits until the holder
   that paused them has called or given up (`waits`). It only matters if the store lost
-  a claim. `PENDING_PROMOTION_WAIT_S` below `MAX_DECISION_S` does not guarantee it.
+  a claim. `PENDING_PROMOTION_WAIT_S` is longer than `MAX_CLAIM_AGE_S` and a call.
 - A holder calls as soon as it has found the members still paused (`check_pause`).
-- The wall clock ticks between two claims (`fine_clock`), which seconds may not do.
+- The wall clock ticks between two claims (`fine_clock`).
 - Wall clocks agree (`ahead`: how far that of VM 0 is ahead).
 - The claim of the seal's transaction and of a release is the holder's own, not one that
   another VM got under the same revision and lease (`own_claim`).
@@ -40,7 +41,9 @@
 
 VMS = (0, 1)
 TERM_FACTOR = 16
-"""A token's term counts for more than any number of ticks and claims."""
+"""A token's term counts for more than any number of ticks, claims and eras."""
+ERA_FACTOR = 8
+"""The store's era counts for more than any number of ticks."""
 MAX_TERM = 3
 
 IDLE, CLAIMED, ASKED, PAUSED, SEALED, UNSEALING, RELEASING = range(7)
@@ -152,6 +155,7 @@
     next_term_keeps: bool = True
     compare_at_seal: bool = True
     claim_at_seal: bool = True
+    era_below_term: bool = True
     wall_clock: bool = True
     term_above: bool = True
     """Whether the term is above the seconds, not below them."""
@@ -365,6 +369,8 @@
     if rules.design == "term_revision":
         return TERM_FACTOR * TERM_FACTOR * (vm.term + 1) + revision
     clock = state.clock + (rules.ahead if v == 0 else 0) if rules.wall_clock else 0
+    if rules.era_below_term and v in rules.noticed:
+        clock += ERA_FACTOR * vm.losses
     if rules.term_above:
         return max(TERM_FACTOR * (vm.term + 1) + clock, vm.token + 1)
     return max(TERM_FACTOR * clock + vm.term + 1, vm.token + 1)
@@ -533,6 +539,12 @@
         expect_refuted=False,
         prop="ordered",
     ),
+    _check(
+        _BENT._replace(noticed=_ALL),
+        "wall clocks that agree; all VMs notice the loss",
+        expect_refuted=False,
+        prop="ordered",
+    ),
     _check(
         _WALL._replace(waits=False, claim_at_call=True, sort=True),
         "the wait for an earlier holder; the claim is asked for right before the call",
@@ -636,6 +648,10 @@
         "the claim in the seal's transaction",
     ),
     _check(_WALL._replace(wall_clock=False), "the wall clock"),
+    _check(
+        _BENT._replace(noticed=_ALL, era_below_term=False),
+        "the store's era below the term (all VMs notice the loss, wall clocks differ)",
+    ),
     _check(
         _BENT._replace(term_above=False),
         "the term above the wall clock (it is below, and wall clocks differ)",
