--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -462,8 +462,9 @@
         """Announce the promotion in the store, and request it at once.
 
         The pauses are checked after the announcement: a replica that forgets its pause
-        later is no witness on its new connection while the roster is sealed. So is the
-        claim, as a store that came back from an older copy may have lost it.
+        later is no witness on its new connection while the roster is sealed. The claim
+        is checked too: a store that came back from an older copy may have lost it, and
+        another VM may have one.
         """
         group, claim, term = self._group, attempt.claim, attempt.term
         started = self._clock.monotonic()
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -10,7 +10,7 @@
 from _store_support import background_tasks, eventually
 
 from celeryjunction.adapters.http_client import HttpClient
-from celeryjunction.failover.claims import Claims
+from celeryjunction.failover.claims import Claim, Claims
 from celeryjunction.follower import PrefixFollower
 from celeryjunction.gateway.gateway import Gateway
 from celeryjunction.metrics import Metrics
@@ -128,33 +128,37 @@
         assert not await self.claims(store, "vm1").is_valid(lost)
         await other.close()
 
-    async def test_an_unnoticed_loss_does_not_make_another_vms_claim_valid(
-        self, platform: StandinPlatform, store: HttpStore
-    ) -> None:
-        """Guards against two holders that both promote."""
+    async def lose_claim(
+        self, platform: StandinPlatform, first: Claims, second: Claims
+    ) -> tuple[Claim, Claim]:
+        """Return a claim that the store has lost, and another VM's of that number.
+
+        No VM notices the loss.
+        """
         platform.store.era = None
         copy = platform.store.copy()
-        first, second = self.claims(store, "vm1"), self.claims(store, "vm2")
         lost = await first.acquire("db")
         platform.store.restore(copy)
         claim = None
         while claim is None:
             claim = await second.acquire("db")
         assert (claim.revision, claim.lease) == (lost.revision, lost.lease)
+        return lost, claim
+
+    async def test_an_unnoticed_loss_does_not_make_another_vms_claim_valid(
+        self, platform: StandinPlatform, store: HttpStore
+    ) -> None:
+        """Guards against two holders that both promote."""
+        first, second = self.claims(store, "vm1"), self.claims(store, "vm2")
+        lost, _ = await self.lose_claim(platform, first, second)
         assert not await first.is_valid(lost)
 
     async def test_the_release_of_a_lost_claim_does_not_end_another_vms(
         self, platform: StandinPlatform, store: HttpStore
     ) -> None:
         """Guards against two holders, as the lease's number is given out again."""
-        platform.store.era = None
-        copy = platform.store.copy()
         first, second = self.claims(store, "vm1"), self.claims(store, "vm2")
-        lost = await first.acquire("db")
-        platform.store.restore(copy)
-        claim = None
-        while claim is None:
-            claim = await second.acquire("db")
+        lost, claim = await self.lose_claim(platform, first, second)
         await first.release(lost)
         assert await second.is_valid(claim)
 
