--- a/bench/soak.py
+++ b/bench/soak.py
@@ -324,7 +324,7 @@
             lines = await self._execute(client, f"READ {item}")
             if lines[0].startswith("ROW") and _parse_value(lines[0]) < lowest_allowed:
                 self.history.add_violation(
-                    f"{database} read {item} {lines[0]} after {lowest_allowed}, own"
+                    f"{database} read {item} {lines} after {lowest_allowed}, own"
                 )
             if lines == ["?"]:
                 self._close_session(client)
@@ -377,7 +377,7 @@
             self.history.counts[f"{database} {lines[0].split(' ')[0]}"] += 1
             if lines[0].startswith("ROW") and _parse_value(lines[0]) < lowest_allowed:
                 self.history.add_violation(
-                    f"{database} read {item} {lines[0]} after {lowest_allowed}"
+                    f"{database} read {item} {lines} after {lowest_allowed}"
                 )
             if lines == ["?"]:
                 self._close_session(client)
