Log whether a promotion call was sent, and whose earlier call a holder found

The logs can't tell a call that waits on a silent link from one that a slow platform carries out late, nor whether the next holder knew of it. promotion_unanswered, earlier_promotion_found and asked_s of promotion_asked say it. No decision changes.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -143,6 +143,7 @@
         data = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
         self.bytes_sent += len(data)
         connection: _Connection | None = None
+        was_sent = False
         try:
             async with asyncio.timeout(timeout):
                 connection = await self._acquire(new_connection)
@@ -150,10 +151,12 @@
                     self._long_polls.add(connection)
                 if not is_due():
                     raise HttpNotSent(f"{name}: not due any more")
+                was_sent = True
                 response = await connection.request(data)
         except (TimeoutError, OSError) as error:
             self._abort_suspect_connections()
-            raise HttpFailure(f"{name}: {type(error).__name__}") from None
+            phase = "no response" if was_sent else "no connection"
+            raise HttpFailure(f"{name}: {phase}: {type(error).__name__}") from None
         finally:
             if connection is not None:
                 self._long_polls.discard(connection)
--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -191,6 +191,15 @@
         attempt.promotion_pending = bool(attempt.sealed) or any(
             statuses[name].held_term > term for name in to_pause
         )
+        if attempt.sealed:
+            _log.info(
+                "earlier_promotion_found",
+                group=group.name,
+                endpoint=attempt.sealed,
+                holder=stored.seal_holder,
+                fencing_token=stored.seal_token,
+                sealed_s=round(self._roster.seal_age_s, 3),
+            )
         if attempt.promotion_pending and await self._wait_for_takeover(
             to_pause, term, PENDING_PROMOTION_WAIT_S
         ):
@@ -494,6 +503,7 @@
         if decided_s > MAX_DECISION_S or self._clock.monotonic() >= send_before:
             return await self._give_up(attempt, chosen, reason="too_late")
         group.primary_expected_at = self._clock.monotonic() + group.expected_promotion_s
+        asked_at = self._clock.monotonic()
         result = await self._promoter.promote(
             PromotionRequest(
                 group=group.name,
@@ -503,7 +513,9 @@
                 is_due=lambda: self._clock.monotonic() < send_before,
             )
         )
-        self._log_request(attempt, chosen, result=result, decided_s=decided_s)
+        self._log_request(
+            attempt, chosen, result=result, decided_s=decided_s, asked_at=asked_at
+        )
         if result is PromotionResult.REFUSED:
             return await self._give_up(attempt, chosen, reason="refused")
         return await self._wait_for_takeover(attempt.paused, term, TAKEOVER_TIMEOUT_S)
@@ -533,8 +545,10 @@
         *,
         result: PromotionResult,
         decided_s: float,
+        asked_at: float,
     ) -> None:
         group, old_primary = self._group, attempt.old_primary
+        now = self._clock.monotonic()
         received = {name: str(s.received) for name, s in attempt.paused.items()}
         _log.warning(
             "promotion_asked",
@@ -546,7 +560,8 @@
             fencing_token=attempt.token,
             result=result,
             decided_s=round(decided_s, 3),
-            claimed_s=round(self._clock.monotonic() - attempt.claim.requested_at, 3),
+            claimed_s=round(now - attempt.claim.requested_at, 3),
+            asked_s=round(now - asked_at, 3),
             **self._describe_old_primary(old_primary),
             not_asked=sorted(group.endpoints.keys() - received.keys() - {old_primary}),
         )
--- a/src/celeryjunction/platform/promotion.py
+++ b/src/celeryjunction/platform/promotion.py
@@ -5,12 +5,15 @@
 import msgspec
 
 from celeryjunction.adapters.http_client import HttpClient, HttpFailure, HttpNotSent
+from celeryjunction.logs import get_logger
 from celeryjunction.replication.ports import PromotionRequest, PromotionResult
 
 CALL_TIMEOUT_S = 0.4
 """A promotion usually takes about 20 ms. After the time-out the connection is reset, so
 that a call still delayed on the network is not executed later."""
 
+_log = get_logger("failover")
+
 
 class HttpPromoter:
     """Implements `Promoter`. Each call uses a connection of its own."""
@@ -35,7 +38,13 @@
             )
         except HttpNotSent:
             return PromotionResult.REFUSED
-        except HttpFailure:
+        except HttpFailure as error:
+            _log.warning(
+                "promotion_unanswered",
+                group=request.group,
+                fencing_token=request.fencing_token,
+                reason=str(error),
+            )
             return PromotionResult.UNKNOWN
         if response.status == 200:
             return PromotionResult.ACCEPTED
