Show that a silent link to the promotion API makes the fencing token fall

Real processes, no fault of the store, the endpoints or the VMs: one VM's link, or all, take bytes for 8 s and deliver them afterwards.

--- a/tests/test_competing_holders.py
+++ b/tests/test_competing_holders.py
@@ -26,6 +26,14 @@
 """Time for the calls that a VM sends after it went on."""
 LATE_S = 1.0
 """Delay of a call that is executed late."""
+SILENCE_S = 8.0
+"""Longer than a holder waits for its promotion and the next one for an earlier call."""
+RETURN_GAP_S = 0.05
+"""Time between the returns of two links."""
+LEAD_S = 0.5
+"""Time for which the first VM is the only one that may claim."""
+FAILOVER_S = 6.0
+"""Limit of a failover by VMs that reach everything: a promotion takes 1.5 s."""
 
 
 @pytest.fixture
@@ -120,6 +128,24 @@
             for edge in others:
                 edge.process.send_signal(signal.SIGCONT)
 
+    async def add_promotion_links(self, count: int) -> list[FaultProxy]:
+        """Let the next VMs reach the promotion API through proxies of their own."""
+        port = int(self.store.address.rpartition(":")[2])
+        links = [FaultProxy(lambda: port) for _ in range(count)]
+        for number, link in enumerate(links, len(self.cluster.edges) + 1):
+            await link.start()
+            self.cluster.proxies.append(link)
+            address = f"127.0.0.1:{link.port}"
+            self.cluster.platform.cloud_addresses[f"edge-{number}"] = address
+        return links
+
+    async def give_holder_a_lead(self) -> None:
+        """Drain the primary; the other VMs go on after `LEAD_S` or a first claim."""
+        began = asyncio.get_running_loop().time()
+        await self._let_holder_act(
+            lambda: self.seals or asyncio.get_running_loop().time() >= began + LEAD_S
+        )
+
     async def wait_for_call_of_another(self) -> None:
         """Wait until a VM other than the first has asked for a promotion."""
         await wait_for(lambda: any(c.holder != self.holder.name for c in self.calls))
@@ -242,6 +268,38 @@
         rivals.check()
 
 
+class TestSilentPromotionApi:
+    """Links to the promotion API take bytes and deliver them when they are back."""
+
+    @pytest.mark.parametrize("silent", [1, 3], ids=["one_vm", "all_vms"])
+    async def test_calls_that_wait_on_silent_links_arrive_below_no_higher_token(
+        self, rivals: Rivals, silent: int
+    ) -> None:
+        links = await rivals.add_promotion_links(3)
+        await rivals.start(count=3)
+        for link in links[:silent]:
+            link.block("up", "down")
+        await rivals.give_holder_a_lead()
+        await asyncio.sleep(SILENCE_S)
+        for link in reversed(links):
+            link.unblock()
+            await asyncio.sleep(RETURN_GAP_S)
+        await wait_for(lambda: rivals.cluster.term > 1)
+        await asyncio.sleep(SETTLED_S)
+        await rivals.replace_primary()
+        rivals.check()
+
+    async def test_vm_with_a_silent_link_leaves_the_failover_to_the_others(
+        self, rivals: Rivals
+    ) -> None:
+        links = await rivals.add_promotion_links(3)
+        await rivals.start(count=3)
+        links[0].block("up", "down")
+        await rivals.give_holder_a_lead()
+        await wait_for(lambda: rivals.cluster.term > 1, FAILOVER_S)
+        rivals.check()
+
+
 class TestLapsedClaim:
     @pytest.mark.parametrize("call", [is_claim, is_seal])
     async def test_lease_that_ends_at_the_store_right_after_a_call(
