Await a promotion call that the platform hasn't answered before another VM's

A link can still fall silent between the platform's answer and the call.

The seal in the roster now counts the calls under it and those that the platform answered. Another VM leaves the claim alone while one is unanswered, for SEAL_LIMIT_S at most, after which a call counts as lost. The VM that made the call repeats it under the same token, which can't fall, as soon as the platform answers it again. The next term's failovers wait likewise if the call was repeated. A call that was answered, or never sent, holds up nobody.

--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -139,8 +139,13 @@
         """Replace the primary of `term`; return whether a later term has begun.
 
         `acknowledged` is the highest log position that VMs saw acknowledged. Without an
-        answer of the promotion call, this VM leaves the claim alone.
+        answer of the promotion call, or while another VM's call is on its way, this VM
+        leaves the claim alone.
         """
+        if self._roster.has_unanswered_call(term):
+            await self._roster.read()
+        if self._must_await_call(term):
+            return False
         path = await self._paths.take()
         if path is None:
             _log.warning("promotion_path_missing", group=self._group.name, term=term)
@@ -152,6 +157,18 @@
         finally:
             path.close()
 
+    def _must_await_call(self, term: int) -> bool:
+        """Whether an earlier call may arrive after one of this VM."""
+        if not self._roster.has_unanswered_call(term):
+            return False
+        _log.warning(
+            "unanswered_call_awaited",
+            group=self._group.name,
+            term=term,
+            sealed_s=round(self._roster.seal_age_s, 3),
+        )
+        return True
+
     async def _replace_as_holder(
         self,
         reason: str,
@@ -198,6 +215,8 @@
         stored = await self._roster.read()
         if stored is None or not await self._refresh_register():
             return False
+        if self._must_await_call(term):
+            return False
         attempt = self._begin_attempt(claim, path, stored)
         statuses = await self._ask_all(attempt.infos)
         if group.term != term:
@@ -509,7 +528,8 @@
         """
         group, claim, term = self._group, attempt.claim, attempt.term
         started = self._clock.monotonic()
-        attempt.token = self._roster.next_token(term)
+        attempt.token, earlier_calls = self._roster.repeatable_token(term, chosen)
+        attempt.token = attempt.token or self._roster.next_token(term)
         sealed = await self._roster.seal(
             term=term,
             next_primary=chosen,
@@ -518,6 +538,7 @@
             paused=attempt.paused,
             claim=self._claims.condition(claim),
             token=attempt.token,
+            earlier_calls=earlier_calls,
         )
         if not sealed:
             attempt.promotion_pending = attempt.promotion_pending or sealed is None
@@ -552,7 +573,11 @@
         )
         if result is PromotionResult.REFUSED:
             return await self._give_up(attempt, chosen, reason="refused")
-        return await self._wait_for_takeover(attempt.paused, term, TAKEOVER_TIMEOUT_S)
+        if await self._wait_for_takeover(attempt.paused, term, TAKEOVER_TIMEOUT_S):
+            return True
+        if result is not PromotionResult.UNANSWERED:
+            await self._roster.record_answer(token=attempt.token)
+        return False
 
     async def _give_up(self, attempt: _Attempt, chosen: str, *, reason: str) -> bool:
         """Take back the announcement of a promotion that won't be carried out.
@@ -567,7 +592,9 @@
             token=attempt.token,
             reason=reason,
         )
-        if not attempt.sealed and not await self._roster.unseal(token=attempt.token):
+        if attempt.sealed:
+            await self._roster.record_answer(token=attempt.token)
+        elif not await self._roster.unseal(token=attempt.token):
             attempt.promotion_pending = True
         await self._abort(claim, attempt.paused, attempt.promotion_pending)
         return False
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -89,9 +89,14 @@
     """The VM that announced it."""
     seals: Count = 0
     """Number of seals for this next primary: each may have led to a call."""
+    answered: Count = 0
+    """How many of these calls the platform has answered, so that they are not on their
+    way any more."""
     outstanding: Name = ""
     """The primary, if a second call under the seal of the term before may promote it
     again; empty if there was only one."""
+    has_unanswered_call: bool = False
+    """Whether a call under the seal of the term before may still be on its way."""
     fence: Count = 0
     """Highest fencing token of the group's promotions, in this term and before."""
 
@@ -117,6 +122,7 @@
             size=self.size,
             floor=self.next_floor,
             outstanding=self.next_primary if self.seals > 1 else "",
+            has_unanswered_call=self.seals > 1 and self.answered < self.seals,
             fence=self.highest_token,
         )
 
@@ -183,7 +189,7 @@
         """The end of the primary's log when this VM first saw it in the term."""
         self._newest_stored_term = 0
         self._highest_token = 0
-        self._seal_seen: tuple[tuple[int, int, str], float] | None = None
+        self._seal_seen: tuple[tuple[int, int, int, str], float] | None = None
         """The calls that may be outstanding, and since when they are known; seconds."""
         self._next_read_at = 0.0
         self._read_at = 0.0
@@ -428,7 +434,7 @@
 
     def _note_seal(self, roster: Roster) -> None:
         called = roster.next_primary or roster.outstanding
-        seal = (roster.term, roster.seal_token, called)
+        seal = (roster.term, roster.seal_token, roster.seals, called)
         if not called:
             self._seal_seen = None
         elif self._seal_seen is None or self._seal_seen[0] != seal:
@@ -525,12 +531,14 @@
         paused: Collection[str],
         claim: Compare,
         token: int,
+        earlier_calls: int = 0,
     ) -> bool | None:
         """Announce a promotion in the stored roster; return whether that is stored.
 
         False if a member other than the primary isn't in `paused`, if the claim or the
         roster changed meanwhile, or if `token`, from `next_token`, is not the highest
-        one. None if the store's answers were lost.
+        one. A token from `repeatable_token` was announced for `earlier_calls` before.
+        None if the store's answers were lost.
         """
         announced = Roster(
             next_primary=next_primary,
@@ -538,6 +546,7 @@
             next_floor=next_floor,
             seal_token=token,
             seal_holder=self._vm,
+            seals=earlier_calls + 1,
         )
         sealed: bool | None = False
         for _ in range(SEAL_ATTEMPTS):
@@ -569,7 +578,8 @@
         paused: Collection[str],
         claim: Compare,
     ) -> bool | None:
-        if self._is_own_seal(stored, announced.seal_token):
+        is_own = self._is_own_seal(stored, announced.seal_token)
+        if is_own and stored.seals >= announced.seals:
             return True  # An earlier attempt, whose answer was lost.
         current = self._stored_in_term(term)
         if current is None and stored.term:
@@ -580,7 +590,8 @@
         if current is None:
             current = Roster(term=term)
         missing = self._unpaused_members(current, paused)
-        is_highest = stored.highest_token < announced.seal_token <= MAX_NUMBER
+        lowest = stored.highest_token + (0 if is_own else 1)
+        is_highest = lowest <= announced.seal_token <= MAX_NUMBER
         if missing or stored.term > term or not is_highest:
             _log.warning(
                 "roster_not_sealed",
@@ -600,6 +611,7 @@
             seal_token=announced.seal_token,
             seal_holder=announced.seal_holder,
             seals=current.seals + 1 if is_repeated else 1,
+            answered=current.answered if is_repeated else 0,
             fence=announced.seal_token,
         )
         return await self._put(
@@ -629,6 +641,41 @@
         stored = self._stored_in_term(term)
         return stored.outstanding if stored is not None else ""
 
+    def repeatable_token(self, term: int, chosen: str) -> tuple[int, int]:
+        """Return the token of this VM's own unanswered call, and how often it called.
+
+        A call that is repeated under its token can't arrive after a higher one of this
+        VM. Zeros if the stored roster announces no such call for `chosen`.
+        """
+        stored = self._stored_roster
+        if stored is None or (stored.term, stored.next_primary) != (term, chosen):
+            return 0, 0
+        if stored.seal_holder != self._vm or stored.seal_token < self._highest_token:
+            return 0, 0
+        return stored.seal_token, stored.seals
+
+    def has_unanswered_call(self, term: int) -> bool:
+        """Whether a call that this VM can't repeat may be on its way to the platform.
+
+        After a call with a higher token it would arrive with a lower one.
+        """
+        stored = self._stored_in_term(term)
+        if stored is None or self.seal_age_s >= SEAL_LIMIT_S:
+            return False
+        if not stored.is_sealed:
+            return stored.has_unanswered_call
+        return stored.answered < stored.seals and stored.seal_holder != self._vm
+
+    async def record_answer(self, *, token: int) -> None:
+        """Store that the platform answered a call under this token."""
+        found = await self._read_revision()
+        if found is None or not self._is_own_seal(found[0], token):
+            return
+        stored, revision = found
+        answered = min(stored.answered + 1, stored.seals)
+        roster = msgspec.structs.replace(stored, answered=answered)
+        await self._put(roster, [Compare(self._key, revision)])
+
     async def unseal(self, *, token: int) -> bool:
         """Remove the seal of a promotion that is not requested or was refused.
 
@@ -648,6 +695,7 @@
             seal_token=0,
             seal_holder="",
             seals=0,
+            answered=0,
         )
         return bool(await self._put(opened, [Compare(self._key, revision)]))
 
@@ -688,7 +736,9 @@
                 seen, size=size, floor=floor, fence=self._highest_token
             )
         if stored.outstanding and self.seal_age_s >= SEAL_LIMIT_S:
-            stored = msgspec.structs.replace(stored, outstanding="")
+            stored = msgspec.structs.replace(
+                stored, outstanding="", has_unanswered_call=False
+            )
         members = _by_id(stored) | _by_id(seen)
         remaining = {name: m for name, m in members.items() if not self._is_removed(m)}
         return Roster(
@@ -699,6 +749,7 @@
             size,
             max(self._floor, LogPosition(*stored.floor)),
             outstanding=stored.outstanding,
+            has_unanswered_call=stored.has_unanswered_call,
             fence=self._highest_token,
         )
 
--- a/tests/replicated_fakes.py
+++ b/tests/replicated_fakes.py
@@ -156,6 +156,8 @@
             answer = self.promotion_answers.pop(0)
         if answer is PromotionResult.REFUSED:
             return answer
+        if answer is PromotionResult.UNANSWERED:
+            return answer
         loop = asyncio.get_running_loop()
         loop.call_later(PROMOTION_S, self.take_over, endpoint)
         return answer
--- a/tests/test_confirmed_commits.py
+++ b/tests/test_confirmed_commits.py
@@ -768,6 +768,47 @@
         )
         assert {name for name, _, _ in cluster.promotions} == {first}
 
+    async def test_another_vm_calls_only_when_an_unanswered_call_is_old(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against a call that arrives after one with a higher token."""
+        vm = await started_vm(cluster, store)
+        await self.call_without_answer(vm, cluster)
+        second = await started_second_vm(cluster, store)
+        assert not await self.replace(second)
+        assert not await self.replace(second)
+        assert len(cluster.promotions) == 1
+        await asyncio.sleep(SEAL_LIMIT_S)
+        assert await self.replace(second)
+        (_, _, first), (_, _, later) = cluster.promotions
+        assert later > first
+
+    async def test_its_vm_repeats_an_unanswered_call_under_the_same_token(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against a call that arrives after a later one of the same VM."""
+        vm = await started_vm(cluster, store)
+        await self.call_without_answer(vm, cluster)
+        assert await self.replace(vm)
+        first, later = cluster.promotions
+        assert first == later
+
+    async def test_the_next_term_awaits_the_first_of_two_calls(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against a repeated call that arrives after a later term's."""
+        vm = await started_vm(cluster, store)
+        await self.call_without_answer(vm, cluster)
+        assert await self.replace(vm)
+        cluster["a1"].silent = False
+        for holder in (vm, await started_second_vm(cluster, store)):
+            assert holder.group.term == 2
+            assert not await self.replace(holder, term=2)
+            assert holder.roster.has_unanswered_call(2)
+        assert len(cluster.promotions) == 2
+        await asyncio.sleep(SEAL_LIMIT_S)
+        assert not vm.roster.has_unanswered_call(2)
+
     async def test_a_vm_that_the_platform_does_not_answer_leaves_the_claim_alone(
         self, cluster: FakeCluster, store: FakeStore
     ) -> None:
@@ -795,6 +836,11 @@
         assert not (await vm.roster.read()).is_sealed
         assert cluster["b1"].held_term == cluster["c1"].held_term == 0
 
+    async def call_without_answer(self, vm: Vm, cluster: FakeCluster) -> None:
+        cluster["a1"].silent = True
+        cluster.promotion_answers = [PromotionResult.UNANSWERED]
+        assert not await self.replace(vm)
+
     @staticmethod
     async def replace(vm: Vm, *, term: int = 1) -> bool:
         return await vm.coordinator.replace("silent", term=term, acknowledged=NO_COMMIT)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -231,6 +231,7 @@
     "seal_holder": "vm1",
     "fence": 7,
     "seals": 1,
+    "answered": 0,
     "outstanding": "",
 }
 ODD_ROSTERS = {
@@ -238,7 +239,7 @@
     for kind, value in odd_values(
         ROSTER,
         required=("primary", "term", "members", "next_primary", "next_members"),
-        counts=("term", "size", "seal_token", "seals", "fence"),
+        counts=("term", "size", "seal_token", "seals", "answered", "fence"),
     )
     if not kind.endswith(": missing")
 }
