Await an unanswered promotion call for 8 s, and don't wait again afterwards

The limit for a call to arrive needs no time for the promotion's effect, unlike SEAL_LIMIT_S, and after it no takeover is due.

--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -31,7 +31,12 @@
     PromotionResult,
     ResumeReceiving,
 )
-from celeryjunction.replication.roster import SEAL_LIMIT_S, GroupRoster, Roster
+from celeryjunction.replication.roster import (
+    CALL_LIMIT_S,
+    SEAL_LIMIT_S,
+    GroupRoster,
+    Roster,
+)
 
 COMMAND_TIMEOUT_S = 0.3
 """A pause or demotion takes one round trip; the limit allows for a lost packet."""
@@ -246,8 +251,11 @@
                 fencing_token=stored.seal_token,
                 sealed_s=round(self._roster.seal_age_s, 3),
             )
-        if attempt.promotion_pending and await self._wait_for_takeover(
-            to_pause, term, PENDING_PROMOTION_WAIT_S
+        is_lost = bool(attempt.sealed) and self._roster.seal_age_s >= CALL_LIMIT_S
+        if (
+            attempt.promotion_pending
+            and not is_lost
+            and await self._wait_for_takeover(to_pause, term, PENDING_PROMOTION_WAIT_S)
         ):
             return True
         attempt.paused = await self._pause_all(to_pause, term) or {}
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -46,6 +46,9 @@
 SEAL_LIMIT_S = 10.0
 """A sealed promotion may still take effect for this long: the platform carries a call
 out up to 6 s late, and a promotion takes up to 3 s."""
+CALL_LIMIT_S = 8.0
+"""A promotion call that the platform hasn't answered counts as lost after this: it may
+be held up on its way, or carried out up to 6 s late."""
 READ_INTERVAL_S = 0.1
 """Shortest pause between two reads by VMs that wait for the roster of a new term."""
 SEALED_READ_INTERVAL_S = 0.2
@@ -512,8 +515,9 @@
         """Return the fencing token for a promotion that replaces the primary of `term`.
 
         It is higher than all that this VM knows. As the store may have lost the highest
-        one, it also rises with the term, which the endpoints keep, within a term with
-        the store's era, and with the time if the VM does not notice the loss.
+        one, it also rises with the store's era, within an era with the term, which the
+        endpoints keep, and with the time if the VM does not notice the loss. The era
+        comes first because the endpoints may have lost their terms as well.
         """
         next_term = min(term + 1, _MAX_TOKEN_TERM)
         ticks = int(self._clock.wall() * TOKEN_TICKS_PER_S)
@@ -660,7 +664,7 @@
         After a call with a higher token it would arrive with a lower one.
         """
         stored = self._stored_in_term(term)
-        if stored is None or self.seal_age_s >= SEAL_LIMIT_S:
+        if stored is None or self.seal_age_s >= CALL_LIMIT_S:
             return False
         if not stored.is_sealed:
             return stored.has_unanswered_call
