Put the store's era above the term in a fencing token

A holder knows the newest era: it has read the roster under its claim, and a claim of an earlier era is lost. An era beyond its bits counts as the highest one instead of wrapping around.

A store that names no era stays open.

--- a/model/fencing_tokens.py
+++ b/model/fencing_tokens.py
@@ -12,10 +12,11 @@
 only claims count. The platform accepts or refuses a call. An accepted call takes effect
 at any later time or never, also if the endpoints have begun a later term.
 
-A token of the design "wall" is the term that the pause is for, with the store's era,
-as the VM knows it, and the wall clock below, but higher than all tokens that the VM
-knows. A VM knows the tokens that it has read or written since it started. Labels show a
-token as term and what is below it.
+A token of the design "wall" is the store's era, as the VM knows it, then the term that
+the pause is for, then the wall clock, but higher than all tokens that the VM knows. A
+VM knows the tokens that it has read or written since it started. The endpoints may
+start again with nothing, so from term 1. Labels show a token as term and what is below
+it.
 
 Time exists as the wall clock and as these premises, each of which a variant leaves out:
 - A holder has called or given up when its claim's lease ends (`in_lease`).
@@ -43,7 +44,9 @@
 TERM_FACTOR = 16
 """A token's term counts for more than any number of ticks, claims and eras."""
 ERA_FACTOR = 8
-"""The store's era counts for more than any number of ticks."""
+"""The store's era counts for more than any number of ticks, in a variant."""
+ERA_ABOVE_FACTOR = 256
+"""The store's era counts for more than any term."""
 MAX_TERM = 3
 
 IDLE, CLAIMED, ASKED, PAUSED, SEALED, UNSEALING, RELEASING = range(7)
@@ -114,6 +117,8 @@
     """The VM that called under it."""
     highest_term: int = 0
     """The term that this call was to replace."""
+    forgotten: int = 0
+    """How often the endpoints started again with nothing."""
     fell: bool = False
     fell_across: bool = False
     """Whether the token of a later term was lower."""
@@ -155,7 +160,11 @@
     next_term_keeps: bool = True
     compare_at_seal: bool = True
     claim_at_seal: bool = True
-    era_below_term: bool = True
+    forgets: int = 0
+    """How often the endpoints may start again with nothing; from term 2 on, with a copy
+    of the store of term 1."""
+    era: str = "above"
+    """Whether the store's era is `above` or `below` the term, or `none`."""
     wall_clock: bool = True
     term_above: bool = True
     """Whether the term is above the seconds, not below them."""
@@ -211,6 +220,11 @@
             f"a promotion takes effect and begins term {state.term + 1}",
             state._replace(term=state.term + 1, accepted=state.accepted - 1),
         )
+    if state.forgotten < rules.forgets and state.term > 1:
+        yield (
+            "the endpoints start again with nothing",
+            state._replace(term=1, held=0, accepted=0, forgotten=state.forgotten + 1),
+        )
     if state.clock < rules.max_clock and not rules.fine_clock:
         yield "the wall clocks tick", state._replace(clock=state.clock + 1)
     for v in VMS:
@@ -369,8 +383,11 @@
     if rules.design == "term_revision":
         return TERM_FACTOR * TERM_FACTOR * (vm.term + 1) + revision
     clock = state.clock + (rules.ahead if v == 0 else 0) if rules.wall_clock else 0
-    if rules.era_below_term and v in rules.noticed:
-        clock += ERA_FACTOR * vm.losses
+    era = vm.losses if v in rules.noticed else 0
+    if rules.era == "below":
+        clock += ERA_FACTOR * era
+    elif rules.era == "above":
+        clock += ERA_ABOVE_FACTOR * era
     if rules.term_above:
         return max(TERM_FACTOR * (vm.term + 1) + clock, vm.token + 1)
     return max(TERM_FACTOR * clock + vm.term + 1, vm.token + 1)
@@ -490,13 +507,14 @@
 ) -> Check:
     model = protocol(
         "fencing_tokens",
-        State(),
+        _INITIAL_IN_TERM_2 if rules.forgets else State(),
         lambda state: _steps(state, rules),
         **{prop: PROPERTIES[prop]},
     )
     return Check("fencing_tokens", prop, model, omitted_rule, expect_refuted)
 
 
+_INITIAL_IN_TERM_2 = State(term=2, store=Store(term=2), copy=Store())
 _ALL = frozenset(VMS)
 _WALL = Variant(restarts=False)
 _THREE_CALLS = _WALL._replace(max_calls=3)
@@ -506,6 +524,7 @@
 _BENT_KEPT = _KEPT._replace(ahead=2)
 _BENT = _WALL._replace(ahead=2)
 _READ = _BENT._replace(read_by_all=True)
+_FORGET = Variant(noticed=_ALL, forgets=1, claim_at_call=True, sort=True)
 
 CHECKS = [
     _check(_THREE_CALLS._replace(sort=True), expect_refuted=False, prop="ordered"),
@@ -545,6 +564,18 @@
         expect_refuted=False,
         prop="ordered",
     ),
+    _check(
+        _FORGET,
+        "the terms of the endpoints, which start again with nothing",
+        expect_refuted=False,
+        prop="ordered",
+    ),
+    _check(
+        _WALL._replace(noticed=frozenset({0})),
+        "the era at one of the VMs; the roster is enough",
+        expect_refuted=False,
+        prop="ordered",
+    ),
     _check(
         _WALL._replace(waits=False, claim_at_call=True, sort=True),
         "the wait for an earlier holder; the claim is asked for right before the call",
@@ -649,8 +680,16 @@
     ),
     _check(_WALL._replace(wall_clock=False), "the wall clock"),
     _check(
-        _BENT._replace(noticed=_ALL, era_below_term=False),
-        "the store's era below the term (all VMs notice the loss, wall clocks differ)",
+        _BENT._replace(noticed=_ALL, era="none"),
+        "the store's era (all VMs notice the loss, wall clocks differ)",
+    ),
+    _check(
+        _FORGET._replace(era="below"),
+        "the store's era above the term (the endpoints and the store lose all)",
+    ),
+    _check(
+        _FORGET._replace(noticed=frozenset()),
+        "an era that tells the loss (the endpoints and the store lose all)",
     ),
     _check(
         _BENT._replace(term_above=False),
--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -100,6 +100,12 @@
         for stream in list(self.streams):
             stream.abort()
 
+    def lose_data(self, *, is_primary: bool) -> None:
+        """Lose log and terms while stopped; the next start is the first one."""
+        self.log, self.applied_count = [], 0
+        self.term, self.is_primary = 1, is_primary
+        self.born += 1
+
     def _accept(self) -> LineStream:
         return _AcceptedStream(self._serve)
 
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -59,10 +59,10 @@
 TOKEN_TICKS_PER_S = 16
 _TOKEN_TIME_BITS = 36
 """Ticks since the epoch, until the year 2106."""
-_TOKEN_ERA_BITS = 11
+_TOKEN_TERM_BITS = 16
 _MAX_TOKEN_TIME = (1 << _TOKEN_TIME_BITS) - 1
-_MAX_TOKEN_ERA = (1 << _TOKEN_ERA_BITS) - 1
-_MAX_TOKEN_TERM = MAX_NUMBER >> (_TOKEN_ERA_BITS + _TOKEN_TIME_BITS)
+_MAX_TOKEN_TERM = (1 << _TOKEN_TERM_BITS) - 1
+_MAX_TOKEN_ERA = MAX_NUMBER >> (_TOKEN_TERM_BITS + _TOKEN_TIME_BITS)
 
 _log = get_logger("replication")
 
@@ -521,7 +521,7 @@
         """
         next_term = min(term + 1, _MAX_TOKEN_TERM)
         ticks = int(self._clock.wall() * TOKEN_TICKS_PER_S)
-        token = (next_term << _TOKEN_ERA_BITS) + (self._history.era & _MAX_TOKEN_ERA)
+        token = (min(self._history.era, _MAX_TOKEN_ERA) << _TOKEN_TERM_BITS) + next_term
         token = (token << _TOKEN_TIME_BITS) + min(max(0, ticks), _MAX_TOKEN_TIME)
         return max(token, self._highest_token + 1)
 
--- a/tests/test_fencing_tokens.py
+++ b/tests/test_fencing_tokens.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -71,6 +72,35 @@
         cluster.check()
 
 
+class TestTermsThatStartAgain:
+    async def test_failover_after_endpoints_and_store_lost_all_has_a_higher_token(
+        self, cluster: Cluster
+    ) -> None:
+        copy, endpoints = cluster.store.copy(), cluster.group.endpoints
+        for zone in range(3):
+            await (await cluster.start_edge(zone=zone)).wait_until_ready()
+        cluster.write_through(cluster.edges[0])
+        await cluster.wait_for_writes()
+        for _ in range(2):
+            await replace_crashed_primary(cluster)
+        for edge in cluster.edges:
+            await edge.stop(signal.SIGKILL)
+        for endpoint in endpoints:
+            await endpoint.stop()
+            endpoint.lose_data(is_primary=endpoint is endpoints[0])
+        cluster.platform.restore_store(copy)
+        for endpoint in endpoints:
+            await endpoint.start(endpoint.port)
+        for zone, edge in enumerate(cluster.edges):
+            await edge.start(zone=zone)
+        for edge in cluster.edges:
+            await edge.wait_until_ready()
+        await cluster.wait_for_writes()
+        await replace_crashed_primary(cluster)
+        assert len(cluster.store.received_calls) >= 3
+        assert not find_token_violations(cluster.store.received_calls)
+
+
 class SetClock:
     """Clock whose time of day is set."""
 
@@ -158,6 +188,22 @@
         other = Holder(store, "vm2", clock=SetClock(0.0), era=2)
         assert await other.seal(1) > token > 0
 
+    async def test_a_later_era_has_a_higher_token_though_the_terms_start_again(
+        self, store: FakeStore
+    ) -> None:
+        """Guards against endpoints that lose their terms together with the store."""
+        token = await Holder(store, "vm1", clock=SetClock(4_000_000_000.0)).seal(3)
+        store.items.clear()
+        assert await Holder(store, "vm2", clock=SetClock(0.0), era=2).seal(1) > token
+
+    @pytest.mark.parametrize("era", [2**11 - 1, 2**11, 2**23 - 1])
+    async def test_an_era_beyond_its_bits_does_not_lower_the_token(
+        self, store: FakeStore, era: int
+    ) -> None:
+        token = await Holder(store, "vm1", era=era).seal(1)
+        store.items.clear()
+        assert await Holder(store, "vm2", era=era + 1).seal(2) > token
+
     async def test_a_vm_that_knows_a_lost_token_exceeds_it_with_a_slow_clock(
         self, store: FakeStore
     ) -> None:
