Ask for a way to the promotion API only as holder, unless there was none before

Each VM that wanted to replace a primary asked the promotion API, also while another held the claim, which uses up what the platform accepts from all VMs. A VM now asks under its claim, before it pauses anything. One that got no answer asks before it claims the next time, and so leaves the claim to the others. A VM that finds the claim taken reads the roster, so that its wait for an announced call starts then.

From the review: an unexpected error while connecting ended all later attempts of the group; a gateway's own answer (5xx) counted as the platform's; a call was written to a connection that was opened after the answer, though the platform doesn't close connections.

--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -143,24 +143,40 @@
     ) -> bool:
         """Replace the primary of `term`; return whether a later term has begun.
 
-        `acknowledged` is the highest log position that VMs saw acknowledged. Without an
-        answer of the promotion call, or while another VM's call is on its way, this VM
-        leaves the claim alone.
+        `acknowledged` is the highest log position that VMs saw acknowledged. While a
+        call of another VM is on its way, this VM leaves the claim alone.
         """
         if self._roster.has_unanswered_call(term):
             await self._roster.read()
         if self._must_await_call(term):
             return False
-        path = await self._paths.take()
-        if path is None:
-            _log.warning("promotion_path_missing", group=self._group.name, term=term)
-            return False
+        path = None
+        if self._paths.was_silent:
+            path = await self._open_path()
+            if path is None:
+                return False
+        claim = await self._claims.acquire(self._group.name)
         try:
-            return await self._replace_as_holder(
-                reason, path, term=term, acknowledged=acknowledged
-            )
+            if claim is None:
+                await self._roster.read()  # Its holder may have announced a call.
+                return False
+            if self._group.term != term:
+                return True  # Another holder has replaced this primary.
+            path = path or await self._open_path()
+            if path is None:
+                return False
+            return await self._replace_as_holder(claim, path, reason, acknowledged)
         finally:
-            path.close()
+            if path is not None:
+                path.close()
+            if claim is not None:
+                await self._claims.release(claim)
+
+    async def _open_path(self) -> PromotionPath | None:
+        path = await self._paths.take()
+        if path is None:
+            _log.warning("promotion_path_missing", group=self._group.name)
+        return path
 
     def _must_await_call(self, term: int) -> bool:
         """Whether an earlier call may arrive after one of this VM."""
@@ -175,21 +191,9 @@
         return True
 
     async def _replace_as_holder(
-        self,
-        reason: str,
-        path: PromotionPath,
-        *,
-        term: int,
-        acknowledged: LogPosition,
+        self, claim: Claim, path: PromotionPath, reason: str, acknowledged: LogPosition
     ) -> bool:
         group = self._group
-        claim = await self._claims.acquire(group.name)
-        if claim is None:
-            return False
-        if group.term != term:
-            # Another holder has replaced this primary.
-            await self._claims.release(claim)
-            return True
         _log.warning(
             "failover_started",
             group=group.name,
@@ -199,10 +203,7 @@
             claim=claim.revision,
         )
         started = self._clock.monotonic()
-        try:
-            done = await self._replace(claim, path, acknowledged)
-        finally:
-            await self._claims.release(claim)
+        done = await self._replace(claim, path, acknowledged)
         _log.warning(
             "failover_ended",
             group=group.name,
--- a/src/celeryjunction/failover/promotion_paths.py
+++ b/src/celeryjunction/failover/promotion_paths.py
@@ -1,12 +1,13 @@
-"""Opens a connection to the promotion call before a VM claims the right to promote.
+"""Opens connections to the promotion call, before anything is paused for a promotion.
 
-A VM that the platform doesn't answer would hold the claim for nothing, and its call
-could arrive after that of the next holder. It leaves the claim to the other VMs.
+A call over a connection on which the platform doesn't answer could arrive after that of
+the next holder. A VM that got no answer once leaves the right to promote to the others
+until it gets one.
 
     paths = PromotionPaths(promoter)
     path = await paths.take()
-    if path is not None:
-        claim = await claims.acquire(group)
+    if path is not None and await path.confirm():
+        await path.promote(request)
 """
 
 from __future__ import annotations
@@ -24,23 +25,31 @@
 class PromotionPaths:
     """Connections to the promotion call for the attempts of one group."""
 
-    __slots__ = ("_closing", "_opening", "_promoter")
+    __slots__ = ("_closing", "_opening", "_promoter", "_was_silent")
 
     def __init__(self, promoter: Promoter) -> None:
         self._promoter = promoter
         self._opening: asyncio.Task[PromotionPath | None] | None = None
         self._closing: asyncio.TimerHandle | None = None
+        self._was_silent = False
+
+    @property
+    def was_silent(self) -> bool:
+        """Whether the last attempt to open a connection got no answer yet."""
+        return self._was_silent
 
     async def take(self) -> PromotionPath | None:
         """Return a connection on which the platform answered; None without one yet."""
         if self._opening is None:
             self._opening = asyncio.create_task(self._open())
         await asyncio.wait({self._opening}, timeout=OPEN_WAIT_S)
-        if self._opening is None or not self._opening.done():
-            return None
-        path, self._opening = self._opening.result(), None
-        if self._closing is not None:
-            self._closing.cancel()
+        opening, path = self._opening, None
+        if opening is not None and opening.done():
+            self._opening = None
+            if self._closing is not None:
+                self._closing.cancel()
+            path = opening.result()
+        self._was_silent = path is None
         return path
 
     async def _open(self) -> PromotionPath | None:
--- a/src/celeryjunction/platform/promotion.py
+++ b/src/celeryjunction/platform/promotion.py
@@ -22,6 +22,8 @@
 LEAST_ANSWER_LIMIT_S = 0.3
 USUAL_ANSWERS = 4
 """A connection counts as silent after so many times its first answer's time."""
+GATEWAY_FAILURES = (502, 504)
+"""Statuses of a gateway that may have passed the call on and got no answer."""
 CHECK_PATH = "/"
 """Path of the request that only has to be answered, with whatever status."""
 
@@ -47,22 +49,30 @@
         self._client = client
         self._channel: HttpChannel | None = None
         self._answer_limit_s = ANSWER_LIMIT_S
+        self._closes = False
+        """Whether the platform closes connections after an answer."""
 
     async def confirm(self) -> bool:
         """Return whether the platform answers on this connection now.
 
-        The answer's status doesn't matter. If the platform closes the connection after
-        it, the next request opens another one.
+        The answer's status doesn't matter, unless it may be that of a gateway which
+        doesn't reach the platform. If the platform closes the connection after it, the
+        next request opens another one.
         """
         loop = asyncio.get_running_loop()
         began = loop.time()
         try:
             channel = await self._open_channel()
-            await channel.request("GET", CHECK_PATH, timeout=self._answer_limit_s)
+            response = await channel.request(
+                "GET", CHECK_PATH, timeout=self._answer_limit_s
+            )
+            if response.status >= 500:
+                raise HttpFailure(f"status {response.status}")
         except HttpFailure as error:
             _log.warning("promotion_api_silent", reason=str(error))
             self.close()
             return False
+        self._closes = channel.closed
         usual_s = USUAL_ANSWERS * (loop.time() - began)
         self._answer_limit_s = min(ANSWER_LIMIT_S, max(LEAST_ANSWER_LIMIT_S, usual_s))
         return True
@@ -72,11 +82,16 @@
             self._channel = await self._client.open_channel()
         return self._channel
 
+    def _is_confirmed(self) -> bool:
+        return self._closes or not (self._channel is None or self._channel.closed)
+
     async def promote(self, request: PromotionRequest) -> PromotionResult:
         """Send the request; the connection is closed afterwards."""
         token = str(request.fencing_token)
         headers = {"X-Duty-Holder": request.holder, "X-Fence-Token": token}
         body = msgspec.json.encode({"service": request.group, "id": request.endpoint})
+        if not self._is_confirmed():
+            return PromotionResult.REFUSED
         try:
             channel = await self._open_channel()
         except HttpFailure:
@@ -103,6 +118,8 @@
             self.close()
         if response.status == 200:
             return PromotionResult.ACCEPTED
+        if response.status in GATEWAY_FAILURES:
+            return PromotionResult.UNANSWERED
         if response.status >= 500 and response.status != 503:
             return PromotionResult.UNKNOWN
         return PromotionResult.REFUSED
--- a/tests/test_confirmed_commits.py
+++ b/tests/test_confirmed_commits.py
@@ -816,9 +816,13 @@
         vm = await started_vm(cluster, store)
         cluster["a1"].silent = True
         cluster.promotion_api_answers = False
+        assert not await self.replace(vm)
+        assert cluster["b1"].held_term == cluster["c1"].held_term == 0
         writes = store.revision
         assert not await self.replace(vm)
         assert store.revision == writes
+        cluster.promotion_api_answers = True
+        assert await self.replace(vm)
 
     async def test_without_an_answer_right_before_the_call_it_is_not_sent(
         self, cluster: FakeCluster, store: FakeStore
