Count a promotion call as answered only if the platform answered it

- A repeat whose seal was not stored (claim lost, slow store) counted as an answer, so the first call was awaited no longer and a higher token came first.
- A VM repeated its token although the store had lost a higher one since.
A repeat is allowed once, within the limit.
- A seal that the store lost was not awaited any more, not even by VMs that had read it.
- A VM whose calls have no effect kept the others away by repeating: no primary for 180 s.
Now the others try first after the limit.
- Two answered calls held up the next term's failover; a flag of the roster outlived the call and started the wait anew after a refusal or a restart.

Left: a holder that ends between seal and call leaves the seal for the limit.

--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -67,6 +67,7 @@
         "claim",
         "demoted_primary",
         "infos",
+        "is_announced",
         "old_primary",
         "outstanding",
         "path",
@@ -109,6 +110,8 @@
         """Statuses of the paused replicas."""
         self.promotion_pending = False
         """Whether an earlier promotion may rely on the pauses."""
+        self.is_announced = False
+        """Whether the call of this attempt is announced in the stored roster."""
         self.token = 0
         """Fencing token of the promotion; 0 until one is decided."""
 
@@ -549,6 +552,7 @@
             token=attempt.token,
             earlier_calls=earlier_calls,
         )
+        attempt.is_announced = bool(sealed)
         if not sealed:
             attempt.promotion_pending = attempt.promotion_pending or sealed is None
             return await self._give_up(attempt, chosen, reason="not_sealed")
@@ -582,9 +586,13 @@
         )
         if result is PromotionResult.REFUSED:
             return await self._give_up(attempt, chosen, reason="refused")
+        is_answered = result is not PromotionResult.UNANSWERED
+        if is_answered and attempt.sealed:
+            # The next term has to know which of several calls were answered.
+            await self._roster.record_answer(token=attempt.token)
         if await self._wait_for_takeover(attempt.paused, term, TAKEOVER_TIMEOUT_S):
             return True
-        if result is not PromotionResult.UNANSWERED:
+        if is_answered and not attempt.sealed:
             await self._roster.record_answer(token=attempt.token)
         return False
 
@@ -601,9 +609,9 @@
             token=attempt.token,
             reason=reason,
         )
-        if attempt.sealed:
+        if attempt.sealed and attempt.is_announced:
             await self._roster.record_answer(token=attempt.token)
-        elif not await self._roster.unseal(token=attempt.token):
+        elif not attempt.sealed and not await self._roster.unseal(token=attempt.token):
             attempt.promotion_pending = True
         await self._abort(claim, attempt.paused, attempt.promotion_pending)
         return False
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -49,6 +49,8 @@
 CALL_LIMIT_S = 8.0
 """A promotion call that the platform hasn't answered counts as lost after this: it may
 be held up on its way, or carried out up to 6 s late."""
+MAX_CALLS = 2
+"""Calls of one VM under one token."""
 READ_INTERVAL_S = 0.1
 """Shortest pause between two reads by VMs that wait for the roster of a new term."""
 SEALED_READ_INTERVAL_S = 0.2
@@ -108,6 +110,13 @@
         """Whether a promotion was or will be requested under this roster."""
         return bool(self.next_primary)
 
+    @property
+    def has_call_out(self) -> bool:
+        """Whether a call may be on its way that the platform hasn't answered."""
+        if self.is_sealed:
+            return self.answered < self.seals
+        return self.has_unanswered_call
+
     @property
     def highest_token(self) -> int:
         """Highest fencing token known; VMs of earlier versions keep only the seal's."""
@@ -125,7 +134,7 @@
             size=self.size,
             floor=self.next_floor,
             outstanding=self.next_primary if self.seals > 1 else "",
-            has_unanswered_call=self.seals > 1 and self.answered < self.seals,
+            has_unanswered_call=self.seals > 1 and self.has_call_out,
             fence=self.highest_token,
         )
 
@@ -147,6 +156,7 @@
 
     __slots__ = (
         "_absent_since",
+        "_call_awaited_until",
         "_clock",
         "_departed",
         "_first_received",
@@ -194,6 +204,8 @@
         self._highest_token = 0
         self._seal_seen: tuple[tuple[int, int, int, str], float] | None = None
         """The calls that may be outstanding, and since when they are known; seconds."""
+        self._call_awaited_until = 0.0
+        """Until when a call may arrive whose seal the store has lost; seconds."""
         self._next_read_at = 0.0
         self._read_at = 0.0
         """When the read or write of the known stored roster was sent; seconds."""
@@ -396,6 +408,8 @@
         changed = changed or self._floor > stored.floor
         changed = changed or self._highest_token > stored.highest_token
         changed = changed or seen.size > stored.size
+        is_old = self.seal_age_s >= SEAL_LIMIT_S
+        changed = changed or (bool(stored.outstanding) and is_old)
         return changed or (bool(seen.primary) and stored.primary != seen.primary)
 
     async def read(self) -> Roster | None:
@@ -472,6 +486,8 @@
 
     def _keep_lost(self, lost: Roster) -> None:
         """Take over what only the roster of an earlier era of the store tells."""
+        if lost.has_call_out and self._seal_seen is not None:
+            self._call_awaited_until = self._seal_seen[1] + CALL_LIMIT_S
         if lost.term > self._seen.term:
             self._departed.clear()
         if lost.term >= self._seen.term:
@@ -607,6 +623,10 @@
             )
             return False
         is_repeated = current.next_primary == announced.next_primary
+        # Calls that were awaited for the limit don't count as on their way any more.
+        is_lost = self.seal_age_s >= CALL_LIMIT_S
+        answered = current.seals if is_lost else current.answered
+        is_old = self.seal_age_s >= SEAL_LIMIT_S
         sealed = msgspec.structs.replace(
             current,
             next_primary=announced.next_primary,
@@ -615,7 +635,9 @@
             seal_token=announced.seal_token,
             seal_holder=announced.seal_holder,
             seals=current.seals + 1 if is_repeated else 1,
-            answered=current.answered if is_repeated else 0,
+            answered=answered if is_repeated else 0,
+            outstanding="" if is_old else current.outstanding,
+            has_unanswered_call=current.has_unanswered_call and not is_old,
             fence=announced.seal_token,
         )
         return await self._put(
@@ -654,21 +676,37 @@
         stored = self._stored_roster
         if stored is None or (stored.term, stored.next_primary) != (term, chosen):
             return 0, 0
-        if stored.seal_holder != self._vm or stored.seal_token < self._highest_token:
-            return 0, 0
-        return stored.seal_token, stored.seals
+        return (stored.seal_token, stored.seals) if self._may_repeat(stored) else (0, 0)
+
+    def _may_repeat(self, stored: Roster) -> bool:
+        """Whether a sealed roster announces a call that this VM may repeat.
+
+        Not for long: another VM may have called since, and one whose calls have no
+        effect must not keep the others waiting.
+        """
+        return (
+            stored.seal_holder == self._vm
+            and stored.seal_token == self._highest_token
+            and stored.seals < MAX_CALLS
+            and self.seal_age_s < CALL_LIMIT_S
+        )
 
     def has_unanswered_call(self, term: int) -> bool:
         """Whether a call that this VM can't repeat may be on its way to the platform.
 
         After a call with a higher token it would arrive with a lower one.
         """
+        if self._clock.monotonic() < self._call_awaited_until:
+            return True
         stored = self._stored_in_term(term)
-        if stored is None or self.seal_age_s >= CALL_LIMIT_S:
+        if stored is None:
+            return False
+        # After one without an answer, the other VMs try first.
+        is_own = stored.seal_holder == self._vm
+        if self.seal_age_s >= (SEAL_LIMIT_S if is_own else CALL_LIMIT_S):
             return False
-        if not stored.is_sealed:
-            return stored.has_unanswered_call
-        return stored.answered < stored.seals and stored.seal_holder != self._vm
+        may_repeat = stored.is_sealed and self._may_repeat(stored)
+        return stored.has_call_out and not may_repeat
 
     async def record_answer(self, *, token: int) -> None:
         """Store that the platform answered a call under this token."""
@@ -735,9 +773,15 @@
             announced = stored.successor()
             stored = announced if announced.term == seen.term else stored
         if stored.term < seen.term:
-            floor = max(self._floor, self._first_received)
+            called = stored.next_primary or stored.outstanding
+            has_call_out = stored.has_call_out and self.seal_age_s < SEAL_LIMIT_S
             return msgspec.structs.replace(
-                seen, size=size, floor=floor, fence=self._highest_token
+                seen,
+                size=size,
+                floor=max(self._floor, self._first_received),
+                outstanding=called if has_call_out else "",
+                has_unanswered_call=has_call_out,
+                fence=self._highest_token,
             )
         if stored.outstanding and self.seal_age_s >= SEAL_LIMIT_S:
             stored = msgspec.structs.replace(
