Await a RESUME that a replica hasn't answered before the next failover

An acknowledged commit could be lost. A holder that gave up sent RESUME over a link that fell silent, and released its claim. The next holder found the replica paused, sealed the roster and called; the RESUME arrived then. The replica received from the old primary, which no DEMOTE had reached, and was a witness of its commits, which the promoted one lacked.

A holder now announces its RESUME commands in the roster, in one transaction with its claim that a seal prevents, sends each right after the replica answered, and takes the announcement back once all were answered. Until then no VM begins a failover, for RESUME_LIMIT_S (10 s) at most, and the roster can't be sealed.

The cost is two more round trips to the store for a failover that is given up, and up to 10 s without one where a replica's link falls silent within a round trip, or the holder dies.

--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -142,9 +142,10 @@
         answer of the promotion call, or while another VM's call is on its way, this VM
         leaves the claim alone.
         """
-        if self._roster.has_unanswered_call(term):
-            await self._roster.read()
-        if self._must_await_call(term):
+        roster = self._roster
+        if roster.has_unanswered_call(term) or roster.has_unanswered_resume:
+            await roster.read()
+        if self._must_wait(term):
             return False
         path = await self._paths.take()
         if path is None:
@@ -157,8 +158,11 @@
         finally:
             path.close()
 
-    def _must_await_call(self, term: int) -> bool:
-        """Whether an earlier call may arrive after one of this VM."""
+    def _must_wait(self, term: int) -> bool:
+        """Whether an earlier promotion call or RESUME may arrive after this VM's."""
+        if self._roster.has_unanswered_resume:
+            _log.warning("unanswered_resume_awaited", group=self._group.name, term=term)
+            return True
         if not self._roster.has_unanswered_call(term):
             return False
         _log.warning(
@@ -215,7 +219,7 @@
         stored = await self._roster.read()
         if stored is None or not await self._refresh_register():
             return False
-        if self._must_await_call(term):
+        if self._must_wait(term):
             return False
         attempt = self._begin_attempt(claim, path, stored)
         statuses = await self._ask_all(attempt.infos)
@@ -494,12 +498,15 @@
 
         That may be an earlier promotion or one of another VM that has the claim now, so
         the store has to confirm the claim. A later attempt then completes the
-        replacement.
+        replacement. No VM begins one until each replica has answered its RESUME, which
+        is sent only to those that answer right before.
         """
         if promotion_pending:
             return
-        if not await self._claims.is_valid(claim):
-            _log.warning("claim_lost", group=claim.group, claim=claim.revision)
+        send_before = self._clock.monotonic() + MAX_DECISION_S
+        condition = self._claims.condition(claim)
+        resuming = await self._roster.begin_resume(claim=condition)
+        if not resuming:
             return
         # One that hasn't joined the term would receive from the primary of its own.
         names = [name for name in paused if self._has_joined(name)]
@@ -509,9 +516,21 @@
             endpoints=names,
             claim=claim.revision,
         )
-        await asyncio.gather(*(self._send(name, ResumeReceiving()) for name in names))
+        settled = await asyncio.gather(
+            *(self._resume(name, send_before) for name in names)
+        )
+        if all(settled):
+            await self._roster.end_resume(resuming)
         self._group.refresh_soon()
 
+    async def _resume(self, endpoint: str, send_before: float) -> bool:
+        """Let a replica receive again if it answers; False if RESUME is unanswered."""
+        if await self._send(endpoint) is None:
+            return True
+        if self._clock.monotonic() >= send_before:
+            return True
+        return await self._send(endpoint, ResumeReceiving()) is not None
+
     def _has_joined(self, endpoint: str) -> bool:
         known = self._group.statuses.get(endpoint)
         return known is None or known[1].term == self._group.term
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -22,6 +22,7 @@
 
 from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 from operator import attrgetter
+from secrets import token_hex
 
 import msgspec
 
@@ -46,6 +47,9 @@
 SEAL_LIMIT_S = 10.0
 """A sealed promotion may still take effect for this long: the platform carries a call
 out up to 6 s late, and a promotion takes up to 3 s."""
+RESUME_LIMIT_S = 10.0
+"""A RESUME without an answer may still arrive for this long, like a promotion call."""
+RESUME_ID_BYTES = 8
 READ_INTERVAL_S = 0.1
 """Shortest pause between two reads by VMs that wait for the roster of a new term."""
 SEALED_READ_INTERVAL_S = 0.2
@@ -99,6 +103,8 @@
     """Whether a call under the seal of the term before may still be on its way."""
     fence: Count = 0
     """Highest fencing token of the group's promotions, in this term and before."""
+    resuming: Name = ""
+    """Id of the RESUME commands that a holder sends; empty if all were answered."""
 
     @property
     def is_sealed(self) -> bool:
@@ -155,6 +161,7 @@
         "_next_read_at",
         "_read_at",
         "_registered",
+        "_resume_seen",
         "_seal_seen",
         "_seen",
         "_store",
@@ -191,6 +198,9 @@
         self._highest_token = 0
         self._seal_seen: tuple[tuple[int, int, int, str], float] | None = None
         """The calls that may be outstanding, and since when they are known; seconds."""
+        self._resume_seen = ("", 0.0)
+        """Id of the RESUME commands in the stored roster, and since when it is known;
+        seconds."""
         self._next_read_at = 0.0
         self._read_at = 0.0
         """When the read or write of the known stored roster was sent; seconds."""
@@ -392,6 +402,7 @@
         changed = changed or not set(seen.departed) <= set(stored.departed)
         changed = changed or self._floor > stored.floor
         changed = changed or self._highest_token > stored.highest_token
+        changed = changed or stored.resuming != self._unanswered_resume(stored)
         changed = changed or seen.size > stored.size
         return changed or (bool(seen.primary) and stored.primary != seen.primary)
 
@@ -431,6 +442,8 @@
         self._newest_stored_term = max(self._newest_stored_term, roster.term)
         self._highest_token = max(self._highest_token, roster.highest_token)
         self._note_seal(roster)
+        if roster.resuming != self._resume_seen[0]:
+            self._resume_seen = (roster.resuming, self._clock.monotonic())
 
     def _note_seal(self, roster: Roster) -> None:
         called = roster.next_primary or roster.outstanding
@@ -589,6 +602,9 @@
             return False  # The roster of this term has to be stored first.
         if current is None:
             current = Roster(term=term)
+        if self.has_unanswered_resume:
+            _log.warning("roster_not_sealed", entry=self._key, resuming=stored.resuming)
+            return False
         missing = self._unpaused_members(current, paused)
         lowest = stored.highest_token + (0 if is_own else 1)
         is_highest = lowest <= announced.seal_token <= MAX_NUMBER
@@ -613,6 +629,7 @@
             seals=current.seals + 1 if is_repeated else 1,
             answered=current.answered if is_repeated else 0,
             fence=announced.seal_token,
+            resuming="",
         )
         return await self._put(
             sealed, [claim, Compare(self._key, revision)], timeout=SEAL_TIMEOUT_S
@@ -666,6 +683,54 @@
             return stored.has_unanswered_call
         return stored.answered < stored.seals and stored.seal_holder != self._vm
 
+    @property
+    def has_unanswered_resume(self) -> bool:
+        """Whether a RESUME may still arrive and end a pause."""
+        stored = self._stored_roster
+        return stored is not None and bool(self._unanswered_resume(stored))
+
+    def _unanswered_resume(self, stored: Roster) -> str:
+        """Return the id of the RESUME commands that may still arrive, or empty."""
+        resuming, since = self._resume_seen
+        is_old = self._clock.monotonic() - since >= RESUME_LIMIT_S
+        return "" if stored.resuming == resuming and is_old else stored.resuming
+
+    async def begin_resume(self, *, claim: Compare) -> str:
+        """Announce RESUME commands; return their id for `end_resume`.
+
+        Empty if that isn't stored: the claim is lost, the roster is sealed, an earlier
+        RESUME may still arrive, or the store doesn't answer.
+        """
+        resuming = token_hex(RESUME_ID_BYTES)
+        for _ in range(SEAL_ATTEMPTS):
+            found = await self._read_revision(timeout=SEAL_TIMEOUT_S)
+            if found is None:
+                continue
+            stored, revision = found
+            if stored.resuming == resuming:
+                return resuming  # An earlier attempt, whose answer was lost.
+            if stored.is_sealed or self.has_unanswered_resume:
+                break
+            announced = msgspec.structs.replace(stored, resuming=resuming)
+            compares = [claim, Compare(self._key, revision)]
+            if await self._put(announced, compares, timeout=SEAL_TIMEOUT_S):
+                return resuming
+        _log.warning("resume_not_announced", entry=self._key)
+        return ""
+
+    async def end_resume(self, resuming: str) -> None:
+        """Record that all RESUME commands of this id were answered or not sent."""
+        for _ in range(SEAL_ATTEMPTS):
+            found = await self._read_revision()
+            if found is None:
+                continue
+            stored, revision = found
+            if stored.resuming != resuming:
+                return
+            ended = msgspec.structs.replace(stored, resuming="")
+            if await self._put(ended, [Compare(self._key, revision)]):
+                return
+
     async def record_answer(self, *, token: int) -> None:
         """Store that the platform answered a call under this token."""
         found = await self._read_revision()
@@ -733,7 +798,11 @@
         if stored.term < seen.term:
             floor = max(self._floor, self._first_received)
             return msgspec.structs.replace(
-                seen, size=size, floor=floor, fence=self._highest_token
+                seen,
+                size=size,
+                floor=floor,
+                fence=self._highest_token,
+                resuming=self._unanswered_resume(stored),
             )
         if stored.outstanding and self.seal_age_s >= SEAL_LIMIT_S:
             stored = msgspec.structs.replace(
@@ -751,6 +820,7 @@
             outstanding=stored.outstanding,
             has_unanswered_call=stored.has_unanswered_call,
             fence=self._highest_token,
+            resuming=self._unanswered_resume(stored),
         )
 
     def needs_primary_position(
--- a/tests/replicated_fakes.py
+++ b/tests/replicated_fakes.py
@@ -64,6 +64,8 @@
         self.log: list[LogPosition] = []
         self.held_term = 0
         self.silent = False
+        self.ignores_resume = False
+        """Fault: RESUME commands are neither run nor answered."""
         self.refusing = False
         self.replication_cut = False
         self.applied = 10**9
@@ -249,7 +251,8 @@
 
     async def _run(self, command: Command) -> Answer:
         endpoint = self._endpoint
-        if endpoint.silent:
+        ignored = endpoint.ignores_resume and isinstance(command, ResumeReceiving)
+        if endpoint.silent or ignored:
             await self._closed_event.wait()
             raise ConnectionLost("the connection was closed", sent=True)
         await asyncio.sleep(2 * DELAY_S)
--- a/tests/test_commits_lost.py
+++ b/tests/test_commits_lost.py
@@ -21,11 +21,15 @@
 
 from bench.platform_cluster import LineClient
 from bench.soak import FaultProxy
+from celeryjunction.platform.standin import StandinEndpoint
+from celeryjunction.replication.roster import RESUME_LIMIT_S
 
 FENCED_LIMIT_S = 8.0
 """Time for a promotion that may rightly not happen."""
 EFFECT_DELAY_S = 1.0
 """Delay of a promotion's effect on the slowest site."""
+SILENCE_S = 6.0
+"""Time for which a link withholds a command."""
 PATH_DELAY_S = 0.05
 """Delay of a message to a distant endpoint."""
 
@@ -93,13 +97,44 @@
         await wait_for(lambda: holder.state == "T")
         ignore_caller(primary, "edge-3")
         await cluster.start_edge(zone=2)
-        await wait_for(lambda: cluster.store.promotions)
+        limit_s = RESUME_LIMIT_S + STEP_LIMIT_S
+        await wait_for(lambda: cluster.store.promotions, limit_s)
         await asyncio.sleep(EFFECT_DELAY_S / 4)
         holder.process.send_signal(signal.SIGCONT)
         await commit
         await wait_for(lambda: cluster.judge.promotions)
         cluster.check()
 
+    async def test_resume_held_up_by_a_silent_link_does_not_undo_later_pauses(
+        self, cluster: Cluster
+    ) -> None:
+        primary, first, second = cluster.group.endpoints
+        cluster.group.promotion_delay_s = EFFECT_DELAY_S
+        front, store = await cluster.start_isolated_edge()
+        holder = await cluster.start_edge()
+        await holder.wait_until_ready()
+        cluster.write_through(front, clients=4)
+        await cluster.wait_for_writes()
+        store.block("up", "down")
+        # The holder gives up, as one replica ignores its PAUSE.
+        first.ignores = lambda name, word: (
+            name == front.name or (name, word) == (holder.name, b"PAUSE")
+        )
+        held = hold_resume(second, holder.name)
+        cluster.store.register(primary, state="draining")
+        await wait_for(lambda: held and "failover/db" not in cluster.store.items)
+        holder.process.send_signal(signal.SIGSTOP)
+        ignore_caller(primary, "edge-3")
+        await cluster.start_edge(zone=2)
+        await occurs(lambda: cluster.store.promotions, SILENCE_S)
+        # The next holder's path to the replica is cut when the RESUME arrives.
+        ignore_caller(second, "edge-3")
+        second.held_term = 0
+        await asyncio.sleep(EFFECT_DELAY_S)
+        ignore_caller(second, "")
+        await wait_for(lambda: cluster.judge.promotions)
+        cluster.check()
+
     async def test_restarted_replica_does_not_acknowledge_during_a_promotion(
         self, cluster: Cluster
     ) -> None:
@@ -203,6 +238,20 @@
         cluster.check()
 
 
+def hold_resume(endpoint: StandinEndpoint, caller: str) -> list[bytes]:
+    """Withhold RESUME of a caller from an endpoint; return the list of those held."""
+    held: list[bytes] = []
+
+    def ignores(name: str, word: bytes) -> bool:
+        if (name, word) != (caller, b"RESUME"):
+            return False
+        held.append(word)
+        return True
+
+    endpoint.ignores = ignores
+    return held
+
+
 async def commit_when(client: LineClient, cluster: Cluster) -> None:
     """Commit a transaction when a promotion is called for, and record its outcome."""
     assert await client.send("BEGIN") == ["COMPLETE -", "READY T -"]
--- a/tests/test_confirmed_commits.py
+++ b/tests/test_confirmed_commits.py
@@ -31,6 +31,7 @@
 from celeryjunction.replication.receipts import MAX_WITNESS_AGE_S
 from celeryjunction.replication.roster import (
     READ_INTERVAL_S,
+    RESUME_LIMIT_S,
     SEAL_LIMIT_S,
     GroupRoster,
     Roster,
@@ -871,6 +872,20 @@
         )
         assert not (await vm.roster.read()).is_sealed
 
+    @staticmethod
+    async def seal_refused(vm: Vm) -> None:
+        claim = await vm.claims.acquire("g")
+        assert not await vm.roster.seal(
+            term=1,
+            next_primary="b1",
+            next_members=[],
+            next_floor=NO_COMMIT,
+            paused=["b1", "c1"],
+            claim=vm.claims.condition(claim),
+            token=vm.roster.next_token(1),
+        )
+        await vm.claims.release(claim)
+
     @staticmethod
     async def seal_for(vm: Vm, store: FakeStore, endpoint: str) -> None:
         assert await vm.roster.seal(
@@ -937,3 +952,64 @@
         await vm.coordinator._pause_all(infos, 2)
         await vm.coordinator._abort(claim, ["b1", "c1"], False)
         assert (cluster["b1"].held_term, cluster["c1"].held_term) == (0, 3)
+
+    async def test_an_answered_resume_holds_up_nobody(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await self.give_up(cluster, store)
+        assert not (await vm.roster.read()).resuming
+        assert cluster["b1"].held_term == cluster["c1"].held_term == 0
+
+    async def test_an_unanswered_resume_is_awaited_until_it_is_old(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against a RESUME that ends a pause of a later attempt."""
+        vm = await self.give_up(cluster, store, silent="c1")
+        cluster["a1"].silent = True
+        second = await started_second_vm(cluster, store)
+        for holder in (vm, second):
+            assert not await TestOutstandingPromotion.replace(holder)
+            assert holder.roster.has_unanswered_resume
+        await TestOutstandingPromotion.seal_refused(vm)
+        await asyncio.sleep(RESUME_LIMIT_S)
+        assert await TestOutstandingPromotion.replace(second)
+        assert len(cluster.promotions) == 1
+
+    async def test_a_resume_is_sent_only_to_replicas_that_just_answered(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        claim = await vm.claims.acquire("g")
+        await vm.coordinator._pause_all({"b1": cluster["b1"].info}, 1)
+        cluster["b1"].silent = True
+        await vm.coordinator._abort(claim, ["b1"], False)
+        assert not any(isinstance(c, ResumeReceiving) for c in cluster["b1"].commands)
+        assert not (await vm.roster.read()).resuming
+
+    async def test_other_writes_of_the_roster_keep_an_unanswered_resume(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        await self.give_up(cluster, store, silent="c1")
+        second = await started_second_vm(cluster, store)
+        second.roster.record_members(
+            term=2, primary="b1", members={"b1": cluster["b1"].info}, registered={}
+        )
+        assert await second.roster.write()
+        stored = await second.roster.read()
+        assert stored.term == 2
+        assert stored.resuming
+
+    @staticmethod
+    async def give_up(cluster: FakeCluster, store: FakeStore, silent: str = "") -> Vm:
+        """Return a VM that gave up; a replica may not answer its RESUME."""
+        vm = await started_vm(cluster, store)
+        claim = await vm.claims.acquire("g")
+        infos = {name: cluster[name].info for name in ("b1", "c1")}
+        await vm.coordinator._pause_all(infos, 1)
+        if silent:
+            cluster[silent].ignores_resume = True
+        await vm.coordinator._abort(claim, ["b1", "c1"], False)
+        await vm.claims.release(claim)
+        if silent:
+            cluster[silent].ignores_resume = False
+        return vm
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -233,6 +233,7 @@
     "seals": 1,
     "answered": 0,
     "outstanding": "",
+    "resuming": "",
 }
 ODD_ROSTERS = {
     kind: value
