Store or delete a vote again that a late call of this VM has changed

A vote's put or deletion that the store carries out late, or whose answer is lost, left a vote that its VM didn't know of: a suspicion of a primary that answers counted towards a failover until the VM ended, and an objection stored after the VM's suspicion held a failover up.

A VM compares its own votes that the watch reports with what it took for stored, and stores or deletes a differing one at its next vote. The change by its own call costs no further one.

tests/test_failover.py: three tests of late calls failed before and pass.

--- a/src/celeryjunction/failover/suspicions.py
+++ b/src/celeryjunction/failover/suspicions.py
@@ -80,6 +80,7 @@
         "_published",
         "_reachable",
         "_store",
+        "_unexpected",
         "_vm",
         "_withdrawn",
     )
@@ -102,6 +103,9 @@
         self._withdrawn: dict[str, int] = {}
         """How often the store had lost changes when the vote on each group was
         deleted."""
+        self._unexpected: set[str] = set()
+        """Groups on which the store had another vote of this VM than `_published`, as
+        a call was carried out late or its answer was lost."""
         self._others: dict[str, Vote] = {}
         """Suspicions of other VMs by key, as far as their changes were seen."""
         self._reachable = True
@@ -127,6 +131,7 @@
         last, lease, losses = self._published.get(group, (None, 0, 0))
         return (
             last is not None
+            and group not in self._unexpected
             and last.is_objection == vote.is_objection
             and (last.term, last.primary) == (vote.term, vote.primary)
             and (vote.is_objection or last.acknowledged >= vote.acknowledged)
@@ -141,16 +146,18 @@
         if not await self._put(put, lease=lease):
             return False
         self._published[group] = (vote, lease, losses)
+        self._unexpected.discard(group)
         return True
 
     async def withdraw(self, group: str) -> None:
         """Delete this VM's vote from the store, if it may be there."""
         losses = self._history.losses
         is_deleted = self._withdrawn.get(group, losses) == losses
-        if group not in self._published and is_deleted:
+        if not (group in self._published or group in self._unexpected) and is_deleted:
             return
         if await self._put(Put(self._key(group), None)):
             self._published.pop(group, None)
+            self._unexpected.discard(group)
             self._withdrawn[group] = losses
 
     def _key(self, group: str) -> str:
@@ -176,11 +183,22 @@
     def apply_change(self, event: WatchEvent) -> None:
         """Take over a change of a vote in the store."""
         vote = None if event.value is None else _decode(event.key, event.value)
-        if vote is None or vote.is_objection or vote.vm == self._vm:
+        group = suspected_group(event.key)
+        if event.key == self._key(group):
+            self._check_own(group, vote)
+        elif vote is None or vote.is_objection:
             self._others.pop(event.key, None)
         else:
             self._others[event.key] = vote
 
+    def _check_own(self, group: str, stored: Vote | None) -> None:
+        """Note whether the store has the vote that this VM takes for stored."""
+        published, *_ = self._published.get(group, (None,))
+        if stored == published:
+            self._unexpected.discard(group)
+        else:
+            self._unexpected.add(group)
+
     def is_suspected_by_others(self, group: str, *, term: int, primary: str) -> bool:
         """Whether another VM is known to suspect a primary."""
         return any(
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -393,6 +393,58 @@
         await suspicions.withdraw("g")
         assert store.calls == calls
 
+    async def test_a_late_one_that_the_vm_did_not_keep_is_deleted(
+        self, store: FakeStore
+    ) -> None:
+        """Guards against replacing a healthy primary on a vote without an answer."""
+        suspicions = Suspicions(store, vm="vm1")
+        store.lose_answers = 1
+        none = LogPosition(0, 0)
+        stored = suspicions.publish("g", term=1, primary="a1", acknowledged=none)
+        assert not await stored
+        assert await self.agreeing(store) == 1
+        self.watch(store, suspicions)
+        await suspicions.withdraw("g")
+        assert await self.agreeing(store) == 0
+
+    @pytest.mark.parametrize("late", ["put", "deletion"])
+    async def test_one_that_a_late_call_replaced_is_stored_again(
+        self, store: FakeStore, late: str
+    ) -> None:
+        """Guards against an objection that is stored after a later suspicion."""
+        suspicions = Suspicions(store, vm="vm1")
+        assert await suspicions.object("g", term=1, primary="a1")
+        (item,) = store.items.values()
+        none = LogPosition(0, 0)
+        for _ in range(2):
+            assert await suspicions.publish(
+                "g", term=1, primary="a1", acknowledged=none
+            )
+            assert await self.agreeing(store) == 1
+            store.put(item.key, item.value if late == "put" else None)
+            self.watch(store, suspicions)
+        assert await self.agreeing(store) == 0
+
+    async def test_the_change_by_its_own_call_costs_no_further_one(
+        self, store: FakeStore
+    ) -> None:
+        suspicions = Suspicions(store, vm="vm1")
+        none = LogPosition(0, 0)
+        for _ in range(2):
+            assert await suspicions.publish(
+                "g", term=1, primary="a1", acknowledged=none
+            )
+            self.watch(store, suspicions)
+            assert store.calls == 1
+
+    @staticmethod
+    def watch(store: FakeStore, suspicions: Suspicions) -> None:
+        """Tell of the present vote of vm1, or of its deletion."""
+        key = "suspects/g/vm1"
+        item = store.items.get(key)
+        value = item.value if item is not None else None
+        suspicions.apply_change(WatchEvent(key, value, store.revision))
+
     async def test_a_vm_that_knows_no_primary_agrees(self, store: FakeStore) -> None:
         """Guards against votes of VMs that started after the primary had failed."""
         none = LogPosition(0, 0)
