--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -22,6 +22,7 @@
 
 from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 from operator import attrgetter
+from secrets import token_hex
 
 import msgspec
 
@@ -51,6 +52,9 @@
 be held up on its way, or carried out up to 6 s late."""
 MAX_CALLS = 2
 """Calls of one VM under one token."""
+RESUME_LIMIT_S = CALL_LIMIT_S
+"""A RESUME without an answer may still arrive for this long, like a promotion call."""
+RESUME_ID_BYTES = 8
 READ_INTERVAL_S = 0.1
 """Shortest pause between two reads by VMs that wait for the roster of a new term."""
 SEALED_READ_INTERVAL_S = 0.2
@@ -104,6 +108,8 @@
     """Whether a call under the seal of the term before may still be on its way."""
     fence: Count = 0
     """Highest fencing token of the group's promotions, in this term and before."""
+    resuming: Name = ""
+    """Id of the RESUME commands that a holder sends; empty if all were answered."""
 
     @property
     def is_sealed(self) -> bool:
@@ -168,6 +174,7 @@
         "_next_read_at",
         "_read_at",
         "_registered",
+        "_resume_seen",
         "_seal_seen",
         "_seen",
         "_store",
@@ -206,6 +213,9 @@
         """The calls that may be outstanding, and since when they are known; seconds."""
         self._call_awaited_until = 0.0
         """Until when a call may arrive whose seal the store has lost; seconds."""
+        self._resume_seen = ("", 0.0)
+        """Id of the RESUME commands in the stored roster, and since when it is known;
+        seconds."""
         self._next_read_at = 0.0
         self._read_at = 0.0
         """When the read or write of the known stored roster was sent; seconds."""
@@ -407,6 +417,7 @@
         changed = changed or not set(seen.departed) <= set(stored.departed)
         changed = changed or self._floor > stored.floor
         changed = changed or self._highest_token > stored.highest_token
+        changed = changed or stored.resuming != self._unanswered_resume(stored)
         changed = changed or seen.size > stored.size
         is_old = self.seal_age_s >= SEAL_LIMIT_S
         changed = changed or (bool(stored.outstanding) and is_old)
@@ -448,6 +459,8 @@
         self._newest_stored_term = max(self._newest_stored_term, roster.term)
         self._highest_token = max(self._highest_token, roster.highest_token)
         self._note_seal(roster)
+        if roster.resuming != self._resume_seen[0]:
+            self._resume_seen = (roster.resuming, self._clock.monotonic())
 
     def _note_seal(self, roster: Roster) -> None:
         called = roster.next_primary or roster.outstanding
@@ -609,6 +622,9 @@
             return False  # The roster of this term has to be stored first.
         if current is None:
             current = Roster(term=term)
+        if self.has_unanswered_resume:
+            _log.warning("roster_not_sealed", entry=self._key, resuming=stored.resuming)
+            return False
         missing = self._unpaused_members(current, paused)
         lowest = stored.highest_token + (0 if is_own else 1)
         is_highest = lowest <= announced.seal_token <= MAX_NUMBER
@@ -639,6 +655,7 @@
             outstanding="" if is_old else current.outstanding,
             has_unanswered_call=current.has_unanswered_call and not is_old,
             fence=announced.seal_token,
+            resuming="",
         )
         return await self._put(
             sealed, [claim, Compare(self._key, revision)], timeout=SEAL_TIMEOUT_S
@@ -708,6 +725,54 @@
         may_repeat = stored.is_sealed and self._may_repeat(stored)
         return stored.has_call_out and not may_repeat
 
+    @property
+    def has_unanswered_resume(self) -> bool:
+        """Whether a RESUME may still arrive and end a pause."""
+        stored = self._stored_roster
+        return stored is not None and bool(self._unanswered_resume(stored))
+
+    def _unanswered_resume(self, stored: Roster) -> str:
+        """Return the id of the RESUME commands that may still arrive, or empty."""
+        resuming, since = self._resume_seen
+        is_old = self._clock.monotonic() - since >= RESUME_LIMIT_S
+        return "" if stored.resuming == resuming and is_old else stored.resuming
+
+    async def begin_resume(self, *, claim: Compare) -> str:
+        """Announce RESUME commands; return their id for `end_resume`.
+
+        Empty if that isn't stored: the claim is lost, the roster is sealed, an earlier
+        RESUME may still arrive, or the store doesn't answer.
+        """
+        resuming = token_hex(RESUME_ID_BYTES)
+        for _ in range(SEAL_ATTEMPTS):
+            found = await self._read_revision(timeout=SEAL_TIMEOUT_S)
+            if found is None:
+                continue
+            stored, revision = found
+            if stored.resuming == resuming:
+                return resuming  # An earlier attempt, whose answer was lost.
+            if stored.is_sealed or self.has_unanswered_resume:
+                break
+            announced = msgspec.structs.replace(stored, resuming=resuming)
+            compares = [claim, Compare(self._key, revision)]
+            if await self._put(announced, compares, timeout=SEAL_TIMEOUT_S):
+                return resuming
+        _log.warning("resume_not_announced", entry=self._key)
+        return ""
+
+    async def end_resume(self, resuming: str) -> None:
+        """Record that all RESUME commands of this id were answered or not sent."""
+        for _ in range(SEAL_ATTEMPTS):
+            found = await self._read_revision()
+            if found is None:
+                continue
+            stored, revision = found
+            if stored.resuming != resuming:
+                return
+            ended = msgspec.structs.replace(stored, resuming="")
+            if await self._put(ended, [Compare(self._key, revision)]):
+                return
+
     async def record_answer(self, *, token: int) -> None:
         """Store that the platform answered a call under this token."""
         found = await self._read_revision()
@@ -782,6 +847,7 @@
                 outstanding=called if has_call_out else "",
                 has_unanswered_call=has_call_out,
                 fence=self._highest_token,
+                resuming=self._unanswered_resume(stored),
             )
         if stored.outstanding and self.seal_age_s >= SEAL_LIMIT_S:
             stored = msgspec.structs.replace(
@@ -799,6 +865,7 @@
             outstanding=stored.outstanding,
             has_unanswered_call=stored.has_unanswered_call,
             fence=self._highest_token,
+            resuming=self._unanswered_resume(stored),
         )
 
     def needs_primary_position(
