Repeat only a call that this VM knows to be unanswered, and read answers to their end

It now remembers which of its calls got no answer.

An answer that ends with its connection (HTTP/1.0, or without a length) counted as none, so a platform that answers like this would see no failover.

The stored flag of a repeated call and the method that says whether a VM has to wait have names of their own. Tests: the call goes out on the connection that was answered, never on one that was lost since; what each status tells.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -39,6 +39,8 @@
 
     def __init__(self) -> None:
         self.closed = False
+        self._ends_at_close = False
+        """Whether a response has begun that ends with the connection."""
         self._response: asyncio.Future[HttpResponse] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -56,6 +58,8 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.closed = True
+        if error is None and self._ends_at_close and not self._response.done():
+            self.on_message_complete()
         self._fail("the connection was closed")
 
     def _fail(self, reason: str) -> None:
@@ -64,6 +68,10 @@
 
     # Called by the parser.
 
+    def on_headers_complete(self) -> None:
+        has_length = self._headers.keys() & {"content-length", "transfer-encoding"}
+        self._ends_at_close = not has_length
+
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
@@ -71,6 +79,7 @@
         self._body += body
 
     def on_message_complete(self) -> None:
+        self._ends_at_close = False
         if not self._parser.should_keep_alive():
             self._transport.close()
             self.closed = True
@@ -82,6 +91,7 @@
     async def request(self, data: bytes) -> HttpResponse:
         self._body = bytearray()
         self._headers: dict[str, str] = {}
+        self._ends_at_close = False
         self._parser = HttpResponseParser(self)
         self._response = asyncio.get_running_loop().create_future()
         self._transport.write(data)
--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -150,7 +150,7 @@
         call of another VM is on its way, this VM leaves the claim alone.
         """
         roster = self._roster
-        if roster.has_unanswered_call(term) or roster.has_unanswered_resume:
+        if roster.must_await_call(term) or roster.has_unanswered_resume:
             await roster.read()
         if self._must_wait(term):
             return False
@@ -187,7 +187,7 @@
         if self._roster.has_unanswered_resume:
             _log.warning("unanswered_resume_awaited", group=self._group.name, term=term)
             return True
-        if not self._roster.has_unanswered_call(term):
+        if not self._roster.must_await_call(term):
             return False
         _log.warning(
             "unanswered_call_awaited",
@@ -603,9 +603,10 @@
         self._log_request(
             attempt, chosen, result=result, decided_s=decided_s, asked_at=asked_at
         )
+        is_answered = result is not PromotionResult.UNANSWERED
+        self._roster.note_call(token=attempt.token, is_answered=is_answered)
         if result is PromotionResult.REFUSED:
             return await self._give_up(attempt, chosen, reason="refused")
-        is_answered = result is not PromotionResult.UNANSWERED
         if is_answered and attempt.sealed:
             # The next term has to know which of several calls were answered.
             await self._roster.record_answer(token=attempt.token)
--- a/src/celeryjunction/platform/promotion.py
+++ b/src/celeryjunction/platform/promotion.py
@@ -15,8 +15,8 @@
 )
 
 CALL_TIMEOUT_S = 0.4
-"""A promotion usually takes about 20 ms. After the time-out the connection is reset, so
-that a call still delayed on the network is not executed later."""
+"""A promotion usually takes about 20 ms. After the time-out the connection is reset,
+which discards what has not left this VM or reaches the platform after the reset."""
 ANSWER_LIMIT_S = 1.0
 """A platform that takes longer to answer anything counts as silent."""
 LEAST_ANSWER_LIMIT_S = 0.3
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -46,7 +46,8 @@
 still receive; until then, a failover that needs the member waits."""
 SEAL_LIMIT_S = 10.0
 """A sealed promotion may still take effect for this long: the platform carries a call
-out up to 6 s late, and a promotion takes up to 3 s."""
+out up to 6 s late, and a promotion takes up to 3 s. A VM whose call was not answered
+makes no other one before."""
 CALL_LIMIT_S = 8.0
 """A promotion call that the platform hasn't answered counts as lost after this: it may
 be held up on its way, or carried out up to 6 s late."""
@@ -104,8 +105,9 @@
     outstanding: Name = ""
     """The primary, if a second call under the seal of the term before may promote it
     again; empty if there was only one."""
-    has_unanswered_call: bool = False
-    """Whether a call under the seal of the term before may still be on its way."""
+    repeat_unanswered: bool = False
+    """Whether one of several calls under the seal of the term before may still be on
+    its way."""
     fence: Count = 0
     """Highest fencing token of the group's promotions, in this term and before."""
     resuming: Name = ""
@@ -121,7 +123,7 @@
         """Whether a call may be on its way that the platform hasn't answered."""
         if self.is_sealed:
             return self.answered < self.seals
-        return self.has_unanswered_call
+        return self.repeat_unanswered
 
     @property
     def highest_token(self) -> int:
@@ -140,7 +142,7 @@
             size=self.size,
             floor=self.next_floor,
             outstanding=self.next_primary if self.seals > 1 else "",
-            has_unanswered_call=self.seals > 1 and self.has_call_out,
+            repeat_unanswered=self.seals > 1 and self.has_call_out,
             fence=self.highest_token,
         )
 
@@ -180,6 +182,7 @@
         "_store",
         "_stored_losses",
         "_stored_roster",
+        "_unanswered_token",
         "_vm",
     )
 
@@ -211,6 +214,8 @@
         self._highest_token = 0
         self._seal_seen: tuple[tuple[int, int, int, str], float] | None = None
         """The calls that may be outstanding, and since when they are known; seconds."""
+        self._unanswered_token = 0
+        """Token of this VM's last call if it was not answered, or 0."""
         self._call_awaited_until = 0.0
         """Until when a call may arrive whose seal the store has lost; seconds."""
         self._resume_seen = ("", 0.0)
@@ -653,7 +658,7 @@
             seals=current.seals + 1 if is_repeated else 1,
             answered=answered if is_repeated else 0,
             outstanding="" if is_old else current.outstanding,
-            has_unanswered_call=current.has_unanswered_call and not is_old,
+            repeat_unanswered=current.repeat_unanswered and not is_old,
             fence=announced.seal_token,
             resuming="",
         )
@@ -703,12 +708,12 @@
         """
         return (
             stored.seal_holder == self._vm
-            and stored.seal_token == self._highest_token
+            and stored.seal_token == self._unanswered_token == self._highest_token
             and stored.seals < MAX_CALLS
             and self.seal_age_s < CALL_LIMIT_S
         )
 
-    def has_unanswered_call(self, term: int) -> bool:
+    def must_await_call(self, term: int) -> bool:
         """Whether a call that this VM can't repeat may be on its way to the platform.
 
         After a call with a higher token it would arrive with a lower one.
@@ -773,6 +778,10 @@
             if await self._put(ended, [Compare(self._key, revision)]):
                 return
 
+    def note_call(self, *, token: int, is_answered: bool) -> None:
+        """Note whether the platform answered this VM's call under a token."""
+        self._unanswered_token = 0 if is_answered else token
+
     async def record_answer(self, *, token: int) -> None:
         """Store that the platform answered a call under this token."""
         found = await self._read_revision()
@@ -845,13 +854,13 @@
                 size=size,
                 floor=max(self._floor, self._first_received),
                 outstanding=called if has_call_out else "",
-                has_unanswered_call=has_call_out,
+                repeat_unanswered=has_call_out,
                 fence=self._highest_token,
                 resuming=self._unanswered_resume(stored),
             )
         if stored.outstanding and self.seal_age_s >= SEAL_LIMIT_S:
             stored = msgspec.structs.replace(
-                stored, outstanding="", has_unanswered_call=False
+                stored, outstanding="", repeat_unanswered=False
             )
         members = _by_id(stored) | _by_id(seen)
         remaining = {name: m for name, m in members.items() if not self._is_removed(m)}
@@ -863,7 +872,7 @@
             size,
             max(self._floor, LogPosition(*stored.floor)),
             outstanding=stored.outstanding,
-            has_unanswered_call=stored.has_unanswered_call,
+            repeat_unanswered=stored.repeat_unanswered,
             fence=self._highest_token,
             resuming=self._unanswered_resume(stored),
         )
--- a/tests/test_confirmed_commits.py
+++ b/tests/test_confirmed_commits.py
@@ -806,10 +806,10 @@
         for holder in (vm, await started_second_vm(cluster, store)):
             assert holder.group.term == 2
             assert not await self.replace(holder, term=2)
-            assert holder.roster.has_unanswered_call(2)
+            assert holder.roster.must_await_call(2)
         assert len(cluster.promotions) == 2
         await asyncio.sleep(CALL_LIMIT_S)
-        assert not vm.roster.has_unanswered_call(2)
+        assert not vm.roster.must_await_call(2)
 
     async def test_a_vm_that_the_platform_does_not_answer_leaves_the_claim_alone(
         self, cluster: FakeCluster, store: FakeStore
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
 from urllib.parse import parse_qsl
 
 import pytest
@@ -300,6 +301,53 @@
         await platform.store.close()
         assert await promoter.open_path() is None
 
+    async def test_the_call_is_sent_on_the_connection_that_was_answered(self) -> None:
+        """Guards against a call on a connection that proves nothing."""
+        async with answering(make_answer(200)) as server:
+            path = await server.promoter.open_path()
+            assert await path.confirm()
+            assert await path.promote(make_request("i")) is PromotionResult.ACCEPTED
+            assert server.connections == 1
+
+    async def test_a_connection_that_was_lost_since_its_answer_carries_no_call(
+        self,
+    ) -> None:
+        async with answering(make_answer(200)) as server:
+            path = await server.promoter.open_path()
+            server.reset()
+            await asyncio.sleep(0.05)
+            assert await path.promote(make_request("i")) is PromotionResult.REFUSED
+            assert server.requests == 1
+
+    async def test_an_answer_that_ends_with_the_connection_is_one(self) -> None:
+        async with answering(
+            b"HTTP/1.0 404 Not Found\r\n\r\nno", closes=True
+        ) as server:
+            assert await server.promoter.open_path() is not None
+
+    @pytest.mark.parametrize(
+        ("status", "result"),
+        [
+            (409, PromotionResult.REFUSED),
+            (429, PromotionResult.REFUSED),
+            (500, PromotionResult.UNKNOWN),
+            (502, PromotionResult.UNANSWERED),
+            (503, PromotionResult.REFUSED),
+            (504, PromotionResult.UNANSWERED),
+        ],
+    )
+    async def test_a_status_tells_what_became_of_the_call(
+        self, status: int, result: PromotionResult
+    ) -> None:
+        async with answering(make_answer(404)) as server:
+            path = await server.promoter.open_path()
+            server.answer = make_answer(status)
+            assert await path.promote(make_request("i")) is result
+
+    async def test_the_answer_of_a_gateway_is_no_path(self) -> None:
+        async with answering(make_answer(502)) as server:
+            assert await server.promoter.open_path() is None
+
     async def test_a_path_whose_link_fell_silent_is_not_confirmed(
         self, platform: StandinPlatform
     ) -> None:
@@ -315,5 +363,52 @@
         link.close()
 
 
+def make_answer(status: int) -> bytes:
+    return b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status
+
+
+class AnsweringServer:
+    """Gives one answer to all requests, and counts these and connections."""
+
+    def __init__(self, answer: bytes, *, closes: bool) -> None:
+        self.answer = answer
+        self._closes = closes
+        self.connections = self.requests = 0
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self._writers.append(writer)
+        with suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.requests += 1
+                writer.write(self.answer)
+                if self._closes:
+                    break
+        writer.close()
+
+    def reset(self) -> None:
+        for writer in self._writers:
+            writer.transport.abort()
+
+
+@asynccontextmanager
+async def answering(
+    answer: bytes, *, closes: bool = False
+) -> AsyncIterator[AnsweringServer]:
+    server = AnsweringServer(answer, closes=closes)
+    listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    server.promoter = HttpPromoter(HttpClient("127.0.0.1", port))
+    try:
+        yield server
+    finally:
+        listener.close()
+        server.reset()
+
+
 def make_promoter(platform: StandinPlatform) -> HttpPromoter:
     return HttpPromoter(HttpClient(*split_address(platform.store.address)))
--- a/tests/test_unanswered_calls.py
+++ b/tests/test_unanswered_calls.py
@@ -120,7 +120,7 @@
         del cluster.take_over
         assert await replace(vm)
         assert len(cluster.promotions) == 2
-        assert not vm.roster.has_unanswered_call(2)
+        assert not vm.roster.must_await_call(2)
 
 
 class TestAwaitedCall:
@@ -156,7 +156,7 @@
         cluster.promotion_answers = [PromotionResult.REFUSED]
         assert not await replace(vm, 2)
         assert len(cluster.promotions) == 3
-        assert not vm.roster.has_unanswered_call(2)
+        assert not vm.roster.must_await_call(2)
 
     async def test_a_vm_that_starts_later_does_not_wait_for_an_old_call(
         self,
@@ -173,7 +173,7 @@
         second.run()
         await asyncio.sleep(2)
         await second.stop()
-        assert not second.roster.has_unanswered_call(2)
+        assert not second.roster.must_await_call(2)
 
     async def test_a_vm_whose_calls_have_no_effect_does_not_keep_the_others_away(
         self,
