Discard the undelivered bytes of an HTTP request that was given up

A promotion or store call that got no response was closed with abort(), which only drops what asyncio holds: the system went on sending the request, also after seconds without a path. So calls arrived long after their VM had given them up. The connection is now reset (SO_LINGER of 0 s), as its docstring said. A proxy that has taken the bytes still delivers them.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import NamedTuple
@@ -19,6 +21,9 @@
 CONNECT_TIMEOUT_S = 0.7
 """Connecting takes one round trip of a few ms. The system resends a lost first packet
 only after 1 s, so a new attempt before then loses no time."""
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a close discards what was not delivered. Otherwise the
+system goes on sending a request that was given up, for minutes."""
 
 
 class HttpFailure(Exception):
@@ -90,6 +95,9 @@
     def abort(self) -> None:
         """Reset the connection, so that bytes not yet delivered are discarded."""
         self.closed = True
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None and not self._transport.is_closing():
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self._transport.abort()
 
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import AsyncIterator
 from urllib.parse import parse_qsl
 
 import pytest
 
 from bench.soak import FaultProxy
-from celeryjunction.adapters.http_client import HttpClient, HttpResponse
+from celeryjunction.adapters.http_client import HttpClient, HttpFailure, HttpResponse
 from celeryjunction.gateway.routes import Consistency
 from celeryjunction.platform.promotion import HttpPromoter
 from celeryjunction.platform.records import decode_config, decode_endpoint
@@ -27,6 +28,10 @@
 from celeryjunction.replication.ports import PromotionRequest, PromotionResult
 from celeryjunction.watch_wait import PEER_REPORTED_WAIT_MS
 
+BODY = b"x" * (48 << 10)
+"""Longer than what a peer that reads nothing receives, shorter than what is buffered
+for it."""
+
 
 @pytest.fixture
 async def platform() -> AsyncIterator[StandinPlatform]:
@@ -251,6 +256,38 @@
     )
 
 
+class TestGivenUpRequest:
+    """A peer that reads nothing for a while, as behind a silent link."""
+
+    @pytest.mark.parametrize("kind", ["client", "channel"])
+    async def test_its_bytes_do_not_arrive_later(self, kind: str) -> None:
+        """Guards against calls that arrive long after their VM gave them up."""
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            client = HttpClient(*listener.getsockname())
+            caller = client if kind == "client" else await client.open_channel()
+            with pytest.raises(HttpFailure):
+                await caller.request("POST", "/call", body=BODY, timeout=0.2)
+            await asyncio.sleep(0.05)
+            accepted, _ = listener.accept()
+        with accepted:
+            accepted.settimeout(5.0)
+            assert await asyncio.to_thread(count_received, accepted) < len(BODY)
+
+
+def count_received(peer: socket.socket) -> int:
+    """Return how many bytes arrive until the connection ends."""
+    received = 0
+    try:
+        while data := peer.recv(1 << 16):
+            received += len(data)
+    except ConnectionResetError:
+        pass
+    return received
+
+
 class TestHttpPromoter:
     async def test_sends_group_endpoint_and_token(
         self, platform: StandinPlatform
