Take a RESUME that a busy replica refused as answered

A refusal came back, so the command isn't on its way any more, but the roster's announcement of RESUME stayed and held up all failovers of the group for RESUME_LIMIT_S.

test_a_resume_that_a_busy_replica_refused_holds_up_nobody failed before.

--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -15,7 +15,7 @@
 from celeryjunction.failover.selection import choose_replica
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import Clock
-from celeryjunction.replication.control import ControlLink
+from celeryjunction.replication.control import OVERLOADED, ControlLink
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import (
     NO_POSITION,
@@ -525,11 +525,20 @@
 
     async def _resume(self, endpoint: str, send_before: float) -> bool:
         """Let a replica receive again if it answers; False if RESUME is unanswered."""
-        if await self._send(endpoint) is None:
+        if not await self._is_answered(endpoint):
             return True
         if self._clock.monotonic() >= send_before:
             return True
-        return await self._send(endpoint, ResumeReceiving()) is not None
+        return await self._is_answered(endpoint, ResumeReceiving())
+
+    async def _is_answered(
+        self, endpoint: str, command: ResumeReceiving | None = None
+    ) -> bool:
+        """Send a command; return whether it was answered, if only with a refusal."""
+        if await self._send(endpoint, command) is not None:
+            return True
+        control = self._control(endpoint)
+        return control is not None and control.failure in OVERLOADED
 
     def _has_joined(self, endpoint: str) -> bool:
         known = self._group.statuses.get(endpoint)
--- a/tests/replicated_fakes.py
+++ b/tests/replicated_fakes.py
@@ -66,6 +66,8 @@
         self.silent = False
         self.ignores_resume = False
         """Fault: RESUME commands are neither run nor answered."""
+        self.refuses_control = False
+        """Fault: control commands are refused as BUSY, without running them."""
         self.refusing = False
         self.replication_cut = False
         self.applied = 10**9
@@ -269,6 +271,8 @@
 
     def _control(self, command: Command) -> Answer:
         endpoint = self._endpoint
+        if endpoint.refuses_control:
+            return self._answer(fault=Fault.BUSY)
         if isinstance(command, OpenTransaction):
             if command.after is not None and endpoint.visible < command.after:
                 return self._answer(fault=Fault.BEHIND)
--- a/tests/test_confirmed_commits.py
+++ b/tests/test_confirmed_commits.py
@@ -975,6 +975,16 @@
         assert await TestOutstandingPromotion.replace(second)
         assert len(cluster.promotions) == 1
 
+    async def test_a_resume_that_a_busy_replica_refused_holds_up_nobody(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        claim = await vm.claims.acquire("g")
+        cluster["c1"].refuses_control = True
+        await vm.coordinator._abort(claim, ["b1", "c1"], False)
+        assert not (await vm.roster.read()).resuming
+        assert any(isinstance(c, ResumeReceiving) for c in cluster["c1"].commands)
+
     async def test_a_resume_is_sent_only_to_replicas_that_just_answered(
         self, cluster: FakeCluster, store: FakeStore
     ) -> None:
