Show three cases in which a call that may be on its way isn't awaited

Callers see nothing; the platform may get a lower fencing token after a higher one.

- A holder whose repeat could not be sealed, because its claim lapsed or the store was away, counts its first call as answered (seals 1, answered 1 while the call is on its way).
Another VM doesn't wait then.
- The store comes back with a VM's seal.
The VM repeats that token after another VM called under a higher one: falls in order of arrival, by another VM, also if the loss was noticed.
- Two repeated calls each begin a term.
The roster of the second one has lost that the first call is on its way.

--- a/tests/test_confirmed_commits.py
+++ b/tests/test_confirmed_commits.py
@@ -16,7 +16,7 @@
 
 from celeryjunction.errors import ErrorKind
 from celeryjunction.failover import coordinator
-from celeryjunction.failover.claims import LEASE_S
+from celeryjunction.failover.claims import CLAIM_PREFIX, LEASE_S
 from celeryjunction.failover.supervisor import ABANDONED_PAUSE_S
 from celeryjunction.gateway.statements import Begin, Commit, Read, Write
 from celeryjunction.ports import Compare, StoreUnavailable
@@ -836,6 +836,65 @@
         assert not (await vm.roster.read()).is_sealed
         assert cluster["b1"].held_term == cluster["c1"].held_term == 0
 
+    async def test_a_repeated_call_that_was_not_announced_counts_as_no_answer(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against another VM's call while the first one is on its way."""
+        vm = await started_vm(cluster, store)
+        await self.call_without_answer(vm, cluster)
+        pause_all = vm.coordinator._pause_all
+
+        async def pause_and_lose_claim(*arguments: object) -> object:
+            store.put(CLAIM_PREFIX + "g", None)
+            return await pause_all(*arguments)
+
+        vm.coordinator._pause_all = pause_and_lose_claim
+        assert not await self.replace(vm)
+        assert len(cluster.promotions) == 1
+        stored = await vm.roster.read()
+        assert stored.answered < stored.seals
+        assert not await self.replace(await started_second_vm(cluster, store))
+        assert len(cluster.promotions) == 1
+
+    async def test_a_call_under_a_seal_of_an_older_copy_has_a_higher_token(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against a token that another VM's call has passed since the copy."""
+        vm = await started_vm(cluster, store)
+        cluster["a1"].silent = True
+        cluster.take_over = lambda name: None
+        cluster.promotion_answers = [PromotionResult.UNKNOWN] * 2
+        assert not await self.replace(vm)
+        copy = dict(store.items)
+        assert not await self.replace(await started_second_vm(cluster, store))
+        store.items = copy
+        await asyncio.sleep(LEASE_S)
+        del cluster.take_over
+        assert await self.replace(vm)
+        tokens = [token for _, _, token in cluster.promotions]
+        assert tokens == sorted(tokens)
+
+    async def test_the_term_after_the_next_awaits_the_first_of_three_calls(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against a call that arrives after two others began terms."""
+        vm = await started_vm(cluster, store)
+        await self.call_without_answer(vm, cluster)
+        take_over = cluster.take_over
+        cluster.take_over = lambda name: None
+        cluster.promotion_answers = [PromotionResult.UNANSWERED] * 2
+        for _ in range(2):
+            await asyncio.sleep(LEASE_S)
+            assert not await self.replace(vm)
+        (chosen, _, _), *repeated = cluster.promotions
+        assert len(repeated) == 2
+        for _ in range(2):
+            take_over(chosen)
+        await vm.group.refresh()
+        assert vm.group.term == 3
+        await vm.roster.write()
+        assert vm.roster.has_unanswered_call(3)
+
     async def call_without_answer(self, vm: Vm, cluster: FakeCluster) -> None:
         cluster["a1"].silent = True
         cluster.promotion_answers = [PromotionResult.UNANSWERED]
