Move the soak's fault proxy and random faults into modules of their own

tests/test_soak.py and tests/test_competing_holders.py pass. In tests/test_commits_lost.py the test of a holder that was stopped before its call fails, as it does without this change on.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -25,8 +25,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Sequence
-from itertools import count
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 from typing import Annotated
@@ -35,10 +34,12 @@
 
 from bench.commit_judge import CommitJudge
 from bench.failover_series import GROUPS, FailoverSeries
+from bench.fault_proxy import FaultProxy
 from bench.fence_judge import find_token_violations
 from bench.platform_cluster import EdgeProcess, LineClient
 from bench.promotion_faults import PromotionFaults
 from bench.report import print_result
+from bench.soak_faults import SoakFaults
 from bench.store_restores import StoreRestores, draw_first_era
 from bench.transactions import TransactionClients
 from celeryjunction.platform.standin import StandinEndpoint, StandinPlatform
@@ -49,8 +50,6 @@
 CLIENTS = 4
 """Number of clients that write, and of those that read."""
 TRANSACTION_CLIENTS = 48
-GRACE_S = 6.0
-"""Time from SIGTERM to the end of an edge; it aborts idle transactions after half."""
 THINK_S = 0.01
 """Pause of a client between two operations."""
 REPLY_TIMEOUT_S = 8.0
@@ -63,82 +62,6 @@
 """Error codes which state that the statement had no effect."""
 
 
-class FaultProxy:
-    """A loopback proxy to one port that injects faults in either direction."""
-
-    def __init__(self, port: Callable[[], int]) -> None:
-        self._target = port
-        self.delay_s = 0.0
-        self.blocked: set[str] = set()
-        """Directions (``up``, ``down``) in which bytes are withheld."""
-        self._unblocked = asyncio.Event()
-        self._unblocked.set()
-        self._writers: set[asyncio.StreamWriter] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    @property
-    def port(self) -> int:
-        """Port on which the proxy listens."""
-        return self._server.sockets[0].getsockname()[1]
-
-    async def start(self) -> None:
-        """Listen on loopback."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-
-    def block(self, *directions: str) -> None:
-        """Withhold the bytes of these directions until `unblock`."""
-        self.blocked = set(directions)
-        self._unblocked.clear()
-
-    def unblock(self) -> None:
-        """Forward all bytes again, including the withheld ones."""
-        self.blocked.clear()
-        self._unblocked.set()
-
-    def reset(self) -> None:
-        """Reset all connections."""
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._writers.add(writer)
-        try:
-            up_reader, up_writer = await asyncio.open_connection(
-                "127.0.0.1", self._target()
-            )
-        except OSError:
-            writer.transport.abort()
-            self._writers.discard(writer)
-            return
-        self._writers.add(up_writer)
-        await asyncio.gather(
-            self._pump("up", reader, up_writer), self._pump("down", up_reader, writer)
-        )
-        self._writers -= {writer, up_writer}
-
-    async def _pump(
-        self, direction: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            while data := await reader.read(1 << 16):
-                if self.delay_s:
-                    await asyncio.sleep(self.delay_s)
-                while direction in self.blocked:
-                    await self._unblocked.wait()
-                writer.write(data)
-                await writer.drain()
-        except OSError:
-            pass
-        writer.transport.abort()
-
-    def close(self) -> None:
-        """Stop listening and reset all connections."""
-        self._server.close()
-        self.reset()
-
-
 class History:
     """Outcomes that clients received for each written value, and violations."""
 
@@ -230,7 +153,7 @@
                 await self._inject_failovers()
             else:
                 restores = self._restores().run(self._seconds)
-                await asyncio.gather(self._inject_faults(), restores)
+                await asyncio.gather(self._make_faults().run(self._seconds), restores)
             await self._check_recovery()
             self._ending = True
             await asyncio.gather(*tasks)
@@ -385,107 +308,17 @@
 
     # Faults
 
-    async def _inject_faults(self) -> None:
-        """Start random faults one after another; they may overlap."""
-        end = time.monotonic() + self._seconds
-        running: list[asyncio.Task[None]] = []
-        faults: list[Callable[[Random, float], Awaitable[None]]] = [
-            self._block_endpoint,
-            self._reset_endpoint,
-            self._delay_endpoint,
-            self._crash_primary,
-            self._deafen_replica,
-            self._block_store,
-            self._refuse_store,
-            self._lose_answers,
-            self._pause_edge,
-            self._restart_edge,
-            self._change_config,
-            self._hup_edge,
-        ]
-        if self._transactions:
-            faults = [
-                self._refuse_statements,
-                self._stop_edges_in_burst,
-                self._stop_edges_in_burst,
-                self._restart_edge,
-                self._pause_edge,
-                self._reset_endpoint,
-                self._delay_endpoint,
-                self._hup_edge,
-            ]
-        if self._failovers:
-            faults = [
-                self._pause_edge,
-                self._restart_edge,
-                self._hup_edge,
-                self._change_config,
-                self._reset_endpoint,
-                self._delay_endpoint,
-                self._lose_answers,
-            ]
-        for number in count():
-            if time.monotonic() >= end:
-                break
-            # A generator per fault makes a seed's sequence of faults reproducible.
-            random = Random(f"{self.seed} {number}")
-            fault = random.choice(faults)
-            self.faults[fault.__name__.lstrip("_")] += 1
-            seconds = random.uniform(0.2, 2.5)
-            pause = random.uniform(0.1, 1.2)
-            running.append(asyncio.create_task(fault(random, seconds)))
-            await asyncio.sleep(pause)
-        await asyncio.gather(*running)
-
-    def _random_endpoint(self, random: Random) -> StandinEndpoint:
-        return random.choice(self._endpoints)
-
-    async def _block_endpoint(self, random: Random, seconds: float) -> None:
-        proxy = self._proxies[self._random_endpoint(random).id]
-        proxy.block(*random.choice([("up",), ("down",), ("up", "down")]))
-        await asyncio.sleep(seconds)
-        proxy.unblock()
-
-    async def _reset_endpoint(self, random: Random, seconds: float) -> None:
-        self._proxies[self._random_endpoint(random).id].reset()
-
-    async def _delay_endpoint(self, random: Random, seconds: float) -> None:
-        proxy = self._proxies[self._random_endpoint(random).id]
-        proxy.delay_s = random.uniform(0.005, 0.1)
-        await asyncio.sleep(seconds)
-        proxy.delay_s = 0.0
-
-    async def _crash_primary(self, random: Random, seconds: float) -> None:
-        primaries = [e for e in self._endpoints if e.is_primary and not e.down]
-        if not primaries or any(e.down for e in self._endpoints):
-            return
-        await primaries[0].stop()
-        await asyncio.sleep(seconds)
-        await primaries[0].start()
-
-    async def _refuse_statements(self, random: Random, seconds: float) -> None:
-        share = random.uniform(0.2, 0.8)
-        for endpoint in self._endpoints:
-            endpoint.is_too_busy = lambda: random.random() < share
-        await asyncio.sleep(seconds)
-        for endpoint in self._endpoints:
-            endpoint.is_too_busy = lambda: False
-
-    async def _deafen_replica(self, random: Random, seconds: float) -> None:
-        endpoint = self._random_endpoint(random)
-        endpoint.replication_cut = True
-        await asyncio.sleep(seconds)
-        endpoint.replication_cut = False
-
-    async def _block_store(self, random: Random, seconds: float) -> None:
-        self._proxies["store"].block("up", "down")
-        await asyncio.sleep(seconds)
-        self._proxies["store"].unblock()
-
-    async def _refuse_store(self, random: Random, seconds: float) -> None:
-        self._platform.store.error_status = random.choice([429, 503])
-        await asyncio.sleep(seconds)
-        self._platform.store.error_status = 0
+    def _make_faults(self) -> SoakFaults:
+        return SoakFaults(
+            self._platform,
+            self._edges,
+            self._proxies,
+            seed=self.seed,
+            counts=self.faults,
+            restart_edge=self._restart,
+            transactions=self._transactions,
+            failovers=self._failovers,
+        )
 
     def _restores(
         self, on_restored: Callable[[], None] = lambda: None
@@ -527,43 +360,9 @@
         await asyncio.gather(
             series.run(self._seconds),
             restores.run(self._seconds, among_failovers=True),
-            self._inject_faults(),
-        )
-
-    async def _lose_answers(self, random: Random, seconds: float) -> None:
-        self._platform.store.responses_to_drop = random.randint(1, 5)
-
-    async def _pause_edge(self, random: Random, seconds: float) -> None:
-        edge = random.choice(self._edges)
-        if edge.running:
-            edge.process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(seconds)
-            if edge.running:
-                edge.process.send_signal(signal.SIGCONT)
-
-    async def _stop_edges_in_burst(self, random: Random, seconds: float) -> None:
-        """Stop edges; refuse statements while they roll open transactions back."""
-        await asyncio.gather(
-            self._restart_edge(random, seconds, signals=[signal.SIGTERM]),
-            self._restart_edge(random, seconds, signals=[signal.SIGTERM]),
-            self._refuse_late_in_drain(random, seconds),
+            self._make_faults().run(self._seconds),
         )
 
-    async def _refuse_late_in_drain(self, random: Random, seconds: float) -> None:
-        await asyncio.sleep(GRACE_S / 2 - random.uniform(0.1, 0.5))
-        await self._refuse_statements(random, seconds)
-
-    async def _restart_edge(
-        self,
-        random: Random,
-        seconds: float,
-        *,
-        signals: Sequence[signal.Signals] = (signal.SIGTERM, signal.SIGKILL),
-    ) -> None:
-        edge = random.choice(self._edges)
-        if not edge.restarting:
-            await self._restart(edge, random.choice(signals), pause_s=seconds / 4)
-
     async def _restart(
         self, edge: EdgeProcess, signum: signal.Signals, *, pause_s: float
     ) -> None:
@@ -584,15 +383,6 @@
         await edge.start(zone=ZONES[self._edges.index(edge) % len(ZONES)])
         edge.restarting = False
 
-    async def _change_config(self, random: Random, seconds: float) -> None:
-        self._platform.configure()
-
-    async def _hup_edge(self, random: Random, seconds: float) -> None:
-        # Until the edge's first line of output, SIGHUP would end the interpreter.
-        edge = random.choice(self._edges)
-        if edge.running and edge.has_output:
-            edge.process.send_signal(signal.SIGHUP)
-
     async def _check_recovery(self) -> None:
         """Check that without faults every edge gets ready and serves a write."""
         for edge in self._edges:
--- a/tests/_cluster_support.py
+++ b/tests/_cluster_support.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 
 from bench.commit_judge import CommitJudge
+from bench.fault_proxy import FaultProxy
 from bench.platform_cluster import EdgeProcess, LineClient
-from bench.soak import FaultProxy
 from celeryjunction.platform.standin import StandinEndpoint, StandinPlatform
 
 POLL_S = 0.01
--- a/tests/test_commits_lost.py
+++ b/tests/test_commits_lost.py
@@ -19,8 +19,8 @@
     wait_for,
 )
 
+from bench.fault_proxy import FaultProxy
 from bench.platform_cluster import LineClient
-from bench.soak import FaultProxy
 
 FENCED_LIMIT_S = 8.0
 """Time for a promotion that may rightly not happen."""
--- a/tests/test_competing_holders.py
+++ b/tests/test_competing_holders.py
@@ -15,9 +15,9 @@
 import pytest
 from _cluster_support import Cluster, wait_for
 
+from bench.fault_proxy import FaultProxy
 from bench.fence_judge import find_token_violations
 from bench.platform_cluster import EdgeProcess
-from bench.soak import FaultProxy
 from celeryjunction.platform.promotion import CHECK_PATH
 from celeryjunction.platform.standin import PromotionCall
 from celeryjunction.replication.roster import SEAL_LIMIT_S
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from bench.soak import FaultProxy
+from bench.fault_proxy import FaultProxy
 from celeryjunction.adapters.http_client import HttpClient, HttpResponse
 from celeryjunction.gateway.routes import Consistency
 from celeryjunction.platform.promotion import HttpPromoter
