Let links of VMs and endpoints fail in the soak's runs with promotions

Three of four series begin when a VM takes a claim, with that VM's link or zone. --no-link-faults leaves them out.

The stand-in takes a store address for each edge and writes a proxy's address into a VM's record.

An endpoint's link is still shared by all VMs, and a VM's link by all its callers.

--- a/bench/failover_series.py
+++ b/bench/failover_series.py
@@ -26,7 +26,8 @@
 """Longest time between two failovers of a group."""
 SHORTEST_OUTAGE_S = 1.0
 LONGEST_OUTAGE_S = 6.0
-"""A lost primary comes back after a time between these if it was not replaced."""
+"""A lost primary comes back after a time between these if it was not replaced; links
+that fail need a longer one."""
 
 
 class FailoverSeries:
@@ -45,12 +46,14 @@
         seed: int,
         counts: Counter[str],
         restart_edge: Callable[[EdgeProcess, Random], Awaitable[None]],
+        longest_outage_s: float = LONGEST_OUTAGE_S,
     ) -> None:
         self._platform = platform
         self._edges = edges
         self._seed = seed
         self._counts = counts
         self._restart_edge = restart_edge
+        self._longest_outage_s = longest_outage_s
         self._draining: set[StandinEndpoint] = set()
 
     async def run(self, seconds: float) -> None:
@@ -107,7 +110,7 @@
     async def _wait_for_promotion(
         self, primary: StandinEndpoint, random: Random
     ) -> None:
-        limit_s = random.uniform(SHORTEST_OUTAGE_S, LONGEST_OUTAGE_S)
+        limit_s = random.uniform(SHORTEST_OUTAGE_S, self._longest_outage_s)
         deadline = time.monotonic() + limit_s
         while time.monotonic() < deadline and all(
             endpoint.term <= primary.term for endpoint in primary.group.endpoints
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -13,8 +13,10 @@
 that stand still while they replace a primary, replicas that register late, restart, or
 leave, and restores of the store. With ``--failovers`` several groups' primaries are
 replaced in series (`bench.failover_series`) while the store is restored and edges are
-stopped and restarted. With ``--transactions`` further clients hold transactions open
-(`bench.transactions`) while endpoints refuse statements as busy and edges are stopped.
+stopped and restarted. In both modes links to the store, the promotion API, the
+endpoints and other VMs fail as well (`bench.link_faults`). With ``--transactions``
+further clients hold transactions open (`bench.transactions`) while endpoints refuse
+statements as busy and edges are stopped.
 """
 
 from __future__ import annotations
@@ -33,9 +35,11 @@
 import typer
 
 from bench.commit_judge import CommitJudge
-from bench.failover_series import GROUPS, FailoverSeries
+from bench.failover_series import GROUPS, LONGEST_OUTAGE_S, FailoverSeries
 from bench.fault_proxy import FaultProxy
 from bench.fence_judge import find_token_violations
+from bench.link_faults import PRIMARY_OUTAGE_S, LinkFaults
+from bench.links import Link, Links
 from bench.platform_cluster import EdgeProcess, LineClient
 from bench.promotion_faults import PromotionFaults
 from bench.report import print_result
@@ -93,6 +97,7 @@
         promotions: bool = False,
         transactions: bool = False,
         failovers: bool = False,
+        link_faults: bool = False,
         names_era: bool = True,
         edges: int = EDGES,
         clients: int = CLIENTS,
@@ -101,6 +106,7 @@
         self._promotions = promotions
         self._transactions = transactions
         self._failovers = failovers
+        self._link_faults = link_faults
         self._edge_count = edges
         self._client_count = clients
         self.history = History()
@@ -112,6 +118,7 @@
         self._platform.store.era = draw_first_era(seed) if names_era else None
         self.judge = CommitJudge(self._platform)
         self._proxies: dict[str, FaultProxy] = {}
+        self._links = Links(self._platform)
         self._edges: list[EdgeProcess] = []
         self._clients: set[LineClient] = set()
         """Clients with an open session."""
@@ -147,13 +154,7 @@
                     for n in range(TRANSACTION_CLIENTS)
                 ]
             tasks = [asyncio.create_task(client) for client in clients]
-            if self._promotions:
-                await self._inject_promotion_faults()
-            elif self._failovers:
-                await self._inject_failovers()
-            else:
-                restores = self._restores().run(self._seconds)
-                await asyncio.gather(self._make_faults().run(self._seconds), restores)
+            await asyncio.gather(self._inject_faults(), self._inject_link_faults())
             await self._check_recovery()
             self._ending = True
             await asyncio.gather(*tasks)
@@ -165,6 +166,7 @@
                 await edge.stop(signal.SIGKILL)
             for proxy in self._proxies.values():
                 proxy.close()
+            self._links.close()
             await self._platform.close()
 
     async def _start(self) -> None:
@@ -181,7 +183,14 @@
         for number in range(self._edge_count):
             edge = EdgeProcess(self._platform, self._folder, f"edge-{number}")
             self._edges.append(edge)
-            await edge.start(zone=ZONES[number % len(ZONES)])
+            zone = ZONES[number % len(ZONES)]
+            if self._link_faults:
+                await self._links.add_vm(
+                    edge,
+                    zone=self._platform.zones[zone],
+                    platform_port=lambda: proxy.port,
+                )
+            await edge.start(zone=zone)
         for edge in self._edges:
             await edge.wait_until_ready()
 
@@ -189,6 +198,7 @@
         proxy = FaultProxy(lambda: endpoint.port)
         await proxy.start()
         self._proxies[endpoint.id] = proxy
+        self._links.add("endpoint", endpoint.id, Link(proxy, zone=endpoint.zone))
         self._platform.store.advertised_ports[endpoint.id] = proxy.port
 
     # Clients
@@ -308,6 +318,22 @@
 
     # Faults
 
+    async def _inject_faults(self) -> None:
+        if self._promotions:
+            await self._inject_promotion_faults()
+        elif self._failovers:
+            await self._inject_failovers()
+        else:
+            restores = self._restores().run(self._seconds)
+            await asyncio.gather(self._make_faults().run(self._seconds), restores)
+
+    async def _inject_link_faults(self) -> None:
+        if self._link_faults:
+            faults = LinkFaults(
+                self._platform, self._links, seed=self.seed, counts=self.faults
+            )
+            await faults.run(self._seconds)
+
     def _make_faults(self) -> SoakFaults:
         return SoakFaults(
             self._platform,
@@ -338,7 +364,9 @@
             seed=self.seed,
             counts=self.faults,
             add_endpoint=self._add_endpoint,
-            remove_endpoint=lambda endpoint: self._proxies[endpoint.id].close(),
+            remove_endpoint=lambda endpoint: self._links.remove(
+                "endpoint", endpoint.id
+            ),
         )
         restores = self._restores(faults.register_draining)
         await asyncio.gather(
@@ -355,6 +383,9 @@
             restart_edge=lambda edge, random: self._restart(
                 edge, signal.SIGKILL, pause_s=random.uniform(0.0, 0.6)
             ),
+            longest_outage_s=(
+                PRIMARY_OUTAGE_S if self._link_faults else LONGEST_OUTAGE_S
+            ),
         )
         restores = self._restores(series.register_draining)
         await asyncio.gather(
@@ -467,6 +498,7 @@
     promotions: bool = False,
     transactions: bool = False,
     failovers: bool = False,
+    link_faults: bool = False,
     names_era: bool = True,
     edges: int = EDGES,
     clients: int = CLIENTS,
@@ -480,6 +512,7 @@
             promotions=promotions,
             transactions=transactions,
             failovers=failovers,
+            link_faults=link_faults,
             names_era=names_era,
             edges=edges,
             clients=clients,
@@ -512,6 +545,12 @@
     failovers: Annotated[
         bool, typer.Option(help="Inject failovers in series instead.")
     ] = False,
+    link_faults: Annotated[
+        bool,
+        typer.Option(
+            help="Inject faults of links beside those of --promotions and --failovers."
+        ),
+    ] = True,
     era: Annotated[
         bool, typer.Option(help="Let the store name its era in its answers.")
     ] = True,
@@ -534,6 +573,7 @@
             promotions=promotions,
             transactions=transactions,
             failovers=failovers,
+            link_faults=link_faults and (promotions or failovers),
             names_era=era,
             edges=edges,
             clients=clients,
--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -457,6 +457,8 @@
         self.groups: dict[str, StandinGroup] = {}
         self.advertised_ports: dict[str, int] = {}
         """Ports that `register` writes for endpoints behind a proxy, by endpoint."""
+        self.advertised_vms: dict[str, str] = {}
+        """Addresses that the records of VMs behind a proxy name, by VM."""
         self.received_calls: list[PromotionCall] = []
         """All promotion calls, in the order of their arrival."""
         self.promotion_calls: list[PromotionCall] = []
@@ -652,12 +654,19 @@
         if leases - self.leases.keys():
             return 404, {}
         for put in data.get("put_items", []):
-            value = base64.b64decode(put["value"])
+            value = self._advertise(put["key"], base64.b64decode(put["value"]))
             self.put(put["key"], value, lease=put.get("lease", 0))
         for key in data.get("delete_keys", []):
             self.put(key, None)
         return 200, {"revision": self.revision}
 
+    def _advertise(self, key: str, value: bytes) -> bytes:
+        """Replace the address in the record of a VM behind a proxy."""
+        address = self.advertised_vms.get(key.removeprefix("/vms/"))
+        if address is None:
+            return value
+        return json.dumps(json.loads(value) | {"peer_address": address}).encode()
+
     def _lease_call(self, method: str, path: str, data: dict) -> tuple[int, object]:
         if path == "/kv-lease":
             lease = max(self.leases, default=FIRST_LEASE) + 1
@@ -747,6 +756,8 @@
         self._config: dict = {}
         self.store_address = ""
         """Address of the store in the edges' settings, if not the store's own."""
+        self.store_addresses: dict[str, str] = {}
+        """Addresses of the store in edges' settings, by the edge's name."""
         self.cloud_addresses: dict[str, str] = {}
         """Addresses of the promotion call in edges' settings, by the edge's name."""
 
@@ -842,7 +853,7 @@
                 "control": "",
             },
             "internal_port_range": [internal, internal],
-            "platform": {"address": address},
+            "platform": {"address": self.store_addresses.get(name, address)},
             "cloud_api": {"address": self.cloud_addresses.get(name, address)},
             "bounds": {"drain_ms": 7000, "grace_s": 6},
         }
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 FAILOVER_SEEDS = (29,)
 FAILOVER_SECONDS = 5.0
 """Room for a restore between two failovers of a group."""
+LINK_SEED = 9000
 
 FAILED_SEEDS: tuple[int, ...] = (
     102,  # Two edges ended at a restart, most likely for the cause of seed 103.
@@ -39,3 +40,11 @@
         assert not soak.history.violations
         assert soak.faults["promotion calls"] > 1
         assert soak.faults["restore_store"]
+
+    async def test_tokens_rise_when_links_fail(self) -> None:
+        soak = await run_seed(
+            LINK_SEED, FAILOVER_SECONDS, failovers=True, link_faults=True, edges=6
+        )
+        assert not soak.history.violations
+        assert soak.faults["promotion calls"] > 1
+        assert soak.faults["link faults of one"]
