--- a/bench/soak.py
+++ b/bench/soak.py
@@ -13,8 +13,10 @@
 that stand still while they replace a primary, replicas that register late, restart, or
 leave, and restores of the store. With ``--failovers`` several groups' primaries are
 replaced in series (`bench.failover_series`) while the store is restored and edges are
-stopped and restarted. With ``--transactions`` further clients hold transactions open
-(`bench.transactions`) while endpoints refuse statements as busy and edges are stopped.
+stopped and restarted. In both modes links to the store, the promotion API, the
+endpoints and other VMs fail as well (`bench.link_faults`). With ``--transactions``
+further clients hold transactions open (`bench.transactions`) while endpoints refuse
+statements as busy and edges are stopped.
 """
 
 from __future__ import annotations
@@ -25,8 +27,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Sequence
-from itertools import count
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 from typing import Annotated
@@ -34,11 +35,15 @@
 import typer
 
 from bench.commit_judge import CommitJudge
-from bench.failover_series import GROUPS, FailoverSeries
+from bench.failover_series import GROUPS, LONGEST_OUTAGE_S, FailoverSeries
+from bench.fault_proxy import FaultProxy
 from bench.fence_judge import find_token_violations
+from bench.link_faults import PRIMARY_OUTAGE_S, LinkFaults
+from bench.links import Link, Links
 from bench.platform_cluster import EdgeProcess, LineClient
 from bench.promotion_faults import PromotionFaults
 from bench.report import print_result
+from bench.soak_faults import SoakFaults
 from bench.store_restores import StoreRestores, draw_first_era
 from bench.transactions import TransactionClients
 from celeryjunction.platform.standin import StandinEndpoint, StandinPlatform
@@ -49,8 +54,6 @@
 CLIENTS = 4
 """Number of clients that write, and of those that read."""
 TRANSACTION_CLIENTS = 48
-GRACE_S = 6.0
-"""Time from SIGTERM to the end of an edge; it aborts idle transactions after half."""
 THINK_S = 0.01
 """Pause of a client between two operations."""
 REPLY_TIMEOUT_S = 8.0
@@ -63,82 +66,6 @@
 """Error codes which state that the statement had no effect."""
 
 
-class FaultProxy:
-    """A loopback proxy to one port that injects faults in either direction."""
-
-    def __init__(self, port: Callable[[], int]) -> None:
-        self._target = port
-        self.delay_s = 0.0
-        self.blocked: set[str] = set()
-        """Directions (``up``, ``down``) in which bytes are withheld."""
-        self._unblocked = asyncio.Event()
-        self._unblocked.set()
-        self._writers: set[asyncio.StreamWriter] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    @property
-    def port(self) -> int:
-        """Port on which the proxy listens."""
-        return self._server.sockets[0].getsockname()[1]
-
-    async def start(self) -> None:
-        """Listen on loopback."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-
-    def block(self, *directions: str) -> None:
-        """Withhold the bytes of these directions until `unblock`."""
-        self.blocked = set(directions)
-        self._unblocked.clear()
-
-    def unblock(self) -> None:
-        """Forward all bytes again, including the withheld ones."""
-        self.blocked.clear()
-        self._unblocked.set()
-
-    def reset(self) -> None:
-        """Reset all connections."""
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._writers.add(writer)
-        try:
-            up_reader, up_writer = await asyncio.open_connection(
-                "127.0.0.1", self._target()
-            )
-        except OSError:
-            writer.transport.abort()
-            self._writers.discard(writer)
-            return
-        self._writers.add(up_writer)
-        await asyncio.gather(
-            self._pump("up", reader, up_writer), self._pump("down", up_reader, writer)
-        )
-        self._writers -= {writer, up_writer}
-
-    async def _pump(
-        self, direction: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            while data := await reader.read(1 << 16):
-                if self.delay_s:
-                    await asyncio.sleep(self.delay_s)
-                while direction in self.blocked:
-                    await self._unblocked.wait()
-                writer.write(data)
-                await writer.drain()
-        except OSError:
-            pass
-        writer.transport.abort()
-
-    def close(self) -> None:
-        """Stop listening and reset all connections."""
-        self._server.close()
-        self.reset()
-
-
 class History:
     """Outcomes that clients received for each written value, and violations."""
 
@@ -170,6 +97,7 @@
         promotions: bool = False,
         transactions: bool = False,
         failovers: bool = False,
+        link_faults: bool = False,
         names_era: bool = True,
         edges: int = EDGES,
         clients: int = CLIENTS,
@@ -178,6 +106,7 @@
         self._promotions = promotions
         self._transactions = transactions
         self._failovers = failovers
+        self._link_faults = link_faults
         self._edge_count = edges
         self._client_count = clients
         self.history = History()
@@ -189,6 +118,7 @@
         self._platform.store.era = draw_first_era(seed) if names_era else None
         self.judge = CommitJudge(self._platform)
         self._proxies: dict[str, FaultProxy] = {}
+        self._links = Links(self._platform)
         self._edges: list[EdgeProcess] = []
         self._clients: set[LineClient] = set()
         """Clients with an open session."""
@@ -224,13 +154,7 @@
                     for n in range(TRANSACTION_CLIENTS)
                 ]
             tasks = [asyncio.create_task(client) for client in clients]
-            if self._promotions:
-                await self._inject_promotion_faults()
-            elif self._failovers:
-                await self._inject_failovers()
-            else:
-                restores = self._restores().run(self._seconds)
-                await asyncio.gather(self._inject_faults(), restores)
+            await asyncio.gather(self._inject_faults(), self._inject_link_faults())
             await self._check_recovery()
             self._ending = True
             await asyncio.gather(*tasks)
@@ -242,6 +166,7 @@
                 await edge.stop(signal.SIGKILL)
             for proxy in self._proxies.values():
                 proxy.close()
+            self._links.close()
             await self._platform.close()
 
     async def _start(self) -> None:
@@ -258,7 +183,14 @@
         for number in range(self._edge_count):
             edge = EdgeProcess(self._platform, self._folder, f"edge-{number}")
             self._edges.append(edge)
-            await edge.start(zone=ZONES[number % len(ZONES)])
+            zone = ZONES[number % len(ZONES)]
+            if self._link_faults:
+                await self._links.add_vm(
+                    edge,
+                    zone=self._platform.zones[zone],
+                    platform_port=lambda: proxy.port,
+                )
+            await edge.start(zone=zone)
         for edge in self._edges:
             await edge.wait_until_ready()
 
@@ -266,6 +198,7 @@
         proxy = FaultProxy(lambda: endpoint.port)
         await proxy.start()
         self._proxies[endpoint.id] = proxy
+        self._links.add("endpoint", endpoint.id, Link(proxy, zone=endpoint.zone))
         self._platform.store.advertised_ports[endpoint.id] = proxy.port
 
     # Clients
@@ -386,106 +319,32 @@
     # Faults
 
     async def _inject_faults(self) -> None:
-        """Start random faults one after another; they may overlap."""
-        end = time.monotonic() + self._seconds
-        running: list[asyncio.Task[None]] = []
-        faults: list[Callable[[Random, float], Awaitable[None]]] = [
-            self._block_endpoint,
-            self._reset_endpoint,
-            self._delay_endpoint,
-            self._crash_primary,
-            self._deafen_replica,
-            self._block_store,
-            self._refuse_store,
-            self._lose_answers,
-            self._pause_edge,
-            self._restart_edge,
-            self._change_config,
-            self._hup_edge,
-        ]
-        if self._transactions:
-            faults = [
-                self._refuse_statements,
-                self._stop_edges_in_burst,
-                self._stop_edges_in_burst,
-                self._restart_edge,
-                self._pause_edge,
-                self._reset_endpoint,
-                self._delay_endpoint,
-                self._hup_edge,
-            ]
-        if self._failovers:
-            faults = [
-                self._pause_edge,
-                self._restart_edge,
-                self._hup_edge,
-                self._change_config,
-                self._reset_endpoint,
-                self._delay_endpoint,
-                self._lose_answers,
-            ]
-        for number in count():
-            if time.monotonic() >= end:
-                break
-            # A generator per fault makes a seed's sequence of faults reproducible.
-            random = Random(f"{self.seed} {number}")
-            fault = random.choice(faults)
-            self.faults[fault.__name__.lstrip("_")] += 1
-            seconds = random.uniform(0.2, 2.5)
-            pause = random.uniform(0.1, 1.2)
-            running.append(asyncio.create_task(fault(random, seconds)))
-            await asyncio.sleep(pause)
-        await asyncio.gather(*running)
-
-    def _random_endpoint(self, random: Random) -> StandinEndpoint:
-        return random.choice(self._endpoints)
-
-    async def _block_endpoint(self, random: Random, seconds: float) -> None:
-        proxy = self._proxies[self._random_endpoint(random).id]
-        proxy.block(*random.choice([("up",), ("down",), ("up", "down")]))
-        await asyncio.sleep(seconds)
-        proxy.unblock()
-
-    async def _reset_endpoint(self, random: Random, seconds: float) -> None:
-        self._proxies[self._random_endpoint(random).id].reset()
-
-    async def _delay_endpoint(self, random: Random, seconds: float) -> None:
-        proxy = self._proxies[self._random_endpoint(random).id]
-        proxy.delay_s = random.uniform(0.005, 0.1)
-        await asyncio.sleep(seconds)
-        proxy.delay_s = 0.0
-
-    async def _crash_primary(self, random: Random, seconds: float) -> None:
-        primaries = [e for e in self._endpoints if e.is_primary and not e.down]
-        if not primaries or any(e.down for e in self._endpoints):
-            return
-        await primaries[0].stop()
-        await asyncio.sleep(seconds)
-        await primaries[0].start()
-
-    async def _refuse_statements(self, random: Random, seconds: float) -> None:
-        share = random.uniform(0.2, 0.8)
-        for endpoint in self._endpoints:
-            endpoint.is_too_busy = lambda: random.random() < share
-        await asyncio.sleep(seconds)
-        for endpoint in self._endpoints:
-            endpoint.is_too_busy = lambda: False
-
-    async def _deafen_replica(self, random: Random, seconds: float) -> None:
-        endpoint = self._random_endpoint(random)
-        endpoint.replication_cut = True
-        await asyncio.sleep(seconds)
-        endpoint.replication_cut = False
-
-    async def _block_store(self, random: Random, seconds: float) -> None:
-        self._proxies["store"].block("up", "down")
-        await asyncio.sleep(seconds)
-        self._proxies["store"].unblock()
-
-    async def _refuse_store(self, random: Random, seconds: float) -> None:
-        self._platform.store.error_status = random.choice([429, 503])
-        await asyncio.sleep(seconds)
-        self._platform.store.error_status = 0
+        if self._promotions:
+            await self._inject_promotion_faults()
+        elif self._failovers:
+            await self._inject_failovers()
+        else:
+            restores = self._restores().run(self._seconds)
+            await asyncio.gather(self._make_faults().run(self._seconds), restores)
+
+    async def _inject_link_faults(self) -> None:
+        if self._link_faults:
+            faults = LinkFaults(
+                self._platform, self._links, seed=self.seed, counts=self.faults
+            )
+            await faults.run(self._seconds)
+
+    def _make_faults(self) -> SoakFaults:
+        return SoakFaults(
+            self._platform,
+            self._edges,
+            self._proxies,
+            seed=self.seed,
+            counts=self.faults,
+            restart_edge=self._restart,
+            transactions=self._transactions,
+            failovers=self._failovers,
+        )
 
     def _restores(
         self, on_restored: Callable[[], None] = lambda: None
@@ -505,7 +364,9 @@
             seed=self.seed,
             counts=self.faults,
             add_endpoint=self._add_endpoint,
-            remove_endpoint=lambda endpoint: self._proxies[endpoint.id].close(),
+            remove_endpoint=lambda endpoint: self._links.remove(
+                "endpoint", endpoint.id
+            ),
         )
         restores = self._restores(faults.register_draining)
         await asyncio.gather(
@@ -522,48 +383,17 @@
             restart_edge=lambda edge, random: self._restart(
                 edge, signal.SIGKILL, pause_s=random.uniform(0.0, 0.6)
             ),
+            longest_outage_s=(
+                PRIMARY_OUTAGE_S if self._link_faults else LONGEST_OUTAGE_S
+            ),
         )
         restores = self._restores(series.register_draining)
         await asyncio.gather(
             series.run(self._seconds),
             restores.run(self._seconds, among_failovers=True),
-            self._inject_faults(),
+            self._make_faults().run(self._seconds),
         )
 
-    async def _lose_answers(self, random: Random, seconds: float) -> None:
-        self._platform.store.responses_to_drop = random.randint(1, 5)
-
-    async def _pause_edge(self, random: Random, seconds: float) -> None:
-        edge = random.choice(self._edges)
-        if edge.running:
-            edge.process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(seconds)
-            if edge.running:
-                edge.process.send_signal(signal.SIGCONT)
-
-    async def _stop_edges_in_burst(self, random: Random, seconds: float) -> None:
-        """Stop edges; refuse statements while they roll open transactions back."""
-        await asyncio.gather(
-            self._restart_edge(random, seconds, signals=[signal.SIGTERM]),
-            self._restart_edge(random, seconds, signals=[signal.SIGTERM]),
-            self._refuse_late_in_drain(random, seconds),
-        )
-
-    async def _refuse_late_in_drain(self, random: Random, seconds: float) -> None:
-        await asyncio.sleep(GRACE_S / 2 - random.uniform(0.1, 0.5))
-        await self._refuse_statements(random, seconds)
-
-    async def _restart_edge(
-        self,
-        random: Random,
-        seconds: float,
-        *,
-        signals: Sequence[signal.Signals] = (signal.SIGTERM, signal.SIGKILL),
-    ) -> None:
-        edge = random.choice(self._edges)
-        if not edge.restarting:
-            await self._restart(edge, random.choice(signals), pause_s=seconds / 4)
-
     async def _restart(
         self, edge: EdgeProcess, signum: signal.Signals, *, pause_s: float
     ) -> None:
@@ -584,15 +414,6 @@
         await edge.start(zone=ZONES[self._edges.index(edge) % len(ZONES)])
         edge.restarting = False
 
-    async def _change_config(self, random: Random, seconds: float) -> None:
-        self._platform.configure()
-
-    async def _hup_edge(self, random: Random, seconds: float) -> None:
-        # Until the edge's first line of output, SIGHUP would end the interpreter.
-        edge = random.choice(self._edges)
-        if edge.running and edge.has_output:
-            edge.process.send_signal(signal.SIGHUP)
-
     async def _check_recovery(self) -> None:
         """Check that without faults every edge gets ready and serves a write."""
         for edge in self._edges:
@@ -677,6 +498,7 @@
     promotions: bool = False,
     transactions: bool = False,
     failovers: bool = False,
+    link_faults: bool = False,
     names_era: bool = True,
     edges: int = EDGES,
     clients: int = CLIENTS,
@@ -690,6 +512,7 @@
             promotions=promotions,
             transactions=transactions,
             failovers=failovers,
+            link_faults=link_faults,
             names_era=names_era,
             edges=edges,
             clients=clients,
@@ -722,6 +545,12 @@
     failovers: Annotated[
         bool, typer.Option(help="Inject failovers in series instead.")
     ] = False,
+    link_faults: Annotated[
+        bool,
+        typer.Option(
+            help="Inject faults of links beside those of --promotions and --failovers."
+        ),
+    ] = True,
     era: Annotated[
         bool, typer.Option(help="Let the store name its era in its answers.")
     ] = True,
@@ -744,6 +573,7 @@
             promotions=promotions,
             transactions=transactions,
             failovers=failovers,
+            link_faults=link_faults and (promotions or failovers),
             names_era=era,
             edges=edges,
             clients=clients,
--- a/tests/test_commits_lost.py
+++ b/tests/test_commits_lost.py
@@ -19,8 +19,8 @@
     wait_for,
 )
 
+from bench.fault_proxy import FaultProxy
 from bench.platform_cluster import LineClient
-from bench.soak import FaultProxy
 from celeryjunction.platform.standin import StandinEndpoint
 from celeryjunction.replication.roster import RESUME_LIMIT_S
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from bench.soak import FaultProxy
+from bench.fault_proxy import FaultProxy
 from celeryjunction.adapters.http_client import HttpClient, HttpFailure, HttpResponse
 from celeryjunction.gateway.routes import Consistency
 from celeryjunction.platform.promotion import HttpPromoter
