Move the answered connection, the stored roster and the token into modules of their own

What asks a service for an answer before a request is plumbing (adapters/http_path.py); the record that the store has and the bits of a token are concepts of their own. No decision changes.

--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -35,8 +35,8 @@
     CALL_LIMIT_S,
     SEAL_LIMIT_S,
     GroupRoster,
-    Roster,
 )
+from celeryjunction.replication.stored_roster import Roster
 
 COMMAND_TIMEOUT_S = 0.3
 """A pause or demotion takes one round trip; the limit allows for a lost packet."""
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -26,7 +26,7 @@
 
 import msgspec
 
-from celeryjunction.decoding import MAX_NUMBER, Count, DecodingError, Name, decode
+from celeryjunction.decoding import MAX_NUMBER, DecodingError, decode
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
@@ -37,7 +37,9 @@
     StoreRefused,
     StoreUnavailable,
 )
+from celeryjunction.replication.fencing_token import compose_token
 from celeryjunction.replication.ports import NO_POSITION, EndpointInfo, LogPosition
+from celeryjunction.replication.stored_roster import Roster
 from celeryjunction.store_history import StoreHistory
 
 ROSTER_PREFIX = "groups/"
@@ -63,90 +65,10 @@
 SEAL_TIMEOUT_S = 0.3
 """Time limit of a call while replicas are paused; a slow store takes 0.2 s."""
 CALL_TIMEOUT_S = 0.5
-TOKEN_TICKS_PER_S = 16
-_TOKEN_TIME_BITS = 36
-"""Ticks since the epoch, until the year 2106."""
-_TOKEN_TERM_BITS = 16
-_MAX_TOKEN_TIME = (1 << _TOKEN_TIME_BITS) - 1
-_MAX_TOKEN_TERM = (1 << _TOKEN_TERM_BITS) - 1
-_MAX_TOKEN_ERA = MAX_NUMBER >> (_TOKEN_TERM_BITS + _TOKEN_TIME_BITS)
 
 _log = get_logger("replication")
 
 
-class Roster(msgspec.Struct, frozen=True):
-    """Members of a group's term, the primary included, as stored."""
-
-    term: Count = 0
-    primary: Name = ""
-    members: tuple[EndpointInfo, ...] = ()
-    departed: tuple[tuple[Name, Count], ...] = ()
-    """Members of this term that ended: id and start time of the process, in ms."""
-    size: Count = 0
-    """Largest number of endpoints that were registered and not draining."""
-    floor: tuple[Count, Count] = NO_POSITION
-    """Position that the next primary needs: where the term began, or how far a member
-    that was removed had received."""
-    next_primary: Name = ""
-    """The endpoint whose promotion was or will be requested; empty if not sealed."""
-    next_members: tuple[EndpointInfo, ...] = ()
-    """Members of the term that this promotion begins, its primary included."""
-    next_floor: tuple[Count, Count] = NO_POSITION
-    """The end of the log of that endpoint, with which it begins its term."""
-    seal_token: Count = 0
-    """Fencing token of the promotion that the seal announces."""
-    seal_holder: Name = ""
-    """The VM that announced it."""
-    seals: Count = 0
-    """Number of seals for this next primary: each may have led to a call."""
-    answered: Count = 0
-    """How many of these calls the platform has answered, so that they are not on their
-    way any more."""
-    outstanding: Name = ""
-    """The primary, if a second call under the seal of the term before may promote it
-    again; empty if there was only one."""
-    repeat_unanswered: bool = False
-    """Whether one of several calls under the seal of the term before may still be on
-    its way."""
-    fence: Count = 0
-    """Highest fencing token of the group's promotions, in this term and before."""
-    resuming: Name = ""
-    """Id of the RESUME commands that a holder sends; empty if all were answered."""
-
-    @property
-    def is_sealed(self) -> bool:
-        """Whether a promotion was or will be requested under this roster."""
-        return bool(self.next_primary)
-
-    @property
-    def has_call_out(self) -> bool:
-        """Whether a call may be on its way that the platform hasn't answered."""
-        if self.is_sealed:
-            return self.answered < self.seals
-        return self.repeat_unanswered
-
-    @property
-    def highest_token(self) -> int:
-        """Highest fencing token known; VMs of earlier versions keep only the seal's."""
-        return max(self.fence, self.seal_token)
-
-    def successor(self) -> Roster:
-        """Return the roster of the next term, as announced by the seal.
-
-        It isn't sealed: a promotion beyond that term needs a roster of it first.
-        """
-        return Roster(
-            term=self.term + 1,
-            primary=self.next_primary,
-            members=self.next_members,
-            size=self.size,
-            floor=self.next_floor,
-            outstanding=self.next_primary if self.seals > 1 else "",
-            repeat_unanswered=self.seals > 1 and self.has_call_out,
-            fence=self.highest_token,
-        )
-
-
 _roster = msgspec.json.Decoder(Roster)
 
 
@@ -548,15 +470,11 @@
     def next_token(self, term: int) -> int:
         """Return the fencing token for a promotion that replaces the primary of `term`.
 
-        It is higher than all that this VM knows. As the store may have lost the highest
-        one, it also rises with the store's era, within an era with the term, which the
-        endpoints keep, and with the time if the VM does not notice the loss. The era
-        comes first because the endpoints may have lost their terms as well.
+        It is higher than all that this VM knows, and one that the store has lost.
         """
-        next_term = min(term + 1, _MAX_TOKEN_TERM)
-        ticks = int(self._clock.wall() * TOKEN_TICKS_PER_S)
-        token = (min(self._history.era, _MAX_TOKEN_ERA) << _TOKEN_TERM_BITS) + next_term
-        token = (token << _TOKEN_TIME_BITS) + min(max(0, ticks), _MAX_TOKEN_TIME)
+        token = compose_token(
+            era=self._history.era, next_term=term + 1, wall_s=self._clock.wall()
+        )
         return max(token, self._highest_token + 1)
 
     async def seal(
--- a/tests/test_competing_holders.py
+++ b/tests/test_competing_holders.py
@@ -18,7 +18,7 @@
 from bench.fault_proxy import FaultProxy
 from bench.fence_judge import find_token_violations
 from bench.platform_cluster import EdgeProcess
-from celeryjunction.platform.promotion import CHECK_PATH
+from celeryjunction.adapters.http_path import CHECK_PATH
 from celeryjunction.platform.standin import PromotionCall
 
 WRITES_SINCE_THE_COPY = 500
--- a/tests/test_confirmed_commits.py
+++ b/tests/test_confirmed_commits.py
@@ -35,8 +35,8 @@
     RESUME_LIMIT_S,
     SEAL_LIMIT_S,
     GroupRoster,
-    Roster,
 )
+from celeryjunction.replication.stored_roster import Roster
 
 NO_COMMIT = LogPosition(0, 0)
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -32,7 +32,8 @@
 from celeryjunction.relay.homes import HomeSelector
 from celeryjunction.replication.ports import EndpointInfo
 from celeryjunction.replication.register import REREGISTER_S, EndpointRegister
-from celeryjunction.replication.roster import GroupRoster, Roster
+from celeryjunction.replication.roster import GroupRoster
+from celeryjunction.replication.stored_roster import Roster
 
 ENTRY = {
     "service": "g",
