Forget no RESUME that may be on its way, and hold up nobody for one that isn't

- Replicas of a living primary stayed paused if the store took 0.3 to 0.5 s, or if the term's roster was not written yet, as RESUME wasn't announced.
- RESUME commands that were all answered held failovers up if the store was away when their holder recorded it.
- A RESUME whose announcement the store lost was not awaited any more by VMs that had read it.
- An old seal ended the wait for a holder whose claim the store had lost: a lower token in order of arrival.
The limit for a call is 7 s now, and the usual wait of 1.5 s follows.
- The limit of repeats counted the calls of other VMs; a response that this VM aborted counted as complete.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -105,6 +105,7 @@
     def abort(self) -> None:
         """Reset the connection, so that bytes not yet delivered are discarded."""
         self.closed = True
+        self._ends_at_close = False
         sock = self._transport.get_extra_info("socket")
         if sock is not None and not self._transport.is_closing():
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -50,9 +50,9 @@
 """A sealed promotion may still take effect for this long: the platform carries a call
 out up to 6 s late, and a promotion takes up to 3 s. A VM whose call was not answered
 makes no other one before."""
-CALL_LIMIT_S = 8.0
-"""A promotion call that the platform hasn't answered counts as lost after this: it may
-be held up on its way, or carried out up to 6 s late."""
+CALL_LIMIT_S = 7.0
+"""A promotion call that the platform hasn't answered counts as lost after this and the
+next holder's wait of 1.5 s: it may be held up on its way, or carried out 6 s late."""
 MAX_CALLS = 2
 """Calls of one VM under one token."""
 RESUME_LIMIT_S = CALL_LIMIT_S
@@ -87,8 +87,10 @@
     __slots__ = (
         "_absent_since",
         "_call_awaited_until",
+        "_calls",
         "_clock",
         "_departed",
+        "_ended_resume",
         "_first_received",
         "_floor",
         "_highest_token",
@@ -98,6 +100,7 @@
         "_next_read_at",
         "_read_at",
         "_registered",
+        "_resume_awaited_until",
         "_resume_seen",
         "_seal_seen",
         "_seen",
@@ -138,8 +141,14 @@
         """The calls that may be outstanding, and since when they are known; seconds."""
         self._unanswered_token = 0
         """Token of this VM's last call if it was not answered, or 0."""
+        self._calls = 0
+        """This VM's calls under that token."""
         self._call_awaited_until = 0.0
         """Until when a call may arrive whose seal the store has lost; seconds."""
+        self._ended_resume = ""
+        """Id of this VM's RESUME commands that are not on their way any more."""
+        self._resume_awaited_until = 0.0
+        """Until when a RESUME may arrive that the store has lost; seconds."""
         self._resume_seen = ("", 0.0)
         """Id of the RESUME commands in the stored roster, and since when it is known;
         seconds."""
@@ -428,6 +437,8 @@
         """Take over what only the roster of an earlier era of the store tells."""
         if lost.has_call_out and self._seal_seen is not None:
             self._call_awaited_until = self._seal_seen[1] + CALL_LIMIT_S
+        if self._unanswered_resume(lost):
+            self._resume_awaited_until = self._resume_seen[1] + RESUME_LIMIT_S
         if lost.term > self._seen.term:
             self._departed.clear()
         if lost.term >= self._seen.term:
@@ -576,7 +587,7 @@
             seals=current.seals + 1 if is_repeated else 1,
             answered=answered if is_repeated else 0,
             outstanding="" if is_old else current.outstanding,
-            repeat_unanswered=current.repeat_unanswered and not is_old,
+            repeat_unanswered=current.repeat_unanswered and not is_lost,
             fence=announced.seal_token,
             resuming="",
         )
@@ -627,7 +638,7 @@
         return (
             stored.seal_holder == self._vm
             and stored.seal_token == self._unanswered_token == self._highest_token
-            and stored.seals < MAX_CALLS
+            and self._calls < MAX_CALLS
             and self.seal_age_s < CALL_LIMIT_S
         )
 
@@ -651,6 +662,8 @@
     @property
     def has_unanswered_resume(self) -> bool:
         """Whether a RESUME may still arrive and end a pause."""
+        if self._clock.monotonic() < self._resume_awaited_until:
+            return True
         stored = self._stored_roster
         return stored is not None and bool(self._unanswered_resume(stored))
 
@@ -658,33 +671,42 @@
         """Return the id of the RESUME commands that may still arrive, or empty."""
         resuming, since = self._resume_seen
         is_old = self._clock.monotonic() - since >= RESUME_LIMIT_S
-        return "" if stored.resuming == resuming and is_old else stored.resuming
+        is_over = stored.resuming == self._ended_resume or (
+            stored.resuming == resuming and is_old
+        )
+        return "" if is_over else stored.resuming
 
-    async def begin_resume(self, *, claim: Compare) -> str:
-        """Announce RESUME commands; return their id for `end_resume`.
+    async def begin_resume(
+        self, *, term: int, primary: str | None, claim: Compare
+    ) -> str:
+        """Announce RESUME commands in a term; return their id for `end_resume`.
 
         Empty if that isn't stored: the claim is lost, the roster is sealed, an earlier
         RESUME may still arrive, or the store doesn't answer.
         """
         resuming = token_hex(RESUME_ID_BYTES)
         for _ in range(SEAL_ATTEMPTS):
-            found = await self._read_revision(timeout=SEAL_TIMEOUT_S)
+            found = await self._read_revision()
             if found is None:
                 continue
             stored, revision = found
             if stored.resuming == resuming:
                 return resuming  # An earlier attempt, whose answer was lost.
-            if stored.is_sealed or self.has_unanswered_resume:
+            # The seal of the term before has served, if that term's primary leads.
+            current = self._stored_in_term(term, primary)
+            current = stored if current is None else current
+            if current.is_sealed or self.has_unanswered_resume:
                 break
-            announced = msgspec.structs.replace(stored, resuming=resuming)
-            compares = [claim, Compare(self._key, revision)]
-            if await self._put(announced, compares, timeout=SEAL_TIMEOUT_S):
+            announced = msgspec.structs.replace(current, resuming=resuming)
+            if await self._put(announced, [claim, Compare(self._key, revision)]):
                 return resuming
+        self._ended_resume = resuming  # It may be stored, but nothing is sent.
         _log.warning("resume_not_announced", entry=self._key)
         return ""
 
     async def end_resume(self, resuming: str) -> None:
         """Record that all RESUME commands of this id were answered or not sent."""
+        self._ended_resume = resuming
         for _ in range(SEAL_ATTEMPTS):
             found = await self._read_revision()
             if found is None:
@@ -698,7 +720,11 @@
 
     def note_call(self, *, token: int, is_answered: bool) -> None:
         """Note whether the platform answered this VM's call under a token."""
-        self._unanswered_token = 0 if is_answered else token
+        if is_answered:
+            self._unanswered_token = self._calls = 0
+        else:
+            self._calls = self._calls + 1 if token == self._unanswered_token else 1
+            self._unanswered_token = token
 
     async def record_answer(self, *, token: int) -> None:
         """Store that the platform answered a call under this token."""
--- a/tests/test_confirmed_commits.py
+++ b/tests/test_confirmed_commits.py
@@ -888,7 +888,6 @@
         await self.call_without_answer(vm, cluster)
         cluster.promotion_answers = [PromotionResult.UNANSWERED] * 2
         for _ in range(2):
-            await asyncio.sleep(LEASE_S)
             assert not await self.replace(vm)
         assert len(cluster.promotions) == 2
         assert vm.roster.must_await_call(1)
--- a/tests/test_unanswered_calls.py
+++ b/tests/test_unanswered_calls.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 import pytest
 from fakes import event_loop_policy  # noqa: F401
@@ -22,8 +23,13 @@
 from celeryjunction.failover.claims import LEASE_S
 from celeryjunction.failover.promotion_paths import PromotionPaths
 from celeryjunction.ports import KeyValue, StoreUnavailable
-from celeryjunction.replication.ports import PromotionRequest, PromotionResult
+from celeryjunction.replication.ports import (
+    LogPosition,
+    PromotionRequest,
+    PromotionResult,
+)
 from celeryjunction.replication.roster import (
+    CALL_LIMIT_S,
     SEAL_LIMIT_S,
     SEAL_TIMEOUT_S,
     GroupRoster,
@@ -191,6 +197,31 @@
         await vm.stop()
         await second.stop()
 
+    async def test_an_old_seal_does_not_end_the_wait_for_a_holder_whose_claim_is_lost(
+        self,
+        cluster: FakeCluster,  # noqa: F811
+        store: FakeStore,  # noqa: F811
+    ) -> None:
+        first = await started_vm(cluster, store)
+        second = await started_second_vm(cluster, store)
+        third = Vm(cluster, store, "vm3")
+        await third.group.refresh()
+        cluster.take_over = lambda name: None
+        await call_without_answer(first, cluster)
+        await second.roster.read()
+        await third.roster.read()
+        await asyncio.sleep(CALL_LIMIT_S)
+        copy = dict(store.items)
+        late = LatePath(cluster)
+        second.coordinator._paths = PromotionPaths(late)
+        calling = asyncio.create_task(replace(second))
+        await late.is_called.wait()
+        store.items = copy
+        await asyncio.sleep(0.1)
+        await asyncio.gather(calling, replace(third))
+        tokens = [token for _, _, token in cluster.promotions]
+        assert tokens == sorted(set(tokens))
+
 
 class TestPromotionPaths:
     async def test_an_unexpected_error_ends_one_attempt_only(self) -> None:
@@ -246,6 +277,28 @@
         return PromotionResult.UNANSWERED
 
 
+class LatePath:
+    """Promoter and path that stand still for 0.4 s before the call is sent."""
+
+    def __init__(self, cluster: FakeCluster) -> None:  # noqa: F811
+        self._cluster = cluster
+        self.is_called = asyncio.Event()
+
+    async def open_path(self) -> LatePath:
+        return self
+
+    async def confirm(self) -> bool:
+        return True
+
+    def close(self) -> None:
+        pass
+
+    async def promote(self, request: PromotionRequest) -> PromotionResult:
+        self.is_called.set()
+        await asyncio.sleep(0.4)
+        return await self._cluster.promote(request)
+
+
 class FailingOnce:
     """Promoter whose first attempt fails in an unexpected way."""
 
@@ -265,3 +318,87 @@
     async def open_path(self) -> FakeCluster:
         await asyncio.sleep(0.4)
         return FakeCluster()
+
+
+class TestResumeOnItsWay:
+    async def test_answered_commands_hold_up_nobody_though_the_store_was_away(
+        self,
+        cluster: FakeCluster,  # noqa: F811
+        store: FakeStore,  # noqa: F811
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        end_resume = GroupRoster.end_resume
+
+        async def end_while_away(self: GroupRoster, resuming: str) -> None:
+            store.unavailable = True
+            await end_resume(self, resuming)
+            store.unavailable = False
+
+        monkeypatch.setattr(GroupRoster, "end_resume", end_while_away)
+        assert not await give_up(vm)
+        await asyncio.sleep(LEASE_S)
+        cluster["a1"].silent = True
+        assert await replace(vm)
+
+    async def test_one_that_the_store_lost_is_awaited_by_a_vm_that_saw_it(
+        self,
+        cluster: FakeCluster,  # noqa: F811
+        store: FakeStore,  # noqa: F811
+    ) -> None:
+        """Guards against a RESUME that ends the pause of a later promotion."""
+        vm = await started_vm(cluster, store)
+        copy = dict(store.items)
+        cluster["c1"].ignores_resume = True
+        assert not await give_up(vm)
+        second = await started_second_vm(cluster, store)
+        await second.roster.read()
+        store.items = copy
+        second.roster._history.note_loss(reason="test")
+        cluster["a1"].silent = True
+        await replace(second)
+        assert not cluster.promotions
+
+    async def test_replicas_are_resumed_before_the_terms_roster_is_written(
+        self,
+        cluster: FakeCluster,  # noqa: F811
+        store: FakeStore,  # noqa: F811
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        cluster["a1"].silent = True
+        assert await replace(vm)
+        old = cluster["a1"]
+        old.silent = old.is_primary = False
+        old.term, old.held_term = 2, 0
+        await vm.group.refresh()
+        assert not await give_up(vm, 2)
+        assert not any(e.held_term for e in cluster.endpoints.values())
+
+    async def test_replicas_are_resumed_though_the_store_is_slow(
+        self,
+        cluster: FakeCluster,  # noqa: F811
+        store: FakeStore,  # noqa: F811
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        for name in ("get", "compare_and_put"):
+            setattr(store, name, slowed(getattr(store, name)))
+        assert not await give_up(vm)
+        assert not any(e.held_term for e in cluster.endpoints.values())
+
+
+async def give_up(vm: Vm, term: int = 1) -> bool:
+    """Attempt a failover for which no replica has enough log."""
+    missing = LogPosition(term, 10**6)
+    return await vm.coordinator.replace("silent", term=term, acknowledged=missing)
+
+
+def slowed(call: Callable[..., Awaitable[object]]) -> Callable[..., Awaitable[object]]:
+    async def call_slowly(
+        *arguments: object, timeout: float = 2.0, **options: object
+    ) -> object:
+        await asyncio.sleep(min(timeout, 0.35))
+        if timeout <= SEAL_TIMEOUT_S:
+            raise StoreUnavailable("slow")
+        return await call(*arguments, timeout=timeout, **options)
+
+    return call_slowly
