Model the promotion calls that are on their way

fencing_tokens leaves out calls that overtake one another. promotion_calls has them: sent, withheld, arrived, accepted or refused, answered or not, carried out.

--- a/model/all_checks.py
+++ b/model/all_checks.py
@@ -11,6 +11,7 @@
     late_promotion,
     lost_write,
     promotion,
+    promotion_calls,
     quota,
     read_your_writes,
 )
@@ -26,5 +27,6 @@
     confirmed_commits,
     late_promotion,
     fencing_tokens,
+    promotion_calls,
 )
 CHECKS = [check for module in MODULES for check in module.CHECKS]
