--- a/tests/test_commits_lost.py
+++ b/tests/test_commits_lost.py
@@ -238,6 +238,28 @@
         cluster.check()
 
 
+class TestLateCommands:
+    """Commands of an attempt that was given up, of which no VM knows any more."""
+
+    @pytest.mark.parametrize("command", ["PAUSE", "DEMOTE"])
+    async def test_late_command_costs_time_and_no_commits(
+        self, cluster: Cluster, command: str
+    ) -> None:
+        primary, *replicas = cluster.group.endpoints
+        for zone in (0, 1):
+            await (await cluster.start_edge(zone=zone)).wait_until_ready()
+        cluster.write_through(cluster.edges[0])
+        await cluster.wait_for_writes()
+        if command == "PAUSE":
+            for replica in replicas:
+                replica.held_term = cluster.term + 1
+        else:
+            primary.is_primary = False
+        await wait_for(lambda: cluster.term > 1)
+        await cluster.wait_for_writes()
+        cluster.check()
+
+
 def hold_resume(endpoint: StandinEndpoint, caller: str) -> list[bytes]:
     """Withhold RESUME of a caller from an endpoint; return the list of those held."""
     held: list[bytes] = []
