Give the promotion API of the stand-in a listener that restores don't cut

A restore of the store cut the connections of the promotion API as well, since VMs reached both on one port. The VMs' links to the promotion API now lead to a listener of its own.

--- a/bench/links.py
+++ b/bench/links.py
@@ -76,19 +76,18 @@
         """Close and forget the link of a VM or an endpoint."""
         self._links[kind].pop(name).proxy.close()
 
-    async def add_vm(
-        self, edge: EdgeProcess, *, zone: str, platform_port: Callable[[], int]
-    ) -> None:
+    async def add_vm(self, edge: EdgeProcess, *, zone: str, store_port: int) -> None:
         """Open the links of an edge that has not started yet.
 
-        Raises `OSError` if no port is left.
+        The one to the store leads to `store_port`. Raises `OSError` if no port is left.
         """
         platform, name = self._platform, edge.name
+        promotion_port = int(platform.store.promotion_address.rpartition(":")[2])
         platform.store_addresses[name] = await self._open(
-            "store", name, zone, platform_port
+            "store", name, zone, lambda: store_port
         )
         platform.cloud_addresses[name] = await self._open(
-            "promotion", name, zone, platform_port
+            "promotion", name, zone, lambda: promotion_port
         )
         platform.store.advertised_vms[name] = await self._open(
             "vm", name, zone, lambda: edge.internal_port
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -188,7 +188,7 @@
                 await self._links.add_vm(
                     edge,
                     zone=self._platform.zones[zone],
-                    platform_port=lambda: proxy.port,
+                    store_port=proxy.port,
                 )
             await edge.start(zone=zone)
         for edge in self._edges:
--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -479,6 +479,7 @@
         """Fault: HTTP status that answers all calls; 0 to serve them."""
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self._promotion_server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.connections: set[asyncio.Transport] = set()
 
@@ -487,6 +488,11 @@
         """Address of the listener."""
         return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
+    @property
+    def promotion_address(self) -> str:
+        """Address of a listener whose connections a restore doesn't cut."""
+        return f"127.0.0.1:{self._promotion_server.sockets[0].getsockname()[1]}"
+
     @property
     def promotions(self) -> list[tuple[str, str, str]]:
         """Group, endpoint and fencing token of each promotion call."""
@@ -499,12 +505,16 @@
         """Listen on loopback."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _HttpConnection(self), "127.0.0.1", 0
+            lambda: _HttpConnection(self, self.connections), "127.0.0.1", 0
+        )
+        self._promotion_server = await loop.create_server(
+            lambda: _HttpConnection(self, set()), "127.0.0.1", 0
         )
 
     async def close(self) -> None:
         """Stop serving."""
         self._server.close()
+        self._promotion_server.close()
         for task in list(self.tasks):
             task.cancel()
 
@@ -685,16 +695,19 @@
 class _HttpConnection(asyncio.Protocol):
     """Server side of an HTTP connection to the store; one call at a time."""
 
-    def __init__(self, store: StandinStore) -> None:
+    def __init__(
+        self, store: StandinStore, connections: set[asyncio.Transport]
+    ) -> None:
         self._store = store
+        self._connections = connections
         self._parser = HttpRequestParser(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
-        self._store.connections.add(transport)
+        self._connections.add(transport)
 
     def connection_lost(self, error: Exception | None) -> None:
-        self._store.connections.discard(self._transport)
+        self._connections.discard(self._transport)
 
     def data_received(self, data: bytes) -> None:
         try:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -102,7 +102,7 @@
         links = Links(platform)
         edge = EdgeProcess(platform, tmp_path, "edge-0")
         port = int(platform.store.address.rpartition(":")[2])
-        await links.add_vm(edge, zone="zone-0", platform_port=lambda: port)
+        await links.add_vm(edge, zone="zone-0", store_port=port)
         addresses = {
             kind: f"127.0.0.1:{links.of_kind(kind)['edge-0'].proxy.port}"
             for kind in ("store", "promotion", "vm")
@@ -124,6 +124,34 @@
         assert record["peer_address"] == addresses["vm"]
 
 
+class TestRestoredStore:
+    async def test_call_on_a_silent_link_arrives_after_a_restore(
+        self, tmp_path: Path
+    ) -> None:
+        platform = StandinPlatform()
+        await platform.start()
+        links = Links(platform)
+        edge = EdgeProcess(platform, tmp_path, "edge-0")
+        port = int(platform.store.address.rpartition(":")[2])
+        await links.add_vm(edge, zone="zone-0", store_port=port)
+        link = links.of_kind("promotion")["edge-0"]
+        silence = LinkFault("up", "down")
+        link.begin(silence)
+        body = b'{"service": "db", "id": "i-db1"}'
+        _, writer = await asyncio.open_connection("127.0.0.1", link.proxy.port)
+        writer.write(b"POST /promotion HTTP/1.1\r\n")
+        writer.write(b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
+        await asyncio.sleep(STILL_WAITING_S)
+        assert not platform.store.received_calls
+        platform.restore_store(platform.store.copy())
+        writer.close()
+        link.end(silence)
+        await asyncio.sleep(STILL_WAITING_S)
+        assert len(platform.store.received_calls) == 1
+        links.close()
+        await platform.close()
+
+
 class TestLinkFaults:
     async def test_no_fault_is_left_at_the_end(
         self, echo: Echo, monkeypatch: pytest.MonkeyPatch
