Lead the soak's links to the store directly to it

A VM's link to the store led through the proxy that all VMs shared, so each of its connections passed two proxies of the soak's own process. A restore now withholds the bytes of all VMs' links beside their faults.

--- a/bench/links.py
+++ b/bench/links.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from bench.fault_proxy import FaultProxy
 from bench.platform_cluster import EdgeProcess
@@ -47,6 +47,28 @@
         self.proxy.delay_s = max(delays, default=0.0)
 
 
+class BlockedLinks:
+    """Some links whose bytes can be withheld beside their other faults."""
+
+    def __init__(self, links: Callable[[], Iterable[Link]]) -> None:
+        self._links = links
+        self._blocked: list[tuple[Link, LinkFault]] = []
+
+    def block(self, *directions: str) -> None:
+        """Withhold the bytes of these directions until `unblock`."""
+        self.unblock()
+        for link in self._links():
+            fault = LinkFault(*directions)
+            link.begin(fault)
+            self._blocked.append((link, fault))
+
+    def unblock(self) -> None:
+        """Forward all bytes again that no other fault withholds."""
+        for link, fault in self._blocked:
+            link.end(fault)
+        self._blocked.clear()
+
+
 class Links:
     """All links of a platform, by kind.
 
@@ -76,13 +98,16 @@
         """Close and forget the link of a VM or an endpoint."""
         self._links[kind].pop(name).proxy.close()
 
-    async def add_vm(self, edge: EdgeProcess, *, zone: str, store_port: int) -> None:
+    async def add_vm(self, edge: EdgeProcess, *, zone: str) -> None:
         """Open the links of an edge that has not started yet.
 
-        The one to the store leads to `store_port`. Raises `OSError` if no port is left.
+        Raises `OSError` if no port is left.
         """
         platform, name = self._platform, edge.name
-        promotion_port = int(platform.store.promotion_address.rpartition(":")[2])
+        store_port, promotion_port = (
+            int(address.rpartition(":")[2])
+            for address in (platform.store.address, platform.store.promotion_address)
+        )
         platform.store_addresses[name] = await self._open(
             "store", name, zone, lambda: store_port
         )
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -39,12 +39,12 @@
 from bench.fault_proxy import FaultProxy
 from bench.fence_judge import find_token_violations
 from bench.link_faults import PRIMARY_OUTAGE_S, LinkFaults
-from bench.links import Link, Links
+from bench.links import BlockedLinks, Link, Links
 from bench.platform_cluster import EdgeProcess, LineClient
 from bench.promotion_faults import PromotionFaults
 from bench.report import print_result
 from bench.soak_faults import SoakFaults
-from bench.store_restores import StoreRestores, draw_first_era
+from bench.store_restores import Blockable, StoreRestores, draw_first_era
 from bench.transactions import TransactionClients
 from celeryjunction.platform.standin import StandinEndpoint, StandinPlatform
 
@@ -185,11 +185,7 @@
             self._edges.append(edge)
             zone = ZONES[number % len(ZONES)]
             if self._link_faults:
-                await self._links.add_vm(
-                    edge,
-                    zone=self._platform.zones[zone],
-                    store_port=proxy.port,
-                )
+                await self._links.add_vm(edge, zone=self._platform.zones[zone])
             await edge.start(zone=zone)
         for edge in self._edges:
             await edge.wait_until_ready()
@@ -349,9 +345,12 @@
     def _restores(
         self, on_restored: Callable[[], None] = lambda: None
     ) -> StoreRestores:
+        store: Blockable = self._proxies["store"]
+        if self._link_faults:
+            store = BlockedLinks(lambda: self._links.of_kind("store").values())
         return StoreRestores(
             self._platform,
-            self._proxies["store"],
+            store,
             seed=self.seed,
             counts=self.faults,
             on_restored=on_restored,
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -15,7 +15,7 @@
 from bench import link_faults
 from bench.fault_proxy import FaultProxy
 from bench.link_faults import LinkFaults
-from bench.links import Link, LinkFault, Links
+from bench.links import BlockedLinks, Link, LinkFault, Links
 from bench.platform_cluster import EdgeProcess
 from celeryjunction.platform.standin import StandinPlatform
 
@@ -81,6 +81,18 @@
             echo.link.end(fault)
         await sent
 
+    async def test_unblocked_link_still_has_its_other_faults(self, echo: Echo) -> None:
+        blocked, fault = BlockedLinks(lambda: [echo.link]), LinkFault("up")
+        echo.link.begin(fault)
+        blocked.block("up", "down")
+        sent = asyncio.create_task(echo.send())
+        await asyncio.sleep(STILL_WAITING_S)
+        blocked.unblock()
+        await asyncio.sleep(STILL_WAITING_S)
+        assert not sent.done()
+        echo.link.end(fault)
+        await sent
+
     async def test_the_longest_delay_holds(self, echo: Echo) -> None:
         faults = [LinkFault(delay_s=0.01), LinkFault(delay_s=STILL_WAITING_S)]
         for fault in faults:
@@ -101,8 +113,7 @@
         await platform.start()
         links = Links(platform)
         edge = EdgeProcess(platform, tmp_path, "edge-0")
-        port = int(platform.store.address.rpartition(":")[2])
-        await links.add_vm(edge, zone="zone-0", store_port=port)
+        await links.add_vm(edge, zone="zone-0")
         addresses = {
             kind: f"127.0.0.1:{links.of_kind(kind)['edge-0'].proxy.port}"
             for kind in ("store", "promotion", "vm")
@@ -132,8 +143,7 @@
         await platform.start()
         links = Links(platform)
         edge = EdgeProcess(platform, tmp_path, "edge-0")
-        port = int(platform.store.address.rpartition(":")[2])
-        await links.add_vm(edge, zone="zone-0", store_port=port)
+        await links.add_vm(edge, zone="zone-0")
         link = links.of_kind("promotion")["edge-0"]
         silence = LinkFault("up", "down")
         link.begin(silence)
