--- a/bench/links.py
+++ b/bench/links.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from bench.fault_proxy import FaultProxy
 from bench.platform_cluster import EdgeProcess
@@ -47,6 +47,28 @@
         self.proxy.delay_s = max(delays, default=0.0)
 
 
+class BlockedLinks:
+    """Some links whose bytes can be withheld beside their other faults."""
+
+    def __init__(self, links: Callable[[], Iterable[Link]]) -> None:
+        self._links = links
+        self._blocked: list[tuple[Link, LinkFault]] = []
+
+    def block(self, *directions: str) -> None:
+        """Withhold the bytes of these directions until `unblock`."""
+        self.unblock()
+        for link in self._links():
+            fault = LinkFault(*directions)
+            link.begin(fault)
+            self._blocked.append((link, fault))
+
+    def unblock(self) -> None:
+        """Forward all bytes again that no other fault withholds."""
+        for link, fault in self._blocked:
+            link.end(fault)
+        self._blocked.clear()
+
+
 class Links:
     """All links of a platform, by kind.
 
@@ -76,19 +98,21 @@
         """Close and forget the link of a VM or an endpoint."""
         self._links[kind].pop(name).proxy.close()
 
-    async def add_vm(
-        self, edge: EdgeProcess, *, zone: str, platform_port: Callable[[], int]
-    ) -> None:
+    async def add_vm(self, edge: EdgeProcess, *, zone: str) -> None:
         """Open the links of an edge that has not started yet.
 
         Raises `OSError` if no port is left.
         """
         platform, name = self._platform, edge.name
+        store_port, promotion_port = (
+            int(address.rpartition(":")[2])
+            for address in (platform.store.address, platform.store.promotion_address)
+        )
         platform.store_addresses[name] = await self._open(
-            "store", name, zone, platform_port
+            "store", name, zone, lambda: store_port
         )
         platform.cloud_addresses[name] = await self._open(
-            "promotion", name, zone, platform_port
+            "promotion", name, zone, lambda: promotion_port
         )
         platform.store.advertised_vms[name] = await self._open(
             "vm", name, zone, lambda: edge.internal_port
