--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -408,7 +408,10 @@
 
     @property
     def seal_age_s(self) -> float:
-        """Seconds since this VM first saw the present seal; 0 without one."""
+        """Seconds since this VM first saw the present seal; 0 without one.
+
+        A roster that is not sealed counts too, if several calls led to its term.
+        """
         if self._seal_seen is None:
             return 0.0
         return self._clock.monotonic() - self._seal_seen[1]
@@ -619,7 +622,7 @@
         return stored.outstanding if stored is not None else ""
 
     def repeatable_token(self, term: int, chosen: str) -> tuple[int, int]:
-        """Return the token of this VM's own unanswered call, and how often it called.
+        """Return the token of this VM's own unanswered call, and its number of seals.
 
         A call that is repeated under its token can't arrive after a higher one of this
         VM. Zeros if the stored roster announces no such call for `chosen`.
@@ -645,7 +648,7 @@
     def must_await_call(self, term: int) -> bool:
         """Whether a call that this VM can't repeat may be on its way to the platform.
 
-        After a call with a higher token it would arrive with a lower one.
+        It could arrive after a call of this VM, with a lower token.
         """
         if self._clock.monotonic() < self._call_awaited_until:
             return True
