Review case 8: a promotion call that was held up arrives after the next holder's

The holder of a claim is cut off from the platform when it sends its promotion call, and is killed before the call's time-out.

--- a/review/harness2/deployment.py
+++ b/review/harness2/deployment.py
@@ -61,8 +61,13 @@
         self._settings_path = folder / f"{name}.json"
         self._log_path = folder / f"{name}.log"
 
-    async def start(self, store_address: str, zones: list[str]) -> None:
-        """Write the settings and start the process."""
+    async def start(
+        self, store_address: str, zones: list[str], *, cloud_address: str = ""
+    ) -> None:
+        """Write the settings and start the process.
+
+        The promotion call is at the store's address if `cloud_address` is empty.
+        """
         internal_port = free_port()
         settings = {
             "node_name": self.name,
@@ -85,7 +90,10 @@
             "heartbeat_ms": 1200,
             "bounds": BOUNDS,
             "platform": {"address": store_address, "form": "kv", "history_s": 20},
-            "cloud_api": {"address": store_address, "duties": ["promotion"]},
+            "cloud_api": {
+                "address": cloud_address or store_address,
+                "duties": ["promotion"],
+            },
         }
         self._settings_path.write_text(json.dumps(settings))
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
