Count and log answers that don't fit the commands that waited for them

AnswerMatcher says whether an answer can be the command's own: by its digest, its rows and the transaction's state, or because an error repeats an earlier one exactly. The answers are still assigned as before.

--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -131,6 +131,7 @@
         return {
             "endpoint_connections_opened": self._dialer.connections_opened,
             "endpoint_commands": dict(self._dialer.commands_sent),
+            "endpoint_answer_mismatches": dict(self._dialer.mismatches),
             "store_calls": dict(self._store_client.calls),
             "store_era": self._store.history.era,
         }
--- a/src/celeryjunction/platform/endpoints.py
+++ b/src/celeryjunction/platform/endpoints.py
@@ -8,6 +8,7 @@
 
 from celeryjunction.adapters.line_stream import LineStream, LineTooLong
 from celeryjunction.errors import ConnectionLost
+from celeryjunction.logs import get_logger
 from celeryjunction.platform.wire import (
     FAULTS_BY_CODE,
     STATES_BY_CODE,
@@ -16,6 +17,7 @@
     parse_status,
 )
 from celeryjunction.ports import Clock
+from celeryjunction.replication.answer_matching import AnswerMatcher, Match
 from celeryjunction.replication.ports import (
     Answer,
     Command,
@@ -26,17 +28,27 @@
     TransactionState,
 )
 
+_log = get_logger("endpoints")
+
 
 class LineLink:
     """Implements `EndpointLink` on one connection.
 
-    `commands_sent` is the dialer's count of commands by kind.
+    `commands_sent` is the dialer's count of commands by kind, `mismatches` that of
+    answers which aren't, or may not be, those of the commands that waited for them.
     """
 
     def __init__(
-        self, stream: LineStream, *, opened_at: float, commands_sent: Counter[str]
+        self,
+        stream: LineStream,
+        *,
+        opened_at: float,
+        commands_sent: Counter[str],
+        mismatches: Counter[str],
     ) -> None:
         self._commands_sent = commands_sent
+        self._mismatches = mismatches
+        self._matcher = AnswerMatcher()
         self.opened_at = opened_at
         self.values: dict[bytes, bytes] = {}
         self.prepared: set[bytes] = set()
@@ -79,8 +91,20 @@
             raise
         self._running = False
         self._state = answers[-1].state
+        self._count_mismatches(commands, answers)
         return answers
 
+    def _count_mismatches(
+        self, commands: Sequence[Command], answers: list[Answer]
+    ) -> None:
+        for command, answer in zip(commands, answers, strict=True):
+            match = self._matcher.match(command, answer)
+            if match is not Match.OWN:
+                kind = type(command).__name__
+                self._mismatches[f"{kind} {match.value}"] += 1
+                _log.warning("answer_mismatch", command=kind, match=match)
+            self._matcher.accept(answer)
+
     async def _read_answer(self) -> Answer:
         rows: list[bytes] = []
         digest, detail, fault = b"", "", None
@@ -149,6 +173,8 @@
         """Connections opened since the start."""
         self.commands_sent: Counter[str] = Counter()
         """Commands sent since the start, by kind."""
+        self.mismatches: Counter[str] = Counter()
+        """Answers that may not be those of their commands, by kind and match."""
 
     async def connect(self, endpoint: EndpointInfo, *, timeout: float) -> LineLink:
         """Open a connection and wait until the endpoint is ready for statements.
@@ -186,6 +212,7 @@
             stream,
             opened_at=self._clock.monotonic(),
             commands_sent=self.commands_sent,
+            mismatches=self.mismatches,
         )
 
     @staticmethod
