End lines at CR LF only

Callers saw a text cut at a bare LF, the rest run as a statement that nobody sent (UNASKED), and a row or digest that stood inside a row taken for their answer (MIXED).

LineStream split at LF, towards clients and endpoints. A field holds any byte but its separators, so LF is data; a line now ends at CR LF, whatever the chunks, and the limit of 1 MiB no longer depends on the chunks either.

--- a/src/celeryjunction/adapters/line_stream.py
+++ b/src/celeryjunction/adapters/line_stream.py
@@ -6,6 +6,8 @@
 import socket
 from collections import deque
 
+LINE_END = b"\r\n"
+"""CR or LF alone is part of a field."""
 MAX_LINE_BYTES = 1 << 20
 """Longest line that the platform's specification allows."""
 KEEPALIVE_IDLE_S = 2
@@ -17,7 +19,7 @@
 
 
 class LineTooLong(Exception):
-    """The other side sent more than `MAX_LINE_BYTES` without an end of line."""
+    """The other side sent a line of more than `MAX_LINE_BYTES`."""
 
 
 class LineStream(asyncio.Protocol):
@@ -52,16 +54,31 @@
     def data_received(self, data: bytes) -> None:
         """Split the received data into lines."""
         buffer = self._buffer
+        # The CR may be the last byte of the data before.
+        start = max(len(buffer) - 1, 0)
         buffer += data
-        if b"\n" in data:
-            *lines, rest = bytes(buffer).split(b"\n")
-            self._messages.extend(line.removesuffix(b"\r") for line in lines)
+        if buffer.find(LINE_END, start) >= 0:
+            *lines, rest = bytes(buffer).split(LINE_END)
             self._buffer = bytearray(rest)
-        if len(self._buffer) > MAX_LINE_BYTES:
-            self._too_long = True
-            self._transport.pause_reading()
+            self._add_lines(lines)
+        size = len(self._buffer)
+        ends_with_cr = size == MAX_LINE_BYTES + 1 and self._buffer.endswith(b"\r")
+        if size > MAX_LINE_BYTES and not ends_with_cr:
+            self._refuse_input()
         self._wake_reader()
 
+    def _add_lines(self, lines: list[bytes]) -> None:
+        for line in lines:
+            if len(line) > MAX_LINE_BYTES:
+                self._refuse_input()
+            if self._too_long:
+                return
+            self._messages.append(line)
+
+    def _refuse_input(self) -> None:
+        self._too_long = True
+        self._transport.pause_reading()
+
     def eof_received(self) -> bool:
         """Close the connection; half-closed connections are not supported."""
         return False
@@ -99,6 +116,10 @@
             await self._read_waiter
         return self._messages.popleft()
 
+    def take_line(self) -> bytes | None:
+        """Return the next line if it has arrived; None otherwise."""
+        return self._messages.popleft() if self._messages else None
+
     def write(self, data: bytes) -> None:
         """Send bytes; on a closed connection they are dropped."""
         if not self.closed and not self._transport.is_closing():
