Assign answers by what they contain, not by their place alone

Callers got another statement's digest or rows (MIXED), or a promise that a write that ran had not run (REFUSED), where an endpoint answers twice, the second time late: the next answer on a connection was taken for that of the command that waited.

An answer is now taken only if it can be the command's own: a statement's digest hasn't come before on the connection, a BEGIN's answer leaves a transaction open, a status has exactly one row, ROW, COMPLETE or ERROR, READY come in this order. Second answers are discarded, also while no command waits, so neither the statement nor the connection is lost. Where contents can't tell, a marker, a command without effect, is sent after the command: after each status and BEGIN, and after an error that repeats an earlier one. Answers that can't be assigned close the connection, and the outcome is unknown.

Positions count as evidence of what a primary has only with a new digest.

--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -38,6 +38,7 @@
     Write,
 )
 from celeryjunction.rank import Rank
+from celeryjunction.replication.answer_matching import NO_DIGEST
 from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import (
     NO_POSITION,
@@ -361,7 +362,7 @@
         return await self._write(request, route, Relay(request.id, request.text), None)
 
     def _local_answer(self) -> Answer:
-        return Answer((), b"-", self.state, None)
+        return Answer((), NO_DIGEST, self.state, None)
 
     def _check_not_failed(self) -> None:
         transaction = self._transaction
@@ -686,7 +687,10 @@
         (answer,) = await grant.link.run([command], timeout=timeout)
         group = self._gateway.groups.get(grant.gate.info.group)
         if group is not None:
-            group.record_answer(grant.endpoint, answer.position, sent_at=sent_at)
+            # Only a digest shows that the position is as new as the command.
+            is_signed = answer.fault is None and answer.digest != NO_DIGEST
+            position = answer.position if is_signed else None
+            group.record_answer(grant.endpoint, position, sent_at=sent_at)
         if answer.fault is None or answer.fault.may_have_run:
             grant.gate.record_fault(answer.fault is not None)
         return answer
--- /dev/null
+++ b/src/celeryjunction/platform/answer_parser.py
@@ -0,0 +1,82 @@
+"""Assembles the lines that an endpoint sends into answers."""
+
+from __future__ import annotations
+
+from celeryjunction.adapters.pipelined_link import MalformedAnswer
+from celeryjunction.platform.wire import (
+    FAULTS_BY_CODE,
+    STATES_BY_CODE,
+    parse_position,
+)
+from celeryjunction.replication.ports import Answer, Fault
+
+
+class AnswerParser:
+    """Collects the lines of one answer after the other.
+
+    `greeting` is the line that answered CONNECT; it may come a second time between two
+    answers.
+
+        parser = AnswerParser(greeting=b"READY I 3.1207")
+        parser.feed(b"ROW qhzk")        # None
+        parser.feed(b"COMPLETE 7.1f3")  # None
+        parser.feed(b"READY I 3.1209")  # the Answer
+    """
+
+    __slots__ = ("_detail", "_digest", "_fault", "_greeting", "_has_result", "_rows")
+
+    def __init__(self, *, greeting: bytes = b"") -> None:
+        self._greeting = greeting
+        self._start_answer()
+
+    def _start_answer(self) -> None:
+        self._rows: list[bytes] = []
+        self._has_result = False
+        self._digest, self._detail = b"", ""
+        self._fault: Fault | None = None
+
+    @property
+    def is_within_answer(self) -> bool:
+        """Whether the last line was not the last one of an answer."""
+        return self._has_result or bool(self._rows)
+
+    def feed(self, line: bytes) -> Answer | None:
+        """Add a line; return the answer that it completes, if any.
+
+        Raises `MalformedAnswer`.
+        """
+        tag, _, rest = line.partition(b" ")
+        if tag == b"READY":
+            return self._complete(line, rest)
+        if self._has_result:
+            raise MalformedAnswer("an answer was cut off")
+        if tag == b"ROW":
+            self._rows.append(rest)
+        elif tag == b"COMPLETE" and rest:
+            self._has_result, self._digest = True, rest
+        elif tag == b"ERROR":
+            code, _, text = rest.partition(b" ")
+            self._has_result = True
+            self._fault = FAULTS_BY_CODE.get(code, Fault.OTHER)
+            self._detail = f"{code.decode('latin-1')} {text.decode('latin-1')}".strip()
+        else:
+            raise MalformedAnswer("an unknown message came")
+        return None
+
+    def _complete(self, line: bytes, rest: bytes) -> Answer | None:
+        if not self.is_within_answer and line == self._greeting:
+            return None
+        code, _, position = rest.partition(b" ")
+        state = STATES_BY_CODE.get(code)
+        if state is None or not self._has_result:
+            raise MalformedAnswer("an answer was cut off")
+        answer = Answer(
+            tuple(self._rows),
+            self._digest,
+            state,
+            parse_position(position),
+            self._fault,
+            self._detail,
+        )
+        self._start_answer()
+        return answer
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -130,8 +130,8 @@
     def _io_counters(self) -> dict[str, object]:
         return {
             "endpoint_connections_opened": self._dialer.connections_opened,
-            "endpoint_commands": dict(self._dialer.commands_sent),
-            "endpoint_answer_mismatches": dict(self._dialer.mismatches),
+            "endpoint_commands": dict(self._dialer.counts.commands),
+            "endpoint_answers_discarded": dict(self._dialer.counts.discarded),
             "store_calls": dict(self._store_client.calls),
             "store_era": self._store.history.era,
         }
--- a/src/celeryjunction/platform/wire.py
+++ b/src/celeryjunction/platform/wire.py
@@ -34,12 +34,16 @@
     ResumeReceiving,
     RollBack,
     SetValue,
+    Synchronize,
     TransactionState,
 )
 
 PROXY_REQUEST_ID = b"-"
 """Request id of statements that the proxy issues itself, not for a client."""
 
+SYNC_STATEMENT = b"sync"
+"""Name of a prepared statement that never exists: dropping it has no effect."""
+
 STATES_BY_CODE = {
     b"I": TransactionState.IDLE,
     b"T": TransactionState.OPEN,
@@ -214,6 +218,11 @@
     return _encode_query(PROXY_REQUEST_ID, None, b"DEMOTE %d" % command.term)
 
 
+@encode_command.register
+def _(command: Synchronize) -> bytes:
+    return _encode_query(PROXY_REQUEST_ID, None, b"DEALLOC " + SYNC_STATEMENT)
+
+
 def parse_position(text: bytes) -> LogPosition | None:
     """Decode ``TERM.NUMBER``; None for ``-`` and for malformed text."""
     first, _, second = text.partition(b".")
--- /dev/null
+++ b/src/celeryjunction/replication/answer_assignment.py
@@ -0,0 +1,197 @@
+"""Assigns the answers that come on a connection to the commands that wait for them.
+
+Answers come in the order of the commands, but any of them may come a second time, late.
+Second answers are discarded. Where the content of an answer can't show whose it is, a
+marker is sent after the command: a command without effect, whose answer comes after the
+command's own one.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+
+from celeryjunction.errors import ConnectionLost
+from celeryjunction.logs import get_logger
+from celeryjunction.replication.answer_matching import AnswerMatcher, Match, is_plain
+from celeryjunction.replication.ports import (
+    STATUS_COMMANDS,
+    Answer,
+    Command,
+    Fault,
+    OpenTransaction,
+    Synchronize,
+    TransactionState,
+)
+
+MARKERS_AFTER_ERROR = 3
+"""As many second answers may come together with that of an error without harm."""
+STATUS_ATTEMPTS = 3
+"""Attempts to get a status while second answers to earlier ones come."""
+MARKER = Synchronize()
+MARKED_COMMANDS = (*STATUS_COMMANDS, OpenTransaction)
+"""Commands whose answers contain nothing that an earlier answer can't contain."""
+
+_log = get_logger("replication")
+
+
+def with_markers(commands: Iterable[Command]) -> Iterator[Command]:
+    """Return the commands, each with the marker that it needs."""
+    for command in commands:
+        yield command
+        if isinstance(command, MARKED_COMMANDS):
+            yield MARKER
+
+
+class AnswerAssigner:
+    """Reads the answers to the commands of one connection to an endpoint.
+
+    `read` returns the next answer that comes, `send` sends commands. `discarded` counts
+    the answers that were not those of the command that waited, by its kind.
+    """
+
+    __slots__ = ("_discarded", "_endpoint", "_matcher", "_read", "_send")
+
+    def __init__(
+        self,
+        endpoint: str,
+        *,
+        read: Callable[[], Awaitable[Answer]],
+        send: Callable[[Iterable[Command]], None],
+        discarded: Counter[str],
+    ) -> None:
+        self._endpoint = endpoint
+        self._read = read
+        self._send = send
+        self._discarded = discarded
+        self._matcher = AnswerMatcher()
+
+    @property
+    def state(self) -> TransactionState:
+        """The transaction state that the commands answered so far have left."""
+        return self._matcher.state
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the connection should be replaced, to bound what is remembered."""
+        return self._matcher.is_full
+
+    def discard(self, answer: Answer) -> None:
+        """Discard an answer that no command waits for.
+
+        Raises `ConnectionLost` if it isn't a second one.
+        """
+        if not self._matcher.may_be_discarded(answer):
+            raise self.unassignable("an answer came that no command waits for")
+        self._discarded["no_command_waits"] += 1
+
+    def unassignable(self, reason: str) -> ConnectionLost:
+        """Log why answers can't be assigned any more, and return the error."""
+        _log.warning("answer_unassignable", endpoint=self._endpoint, reason=reason)
+        return ConnectionLost(reason, sent=True)
+
+    async def read_own(self, command: Command) -> Answer:
+        """Return the command's own answer.
+
+        The commands were sent as `with_markers` returns them. Raises `ConnectionLost`
+        if the answer can't be told from others.
+        """
+        if isinstance(command, STATUS_COMMANDS):
+            return await self._read_status(command)
+        answer = await self._read_matching(command)
+        if isinstance(command, OpenTransaction):
+            await self._expect_marker(answer.state)
+        return answer
+
+    async def _read_matching(self, command: Command) -> Answer:
+        while True:
+            answer = await self._read()
+            match = self._matcher.match(command, answer)
+            if match is Match.FOREIGN:
+                self._count_discarded(command)
+                continue
+            if match is Match.UNCERTAIN:
+                answer = await self._resolve(command, answer)
+            self._matcher.accept(answer)
+            return answer
+
+    async def _read_status(self, command: Command) -> Answer:
+        """Return the only status that comes before the marker's answer.
+
+        Statuses can't be told from one another, so if there are two, the command is
+        sent again.
+        """
+        for _ in range(STATUS_ATTEMPTS):
+            answers = await self._read_until_marker(command)
+            if len(answers) == 1:
+                self._matcher.accept(answers[0])
+                return answers[0]
+            self._count_discarded(command)
+            self._send(with_markers([command]))
+        raise self.unassignable("a status came more than once")
+
+    async def _read_until_marker(self, command: Command) -> list[Answer]:
+        answers: list[Answer] = []
+        while True:
+            answer = await self._read()
+            if _is_marker(answer):
+                if answers:
+                    self._matcher.accept(answer)
+                    return answers
+            elif self._matcher.match(command, answer) is not Match.FOREIGN:
+                answers.append(answer)
+                continue
+            self._count_discarded(command)
+
+    async def _resolve(self, command: Command, error: Answer) -> Answer:
+        """Return the command's own answer after an error that came before.
+
+        If the markers' answers come next, the error is the command's own.
+        """
+        if error.state is TransactionState.FAILED:
+            raise self.unassignable("an error came twice in a failed transaction")
+        self._send([MARKER] * MARKERS_AFTER_ERROR)
+        markers = 0
+        while markers < MARKERS_AFTER_ERROR:
+            answer = await self._read()
+            if _is_marker(answer) and answer.state is error.state:
+                self._matcher.accept(answer)
+                markers += 1
+            elif self._matcher.match(command, answer) is Match.OWN:
+                await self._skip_markers(MARKERS_AFTER_ERROR)
+                return answer
+            else:
+                self._count_discarded(command)
+        return error
+
+    async def _expect_marker(self, state: TransactionState) -> None:
+        """Read a marker's answer that shows the state after the command before it.
+
+        An error may be the command's own one, if its success was a second answer.
+        """
+        while True:
+            answer = await self._read()
+            if _is_marker(answer):
+                if answer.state is state:
+                    self._matcher.accept(answer)
+                    return
+            elif answer.fault is not None:
+                raise self.unassignable("a marker was answered with an error")
+
+    async def _skip_markers(self, count: int) -> None:
+        while count:
+            answer = await self._read()
+            if _is_marker(answer):
+                count -= 1
+            elif not self._matcher.may_be_discarded(answer):
+                raise self.unassignable("a marker was answered with something else")
+
+    def _count_discarded(self, command: Command) -> None:
+        self._discarded[type(command).__name__] += 1
+
+
+def _is_marker(answer: Answer) -> bool:
+    """Whether an answer can be that to a marker, and to no command with a status."""
+    if answer.fault is not None:
+        return answer.fault is Fault.UNKNOWN_STATEMENT
+    return is_plain(answer)
--- a/src/celeryjunction/replication/answer_matching.py
+++ b/src/celeryjunction/replication/answer_matching.py
@@ -67,6 +67,8 @@
         """Return whether `answer` is the one to `command`, the oldest unanswered."""
         if answer.fault is None:
             return Match.OWN if _fits(command, answer, self) else Match.FOREIGN
+        if answer.state is TransactionState.OPEN and self.state is not answer.state:
+            return Match.FOREIGN  # An error opens no transaction.
         is_repeated = _error_key(answer) in self._remembered
         return Match.UNCERTAIN if is_repeated else Match.OWN
 
@@ -92,7 +94,7 @@
 @singledispatch
 def _fits(command: Command, answer: Answer, matcher: AnswerMatcher) -> bool:
     """Whether a success can be that of a command."""
-    return _is_plain(answer) and answer.state is matcher.state
+    return is_plain(answer) and answer.state is matcher.state
 
 
 @_fits.register(Relay)
@@ -111,15 +113,16 @@
 
 @_fits.register
 def _(command: OpenTransaction, answer: Answer, matcher: AnswerMatcher) -> bool:
-    return _is_plain(answer) and answer.state is TransactionState.OPEN
+    return is_plain(answer) and answer.state is TransactionState.OPEN
 
 
 @_fits.register
 def _(command: RollBack, answer: Answer, matcher: AnswerMatcher) -> bool:
-    return _is_plain(answer) and answer.state is TransactionState.IDLE
+    return is_plain(answer) and answer.state is TransactionState.IDLE
 
 
-def _is_plain(answer: Answer) -> bool:
+def is_plain(answer: Answer) -> bool:
+    """Whether an answer reports a success and nothing else."""
     return answer.digest == NO_DIGEST and not answer.rows
 
 
--- a/src/celeryjunction/replication/ports.py
+++ b/src/celeryjunction/replication/ports.py
@@ -182,6 +182,13 @@
     term: int
 
 
+class Synchronize(msgspec.Struct, frozen=True):
+    """Has no effect. Its answer comes after those of the commands before it."""
+
+
+STATUS_COMMANDS = (AskStatus, PauseReceiving, ResumeReceiving, Demote)
+"""Commands that are answered with an `EndpointStatus`."""
+
 Command = (
     Relay
     | RelayPrepared
@@ -194,6 +201,7 @@
     | PauseReceiving
     | ResumeReceiving
     | Demote
+    | Synchronize
 )
 
 
