Send each HTTP request on a connection of its own

The store may answer a request twice, and HttpClient kept connections for reuse: a second response that came after the next request was sent was taken for that request's, so a VM could act on an older value, revision or lease. No response names its request.

The test failed before: the response to /a was taken for that to /b.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -16,8 +16,6 @@
     HttpResponseParser,
 )
 
-MAX_IDLE_CONNECTIONS = 4
-"""Idle connections that a client keeps for reuse."""
 CONNECT_TIMEOUT_S = 0.7
 """Connecting takes one round trip of a few ms. The system resends a lost first packet
 only after 1 s, so a new attempt before then loses no time."""
@@ -93,6 +91,14 @@
             HttpResponse(status, bytes(self._body), self._headers)
         )
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the last request was answered completely."""
+        response = self._response
+        if response is None or not response.done() or response.cancelled():
+            return False
+        return response.exception() is None
+
     async def request(self, data: bytes) -> HttpResponse:
         self._body = bytearray()
         self._headers: dict[str, str] = {}
@@ -102,6 +108,11 @@
         self._transport.write(data)
         return await self._response
 
+    def close(self) -> None:
+        """Close the connection after its response has come."""
+        self.closed = True
+        self._transport.close()
+
     def abort(self) -> None:
         """Reset the connection, so that bytes not yet delivered are discarded."""
         self.closed = True
@@ -113,12 +124,15 @@
 
 
 class HttpClient:
-    """Sends requests to one address over persistent connections."""
+    """Sends requests to one address, each on a connection of its own.
+
+    No response names its request. A service may answer twice, and on a connection that
+    is used again, the second response would be taken for that of the next request.
+    """
 
     def __init__(self, host: str, port: int) -> None:
         self._host = host
         self._port = port
-        self._idle: list[_Connection] = []
         self._long_polls: set[_Connection] = set()
         self.calls: dict[str, int] = {}
         """Number of requests sent, by path without query."""
@@ -147,13 +161,13 @@
         was_sent = False
         try:
             async with asyncio.timeout(timeout):
-                connection = await self._acquire()
+                connection = await self._connect()
                 if long_poll:
                     self._long_polls.add(connection)
                 was_sent = True
                 response = await connection.request(data)
         except (TimeoutError, OSError) as error:
-            self._abort_suspect_connections()
+            self.abort_long_polls()
             phase = "no response" if was_sent else "no connection"
             raise HttpFailure(f"{name}: {phase}: {type(error).__name__}") from None
         finally:
@@ -186,13 +200,6 @@
         self.bytes_sent += len(data)
         return data
 
-    async def _acquire(self) -> _Connection:
-        while self._idle:
-            connection = self._idle.pop()
-            if not connection.closed:
-                return connection
-        return await self._connect()
-
     async def open_channel(self) -> HttpChannel:
         """Open a connection for one caller; raises `HttpFailure` without one."""
         try:
@@ -209,33 +216,21 @@
             )
         return connection
 
-    def _abort_suspect_connections(self) -> None:
-        """Abort the connections that may be dead like the one that did not respond."""
-        self.abort_long_polls()
-        self.close()
-
     def abort_long_polls(self) -> None:
         """End the requests whose responses the service holds back."""
         for connection in list(self._long_polls):
             connection.abort()
 
-    def _release(self, connection: _Connection) -> None:
-        response = connection._response
-        answered = response is not None and response.done() and not response.cancelled()
-        if (
-            answered
-            and response.exception() is None
-            and len(self._idle) < MAX_IDLE_CONNECTIONS
-        ):
-            if not connection.closed:
-                self._idle.append(connection)
-        elif not connection.closed:
-            connection.abort()
-
     def close(self) -> None:
-        """Close the idle connections."""
-        while self._idle:
-            self._idle.pop().abort()
+        """End the requests whose responses the service holds back."""
+        self.abort_long_polls()
+
+    @staticmethod
+    def _release(connection: _Connection) -> None:
+        if connection.is_answered:
+            connection.close()
+        else:
+            connection.abort()
 
 
 class HttpChannel:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -449,3 +449,32 @@
 
 def make_promoter(platform: StandinPlatform) -> HttpPromoter:
     return HttpPromoter(HttpClient(*split_address(platform.store.address)))
+
+
+class TestSecondResponses:
+    async def test_a_second_response_is_not_taken_for_that_of_the_next_request(
+        self,
+    ) -> None:
+        writers = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writers.append(writer)
+            sent = b""
+            with suppress(asyncio.IncompleteReadError):
+                while True:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    writer.write(sent)
+                    path = head.split(b" ")[1]
+                    sent = b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n" + path
+                    writer.write(sent)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        client = HttpClient(*server.sockets[0].getsockname())
+        for path in ("/a", "/b", "/c"):
+            response = await client.request("GET", path, timeout=5)
+            assert response.body == path.encode()
+        server.close()
+        for writer in writers:
+            writer.transport.abort()
