Give each run at the stand-in a digest of its own

Clients of different sessions use the same ids in tests and in the soak, so two statements on one connection could have the same digest, which no endpoint of the platform gives. Since answers are assigned by digest, the second one was discarded. test_platform_wire.py compares the digest with the new form.

--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -66,6 +66,8 @@
         """Port of the listener, which a restart after `stop` may reuse."""
         self._server: asyncio.Server | None = None
         self.streams: set[LineStream] = set()
+        self.runs = 0
+        """Statements that were run, so that each has a digest of its own."""
 
     @property
     def received_position(self) -> tuple[int, int]:
@@ -223,7 +225,9 @@
         return None
 
     def _make_digest(self, request_id: bytes) -> bytes:
-        return b"d.%b.%b" % (self._endpoint.id.encode(), request_id)
+        self._endpoint.runs += 1
+        fields = (self._endpoint.id.encode(), request_id, self._endpoint.runs)
+        return b"d.%b.%b.%d" % fields
 
     async def _status(self, request_id: bytes, rest: bytes) -> None:
         self._complete(b"-", self._endpoint.status())
