Cut the processor time of assigning answers

The time-out of a pipeline is one timer of the loop, isinstance with structs is replaced by the type, lines that have arrived are parsed without a coroutine, a position that repeats isn't parsed again, and a status with its marker takes a path of its own. LineStream.abort wakes the reader at once, so that an expired time-out ends a command.

--- a/src/celeryjunction/adapters/line_stream.py
+++ b/src/celeryjunction/adapters/line_stream.py
@@ -136,6 +136,8 @@
 
     def abort(self) -> None:
         """Close at once; bytes that are still buffered are lost."""
+        self.closed = True
+        self._wake_reader()
         if self._transport is not None:
             self._transport.abort()
 
--- a/src/celeryjunction/adapters/pipelined_link.py
+++ b/src/celeryjunction/adapters/pipelined_link.py
@@ -67,6 +67,8 @@
         self.state_uncertain = False
         self._stream = stream
         self._running = False
+        self._has_expired = False
+        """Whether an answer didn't come in time."""
         self._encode = encode
         self._parser = parser
         self._answers = AnswerAssigner(
@@ -87,7 +89,7 @@
             return False
         if self._parser.is_within_answer:
             return False
-        return self.in_transaction or not self._answers.is_full
+        return not self._answers.is_full or self.in_transaction
 
     @property
     def in_transaction(self) -> bool:
@@ -98,9 +100,12 @@
         """Discard what came while no command waited for an answer."""
         try:
             while (line := self._stream.take_line()) is not None:
-                answer = self._parse(line)
+                answer = self._parser.feed(line)
                 if answer is not None:
                     self._answers.discard(answer)
+        except MalformedAnswer as error:
+            self._answers.unassignable(str(error))
+            self.close()
         except ConnectionLost:
             self.close()
 
@@ -115,32 +120,38 @@
             self.close()
             raise ConnectionLost("the connection was closed", sent=False)
         self._running = True
-        self._counts.commands.update(type(command).__name__ for command in commands)
+        for command in commands:
+            self._counts.commands[type(command).__name__] += 1
         self._send(with_markers(commands))
+        loop = asyncio.get_running_loop()
+        expiry = loop.call_later(timeout, self._expire)
         try:
-            async with asyncio.timeout(timeout):
-                answers = [await self._answers.read_own(each) for each in commands]
-        except TimeoutError:
-            self.close()
-            raise ConnectionLost("no answer in time", sent=True) from None
+            answers = [await self._answers.read_own(each) for each in commands]
         except BaseException:
             self.close()
             raise
+        finally:
+            expiry.cancel()
         self._running = False
         return answers
 
+    def _expire(self) -> None:
+        self._has_expired = True
+        self.close()
+
     def _send(self, commands: Iterable[Command]) -> None:
         self._stream.write(b"".join(map(self._encode, commands)))
 
     async def _read_answer(self) -> Answer:
-        while True:
-            answer = self._parse(await self._read_line())
-            if answer is not None:
-                return answer
-
-    def _parse(self, line: bytes) -> Answer | None:
+        take_line, feed = self._stream.take_line, self._parser.feed
         try:
-            return self._parser.feed(line)
+            while True:
+                line = take_line()
+                if line is None:
+                    line = await self._read_line()
+                answer = feed(line)
+                if answer is not None:
+                    return answer
         except MalformedAnswer as error:
             raise self._answers.unassignable(str(error)) from None
 
@@ -150,10 +161,12 @@
         except LineTooLong:
             raise ConnectionLost("a message was too long", sent=True) from None
         if line is None:
-            raise ConnectionLost("the endpoint closed the connection", sent=True)
+            reason = "the endpoint closed the connection"
+            if self._has_expired:
+                reason = "no answer in time"
+            raise ConnectionLost(reason, sent=True)
         return line
 
     def close(self) -> None:
         """Close the connection at once; answers not yet read are lost."""
         self._stream.abort()
-        self._stream.closed = True
--- a/src/celeryjunction/platform/answer_parser.py
+++ b/src/celeryjunction/platform/answer_parser.py
@@ -8,7 +8,7 @@
     STATES_BY_CODE,
     parse_position,
 )
-from celeryjunction.replication.ports import Answer, Fault
+from celeryjunction.replication.ports import Answer, Fault, LogPosition
 
 
 class AnswerParser:
@@ -23,10 +23,21 @@
         parser.feed(b"READY I 3.1209")  # the Answer
     """
 
-    __slots__ = ("_detail", "_digest", "_fault", "_greeting", "_has_result", "_rows")
+    __slots__ = (
+        "_detail",
+        "_digest",
+        "_fault",
+        "_greeting",
+        "_has_result",
+        "_position",
+        "_position_text",
+        "_rows",
+    )
 
     def __init__(self, *, greeting: bytes = b"") -> None:
         self._greeting = greeting
+        self._position_text = b""
+        self._position: LogPosition | None = None
         self._start_answer()
 
     def _start_answer(self) -> None:
@@ -46,10 +57,10 @@
         Raises `MalformedAnswer`.
         """
         tag, _, rest = line.partition(b" ")
-        if tag == b"READY":
-            return self._complete(line, rest)
         if self._has_result:
-            raise MalformedAnswer("an answer was cut off")
+            if tag != b"READY":
+                raise MalformedAnswer("an answer was cut off")
+            return self._complete(rest)
         if tag == b"ROW":
             self._rows.append(rest)
         elif tag == b"COMPLETE" and rest:
@@ -59,22 +70,23 @@
             self._has_result = True
             self._fault = FAULTS_BY_CODE.get(code, Fault.OTHER)
             self._detail = f"{code.decode('latin-1')} {text.decode('latin-1')}".strip()
-        else:
+        elif self._rows or line != self._greeting:
             raise MalformedAnswer("an unknown message came")
         return None
 
-    def _complete(self, line: bytes, rest: bytes) -> Answer | None:
-        if not self.is_within_answer and line == self._greeting:
-            return None
+    def _complete(self, rest: bytes) -> Answer:
         code, _, position = rest.partition(b" ")
         state = STATES_BY_CODE.get(code)
-        if state is None or not self._has_result:
-            raise MalformedAnswer("an answer was cut off")
+        if state is None:
+            raise MalformedAnswer("an answer has an unknown state")
+        if position != self._position_text:
+            self._position_text = position
+            self._position = parse_position(position)
         answer = Answer(
             tuple(self._rows),
             self._digest,
             state,
-            parse_position(position),
+            self._position,
             self._fault,
             self._detail,
         )
--- a/src/celeryjunction/platform/wire.py
+++ b/src/celeryjunction/platform/wire.py
@@ -218,9 +218,12 @@
     return _encode_query(PROXY_REQUEST_ID, None, b"DEMOTE %d" % command.term)
 
 
+_SYNC_LINE = _encode_query(PROXY_REQUEST_ID, None, b"DEALLOC " + SYNC_STATEMENT)
+
+
 @encode_command.register
 def _(command: Synchronize) -> bytes:
-    return _encode_query(PROXY_REQUEST_ID, None, b"DEALLOC " + SYNC_STATEMENT)
+    return _SYNC_LINE
 
 
 def parse_position(text: bytes) -> LogPosition | None:
--- a/src/celeryjunction/replication/answer_assignment.py
+++ b/src/celeryjunction/replication/answer_assignment.py
@@ -29,7 +29,7 @@
 STATUS_ATTEMPTS = 3
 """Attempts to get a status while second answers to earlier ones come."""
 MARKER = Synchronize()
-MARKED_COMMANDS = (*STATUS_COMMANDS, OpenTransaction)
+MARKED_COMMANDS = STATUS_COMMANDS | {OpenTransaction}
 """Commands whose answers contain nothing that an earlier answer can't contain."""
 
 _log = get_logger("replication")
@@ -39,7 +39,7 @@
     """Return the commands, each with the marker that it needs."""
     for command in commands:
         yield command
-        if isinstance(command, MARKED_COMMANDS):
+        if type(command) in MARKED_COMMANDS:
             yield MARKER
 
 
@@ -96,52 +96,62 @@
         The commands were sent as `with_markers` returns them. Raises `ConnectionLost`
         if the answer can't be told from others.
         """
-        if isinstance(command, STATUS_COMMANDS):
+        if type(command) in STATUS_COMMANDS:
             return await self._read_status(command)
-        answer = await self._read_matching(command)
-        if isinstance(command, OpenTransaction):
+        answer = await self._read()
+        while (match := self._matcher.match(command, answer)) is Match.FOREIGN:
+            self._count_discarded(command)
+            answer = await self._read()
+        if match is Match.UNCERTAIN:
+            answer = await self._resolve(command, answer)
+        self._matcher.accept(answer)
+        if type(command) is OpenTransaction:
             await self._expect_marker(answer.state)
         return answer
 
-    async def _read_matching(self, command: Command) -> Answer:
-        while True:
-            answer = await self._read()
-            match = self._matcher.match(command, answer)
-            if match is Match.FOREIGN:
-                self._count_discarded(command)
-                continue
-            if match is Match.UNCERTAIN:
-                answer = await self._resolve(command, answer)
-            self._matcher.accept(answer)
-            return answer
-
     async def _read_status(self, command: Command) -> Answer:
         """Return the only status that comes before the marker's answer.
 
         Statuses can't be told from one another, so if there are two, the command is
         sent again.
         """
+        answer, following = await self._read(), await self._read()
+        if self._is_status(command, answer) and _is_marker(following):
+            self._matcher.accept(answer)
+            return answer
+        return await self._resolve_status(command, [answer, following])
+
+    async def _resolve_status(self, command: Command, answers: list[Answer]) -> Answer:
         for _ in range(STATUS_ATTEMPTS):
-            answers = await self._read_until_marker(command)
-            if len(answers) == 1:
-                self._matcher.accept(answers[0])
-                return answers[0]
+            statuses = await self._read_until_marker(command, answers)
+            if len(statuses) == 1:
+                self._matcher.accept(statuses[0])
+                return statuses[0]
             self._count_discarded(command)
             self._send(with_markers([command]))
+            answers = []
         raise self.unassignable("a status came more than once")
 
-    async def _read_until_marker(self, command: Command) -> list[Answer]:
-        answers: list[Answer] = []
+    async def _read_until_marker(
+        self, command: Command, answers: list[Answer]
+    ) -> list[Answer]:
+        """Return the statuses before a marker's answer; `answers` came already."""
+        statuses: list[Answer] = []
         while True:
-            answer = await self._read()
-            if _is_marker(answer):
-                if answers:
-                    self._matcher.accept(answer)
-                    return answers
-            elif self._matcher.match(command, answer) is not Match.FOREIGN:
-                answers.append(answer)
-                continue
-            self._count_discarded(command)
+            answer = answers.pop(0) if answers else await self._read()
+            if self._is_status(command, answer):
+                statuses.append(answer)
+            elif statuses and _is_marker(answer):
+                self._matcher.accept(answer)
+                return statuses
+            else:
+                self._count_discarded(command)
+
+    def _is_status(self, command: Command, answer: Answer) -> bool:
+        """Whether an answer has a status, or says why there is none."""
+        if answer.fault is not None:
+            return not _is_marker(answer)
+        return self._matcher.match(command, answer) is Match.OWN
 
     async def _resolve(self, command: Command, error: Answer) -> Answer:
         """Return the command's own answer after an error that came before.
--- a/src/celeryjunction/replication/ports.py
+++ b/src/celeryjunction/replication/ports.py
@@ -186,8 +186,8 @@
     """Has no effect. Its answer comes after those of the commands before it."""
 
 
-STATUS_COMMANDS = (AskStatus, PauseReceiving, ResumeReceiving, Demote)
-"""Commands that are answered with an `EndpointStatus`."""
+STATUS_COMMANDS = frozenset((AskStatus, PauseReceiving, ResumeReceiving, Demote))
+"""Types of the commands that are answered with an `EndpointStatus`."""
 
 Command = (
     Relay
