Soak: answers that come twice, and data with any byte that a line may hold

The soak's data were digits, its client split at LF, and no stand-in answered twice, so none of this could be seen.

--- a/bench/commit_judge.py
+++ b/bench/commit_judge.py
@@ -146,7 +146,7 @@
 def commits_of(endpoint: StandinEndpoint) -> dict[tuple[str, str], tuple[int, int]]:
     """Return the positions of the writes in an endpoint's log, by item and data."""
     return {
-        (item.decode(), data.decode()): position
+        (item.decode("latin-1"), data.decode("latin-1")): position
         for position, changes in endpoint.log
         for item, data in changes.items()
     }
--- a/bench/platform_cluster.py
+++ b/bench/platform_cluster.py
@@ -46,7 +46,7 @@
 
 
 class LineClient:
-    """A client's session in the line protocol."""
+    """A client's session in the line protocol; texts are encoded as Latin-1."""
 
     def __init__(self, port: int) -> None:
         self._port = port
@@ -64,15 +64,16 @@
     async def _line(self) -> str:
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                line = await self._reader.readline()
-        except ConnectionError:
+                line = await self._reader.readuntil(b"\r\n")
+        except (ConnectionError, asyncio.IncompleteReadError):
             return ""
-        return line.decode().rstrip("\r\n")
+        return line.decode("latin-1").removesuffix("\r\n")
 
     async def send(self, text: str) -> list[str]:
         """Send a statement; return the lines of its answer up to READY."""
         self._number += 1
-        return await self.send_raw(f"QUERY q{self._number} {text}\r\n".encode())
+        query = f"QUERY q{self._number} {text}\r\n"
+        return await self.send_raw(query.encode("latin-1"))
 
     async def send_raw(self, data: bytes) -> list[str]:
         """Send bytes; return the lines up to READY or up to the end (an empty line)."""
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -40,6 +40,7 @@
 from bench.fence_judge import find_token_violations
 from bench.link_faults import PRIMARY_OUTAGE_S, LinkFaults
 from bench.links import BlockedLinks, Link, Links
+from bench.odd_data import make_data, parse_value
 from bench.platform_cluster import EdgeProcess, LineClient
 from bench.promotion_faults import PromotionFaults
 from bench.report import print_result
@@ -62,6 +63,8 @@
 """Time without faults at the end, after which every edge must serve again."""
 PROMOTION_RECOVERY_S = 12.0
 """The same after faults around promotions; the platform's bound for a recovery."""
+MAX_ANSWER_DELAY_S = 0.3
+"""Longest time after which an answer comes again."""
 NOT_EXECUTED_CODES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD")
 """Error codes which state that the statement had no effect."""
 
@@ -99,10 +102,12 @@
         failovers: bool = False,
         link_faults: bool = False,
         names_era: bool = True,
+        second_answers: float = 0.0,
         edges: int = EDGES,
         clients: int = CLIENTS,
     ) -> None:
         self.seed = seed
+        self._second_answers = second_answers
         self._promotions = promotions
         self._transactions = transactions
         self._failovers = failovers
@@ -196,6 +201,13 @@
         self._proxies[endpoint.id] = proxy
         self._links.add("endpoint", endpoint.id, Link(proxy, zone=endpoint.zone))
         self._platform.store.advertised_ports[endpoint.id] = proxy.port
+        endpoint.second_answer_delay_s = self._draw_second_answer
+
+    def _draw_second_answer(self) -> float | None:
+        if self._random.random() >= self._second_answers:
+            return None
+        self.faults["second answers"] += 1
+        return self._random.uniform(0.0, MAX_ANSWER_DELAY_S)
 
     # Clients
 
@@ -251,14 +263,21 @@
                 own_value, self.history.highest_acknowledged(item, began - staleness_s)
             )
             lines = await self._execute(client, f"READ {item}")
-            if lines[0].startswith("ROW") and _parse_value(lines[0]) < lowest_allowed:
-                self.history.add_violation(
-                    f"{database} read {item} {lines} after {lowest_allowed}, own"
-                )
+            self._check_row(lines, f"{database} read {item}, own", lowest_allowed)
             if lines == ["?"]:
                 self._close_session(client)
                 client = None
 
+    def _check_row(self, lines: list[str], read: str, lowest_allowed: int) -> None:
+        """Check that a row is data as it was written, and new enough."""
+        if not lines[0].startswith("ROW "):
+            return
+        value = parse_value(lines[0].removeprefix("ROW "))
+        if value is None:
+            self.history.add_violation(f"{read} {lines}, which was not written")
+        elif value < lowest_allowed:
+            self.history.add_violation(f"{read} {lines} after {lowest_allowed}")
+
     def _is_last_acknowledged(self, item: str, value: int) -> bool:
         entries = self.history.acknowledged.get(item)
         return bool(entries) and entries[-1][1] == value
@@ -269,7 +288,8 @@
         transaction = value % 3 == 0
         if transaction and (await self._execute(client, "BEGIN"))[0] != "COMPLETE -":
             return False
-        lines = await self._execute(client, f"WRITE {item} {value}")
+        data = make_data(value)
+        lines = await self._execute(client, f"WRITE {item} {data}")
         if transaction and lines[0].startswith("COMPLETE"):
             lines = await self._execute(client, "COMMIT")
         elif transaction and lines != ["?"]:
@@ -279,7 +299,7 @@
         if lines[0].startswith("COMPLETE d."):
             entry = (time.monotonic(), value)
             history.acknowledged.setdefault(item, []).append(entry)
-            self.judge.record(item, str(value))
+            self.judge.record(item, data)
         elif lines[0].startswith("COMPLETE"):
             history.add_violation(f"{item}={value} was acknowledged without a digest")
         elif code in NOT_EXECUTED_CODES:
@@ -304,10 +324,7 @@
             )
             lines = await self._execute(client, f"READ {item}")
             self.history.counts[f"{database} {lines[0].split(' ')[0]}"] += 1
-            if lines[0].startswith("ROW") and _parse_value(lines[0]) < lowest_allowed:
-                self.history.add_violation(
-                    f"{database} read {item} {lines} after {lowest_allowed}"
-                )
+            self._check_row(lines, f"{database} read {item}", lowest_allowed)
             if lines == ["?"]:
                 self._close_session(client)
                 client = None
@@ -459,8 +476,13 @@
         found: Counter[tuple[str, int]] = Counter()
         for _, changes in primary.log:
             for item, data in changes.items():
-                if item.startswith(b"w"):
-                    found[item.decode(), int(data)] += 1
+                if not item.startswith(b"w"):
+                    continue
+                value = parse_value(data.decode("latin-1"))
+                if value is None:
+                    self.history.add_violation(f"{item} holds {data}, never written")
+                else:
+                    found[item.decode(), value] += 1
         for item, entries in self.history.acknowledged.items():
             lost = [n for _, n in entries if not found[item, n]]
             if lost:
@@ -485,11 +507,6 @@
     return int(found[-1]) if found else 0
 
 
-def _parse_value(line: str) -> int:
-    text = line.removeprefix("ROW ")
-    return int(text) if text.isdigit() else 0
-
-
 async def run_seed(
     seed: int,
     seconds: float,
@@ -499,6 +516,7 @@
     failovers: bool = False,
     link_faults: bool = False,
     names_era: bool = True,
+    second_answers: float = 0.0,
     edges: int = EDGES,
     clients: int = CLIENTS,
 ) -> Soak:
@@ -513,6 +531,7 @@
             failovers=failovers,
             link_faults=link_faults,
             names_era=names_era,
+            second_answers=second_answers,
             edges=edges,
             clients=clients,
         )
@@ -553,6 +572,9 @@
     era: Annotated[
         bool, typer.Option(help="Let the store name its era in its answers.")
     ] = True,
+    second_answers: Annotated[
+        float, typer.Option(help="Share of endpoints' answers that come twice.")
+    ] = 0.05,
     edges: Annotated[int, typer.Option(help="Number of edge processes.")] = EDGES,
     clients: Annotated[
         int, typer.Option(help="Number of clients that write, and of those that read.")
@@ -574,6 +596,7 @@
             failovers=failovers,
             link_faults=link_faults and (promotions or failovers),
             names_era=era,
+            second_answers=second_answers,
             edges=edges,
             clients=clients,
         )
--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -58,6 +58,8 @@
         caller's name and the command's first word."""
         self.is_too_busy: Callable[[], bool] = lambda: False
         """Fault: whether to refuse the next statement as BUSY, without running it."""
+        self.second_answer_delay_s: Callable[[], float | None] = lambda: None
+        """Fault: after how many seconds the next answer comes again; None: not."""
         self.statements: list[bytes] = []
         """Texts of the clients' statements."""
         self.born = 1
@@ -157,6 +159,8 @@
     def __init__(self, endpoint: StandinEndpoint, stream: LineStream) -> None:
         self._endpoint = endpoint
         self._stream = stream
+        self._answer = b""
+        """What was sent of the current answer."""
         self._state = b"I"
         self._writes: dict[bytes, bytes] = {}
         self._prepared: dict[bytes, bytes] = {}
@@ -186,16 +190,25 @@
 
     def _send_ready(self) -> None:
         position = self._endpoint.applied_position
-        self._stream.write(b"READY %b %d.%d\r\n" % (self._state, *position))
+        self._send(b"READY %b %d.%d\r\n" % (self._state, *position))
+        answer, self._answer = self._answer, b""
+        delay_s = self._endpoint.second_answer_delay_s()
+        if delay_s is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._stream.write, answer)
+
+    def _send(self, data: bytes) -> None:
+        self._answer += data
+        self._stream.write(data)
 
     def _complete(self, digest: bytes = b"-", *rows: bytes) -> None:
         answer = b"".join(b"ROW %b\r\n" % row for row in rows)
-        self._stream.write(answer + b"COMPLETE %b\r\n" % digest)
+        self._send(answer + b"COMPLETE %b\r\n" % digest)
 
     def _fail(self, code: bytes) -> None:
         if self._state == b"T":
             self._state = b"E"
-        self._stream.write(b"ERROR %b %b\r\n" % (code, self._endpoint.id.encode()))
+        self._send(b"ERROR %b %b\r\n" % (code, self._endpoint.id.encode()))
 
     async def _run(self, request_id: bytes, text: bytes) -> None:
         endpoint = self._endpoint
@@ -216,7 +229,7 @@
             word = kind
         if word in _REFUSABLE and endpoint.is_too_busy():
             # The statement has not run, so its transaction stays open.
-            self._stream.write(b"ERROR BUSY %b\r\n" % endpoint.id.encode())
+            self._send(b"ERROR BUSY %b\r\n" % endpoint.id.encode())
             return None
         handler = _HANDLERS.get(word)
         if handler is None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 FAILOVER_SECONDS = 5.0
 """Room for a restore between two failovers of a group."""
 LINK_SEED = 9000
+SECOND_ANSWERS_SEED = 44
 
 FAILED_SEEDS: tuple[int, ...] = (
     102,  # Two edges ended at a restart, most likely for the cause of seed 103.
@@ -29,6 +30,11 @@
         assert not soak.history.violations
         assert soak.history.acknowledged
 
+    async def test_answers_that_come_twice_break_no_guarantee(self) -> None:
+        soak = await run_seed(SECOND_ANSWERS_SEED, SECONDS, second_answers=0.1)
+        assert not soak.history.violations
+        assert soak.faults["second answers"]
+
     async def test_transactions_are_kept_as_a_whole_or_not_at_all(self) -> None:
         soak = await run_seed(1, SECONDS, transactions=True, edges=6)
         assert not soak.history.violations
