Remember errors that are discarded together with a status

A write that ran could be reported as not run. When a status came twice, all answers that had come before the marker were discarded and the status was asked for again. If one of them was an error (BUSY), it wasn't remembered as an answer of the connection. Its second answer then came while a write waited, was taken for a new error, and the client got the promise that nothing had run.

Answers that are discarded with a status are now remembered as accepted ones are, so that their second ones lead to markers.

A model of the connection found the sequence.

--- a/src/celeryjunction/replication/answer_assignment.py
+++ b/src/celeryjunction/replication/answer_assignment.py
@@ -126,6 +126,8 @@
             if len(answers) == 1:
                 self._matcher.accept(answers[0])
                 return answers[0]
+            for answer in answers:
+                self._matcher.remember(answer)
             self._count_discarded(command)
             self._send(with_markers([command]))
         raise self.unassignable("a status came more than once")
--- a/src/celeryjunction/replication/answer_matching.py
+++ b/src/celeryjunction/replication/answer_matching.py
@@ -79,6 +79,10 @@
     def accept(self, answer: Answer) -> None:
         """Take an answer as the command's own."""
         self.state = answer.state
+        self.remember(answer)
+
+    def remember(self, answer: Answer) -> None:
+        """Remember an answer to a command of this connection, which may come again."""
         if answer.fault is not None:
             self._remembered.add(_error_key(answer))
         elif answer.digest != NO_DIGEST:
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -18,6 +18,7 @@
 from celeryjunction.errors import ConnectionLost
 from celeryjunction.platform.answer_parser import AnswerParser
 from celeryjunction.platform.wire import encode_command
+from celeryjunction.replication.answer_assignment import MARKERS_AFTER_ERROR
 from celeryjunction.replication.ports import (
     Answer,
     AskStatus,
@@ -34,6 +35,9 @@
 LIMIT_S = 0.2
 """Time-out of a command in the loop's time, for an answer that never comes."""
 GREETING = b"READY I 1.0"
+PLAIN_ANSWER = b"COMPLETE -\r\nREADY I 1.0\r\n"
+STATUS_ANSWER = b"ROW primary 1 1.0 0 0 0 1\r\n" + PLAIN_ANSWER
+BUSY_ANSWER = b"ERROR BUSY i-1\r\nREADY I 1.0\r\n"
 
 
 class Endpoint:
@@ -128,10 +132,12 @@
         return b"ROW %b\r\nCOMPLETE d%d\r\n" % (row, self.number)
 
 
-def connect(late: list[int], errors: set[int]) -> tuple[PipelinedLink, Endpoint]:
+def connect(
+    late: list[int], errors: set[int], *, kind: type[Endpoint] = Endpoint
+) -> tuple[PipelinedLink, Endpoint]:
     """Return a link to a model of an endpoint."""
     stream = LineStream()
-    endpoint = Endpoint(stream, late=late, errors=errors)
+    endpoint = kind(stream, late=late, errors=errors)
     stream.connection_made(endpoint)
     link = PipelinedLink(
         stream,
@@ -144,6 +150,24 @@
     return link, endpoint
 
 
+class SilentEndpoint(Endpoint):
+    """Answers no command by itself; the test supplies the answers."""
+
+    def _answer(self, line: bytes) -> None:
+        pass
+
+    def answer_with(self, *answers: bytes) -> None:
+        """Send these answers, first or second ones."""
+        self._stream.data_received(b"".join(answers))
+
+
+def connect_silent() -> tuple[PipelinedLink, SilentEndpoint]:
+    """Return a link to an endpoint whose answers the test supplies."""
+    link, endpoint = connect([], set(), kind=SilentEndpoint)
+    assert isinstance(endpoint, SilentEndpoint)
+    return link, endpoint
+
+
 def check_own(command: Command, answer: Answer, endpoint: Endpoint) -> None:
     """Check that an answer is the one that the endpoint gave to this command."""
     if isinstance(command, AskStatus):
@@ -256,6 +280,24 @@
         check_own(command, answer, endpoint)
         assert answer.fault is None
 
+    async def test_an_error_discarded_with_a_status_is_no_promise_for_a_later_write(
+        self,
+    ) -> None:
+        link, endpoint = connect_silent()
+        asked = asyncio.create_task(link.run([AskStatus()], timeout=LIMIT_S))
+        await asyncio.sleep(0)
+        endpoint.answer_with(STATUS_ANSWER, BUSY_ANSWER, PLAIN_ANSWER)
+        await asyncio.sleep(0)
+        endpoint.answer_with(STATUS_ANSWER, PLAIN_ANSWER)
+        await asked
+        command = make_command("write", 1)
+        written = asyncio.create_task(link.run([command], timeout=LIMIT_S))
+        await asyncio.sleep(0)
+        endpoint.answer_with(BUSY_ANSWER, b"COMPLETE d1\r\nREADY I 1.1\r\n")
+        endpoint.answer_with(*[PLAIN_ANSWER] * MARKERS_AFTER_ERROR)
+        (answer,) = await written
+        assert answer.fault is None
+
     async def test_a_begin_is_not_answered_by_an_earlier_command(self) -> None:
         link, _ = connect([0, 1], set())
         await link.run([SetValue(b"a", b"b")], timeout=LIMIT_S)
