Send four markers after an error that came before

Three second answers with the digest - beside the second one of an error were taken for the three markers' answers, so a write that ran could be reported as not run. Three such answers are meant to be harmless, which takes one marker more than that.

A model of the connection refutes three markers with three answers beside the error and finds nothing with four.

--- a/src/celeryjunction/replication/answer_assignment.py
+++ b/src/celeryjunction/replication/answer_assignment.py
@@ -24,8 +24,8 @@
     TransactionState,
 )
 
-MARKERS_AFTER_ERROR = 3
-"""As many second answers may come together with that of an error without harm."""
+MARKERS_AFTER_ERROR = 4
+"""One fewer second answers may come together with that of an error without harm."""
 STATUS_ATTEMPTS = 3
 """Attempts to get a status while second answers to earlier ones come."""
 MARKER = Synchronize()
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -280,6 +280,25 @@
         check_own(command, answer, endpoint)
         assert answer.fault is None
 
+    async def test_three_second_answers_beside_an_error_do_not_confirm_it(
+        self,
+    ) -> None:
+        link, endpoint = connect_silent()
+        failing = asyncio.create_task(
+            link.run([make_command("write", 1)], timeout=LIMIT_S)
+        )
+        await asyncio.sleep(0)
+        endpoint.answer_with(BUSY_ANSWER)
+        await failing
+        command = make_command("write", 2)
+        written = asyncio.create_task(link.run([command], timeout=LIMIT_S))
+        await asyncio.sleep(0)
+        endpoint.answer_with(BUSY_ANSWER, *[PLAIN_ANSWER] * 3)
+        endpoint.answer_with(b"COMPLETE d2\r\nREADY I 1.1\r\n")
+        endpoint.answer_with(*[PLAIN_ANSWER] * MARKERS_AFTER_ERROR)
+        (answer,) = await written
+        assert answer.fault is None
+
     async def test_an_error_discarded_with_a_status_is_no_promise_for_a_later_write(
         self,
     ) -> None:
