Send a marker after RESET, SETPARAM and PREPARE

A marker now follows each of these commands, as it follows BEGIN; a refusal that comes in place of the marker's answer closes the connection before the statement is sent. The marker is part of the same pipeline and costs no round trip.

A model of the connection refutes the earlier rule if an endpoint may refuse these commands outside a transaction, which the protocol's description leaves open.

--- a/src/celeryjunction/replication/answer_assignment.py
+++ b/src/celeryjunction/replication/answer_assignment.py
@@ -17,9 +17,12 @@
 from celeryjunction.replication.ports import (
     STATUS_COMMANDS,
     Answer,
+    ClearSession,
     Command,
     Fault,
     OpenTransaction,
+    PrepareStatement,
+    SetValue,
     Synchronize,
     TransactionState,
 )
@@ -29,7 +32,9 @@
 STATUS_ATTEMPTS = 3
 """Attempts to get a status while second answers to earlier ones come."""
 MARKER = Synchronize()
-MARKED_COMMANDS = (*STATUS_COMMANDS, OpenTransaction)
+STATE_COMMANDS = (OpenTransaction, ClearSession, SetValue, PrepareStatement)
+"""Commands that change the connection's state; a refusal must not be missed."""
+MARKED_COMMANDS = (*STATUS_COMMANDS, *STATE_COMMANDS)
 """Commands whose answers contain nothing that an earlier answer can't contain."""
 
 _log = get_logger("replication")
@@ -99,7 +104,7 @@
         if isinstance(command, STATUS_COMMANDS):
             return await self._read_status(command)
         answer = await self._read_matching(command)
-        if isinstance(command, OpenTransaction):
+        if isinstance(command, STATE_COMMANDS):
             await self._expect_marker(answer.state)
         return answer
 
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -280,6 +280,15 @@
         check_own(command, answer, endpoint)
         assert answer.fault is None
 
+    async def test_a_refused_value_is_not_hidden_by_a_second_answer(self) -> None:
+        link, endpoint = connect_silent()
+        setting = asyncio.create_task(link.run([SetValue(b"a", b"b")], timeout=LIMIT_S))
+        await asyncio.sleep(0)
+        endpoint.answer_with(PLAIN_ANSWER, BUSY_ANSWER, PLAIN_ANSWER)
+        with pytest.raises(ConnectionLost):
+            await setting
+        assert not link.usable
+
     async def test_three_second_answers_beside_an_error_do_not_confirm_it(
         self,
     ) -> None:
