Model which command an answer belongs to

Stated limits: two second answers while one status or refused value waits, four beside that of an error, and a marker's own answer that comes only after the next command was sent.

--- a/model/all_checks.py
+++ b/model/all_checks.py
@@ -4,6 +4,7 @@
 
 from model import (
     acknowledgement,
+    answers,
     at_most_once,
     confirmed_commits,
     contracts,
@@ -28,5 +29,6 @@
     late_promotion,
     fencing_tokens,
     promotion_calls,
+    answers,
 )
 CHECKS = [check for module in MODULES for check in module.CHECKS]
