--- a/src/celeryjunction/replication/answer_assignment.py
+++ b/src/celeryjunction/replication/answer_assignment.py
@@ -17,19 +17,24 @@
 from celeryjunction.replication.ports import (
     STATUS_COMMANDS,
     Answer,
+    ClearSession,
     Command,
     Fault,
     OpenTransaction,
+    PrepareStatement,
+    SetValue,
     Synchronize,
     TransactionState,
 )
 
-MARKERS_AFTER_ERROR = 3
-"""As many second answers may come together with that of an error without harm."""
+MARKERS_AFTER_ERROR = 4
+"""One fewer second answers may come together with that of an error without harm."""
 STATUS_ATTEMPTS = 3
 """Attempts to get a status while second answers to earlier ones come."""
 MARKER = Synchronize()
-MARKED_COMMANDS = STATUS_COMMANDS | {OpenTransaction}
+STATE_COMMANDS = frozenset((OpenTransaction, ClearSession, SetValue, PrepareStatement))
+"""Commands that change the connection's state; a refusal must not be missed."""
+MARKED_COMMANDS = STATUS_COMMANDS | STATE_COMMANDS
 """Commands whose answers contain nothing that an earlier answer can't contain."""
 
 _log = get_logger("replication")
@@ -105,7 +110,7 @@
         if match is Match.UNCERTAIN:
             answer = await self._resolve(command, answer)
         self._matcher.accept(answer)
-        if type(command) is OpenTransaction:
+        if type(command) in STATE_COMMANDS:
             await self._expect_marker(answer.state)
         return answer
 
@@ -118,6 +123,7 @@
         answer, following = await self._read(), await self._read()
         if self._is_status(command, answer) and _is_marker(following):
             self._matcher.accept(answer)
+            self._matcher.accept(following)
             return answer
         return await self._resolve_status(command, [answer, following])
 
@@ -127,6 +133,8 @@
             if len(statuses) == 1:
                 self._matcher.accept(statuses[0])
                 return statuses[0]
+            for answer in statuses:
+                self._matcher.remember(answer)
             self._count_discarded(command)
             self._send(with_markers([command]))
             answers = []
