Keep the header fields of two HTTP responses apart

A response shared its header fields with what the parser read next on the connection: with two responses in one chunk, the first was returned with the second's fields, so a VM could take over the era of another response. Each response now has its own fields and body, and one parser reads the whole connection.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -45,6 +45,9 @@
         self._ends_at_close = False
         """Whether a response has begun that ends with the connection."""
         self._response: asyncio.Future[HttpResponse] | None = None
+        self._parser = HttpResponseParser(self)
+        self._headers: dict[str, str] = {}
+        self._body = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
@@ -71,6 +74,10 @@
 
     # Called by the parser.
 
+    def on_message_begin(self) -> None:
+        self._headers = {}
+        self._body = bytearray()
+
     def on_headers_complete(self) -> None:
         has_length = self._headers.keys() & {"content-length", "transfer-encoding"}
         self._ends_at_close = not has_length
@@ -87,9 +94,11 @@
             self._transport.close()
             self.closed = True
         status = self._parser.get_status_code()
-        self._response.set_result(
-            HttpResponse(status, bytes(self._body), self._headers)
-        )
+        response = HttpResponse(status, bytes(self._body), self._headers)
+        if self._response.done():
+            self.abort()
+        else:
+            self._response.set_result(response)
 
     @property
     def is_answered(self) -> bool:
@@ -100,10 +109,6 @@
         return response.exception() is None
 
     async def request(self, data: bytes) -> HttpResponse:
-        self._body = bytearray()
-        self._headers: dict[str, str] = {}
-        self._ends_at_close = False
-        self._parser = HttpResponseParser(self)
         self._response = asyncio.get_running_loop().create_future()
         self._transport.write(data)
         return await self._response
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,73 @@
+"""Which response belongs to which request, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+
+from celeryjunction.adapters.http_client import HttpClient, HttpResponse
+
+LIMIT_S = 5.0
+"""Time-out for operations that take milliseconds on an idle machine."""
+LATE_S = 0.05
+"""How much later a second response comes."""
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+def encode_response(status: int, body: bytes = b"", *fields: bytes) -> bytes:
+    lines = [b"HTTP/1.1 %d X" % status, b"Content-Length: %d" % len(body), *fields]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+@asynccontextmanager
+async def serving(serve: Serve) -> AsyncIterator[HttpClient]:
+    """Call `serve` for each connection; yield a client of this server."""
+    writers = []
+
+    async def handle(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writers.append(writer)
+        with suppress(asyncio.IncompleteReadError, OSError):
+            await serve(reader, writer)
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    client = HttpClient(*server.sockets[0].getsockname())
+    try:
+        yield client
+    finally:
+        client.close()
+        server.close()
+        for writer in writers:
+            writer.transport.abort()
+
+
+async def read_request(reader: asyncio.StreamReader) -> str:
+    """Read a request and return its method."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    fields = head.decode().lower().split("\r\n")
+    length = next(f for f in fields if f.startswith("content-length:"))
+    await reader.readexactly(int(length.partition(":")[2]))
+    return head.decode().partition(" ")[0]
+
+
+async def request_once(data: bytes) -> HttpResponse:
+    """Return what the client takes for the response if a server sends `data`."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        writer.write(data)
+
+    async with serving(serve) as client:
+        return await client.request("GET", "/", timeout=LIMIT_S)
+
+
+class TestFramedResponses:
+    async def test_header_fields_of_a_second_response_are_not_the_firsts(self) -> None:
+        first = encode_response(200, b"a", b"Store-Era: 1")
+        second = encode_response(200, b"b", b"Store-Era: 2")
+        response = await request_once(first + second)
+        assert response.body == b"a"
+        assert response.headers["store-era"] == "1"
