Wait for the final HTTP response after an interim one

A response with status 100, 102 or 103 was returned as the final one, and a promotion call that got one counted as refused though it would be carried out.

The tests failed before with these statuses instead of 404.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -19,6 +19,8 @@
 CONNECT_TIMEOUT_S = 0.7
 """Connecting takes one round trip of a few ms. The system resends a lost first packet
 only after 1 s, so a new attempt before then loses no time."""
+SWITCHING_PROTOCOLS = 101
+"""The only status below 200 that no other response to the request follows."""
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which a close discards what was not delivered. Otherwise the
 system goes on sending a request that was given up, for minutes."""
@@ -90,10 +92,12 @@
 
     def on_message_complete(self) -> None:
         self._ends_at_close = False
+        status = self._parser.get_status_code()
+        if status < 200 and status != SWITCHING_PROTOCOLS:
+            return
         if not self._parser.should_keep_alive():
             self._transport.close()
             self.closed = True
-        status = self._parser.get_status_code()
         response = HttpResponse(status, bytes(self._body), self._headers)
         if self._response.done():
             self.abort()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -6,6 +6,8 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 
+import pytest
+
 from celeryjunction.adapters.http_client import HttpClient, HttpResponse
 
 LIMIT_S = 5.0
@@ -71,3 +73,11 @@
         response = await request_once(first + second)
         assert response.body == b"a"
         assert response.headers["store-era"] == "1"
+
+    @pytest.mark.parametrize("status", [100, 102, 103])
+    async def test_an_interim_response_is_not_taken_for_the_final_one(
+        self, status: int
+    ) -> None:
+        interim = b"HTTP/1.1 %d X\r\nLink: x\r\n\r\n" % status
+        response = await request_once(2 * interim + encode_response(404, b"none"))
+        assert response == HttpResponse(404, b"none", {"content-length": "4"})
