Ignore the fields after a chunked HTTP body

Fields of the trailer replaced header fields of the same name, among them the era of the store. Nothing reads fields of a trailer.

The test failed before: era 2 of the trailer instead of 1.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -49,6 +49,7 @@
         self._response: asyncio.Future[HttpResponse] | None = None
         self._parser = HttpResponseParser(self)
         self._headers: dict[str, str] = {}
+        self._has_all_headers = False
         self._body = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -78,14 +79,17 @@
 
     def on_message_begin(self) -> None:
         self._headers = {}
+        self._has_all_headers = False
         self._body = bytearray()
 
     def on_headers_complete(self) -> None:
+        self._has_all_headers = True
         has_length = self._headers.keys() & {"content-length", "transfer-encoding"}
         self._ends_at_close = not has_length
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        if not self._has_all_headers:  # Otherwise it follows a chunked body.
+            self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_body(self, body: bytes) -> None:
         self._body += body
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -81,3 +81,10 @@
         interim = b"HTTP/1.1 %d X\r\nLink: x\r\n\r\n" % status
         response = await request_once(2 * interim + encode_response(404, b"none"))
         assert response == HttpResponse(404, b"none", {"content-length": "4"})
+
+    async def test_fields_after_a_chunked_body_do_not_replace_those_before_it(
+        self,
+    ) -> None:
+        head = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\nStore-Era: 1\r\n\r\n"
+        response = await request_once(head + b"1\r\na\r\n0\r\nStore-Era: 2\r\n\r\n")
+        assert (response.body, response.headers["store-era"]) == (b"a", "1")
