Fail a request at once on a closed HTTP connection

A connection that ended before its request was written, for example because a response came to no request, let the request wait for its whole time-out, up to 30 s for a watch.

The test failed before with the time-out.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -117,6 +117,8 @@
         return response.exception() is None
 
     async def request(self, data: bytes) -> HttpResponse:
+        if self.closed:
+            raise HttpFailure("the connection was closed")
         self._response = asyncio.get_running_loop().create_future()
         self._transport.write(data)
         return await self._response
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from celeryjunction.adapters.http_client import HttpClient, HttpResponse
+from celeryjunction.adapters.http_client import HttpClient, HttpFailure, HttpResponse
 
 LIMIT_S = 5.0
 """Time-out for operations that take milliseconds on an idle machine."""
@@ -88,3 +88,17 @@
         head = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\nStore-Era: 1\r\n\r\n"
         response = await request_once(head + b"1\r\na\r\n0\r\nStore-Era: 2\r\n\r\n")
         assert (response.body, response.headers["store-era"]) == (b"a", "1")
+
+    async def test_a_response_to_no_request_fails_the_next_one_at_once(self) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(encode_response(200))
+            await reader.read()
+
+        async with serving(serve) as client:
+            channel = await client.open_channel()
+            await asyncio.sleep(LATE_S)
+            async with asyncio.timeout(LIMIT_S / 2):
+                with pytest.raises(HttpFailure):
+                    await channel.request("GET", "/", timeout=LIMIT_S)
