Check the way of a promotion call on a new connection each time

A second response to an earlier check on the same connection, that came late, was taken for the answer to the check right before the call: the path counted as confirmed though the service may not answer any more, and the call could arrive after the next holder's.

Each check opens a connection, which costs one more round trip. The new test failed before. test_the_call_is_sent_on_the_connection_that_was_answered counted one connection for two checks and the call; it now counts the requests of each: one check on the first, the last check and the call on the second.

--- a/src/celeryjunction/adapters/http_path.py
+++ b/src/celeryjunction/adapters/http_path.py
@@ -57,14 +57,17 @@
         return is_open or self._service_closes
 
     async def confirm(self) -> bool:
-        """Return whether the service answers on this connection now.
+        """Open a connection, and return whether the service answers on it now.
 
-        The answer's status doesn't matter, unless it may be that of a gateway which
-        doesn't reach the service. If the service closes the connection after it, the
-        next request opens another one.
+        On a connection that was checked before, a second response to that check could
+        be taken for the answer. The answer's status doesn't matter, unless it may be
+        that of a gateway which doesn't reach the service. If the service closes the
+        connection after it, the next request opens another one.
         """
         loop = asyncio.get_running_loop()
         began = loop.time()
+        self.close()
+        self._service_closes = False
         try:
             channel = await self._open_channel()
             response = await channel.request(
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -9,6 +9,8 @@
 import pytest
 
 from celeryjunction.adapters.http_client import HttpClient, HttpFailure, HttpResponse
+from celeryjunction.platform.promotion import HttpPromoter
+from celeryjunction.replication.ports import PromotionRequest
 
 LIMIT_S = 5.0
 """Time-out for operations that take milliseconds on an idle machine."""
@@ -23,6 +25,16 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
+def make_request() -> PromotionRequest:
+    return PromotionRequest(
+        group="db",
+        endpoint="i",
+        holder="vm1",
+        fencing_token=41,
+        is_due=lambda: True,
+    )
+
+
 @asynccontextmanager
 async def serving(serve: Serve) -> AsyncIterator[HttpClient]:
     """Call `serve` for each connection; yield a client of this server."""
@@ -102,3 +114,56 @@
             async with asyncio.timeout(LIMIT_S / 2):
                 with pytest.raises(HttpFailure):
                     await channel.request("GET", "/", timeout=LIMIT_S)
+
+
+CHECKED = encode_response(404, b"no such call")
+"""Response to the check."""
+
+
+class CallServer:
+    """Answers checks with `CHECKED`, and a call with what `answer_call` writes."""
+
+    def __init__(
+        self,
+        answer_call: Callable[[asyncio.StreamWriter], Awaitable[None]],
+        *,
+        second_check_after_s: float | None = None,
+    ) -> None:
+        self._answer_call = answer_call
+        self._second_check_after_s = second_check_after_s
+        self.requests: list[list[str]] = []
+        """Methods of the requests, by connection."""
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        methods: list[str] = []
+        self.requests.append(methods)
+        loop = asyncio.get_running_loop()
+        while True:
+            methods.append(await read_request(reader))
+            if methods[-1] == "POST":
+                await self._answer_call(writer)
+                continue
+            writer.write(CHECKED)
+            if self._second_check_after_s is not None:
+                loop.call_later(self._second_check_after_s, writer.write, CHECKED)
+
+
+class TestCheck:
+    async def test_a_late_second_response_does_not_confirm_a_silent_path(self) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            connections.append(writer)
+            await read_request(reader)
+            if len(connections) == 1:
+                writer.write(CHECKED)
+                await asyncio.sleep(LATE_S)
+                writer.write(CHECKED)
+            await reader.read()
+
+        connections: list[asyncio.StreamWriter] = []
+        async with serving(serve) as client:
+            path = await HttpPromoter(client).open_path()
+            assert not await path.confirm()
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -340,11 +340,12 @@
 
     async def test_the_call_is_sent_on_the_connection_that_was_answered(self) -> None:
         """Guards against a call on a connection that proves nothing."""
-        async with answering(make_answer(200)) as server:
+        async with answering(make_answer(404)) as server:
             path = await server.promoter.open_path()
             assert await path.confirm()
+            server.answer = make_answer(200)
             assert await path.promote(make_request("i")) is PromotionResult.ACCEPTED
-            assert server.connections == 1
+            assert server.requests_by_connection == [1, 2]
 
     async def test_a_connection_that_was_lost_since_its_answer_carries_no_call(
         self,
@@ -354,7 +355,7 @@
             server.reset()
             await asyncio.sleep(0.05)
             assert await path.promote(make_request("i")) is PromotionResult.REFUSED
-            assert server.requests == 1
+            assert server.requests_by_connection == [1]
 
     async def test_an_answer_that_ends_with_the_connection_is_one(self) -> None:
         async with answering(
@@ -405,23 +406,24 @@
 
 
 class AnsweringServer:
-    """Gives one answer to all requests, and counts these and connections."""
+    """Gives one answer to all requests, and counts them by connection."""
 
     def __init__(self, answer: bytes, *, closes: bool) -> None:
         self.answer = answer
         self._closes = closes
-        self.connections = self.requests = 0
+        self.requests_by_connection: list[int] = []
         self._writers: list[asyncio.StreamWriter] = []
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self.connections += 1
+        connection = len(self.requests_by_connection)
+        self.requests_by_connection.append(0)
         self._writers.append(writer)
         with suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 await reader.readuntil(b"\r\n\r\n")
-                self.requests += 1
+                self.requests_by_connection[connection] += 1
                 writer.write(self.answer)
                 if self._closes:
                     break
