Don't take a second response to the check for that of the promotion call

The check and the promotion call share a connection. One that came between both reset the connection, which counted as closed by the service, so the call went out on an unchecked connection.

A response with the status and body of an earlier one on the connection is now ignored, and the call goes on waiting. Without another response it counts as unanswered, which makes the next holder wait. Only a service that says so closes a connection.

Remaining: a second response to the check that differs from the first in status or body can't be told from the call's.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -40,10 +40,18 @@
 
 
 class _Connection(asyncio.Protocol):
-    """One connection, which carries one request at a time."""
+    """One connection, which carries one request at a time.
+
+    A response that equals an earlier one, to another request, may be its second one:
+    it is ignored.
+    """
 
     def __init__(self) -> None:
         self.closed = False
+        self.is_last_response = False
+        """Whether the service said that it closes the connection after a response."""
+        self._earlier: set[tuple[int, bytes]] = set()
+        """Status and body of the responses that were returned."""
         self._ends_at_close = False
         """Whether a response has begun that ends with the connection."""
         self._response: asyncio.Future[HttpResponse] | None = None
@@ -56,7 +64,7 @@
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
-        if self._response is None or self._response.done():
+        if self._response is None:
             self.abort()
             return
         try:
@@ -101,12 +109,15 @@
             return
         if not self._parser.should_keep_alive():
             self._transport.close()
-            self.closed = True
-        response = HttpResponse(status, bytes(self._body), self._headers)
+            self.closed = self.is_last_response = True
+        body = bytes(self._body)
+        if (status, body) in self._earlier:
+            return
         if self._response.done():
             self.abort()
-        else:
-            self._response.set_result(response)
+            return
+        self._earlier.add((status, body))
+        self._response.set_result(HttpResponse(status, body, self._headers))
 
     @property
     def is_answered(self) -> bool:
@@ -249,7 +260,10 @@
 
 
 class HttpChannel:
-    """A connection of one caller, who knows which requests it has carried."""
+    """A connection of one caller, who knows which requests it has carried.
+
+    A request whose response equals that to an earlier one counts as unanswered.
+    """
 
     def __init__(self, encode: Callable[..., bytes], connection: _Connection) -> None:
         self._encode = encode
@@ -260,6 +274,11 @@
         """Whether the connection was closed, by either side."""
         return self._connection.closed
 
+    @property
+    def is_last_response(self) -> bool:
+        """Whether the service said that it closes the connection after a response."""
+        return self._connection.is_last_response
+
     async def request(
         self,
         method: str,
--- a/src/celeryjunction/adapters/http_path.py
+++ b/src/celeryjunction/adapters/http_path.py
@@ -79,7 +79,7 @@
             _log.warning("service_silent", reason=str(error))
             self.close()
             return False
-        self._service_closes = channel.closed
+        self._service_closes = channel.is_last_response
         usual_s = USUAL_ANSWERS * (loop.time() - began)
         self._answer_limit_s = min(ANSWER_LIMIT_S, max(LEAST_ANSWER_LIMIT_S, usual_s))
         return True
@@ -103,7 +103,8 @@
 
         Raises `HttpNotSent` if it was not sent, and `HttpFailure` if the service didn't
         answer in `timeout` seconds, or longer if it answered slowly before: the request
-        may then arrive at any later time.
+        may then arrive at any later time. A response with the status and the body of
+        the check's is taken for a second one to the check.
         """
         try:
             if not self._is_confirmed:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -10,7 +10,7 @@
 
 from celeryjunction.adapters.http_client import HttpClient, HttpFailure, HttpResponse
 from celeryjunction.platform.promotion import HttpPromoter
-from celeryjunction.replication.ports import PromotionRequest
+from celeryjunction.replication.ports import PromotionRequest, PromotionResult
 
 LIMIT_S = 5.0
 """Time-out for operations that take milliseconds on an idle machine."""
@@ -150,6 +150,61 @@
                 loop.call_later(self._second_check_after_s, writer.write, CHECKED)
 
 
+class TestCallAfterCheck:
+    """A second response to the check that comes after the call was sent."""
+
+    async def promote(self, *responses: bytes) -> PromotionResult:
+        """Return the result of a call after which the server sends `responses`."""
+
+        async def answer(writer: asyncio.StreamWriter) -> None:
+            for response in responses:
+                writer.write(response)
+                await asyncio.sleep(LATE_S)
+
+        async with serving(CallServer(answer).serve) as client:
+            path = await HttpPromoter(client).open_path()
+            return await path.promote(make_request())
+
+    async def test_it_does_not_refuse_a_call_that_is_carried_out(self) -> None:
+        assert await self.promote(CHECKED, encode_response(200)) is (
+            PromotionResult.ACCEPTED
+        )
+
+    async def test_it_does_not_answer_a_call_that_may_be_on_its_way(self) -> None:
+        assert await self.promote(CHECKED) is PromotionResult.UNANSWERED
+
+    async def test_it_does_not_hide_a_refusal(self) -> None:
+        result = await self.promote(CHECKED, encode_response(429))
+        assert result is PromotionResult.REFUSED
+
+    async def test_one_that_comes_before_the_call_leaves_its_connection_usable(
+        self,
+    ) -> None:
+        async def accept(writer: asyncio.StreamWriter) -> None:
+            writer.write(encode_response(200))
+
+        server = CallServer(accept, second_check_after_s=0)
+        async with serving(server.serve) as client:
+            path = await HttpPromoter(client).open_path()
+            await asyncio.sleep(LATE_S)
+            assert await path.promote(make_request()) is PromotionResult.ACCEPTED
+        assert server.requests == [["GET", "POST"]]
+
+    async def test_another_one_before_the_call_keeps_it_from_being_sent(self) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            while True:
+                requests.append(await read_request(reader))
+                writer.write(CHECKED + encode_response(500))
+
+        requests: list[str] = []
+        async with serving(serve) as client:
+            path = await HttpPromoter(client).open_path()
+            assert await path.promote(make_request()) is PromotionResult.REFUSED
+        assert requests == ["GET"]
+
+
 class TestCheck:
     async def test_a_late_second_response_does_not_confirm_a_silent_path(self) -> None:
         async def serve(
