Test HTTP responses in any chunks

Properties over bytes and chunks: a response is the same however it is cut, bytes after it don't change it, one that is cut off is none, and a request gets no bytes of an earlier response, also of one that came twice and is split by the request.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -5,10 +5,18 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
+from itertools import pairwise
 
 import pytest
-
-from celeryjunction.adapters.http_client import HttpClient, HttpFailure, HttpResponse
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from celeryjunction.adapters.http_client import (
+    HttpClient,
+    HttpFailure,
+    HttpResponse,
+    _Connection,
+)
 from celeryjunction.platform.promotion import HttpPromoter
 from celeryjunction.replication.ports import PromotionRequest, PromotionResult
 
@@ -222,3 +230,126 @@
         async with serving(serve) as client:
             path = await HttpPromoter(client).open_path()
             assert not await path.confirm()
+
+
+class FakeTransport:
+    """A transport that sends nothing."""
+
+    def write(self, data: bytes) -> None:
+        """Ignore the data."""
+
+    def get_extra_info(self, name: str) -> None:
+        """Return that there is no socket."""
+
+    def close(self) -> None:
+        """Do nothing: the test calls `connection_lost`."""
+
+    abort = close
+
+
+def receive(*exchanges: list[bytes]) -> list[HttpResponse | None]:
+    """Return the responses to requests on one connection, and None for failures.
+
+    Each request is sent before its chunks arrive; the connection ends after the last.
+    """
+
+    async def run() -> list[HttpResponse | None]:
+        connection = _Connection()
+        connection.connection_made(FakeTransport())
+        received = []
+        for chunks in exchanges:
+            request = asyncio.create_task(connection.request(b""))
+            await asyncio.sleep(0)
+            for chunk in chunks:
+                if not connection.closed:
+                    connection.data_received(chunk)
+            if chunks is exchanges[-1]:
+                connection.connection_lost(None)
+            try:
+                received.append(await request)
+            except HttpFailure:
+                received.append(None)
+        return received
+
+    return asyncio.run(run())
+
+
+def cut(data: bytes, places: list[int]) -> list[bytes]:
+    ends = sorted({place % (len(data) + 1) for place in places} | {0, len(data)})
+    return [data[start:end] for start, end in pairwise(ends)]
+
+
+def end_at_close(status: int, body: bytes, *fields: bytes) -> bytes:
+    return b"\r\n".join([b"HTTP/1.0 %d X" % status, *fields]) + b"\r\n\r\n" + body
+
+
+def encode_chunked(status: int, body: bytes, *fields: bytes) -> bytes:
+    fields = (*fields, b"Transfer-Encoding: chunked")
+    head = b"\r\n".join([b"HTTP/1.1 %d X" % status, *fields]) + b"\r\n\r\n"
+    parts = [b"%x\r\n%b\r\n" % (len(p), p) for p in (body[:2], body[2:]) if p]
+    return head + b"".join(parts) + b"0\r\nStore-Era: 9\r\n\r\n"
+
+
+PLACES = st.lists(st.integers(0, 400), max_size=12)
+STATUSES = st.sampled_from([200, 404, 409, 429, 503])
+FRAMED = st.sampled_from([encode_response, encode_chunked])
+ENCODERS = st.sampled_from([encode_response, encode_chunked, end_at_close])
+BODIES = st.one_of(st.binary(max_size=20), st.just(encode_response(200, b"inner")))
+EXTRAS = st.one_of(st.just(b""), st.binary(max_size=20), st.just(encode_response(500)))
+INTERIMS = st.lists(st.sampled_from([100, 102, 103]), max_size=2)
+FIELDS = st.sampled_from([b"Store-Era: 4", b"A:", b"A: \xfe\xff", b"A: b\r\nA: c"])
+
+
+class TestAnyChunks:
+    """Responses and their second ones, cut at any places."""
+
+    @settings(deadline=None, derandomize=True, max_examples=300)
+    @given(ENCODERS, STATUSES, BODIES, FIELDS, INTERIMS, PLACES)
+    def test_a_response_is_the_same_however_it_is_cut(
+        self, encode, status, body, field, interims, places
+    ) -> None:
+        data = b"".join(b"HTTP/1.1 %d X\r\n\r\n" % interim for interim in interims)
+        data += encode(status, body, field)
+        [whole] = receive([data])
+        assert whole is not None
+        assert (whole.status, whole.body) == (status, body)
+        assert receive(cut(data, places)) == [whole]
+
+    @settings(deadline=None, derandomize=True, max_examples=300)
+    @given(FRAMED, BODIES, EXTRAS, PLACES)
+    def test_bytes_after_a_response_do_not_change_it(
+        self, encode, body, extra, places
+    ) -> None:
+        data = encode(200, body, b"Store-Era: 4")
+        assert receive(cut(data + extra, places)) == receive([data])
+
+    @settings(deadline=None, derandomize=True, max_examples=200)
+    @given(FRAMED, BODIES, st.integers(0, 400), PLACES)
+    def test_a_response_that_is_cut_off_is_none(
+        self, encode, body, length, places
+    ) -> None:
+        data = encode(200, body)
+        data = data[: length % len(data)]
+        assert receive(cut(data, places)) == [None]
+
+    @settings(deadline=None, derandomize=True, max_examples=200)
+    @given(st.binary(max_size=60), PLACES)
+    def test_noise_is_no_response(self, noise, places) -> None:
+        assert receive(cut(noise, places)) == [None]
+        head = b"HTTP/1.1 200 X\r\n"
+        assert receive(cut(head + noise, places)) == receive([head + noise])
+
+    @settings(deadline=None, derandomize=True, max_examples=300)
+    @given(FRAMED, BODIES, st.integers(0, 400), st.integers(0, 2), PLACES, PLACES)
+    def test_the_next_request_gets_no_bytes_of_an_earlier_response(
+        self, encode, body, before, copies, first, second
+    ) -> None:
+        """The second responses come partly before the next request, partly after."""
+        check, call = encode(404, body), encode(200, body)
+        late = check * copies
+        before %= len(late) + 1
+        exchanges = [check + late[:before], late[before:] + call]
+        answers = receive(cut(exchanges[0], first), cut(exchanges[1], second))
+        assert [answer and answer.status for answer in answers] == [404, 200]
+        answers = receive(cut(exchanges[0], first), cut(late[before:], second))
+        assert answers[1] is None
