Answer an HTTP request whose path comes in several chunks

The parser passes a path on in parts, and each part replaced the one before: a request for the metrics that was cut inside its path got the readiness.

The property failed before.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -328,9 +328,13 @@
         except (HttpParserError, HttpParserUpgrade):
             self._transport.abort()
 
-    def on_url(self, url: bytes) -> None:
-        """Store the path; called by the parser."""
-        self._path = url.decode("latin-1")
+    def on_message_begin(self) -> None:
+        """Forget the last request; called by the parser."""
+        self._path = ""
+
+    def on_url(self, part: bytes) -> None:
+        """Add to the path; called by the parser for each chunk of it."""
+        self._path += part.decode("latin-1")
 
     def on_message_complete(self) -> None:
         """Answer the request; called by the parser."""
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,4 +1,4 @@
-"""Which response belongs to which request, over real sockets."""
+"""Which response belongs to which request, of the client and of the server."""
 
 from __future__ import annotations
 
@@ -14,6 +14,7 @@
 from celeryjunction.adapters.http_client import (
     HttpClient,
     HttpFailure,
+    HttpResponder,
     HttpResponse,
     _Connection,
 )
@@ -290,6 +291,7 @@
     return head + b"".join(parts) + b"0\r\nStore-Era: 9\r\n\r\n"
 
 
+PATHS = st.sampled_from([b"/", b"/readiness", b"/metrics?a=1"])
 PLACES = st.lists(st.integers(0, 400), max_size=12)
 STATUSES = st.sampled_from([200, 404, 409, 429, 503])
 FRAMED = st.sampled_from([encode_response, encode_chunked])
@@ -353,3 +355,54 @@
         assert [answer and answer.status for answer in answers] == [404, 200]
         answers = receive(cut(exchanges[0], first), cut(late[before:], second))
         assert answers[1] is None
+
+
+class TestResponder:
+    """Responses of the server for readiness and metrics, to requests in any chunks."""
+
+    def exchange(self, *chunks: bytes) -> tuple[bytes, bool]:
+        """Return what `HttpResponder` sends, and whether it ends the connection."""
+        transport = RecordingTransport()
+        responder = HttpResponder(lambda path: (200, path.encode()))
+        responder.connection_made(transport)
+        for chunk in chunks:
+            if not transport.is_closed:
+                responder.data_received(chunk)
+        return bytes(transport.sent), transport.is_closed
+
+    @settings(deadline=None, derandomize=True, max_examples=200)
+    @given(st.lists(PATHS, max_size=4), st.binary(max_size=5), PLACES)
+    def test_pipelined_requests_are_answered_in_order(
+        self, paths, body, places
+    ) -> None:
+        data = b"".join(encode_get(path, body) for path in paths)
+        answers = b"".join(encode_answer(path) for path in paths)
+        assert self.exchange(*cut(data, places)) == (answers, False)
+
+
+class RecordingTransport(FakeTransport):
+    """Records what is written to it, and whether it was closed."""
+
+    def __init__(self) -> None:
+        self.sent = bytearray()
+        self.is_closed = False
+
+    def write(self, data: bytes) -> None:
+        """Record the data."""
+        self.sent += data
+
+    def close(self) -> None:
+        """Record the end of the connection."""
+        self.is_closed = True
+
+    abort = close
+
+
+def encode_get(path: bytes, body: bytes) -> bytes:
+    head = b"GET %b HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (path, len(body))
+    return head + body
+
+
+def encode_answer(path: bytes) -> bytes:
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(path)
+    return head + b"Content-Type: text/plain\r\n\r\n" + path
