Close a served HTTP connection when its client asks for it

A client with HTTP/1.0 or Connection: close that reads to the end waited for its whole time-out, and the connection stayed open.

The two tests failed before.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -345,3 +345,5 @@
             "Content-Type: text/plain\r\n\r\n"
         )
         self._transport.write(head.encode() + body)
+        if not self._parser.should_keep_alive():
+            self._transport.close()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -379,6 +379,16 @@
         answers = b"".join(encode_answer(path) for path in paths)
         assert self.exchange(*cut(data, places)) == (answers, False)
 
+    @pytest.mark.parametrize(
+        "request_",
+        [
+            b"GET /a HTTP/1.0\r\n\r\n",
+            b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n",
+        ],
+    )
+    def test_a_client_that_waits_for_the_end_gets_one(self, request_: bytes) -> None:
+        assert self.exchange(request_) == (encode_answer(b"/a"), True)
+
 
 class RecordingTransport(FakeTransport):
     """Records what is written to it, and whether it was closed."""
