--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -344,6 +344,7 @@
             f"HTTP/1.1 {status} {reason}\r\nContent-Length: {len(body)}\r\n"
             "Content-Type: text/plain\r\n\r\n"
         )
-        self._transport.write(head.encode() + body)
+        has_body = self._parser.get_method() != b"HEAD"
+        self._transport.write(head.encode() + (body if has_body else b""))
         if not self._parser.should_keep_alive():
             self._transport.close()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -389,6 +389,10 @@
     def test_a_client_that_waits_for_the_end_gets_one(self, request_: bytes) -> None:
         assert self.exchange(request_) == (encode_answer(b"/a"), True)
 
+    def test_a_body_does_not_follow_the_response_to_head(self) -> None:
+        sent, _ = self.exchange(b"HEAD /a HTTP/1.1\r\n\r\n")
+        assert sent == encode_answer(b"/a").removesuffix(b"/a")
+
 
 class RecordingTransport(FakeTransport):
     """Records what is written to it, and whether it was closed."""
