Accept a list of keys that a newer answer overtook

A list and a watch, or two lists, are on their way at the same time, and their answers may come in the other order. The older one was logged as a store that went back, with an alarm, and the refresh before a statement counted as unanswered. It is older only than what arrived meanwhile, so nothing was lost, and the newer state is kept.

The two tests failed before. Those beside them passed: a page that comes twice or late, an earlier era's response, and reads in the other order change nothing.

--- a/src/celeryjunction/follower.py
+++ b/src/celeryjunction/follower.py
@@ -205,10 +205,15 @@
         return min(timeout, _MAX_LIST_TIMEOUT_S)
 
     async def _relist(self, timeout_s: float = _LIST_TIMEOUT_S) -> None:
+        known = self._revision
         listed = await self._store.list(self._prefix, timeout=timeout_s)
         if listed.losses < self._losses:
             raise StoreUnavailable("the list is from before a loss")
         if listed.losses == self._losses and listed.revision < self._revision:
+            if listed.revision >= known:
+                # A newer answer arrived meanwhile.
+                self._record_contact()
+                return
             _log.error(
                 "store_went_back",
                 alarm=1,
