Ignore changes of endpoints that were applied before

The register compared a change with the last list and the known entry only. The entry of an endpoint that left is no longer known, so a page of changes that came again, as when the shared watch starts further back, brought the endpoint back until the next page.

The test failed before: an endpoint that drained and left was in use again.

--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -86,7 +86,8 @@
         self._listeners: list[OnEndpoints] = []
         self._items: dict[str, KeyValue] = {}
         """The entries as they were listed or changed last, by key."""
-        self._listed_revision = 0
+        self._applied_revision = 0
+        """Revision up to which `_items` has all changes."""
         self._missing_since: dict[str, float] = {}
         """Since when entries of endpoints in use have been missing; seconds."""
         self._ignored: dict[str, str] = {}
@@ -126,13 +127,15 @@
             # The changes up to this revision have been applied.
             self._answered_at = now
             self._revision = max(self._revision, event.revision)
+            self._applied_revision = max(self._applied_revision, event.revision)
             self._process_items(now)
             if now < self._peer_list_until:
                 return
 
     def _apply(self, event: WatchEvent) -> None:
         known = self._items.get(event.key)
-        if event.revision <= max(self._listed_revision, known.revision if known else 0):
+        known_revision = known.revision if known else 0
+        if event.revision <= max(self._applied_revision, known_revision):
             return
         if event.value is None:
             self._items.pop(event.key, None)
@@ -198,7 +201,7 @@
             _log.info("register_available", revision=listed.revision)
             self._available_since = now
         self._answered_at = now
-        self._revision = self._listed_revision = listed.revision
+        self._revision = self._applied_revision = listed.revision
         self._items = {item.key: item for item in listed.items}
         self._process_items(now)
         return True
--- a/tests/test_late_pages.py
+++ b/tests/test_late_pages.py
@@ -9,7 +9,7 @@
 import pytest
 from fakes import ManualClock, event_loop_policy  # noqa: F401
 from test_odd_answers import AnsweringClient, answer
-from test_register import PREFIX
+from test_register import PREFIX, decode
 
 from celeryjunction.follower import PrefixFollower
 from celeryjunction.platform.store import HttpStore
@@ -19,6 +19,10 @@
     StoreUnavailable,
     WatchEvent,
 )
+from celeryjunction.replication.register import (
+    REREGISTER_S,
+    EndpointRegister,
+)
 from celeryjunction.shared_watch import SharedWatch, WatchPage
 
 SOON_S = 0.05
@@ -116,6 +120,25 @@
         assert follower.items[PREFIX + "a"].value == b"3"
 
 
+class TestRegister:
+    async def test_a_page_that_comes_again_does_not_bring_an_endpoint_back(
+        self,
+    ) -> None:
+        store = OrderedStore(KeyValue(PREFIX + "a", b"ready", 5), revision=5)
+        register = EndpointRegister(
+            store, PREFIX, decode=decode, clock=ManualClock(), random=Random(1)
+        )
+        task = asyncio.create_task(register.run())
+        await asyncio.sleep(REREGISTER_S)
+        await store.send(change("b", 6, b"draining"), revision=6)
+        assert set(register.endpoints) == {"a", "b"}
+        await store.send(change("b", 7, None), revision=7)
+        assert set(register.endpoints) == {"a"}
+        await store.send(change("b", 6, b"draining"), revision=6)
+        assert set(register.endpoints) == {"a"}
+        task.cancel()
+
+
 class TestStore:
     async def test_a_response_of_an_earlier_era_is_none(self) -> None:
         items = {"items": [], "current_rev": 9}
