Watch the register from the revision that its entries have

A list that is overtaken by another VM's newer one was dropped, and the watch went on after the revision of that one, though the entries were older: endpoints that had left in between were used again, and changes in between were never applied. The list is now kept for the entries, and the watch starts after it.

--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -21,6 +21,7 @@
 from celeryjunction.ports import (
     Clock,
     KeyValue,
+    KeyValueList,
     KeyValueStore,
     StoreRefused,
     StoreUnavailable,
@@ -118,7 +119,8 @@
 
         Raises `StoreUnavailable`, `StoreRefused` or `WatchCompacted`.
         """
-        changes = self._store.watch(self._prefix, start_revision=self._revision + 1)
+        start_revision = self._applied_revision + 1
+        changes = self._store.watch(self._prefix, start_revision=start_revision)
         async for event in changes:
             now = self._clock.monotonic()
             if event.key:
@@ -196,16 +198,22 @@
         if known <= listed.revision < self._revision:
             # A newer answer arrived meanwhile. Below `known`, the store has lost
             # changes: its answers are linearizable.
+            if listed.revision >= self._applied_revision:
+                self._set_items(listed)
             return True
         if not self._available_since or now - self._answered_at > self._max_age_s:
             _log.info("register_available", revision=listed.revision)
             self._available_since = now
         self._answered_at = now
-        self._revision = self._applied_revision = listed.revision
-        self._items = {item.key: item for item in listed.items}
+        self._revision = listed.revision
+        self._set_items(listed)
         self._process_items(now)
         return True
 
+    def _set_items(self, listed: KeyValueList) -> None:
+        self._applied_revision = listed.revision
+        self._items = {item.key: item for item in listed.items}
+
     def _process_items(self, now: float) -> None:
         found: dict[str, EndpointInfo] = {}
         for item in self._items.values():
--- a/tests/test_late_pages.py
+++ b/tests/test_late_pages.py
@@ -9,7 +9,7 @@
 import pytest
 from fakes import ManualClock, event_loop_policy  # noqa: F401
 from test_odd_answers import AnsweringClient, answer
-from test_register import PREFIX, decode
+from test_register import PREFIX, decode, info
 
 from celeryjunction.follower import PrefixFollower
 from celeryjunction.platform.store import HttpStore
@@ -21,6 +21,7 @@
 )
 from celeryjunction.replication.register import (
     REREGISTER_S,
+    REWATCH_PAUSE_S,
     EndpointRegister,
 )
 from celeryjunction.shared_watch import SharedWatch, WatchPage
@@ -138,6 +139,27 @@
         assert set(register.endpoints) == {"a"}
         task.cancel()
 
+    async def test_a_list_that_another_vms_overtook_does_not_bring_an_endpoint_back(
+        self,
+    ) -> None:
+        listed = [KeyValue(PREFIX + name, b"draining", 5) for name in "ab"]
+        store = OrderedStore(*listed, revision=5)
+        register = EndpointRegister(
+            store, PREFIX, decode=decode, clock=ManualClock(), random=Random(1)
+        )
+        task = asyncio.create_task(register.run())
+        await asyncio.sleep(REREGISTER_S)
+        store.pages.put_nowait(StoreUnavailable("the connection was closed"))
+        await asyncio.sleep(2 * REWATCH_PAUSE_S)
+        peers = [info("a", draining=True)]
+        register.update_from_peer(peers, age_s=0, revision=10)
+        store.lists[0].set_result(KeyValueList(tuple(listed), 8))
+        await asyncio.sleep(SOON_S)
+        assert store.started_after[-1] == 8
+        await store.send(change("b", 9, None), revision=11)
+        assert set(register.endpoints) == {"a"}
+        task.cancel()
+
 
 class TestStore:
     async def test_a_response_of_an_earlier_era_is_none(self) -> None:
