Pass the changes of a watch on in the order of their revisions

Followers ignore a change that is older than the last one, and the store's page doesn't say in which order a response has its changes. One in another order lost changes.

The test failed before.

--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -273,7 +273,7 @@
                 None if item.tombstone else self._key_value(item).value,
                 history.qualify_revision(item.revision),
             )
-            for item in page.events
+            for item in sorted(page.events, key=lambda item: item.revision)
         ]
         return WatchPage(events, history.qualify_revision(page.current_rev))
 
--- a/tests/test_late_pages.py
+++ b/tests/test_late_pages.py
@@ -199,6 +199,21 @@
         assert isinstance(late, StoreUnavailable)
         assert (store.history.era, store.history.losses) == (3, 0)
 
+    async def test_changes_of_a_page_are_passed_on_by_revision(self) -> None:
+        events = [
+            {"key": PREFIX + name, "revision": revision, "value": ""}
+            for name, revision in (("b", 4), ("a", 3))
+        ]
+        page = answer({"events": events, "current_rev": 4})
+        seen = []
+        async for event in HttpStore(AnsweringClient(page)).watch(
+            PREFIX, start_revision=3
+        ):
+            if not event.key:
+                break
+            seen.append(event.revision)
+        assert seen == [3, 4]
+
 
 class ReorderingClient:
     """Keeps requests waiting until a test answers them, in any order."""
