Test that HTTP requests leave no sockets open

1,000 requests that are answered twice, cut off or answered with noise, 100 without a response, 200 cancelled at several moments, 100 long polls ended by the client's close and 300 checks of promotion paths leave none.

HttpStore.close ends the watch; there are no idle connections any more.

--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -306,7 +306,7 @@
         await self._call("DELETE", path, timeout=timeout, accept=(200, 404))
 
     async def close(self) -> None:
-        """Close the idle connections."""
+        """End the waiting watch."""
         self._client.close()
 
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -5,7 +5,8 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
-from itertools import pairwise
+from itertools import cycle, pairwise
+from pathlib import Path
 
 import pytest
 from hypothesis import given, settings
@@ -55,6 +56,8 @@
         writers.append(writer)
         with suppress(asyncio.IncompleteReadError, OSError):
             await serve(reader, writer)
+        if reader.at_eof():
+            writer.close()
 
     server = await asyncio.start_server(handle, "127.0.0.1", 0)
     client = HttpClient(*server.sockets[0].getsockname())
@@ -420,3 +423,105 @@
 def encode_answer(path: bytes) -> bytes:
     head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(path)
     return head + b"Content-Type: text/plain\r\n\r\n" + path
+
+
+REQUESTS = 1000
+
+
+class TestConnectionsOfRequests:
+    """Guards against sockets that stay open after their requests."""
+
+    async def answer_or_not(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        if b"/answered" in head:
+            writer.write(2 * encode_response(200))
+        elif b"/cut" in head:
+            writer.write(encode_response(200, b"xyz")[:-1])
+        elif b"/noise" in head:
+            writer.write(b"\xa7\x00{")
+        else:
+            await reader.read()
+        writer.close()
+
+    async def open_sockets_after(
+        self, call: Callable[[HttpClient], Awaitable[None]], *, calls: int
+    ) -> int:
+        """Return how many more sockets than before this process has open."""
+        async with serving(self.answer_or_not) as client:
+            before = count_sockets()
+            for _ in range(0, calls, 20):
+                await asyncio.gather(*(call(client) for _ in range(20)))
+            for _ in range(100):
+                if count_sockets() <= before:
+                    break
+                await asyncio.sleep(LATE_S)
+            return count_sockets() - before
+
+    @pytest.mark.parametrize("path", ["/answered", "/cut", "/noise"])
+    async def test_answered_and_failed_ones_leave_none(self, path: str) -> None:
+        async def call(client: HttpClient) -> None:
+            with suppress(HttpFailure):
+                await client.request("GET", path, timeout=LIMIT_S)
+
+        assert await self.open_sockets_after(call, calls=REQUESTS) <= 0
+
+    async def test_those_without_a_response_leave_none(self) -> None:
+        async def call(client: HttpClient) -> None:
+            with pytest.raises(HttpFailure):
+                await client.request("GET", "/silent", timeout=LATE_S)
+
+        assert await self.open_sockets_after(call, calls=100) <= 0
+
+    async def test_cancelled_ones_leave_none(self) -> None:
+        async def call(client: HttpClient) -> None:
+            request = client.request("GET", "/silent", timeout=LIMIT_S)
+            task = asyncio.create_task(request)
+            await asyncio.sleep(next(delays))
+            task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await task
+
+        delays = cycle([0, 0.0005, 0.001, 0.01])
+        assert await self.open_sockets_after(call, calls=200) <= 0
+
+    async def test_closing_the_client_ends_waiting_long_polls(self) -> None:
+        async def call(client: HttpClient) -> None:
+            poll = client.request("GET", "/silent", timeout=LIMIT_S, long_poll=True)
+            task = asyncio.create_task(poll)
+            async with asyncio.timeout(LIMIT_S / 2):
+                while not task.done():  # It may still be connecting.
+                    await asyncio.sleep(LATE_S)
+                    client.close()
+            with pytest.raises(HttpFailure):
+                await task
+
+        assert await self.open_sockets_after(call, calls=100) <= 0
+
+    async def test_checks_of_a_path_leave_none(self) -> None:
+        async def call(client: HttpClient) -> None:
+            path = await HttpPromoter(client).open_path()
+            for _ in range(3):
+                await path.confirm()
+            path.close()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await CallServer(self.leave_unanswered).serve(reader, writer)
+
+        self.answer_or_not = serve
+        assert await self.open_sockets_after(call, calls=100) <= 0
+
+    async def leave_unanswered(self, writer: asyncio.StreamWriter) -> None:
+        """Send no response to a call."""
+
+
+def count_sockets() -> int:
+    """Return the number of sockets that this process has open."""
+    sockets = 0
+    for descriptor in Path("/proc/self/fd").iterdir():
+        with suppress(OSError):
+            sockets += str(descriptor.readlink()).startswith("socket:")
+    return sockets
