Check that an upgraded HTTP connection is closed

The test counted two connections for two requests, which every request opens now. It uses channels and checks that each one is closed after the upgrade.

--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -229,8 +229,10 @@
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         client = HttpClient(*server.sockets[0].getsockname())
         for _ in range(2):
-            answered = await client.request("GET", "/", timeout=LIMIT_S)
+            channel = await client.open_channel()
+            answered = await channel.request("GET", "/", timeout=LIMIT_S)
             assert answered.status == 101
+            assert channel.closed
         assert len(connections) == 2
         assert not errors
         client.close()
