--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -19,6 +19,8 @@
 CONNECT_TIMEOUT_S = 0.7
 """Connecting takes one round trip of a few ms. The system resends a lost first packet
 only after 1 s, so a new attempt before then loses no time."""
+SWITCHING_PROTOCOLS = 101
+"""The only status below 200 that no other response to the request follows."""
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which a close discards what was not delivered. Otherwise the
 system goes on sending a request that was given up, for minutes."""
@@ -38,19 +40,31 @@
 
 
 class _Connection(asyncio.Protocol):
-    """One connection, which carries one request at a time."""
+    """One connection, which carries one request at a time.
+
+    A response that equals an earlier one, to another request, may be its second one:
+    it is ignored.
+    """
 
     def __init__(self) -> None:
         self.closed = False
+        self.is_last_response = False
+        """Whether the service said that it closes the connection after a response."""
+        self._earlier: set[tuple[int, bytes]] = set()
+        """Status and body of the responses that were returned."""
         self._ends_at_close = False
         """Whether a response has begun that ends with the connection."""
         self._response: asyncio.Future[HttpResponse] | None = None
+        self._parser = HttpResponseParser(self)
+        self._headers: dict[str, str] = {}
+        self._has_all_headers = False
+        self._body = bytearray()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
-        if self._response is None or self._response.done():
+        if self._response is None:
             self.abort()
             return
         try:
@@ -71,25 +85,39 @@
 
     # Called by the parser.
 
+    def on_message_begin(self) -> None:
+        self._headers = {}
+        self._has_all_headers = False
+        self._body = bytearray()
+
     def on_headers_complete(self) -> None:
+        self._has_all_headers = True
         has_length = self._headers.keys() & {"content-length", "transfer-encoding"}
         self._ends_at_close = not has_length
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        if not self._has_all_headers:  # Otherwise it follows a chunked body.
+            self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_body(self, body: bytes) -> None:
         self._body += body
 
     def on_message_complete(self) -> None:
         self._ends_at_close = False
+        status = self._parser.get_status_code()
+        if status < 200 and status != SWITCHING_PROTOCOLS:
+            return
         if not self._parser.should_keep_alive():
             self._transport.close()
-            self.closed = True
-        status = self._parser.get_status_code()
-        self._response.set_result(
-            HttpResponse(status, bytes(self._body), self._headers)
-        )
+            self.closed = self.is_last_response = True
+        body = bytes(self._body)
+        if (status, body) in self._earlier:
+            return
+        if self._response.done():
+            self.abort()
+            return
+        self._earlier.add((status, body))
+        self._response.set_result(HttpResponse(status, body, self._headers))
 
     @property
     def is_answered(self) -> bool:
@@ -100,10 +128,8 @@
         return response.exception() is None
 
     async def request(self, data: bytes) -> HttpResponse:
-        self._body = bytearray()
-        self._headers: dict[str, str] = {}
-        self._ends_at_close = False
-        self._parser = HttpResponseParser(self)
+        if self.closed:
+            raise HttpFailure("the connection was closed")
         self._response = asyncio.get_running_loop().create_future()
         self._transport.write(data)
         return await self._response
@@ -234,7 +260,10 @@
 
 
 class HttpChannel:
-    """A connection of one caller, who knows which requests it has carried."""
+    """A connection of one caller, who knows which requests it has carried.
+
+    A request whose response equals that to an earlier one counts as unanswered.
+    """
 
     def __init__(self, encode: Callable[..., bytes], connection: _Connection) -> None:
         self._encode = encode
@@ -245,6 +274,11 @@
         """Whether the connection was closed, by either side."""
         return self._connection.closed
 
+    @property
+    def is_last_response(self) -> bool:
+        """Whether the service said that it closes the connection after a response."""
+        return self._connection.is_last_response
+
     async def request(
         self,
         method: str,
@@ -294,9 +328,13 @@
         except (HttpParserError, HttpParserUpgrade):
             self._transport.abort()
 
-    def on_url(self, url: bytes) -> None:
-        """Store the path; called by the parser."""
-        self._path = url.decode("latin-1")
+    def on_message_begin(self) -> None:
+        """Forget the last request; called by the parser."""
+        self._path = ""
+
+    def on_url(self, part: bytes) -> None:
+        """Add to the path; called by the parser for each chunk of it."""
+        self._path += part.decode("latin-1")
 
     def on_message_complete(self) -> None:
         """Answer the request; called by the parser."""
@@ -306,4 +344,7 @@
             f"HTTP/1.1 {status} {reason}\r\nContent-Length: {len(body)}\r\n"
             "Content-Type: text/plain\r\n\r\n"
         )
-        self._transport.write(head.encode() + body)
+        has_body = self._parser.get_method() != b"HEAD"
+        self._transport.write(head.encode() + (body if has_body else b""))
+        if not self._parser.should_keep_alive():
+            self._transport.close()
--- a/src/celeryjunction/adapters/http_path.py
+++ b/src/celeryjunction/adapters/http_path.py
@@ -57,14 +57,17 @@
         return is_open or self._service_closes
 
     async def confirm(self) -> bool:
-        """Return whether the service answers on this connection now.
+        """Open a connection, and return whether the service answers on it now.
 
-        The answer's status doesn't matter, unless it may be that of a gateway which
-        doesn't reach the service. If the service closes the connection after it, the
-        next request opens another one.
+        On a connection that was checked before, a second response to that check could
+        be taken for the answer. The answer's status doesn't matter, unless it may be
+        that of a gateway which doesn't reach the service. If the service closes the
+        connection after it, the next request opens another one.
         """
         loop = asyncio.get_running_loop()
         began = loop.time()
+        self.close()
+        self._service_closes = False
         try:
             channel = await self._open_channel()
             response = await channel.request(
@@ -76,7 +79,7 @@
             _log.warning("service_silent", reason=str(error))
             self.close()
             return False
-        self._service_closes = channel.closed
+        self._service_closes = channel.is_last_response
         usual_s = USUAL_ANSWERS * (loop.time() - began)
         self._answer_limit_s = min(ANSWER_LIMIT_S, max(LEAST_ANSWER_LIMIT_S, usual_s))
         return True
@@ -100,7 +103,8 @@
 
         Raises `HttpNotSent` if it was not sent, and `HttpFailure` if the service didn't
         answer in `timeout` seconds, or longer if it answered slowly before: the request
-        may then arrive at any later time.
+        may then arrive at any later time. A response with the status and the body of
+        the check's is taken for a second one to the check.
         """
         try:
             if not self._is_confirmed:
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -273,7 +273,7 @@
                 None if item.tombstone else self._key_value(item).value,
                 history.qualify_revision(item.revision),
             )
-            for item in page.events
+            for item in sorted(page.events, key=lambda item: item.revision)
         ]
         return WatchPage(events, history.qualify_revision(page.current_rev))
 
@@ -306,7 +306,7 @@
         await self._call("DELETE", path, timeout=timeout, accept=(200, 404))
 
     async def close(self) -> None:
-        """Close the idle connections."""
+        """End the waiting watch."""
         self._client.close()
 
 
--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -21,6 +21,7 @@
 from celeryjunction.ports import (
     Clock,
     KeyValue,
+    KeyValueList,
     KeyValueStore,
     StoreRefused,
     StoreUnavailable,
@@ -86,7 +87,8 @@
         self._listeners: list[OnEndpoints] = []
         self._items: dict[str, KeyValue] = {}
         """The entries as they were listed or changed last, by key."""
-        self._listed_revision = 0
+        self._applied_revision = 0
+        """Revision up to which `_items` has all changes."""
         self._missing_since: dict[str, float] = {}
         """Since when entries of endpoints in use have been missing; seconds."""
         self._ignored: dict[str, str] = {}
@@ -117,7 +119,8 @@
 
         Raises `StoreUnavailable`, `StoreRefused` or `WatchCompacted`.
         """
-        changes = self._store.watch(self._prefix, start_revision=self._revision + 1)
+        start_revision = self._applied_revision + 1
+        changes = self._store.watch(self._prefix, start_revision=start_revision)
         async for event in changes:
             now = self._clock.monotonic()
             if event.key:
@@ -126,13 +129,15 @@
             # The changes up to this revision have been applied.
             self._answered_at = now
             self._revision = max(self._revision, event.revision)
+            self._applied_revision = max(self._applied_revision, event.revision)
             self._process_items(now)
             if now < self._peer_list_until:
                 return
 
     def _apply(self, event: WatchEvent) -> None:
         known = self._items.get(event.key)
-        if event.revision <= max(self._listed_revision, known.revision if known else 0):
+        known_revision = known.revision if known else 0
+        if event.revision <= max(self._applied_revision, known_revision):
             return
         if event.value is None:
             self._items.pop(event.key, None)
@@ -193,16 +198,22 @@
         if known <= listed.revision < self._revision:
             # A newer answer arrived meanwhile. Below `known`, the store has lost
             # changes: its answers are linearizable.
+            if listed.revision >= self._applied_revision:
+                self._set_items(listed)
             return True
         if not self._available_since or now - self._answered_at > self._max_age_s:
             _log.info("register_available", revision=listed.revision)
             self._available_since = now
         self._answered_at = now
-        self._revision = self._listed_revision = listed.revision
-        self._items = {item.key: item for item in listed.items}
+        self._revision = listed.revision
+        self._set_items(listed)
         self._process_items(now)
         return True
 
+    def _set_items(self, listed: KeyValueList) -> None:
+        self._applied_revision = listed.revision
+        self._items = {item.key: item for item in listed.items}
+
     def _process_items(self, now: float) -> None:
         found: dict[str, EndpointInfo] = {}
         for item in self._items.values():
