Decode the names of databases as UTF-8, like the config

A client that connected to a database whose name in the config isn't ASCII was refused with NODB: the front end decoded the name as Latin-1, the config is JSON in UTF-8. Bytes that are no UTF-8 name no database; the error shows them escaped.

--- a/src/celeryjunction/platform/frontend.py
+++ b/src/celeryjunction/platform/frontend.py
@@ -99,7 +99,7 @@
             self._stream.write(b"ERROR MALFORMED a connection begins with CONNECT\r\n")
             return False
         try:
-            self.session = self._open_session(fields[1].decode("latin-1"))
+            self.session = self._open_session(_decode_name(fields[1]))
         except ProxyError as error:
             self._stream.write(_encode_error(error))
             return False
@@ -128,6 +128,15 @@
         return b"READY %b -\r\n" % STATE_CODES[self.session.state]
 
 
+def _decode_name(name: bytes) -> str:
+    """Decode a database's name, in the encoding of the config that has the routes."""
+    try:
+        return name.decode()
+    except UnicodeDecodeError:
+        details = {"database": name.decode("ascii", "backslashreplace")}
+        raise ProxyError(ErrorKind.UNKNOWN_DATABASE, details) from None
+
+
 def _encode_error(error: ProxyError) -> bytes:
     code = ERROR_CODES.get(error.kind, UNKNOWN_OUTCOME_CODE)
     return b"ERROR %b %b\r\n" % (code, _one_line(error.message))
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -1,9 +1,12 @@
-"""Tests of the front end's answers when a session fails unexpectedly, over loopback."""
+"""Tests of clients' connections over loopback: names of databases and error answers."""
 
 from __future__ import annotations
 
 import asyncio
 
+import pytest
+
+from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.platform.frontend import LineFrontend
 from celeryjunction.ports import BootClock
 from celeryjunction.replication.ports import TransactionState
@@ -52,3 +55,41 @@
             writer.close()
         assert all(session.closed for session in sessions)
         await frontend.close()
+
+
+async def answers_to(requests: bytes, *databases: str) -> bytes:
+    """Return what a client gets for its requests where only some databases exist."""
+
+    def open_session(database: str) -> FailingSession:
+        if database not in databases:
+            raise ProxyError(ErrorKind.UNKNOWN_DATABASE, {"database": database})
+        return FailingSession()
+
+    frontend = LineFrontend(
+        host="127.0.0.1", port=0, open_session=open_session, clock=BootClock()
+    )
+    await frontend.start()
+    port = frontend._server.sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(requests)
+    async with asyncio.timeout(LIMIT_S):
+        answers = await reader.read()
+    writer.close()
+    await frontend.close()
+    return answers
+
+
+class TestDatabaseNames:
+    @pytest.mark.parametrize(
+        "name", ["b\u00fccher", "\u6771\u4eac", "db\u0085\u2028", "d'b\n"]
+    )
+    async def test_a_name_beyond_ascii_is_that_of_its_route(self, name: str) -> None:
+        requests = b"CONNECT %b who\r\nRELEASE\r\n" % name.encode()
+        assert await answers_to(requests, name) == b"READY I -\r\n"
+
+    async def test_bytes_that_are_no_utf_8_name_no_database(self) -> None:
+        """Guards against bytes that are taken for another name."""
+        requests = b"CONNECT \xfc who\r\nRELEASE\r\n"
+        answers = await answers_to(requests, "\u00fc", "\ufffd", "\\xfc", "?")
+        assert answers.startswith(b"ERROR NODB ")
+        assert answers.count(b"\r\n") == 1
