Bound the length of error texts that quote names

The error about an unknown database or prepared statement quoted its whole name, so that the line could be longer than the 1 MiB that a message may have. A client that holds to the limit would drop the connection on it.

The test of TestErrorTexts failed before (1048645 bytes) and passes now.

--- a/src/celeryjunction/platform/frontend.py
+++ b/src/celeryjunction/platform/frontend.py
@@ -23,6 +23,8 @@
 
 CONNECT_TIMEOUT_S = 5.0
 """A connection is closed when its CONNECT message has not arrived after this."""
+MAX_ERROR_CHARACTERS = 1000
+"""Length of error texts, which may quote names of up to 1 MiB."""
 
 _log = get_logger("frontend")
 
@@ -155,7 +157,8 @@
 
 
 def _one_line(text: str) -> bytes:
-    return text.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
+    line = text[:MAX_ERROR_CHARACTERS].encode("ascii", "replace")
+    return line.replace(b"\r", b" ").replace(b"\n", b" ")
 
 
 class LineFrontend:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -93,3 +93,12 @@
         answers = await answers_to(requests, "\u00fc", "\ufffd", "\\xfc", "?")
         assert answers.startswith(b"ERROR NODB ")
         assert answers.count(b"\r\n") == 1
+
+
+class TestErrorTexts:
+    async def test_an_error_about_a_long_name_is_a_short_line(self) -> None:
+        """Guards against an answer that is longer than a message may be."""
+        name = b"n" * ((1 << 20) - 20)
+        answers = await answers_to(b"CONNECT %b who\r\n" % name)
+        assert answers.startswith(b"ERROR NODB ") and answers.endswith(b"\r\n")
+        assert len(answers) <= 2000
