Escape label values in the text of /metrics

A database or VM whose name holds a quote, a backslash or a line feed gave lines that no scraper reads, or samples that nobody counted: label values were written as they are. They are escaped as the text format of Prometheus says.

The test of TestExposition draws names of any characters; it failed before (first on a line feed) and passes now.

--- a/src/celeryjunction/metrics.py
+++ b/src/celeryjunction/metrics.py
@@ -141,7 +141,9 @@
     lines = []
     for name, value in counters.items():
         if isinstance(value, dict):
-            lines += [f'{name}{{kind="{k}"}} {v}' for k, v in sorted(value.items())]
+            lines += [
+                f"{name}{{{_label('kind', k)}}} {v}" for k, v in sorted(value.items())
+            ]
         else:
             lines.append(f"{name} {value}")
     return lines
@@ -152,10 +154,16 @@
     snapshot = metrics.snapshot()
     lines = []
     for row in snapshot["counters"]:
-        labels = ",".join(f'{k}="{v}"' for k, v in row["labels"].items())
+        labels = ",".join(_label(k, v) for k, v in row["labels"].items())
         lines.append(f"{row['name']}{{{labels}}} {row['value']}")
     for row in snapshot["latency"]:
-        labels = f'rank="{row["rank"]}",database="{row["customer"]}"'
+        labels = f"{_label('rank', row['rank'])},{_label('database', row['customer'])}"
         for name in ("count", "p50_us", "p99_us", "p999_us", "max_us"):
             lines.append(f"latency_{name}{{{labels}}} {row[name]}")
     return lines
+
+
+def _label(name: str, value: str) -> str:
+    """Return a label in the text format of Prometheus."""
+    value = value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+    return f'{name}="{value}"'
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,12 +3,29 @@
 from __future__ import annotations
 
 import random
+import re
 
 import pytest
 from hdrh.histogram import HdrHistogram
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from celeryjunction.contract import Rank
-from celeryjunction.metrics import MAX_LATENCY_US, Metrics
+from celeryjunction.metrics import MAX_LATENCY_US, Metrics, format_metrics
+
+SAMPLE = re.compile(r'[a-z0-9_]+\{((?:[a-z]+="(?:[^"\\\n]|\\[\\"n])*",?)*)\} [0-9]+')
+LABEL = re.compile(r'([a-z]+)="((?:[^"\\]|\\.)*)"')
+ESCAPES = {"\\\\": "\\", '\\"': '"', "\\n": "\n"}
+
+
+def read_labels(line: str) -> dict[str, str]:
+    """Return the labels of a sample as a scraper reads them."""
+    sample = SAMPLE.fullmatch(line)
+    assert sample is not None, line
+    return {
+        name: re.sub(r"\\.", lambda found: ESCAPES[found[0]], value)
+        for name, value in LABEL.findall(sample[1])
+    }
 
 
 def record(metrics: Metrics, seconds: float, **changes: str) -> None:
@@ -72,3 +89,21 @@
                 "value": 3,
             },
         ]
+
+
+class TestExposition:
+    @given(
+        st.text(
+            st.characters(exclude_categories=["Cs"]) | st.sampled_from('"\\\n\r,=}{')
+        )
+    )
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    def test_a_label_value_cannot_forge_a_sample(self, name: str) -> None:
+        metrics = Metrics()
+        record(metrics, 0.001, customer=name)
+        metrics.count("forwarded_statements", home=name)
+        lines = ("\n".join(format_metrics(metrics))).split("\n")
+        assert len(lines) == 6
+        assert read_labels(lines[0]) == {"home": name}
+        for line in lines[1:]:
+            assert read_labels(line) == {"rank": "urgent", "database": name}
