Check the size of a frame before it is sent to another VM

A client whose values exceed 4 MiB, or whose read has more rows than that, broke the connection between two VMs: the receiver ends it at an oversized frame. Other sessions' statements on it were lost (INDOUBT for writes), and each retry of the client broke the next home's connection.

The sender now refuses such a frame. A statement with too much state runs on the client's VM; so does a read whose answer is too large for a frame. A write with such an answer is answered as unknown.

Besides, an oversized frame left the frames before it in the buffer, so that further input would have given them a second time. Transports pass no input on after an abort, so nothing has shown this outside the test.

--- a/src/celeryjunction/adapters/frame_stream.py
+++ b/src/celeryjunction/adapters/frame_stream.py
@@ -12,11 +12,17 @@
 _HEADER = struct.Struct(">I")
 
 
+class FrameTooLarge(Exception):
+    """A frame was not sent, because it is larger than `MAX_FRAME_BYTES`."""
+
+
 class FrameStream(LineStream):
     """A connection whose messages are frames; an oversized frame aborts it."""
 
     def data_received(self, data: bytes) -> None:
         """Split the received data into frames."""
+        if self.closed:
+            return
         buffer = self._buffer
         buffer += data
         start = 0
@@ -24,7 +30,8 @@
             (size,) = _HEADER.unpack_from(buffer, start)
             if size > MAX_FRAME_BYTES:
                 self.abort()
-                return
+                self.closed = True
+                break
             end = start + _HEADER.size + size
             if len(buffer) < end:
                 break
@@ -38,5 +45,11 @@
         return await self.read_line()
 
     def write_frame(self, frame: bytes) -> None:
-        """Send a frame; on a closed connection it is dropped."""
+        """Send a frame; on a closed connection it is dropped.
+
+        Raises `FrameTooLarge`: the other side would end the connection, on which other
+        sessions wait for their outcomes.
+        """
+        if len(frame) > MAX_FRAME_BYTES:
+            raise FrameTooLarge(f"a frame of {len(frame)} bytes")
         self.write(_HEADER.pack(len(frame)) + frame)
--- a/src/celeryjunction/relay/home_link.py
+++ b/src/celeryjunction/relay/home_link.py
@@ -12,7 +12,7 @@
 from itertools import count
 from random import Random
 
-from celeryjunction.adapters.frame_stream import FrameStream
+from celeryjunction.adapters.frame_stream import FrameStream, FrameTooLarge
 from celeryjunction.decoding import DecodingError
 from celeryjunction.errors import ConnectionLost
 from celeryjunction.gateway.session import SessionState
@@ -128,11 +128,13 @@
         if stream is None or stream.closed:
             raise ConnectionLost(f"no connection to home {self.vm}", sent=False)
         number = next(self._statement_numbers)
+        message = RunStatement(number, transaction, database, request, state)
+        try:
+            stream.write_frame(encode(message))
+        except FrameTooLarge as error:
+            raise ConnectionLost(str(error), sent=False) from None
         future = asyncio.get_running_loop().create_future()
         self._outcomes[number] = future
-        stream.write_frame(
-            encode(RunStatement(number, transaction, database, request, state))
-        )
         try:
             async with asyncio.timeout(timeout):
                 return await future
--- a/src/celeryjunction/relay/home_server.py
+++ b/src/celeryjunction/relay/home_server.py
@@ -7,12 +7,16 @@
 
 import msgspec
 
-from celeryjunction.adapters.frame_stream import FrameStream
+from celeryjunction.adapters.frame_stream import (
+    MAX_FRAME_BYTES,
+    FrameStream,
+    FrameTooLarge,
+)
 from celeryjunction.decoding import DecodingError
 from celeryjunction.errors import ErrorKind, ProxyError, rolled_back_error
 from celeryjunction.gateway.gateway import Gateway
 from celeryjunction.gateway.session import StatementSession
-from celeryjunction.gateway.statements import Begin
+from celeryjunction.gateway.statements import Begin, Execute, Read
 from celeryjunction.logs import get_logger
 from celeryjunction.relay.messages import (
     NO_TRANSACTION,
@@ -27,7 +31,11 @@
     encode,
     error_details,
 )
-from celeryjunction.replication.ports import TransactionState
+from celeryjunction.replication.ports import (
+    NO_POSITION,
+    LogPosition,
+    TransactionState,
+)
 
 SILENCE_TIMEOUT_S = 3.0
 """A forwarding VM that sends nothing for this long has lost its clients, and their
@@ -231,9 +239,13 @@
             outcome = await self._abandon(message, session, unexpected)
         if session.state is TransactionState.IDLE:
             self.transactions.pop(message.seat, None)
-        self._send(
-            msgspec.structs.replace(outcome, position=session.session_state.position)
-        )
+        position = session.session_state.position
+        outcome = msgspec.structs.replace(outcome, position=position)
+        try:
+            self._send(outcome)
+        except FrameTooLarge as too_large:
+            error = _too_large_error(message, session, str(too_large))
+            self._send(_failed(message.number, outcome.state, error, position))
 
     async def _abandon(
         self, message: RunStatement, session: StatementSession, unexpected: Exception
@@ -273,5 +285,28 @@
         return session
 
 
-def _failed(number: int, state: TransactionState, error: ProxyError) -> Outcome:
-    return Outcome(number, state, error=error.kind, details=error_details(error))
+def _too_large_error(
+    message: RunStatement, session: StatementSession, reason: str
+) -> ProxyError:
+    """Return the error for a statement whose answer is too large to be sent.
+
+    A read changes nothing, so another VM may run it again.
+    """
+    statement = message.request.statement
+    reads = isinstance(statement, Read)
+    if isinstance(statement, Execute):
+        reads = not session.session_state.prepared[statement.name].writes
+    if reads:
+        details = {"size": "more", "limit": MAX_FRAME_BYTES}
+        return ProxyError(ErrorKind.STATEMENT_TOO_LARGE, details)
+    return ProxyError(ErrorKind.INTERNAL, {"reason": reason})
+
+
+def _failed(
+    number: int,
+    state: TransactionState,
+    error: ProxyError,
+    position: LogPosition = NO_POSITION,
+) -> Outcome:
+    details = error_details(error)
+    return Outcome(number, state, position, error=error.kind, details=details)
--- a/src/celeryjunction/relay/session.py
+++ b/src/celeryjunction/relay/session.py
@@ -38,6 +38,9 @@
 """Homes to try before this VM runs a statement itself: all homes of a zone."""
 OUTCOME_MARGIN_S = 0.1
 """Wait beyond a statement's time-out, so that the home's own error can arrive."""
+RUN_LOCALLY = (ErrorKind.UNKNOWN_DATABASE, ErrorKind.STATEMENT_TOO_LARGE)
+"""Errors after which this VM runs a statement itself: the home does not have the route
+yet, or the answer to a read is too large for a frame."""
 
 _IDLE, _OPEN, _FAILED = TransactionState
 
@@ -150,9 +153,9 @@
                 unanswered = unanswered or error.sent
                 chosen = await self._homes.choose(route.group, other_than=chosen)
                 continue
-            if outcome.error is not ErrorKind.UNKNOWN_DATABASE:
+            if outcome.error not in RUN_LOCALLY:
                 return self._answer(outcome)
-            break  # The home does not have the route yet.
+            break
         try:
             return await self._local.execute(request)
         except ProxyError as error:
