Give a lent connection back only to the gate that lent it

While a control command ran on a lent connection, its endpoint could be replaced: the register named another process, or the endpoint went and came back. The connection then went into the pool of the new gate, and statements for the new process ran at the earlier one. A control link's own connection was adopted in the same way, and the gate's count of connections fell below zero.

A gate now takes back only what it lent, and adopts a connection only if it is to its own process; others are closed.

--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -299,13 +299,15 @@
         if gate is None:
             link.close()
             return
-        gate.release(link, reusable=True)
+        gate.take_back(link)
         self.dispatch_waiting()
 
-    def adopt(self, endpoint: str, link: EndpointLink) -> bool:
+    def adopt(self, endpoint: EndpointInfo, link: EndpointLink) -> bool:
         """Take over a connection opened for a control command, if there is room."""
-        gate = self.gates.get(endpoint)
-        adopted = self.lends_idle_connections and gate is not None and gate.adopt(link)
+        gate = self.gates.get(endpoint.id)
+        if gate is None or not self.lends_idle_connections:
+            return False
+        adopted = gate.info.is_same_process(endpoint) and gate.adopt(link)
         if adopted:
             self.dispatch_waiting()
         return adopted
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -71,6 +71,7 @@
         "_failed_at",
         "_failures",
         "_idle",
+        "_lent",
         "_random",
         "_sent_at",
         "answered_at",
@@ -128,6 +129,7 @@
         self.connection_limit_until = 0.0
         self.closed = False
         self._idle: list[tuple[EndpointLink, float]] = []
+        self._lent: set[EndpointLink] = set()
         self._dialer = dialer
         self._clock = clock
         self._random = random
@@ -219,8 +221,17 @@
             return None
         oldest = min(self._idle, key=lambda entry: entry[0].opened_at)
         self._idle.remove(oldest)
+        self._lent.add(oldest[0])
         return oldest[0]
 
+    def take_back(self, link: EndpointLink) -> None:
+        """Return a lent connection to the pool; close it if another gate lent it."""
+        if link not in self._lent:
+            link.close()
+            return
+        self._lent.remove(link)
+        self.release(link, reusable=True)
+
     def adopt(self, link: EndpointLink) -> bool:
         """Take over a connection opened for a control command, if there is room."""
         if self.closed or not link.usable or self.links >= self.max_links:
--- a/src/celeryjunction/replication/control.py
+++ b/src/celeryjunction/replication/control.py
@@ -44,7 +44,7 @@
         """Return a borrowed connection to the pool."""
         ...
 
-    def adopt(self, endpoint: str, link: EndpointLink) -> bool:
+    def adopt(self, endpoint: EndpointInfo, link: EndpointLink) -> bool:
         """Take over a new connection if statements may use it; return whether so."""
         ...
 
@@ -167,9 +167,7 @@
         finally:
             if borrowed is not None:
                 self._idle_pool.give_back(self.info.id, borrowed)
-            elif self._idle_pool is not None and self._idle_pool.adopt(
-                self.info.id, link
-            ):
+            elif self._idle_pool is not None and self._idle_pool.adopt(self.info, link):
                 self._link = None
         self._was_closed = False
         status = self._dialer.status(answer)
