Let the stand-in's endpoints give each run a digest of its own

The stand-in built digests from the endpoint and the statement's id. Clients of the soak use the same ids, so that on a shared connection the answer to one client's q1 looked like a second answer to another's. Since the link discards such an answer and waits for one that doesn't come: the statement ended with INDOUBT after its time-out. The platform's endpoints give each run another digest.

--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -60,6 +60,8 @@
         """Fault: whether to refuse the next statement as BUSY, without running it."""
         self.statements: list[bytes] = []
         """Texts of the clients' statements."""
+        self.runs = 0
+        """Number of statements that were answered with a digest."""
         self.born = 1
         """Start time of the process in its register entry, in ms."""
         self.port = 0
@@ -223,7 +225,9 @@
         return None
 
     def _make_digest(self, request_id: bytes) -> bytes:
-        return b"d.%b.%b" % (self._endpoint.id.encode(), request_id)
+        endpoint = self._endpoint
+        endpoint.runs += 1
+        return b"d.%b.%b.%d" % (endpoint.id.encode(), request_id, endpoint.runs)
 
     async def _status(self, request_id: bytes, rest: bytes) -> None:
         self._complete(b"-", self._endpoint.status())
