Test that ids and names of any bytes stay in their value in the log

300 drawn events: one line each, in printable ASCII, with the same keys, and each value reads back as the text that was logged.

--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,14 +3,29 @@
 from __future__ import annotations
 
 import io
+import json
 import logging
+import re
 import shlex
 from collections.abc import Iterator
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from celeryjunction.logs import REDACTED_FIELDS, format_event, get_logger, set_up_logs
 
+ODD_TEXTS = [
+    "a\nlevel=error event=forged",
+    '" end=2',
+    "\\",
+    '\\"',
+    "\x85",
+    "\u2028",
+    "\0",
+]
+PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|[^ "]*)(?= |$)')
+
 
 class FixedClock:
     def monotonic(self) -> float:
@@ -72,3 +87,33 @@
             "e", {name: "hush", name.upper(): "hush", "m": {name: "hush"}}
         )
         assert "hush" not in text and text.count("<redacted>") == 3
+
+
+class TestAnyText:
+    @given(
+        st.lists(st.text(max_size=12) | st.sampled_from(ODD_TEXTS), max_size=4),
+        st.binary(max_size=8),
+    )
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    def test_ids_and_names_of_any_bytes_stay_in_their_value(
+        self, names: list[str], request_id: bytes
+    ) -> None:
+        stream = io.StringIO()
+        setup = set_up_logs("info", stream=stream, clock=FixedClock())
+        fields = {f"name{number}": name for number, name in enumerate(names)}
+        request = request_id.decode("latin-1")
+        get_logger("x").info("e", id=request, **fields, both=names, of=fields, end=1)
+        setup.close()
+        (line,) = stream.getvalue().splitlines()
+        assert line.isascii() and line.isprintable()
+        keys = [key for key, _ in PAIR.findall(line)]
+        assert keys[3:] == ["event", "id", *fields, "both", "of", "end"]
+        values = dict(PAIR.findall(line))
+        assert read_value(values["id"]) == request
+        for name, text in fields.items():
+            assert read_value(values[name]) == text
+
+
+def read_value(text: str) -> str:
+    """Return a logged value as a reader of the log gets it."""
+    return json.loads(text) if text.startswith('"') else text
