--- a/src/celeryjunction/platform/frontend.py
+++ b/src/celeryjunction/platform/frontend.py
@@ -23,6 +23,8 @@
 
 CONNECT_TIMEOUT_S = 5.0
 """A connection is closed when its CONNECT message has not arrived after this."""
+MAX_ERROR_CHARACTERS = 1000
+"""Length of error texts, which may quote names of up to 1 MiB."""
 
 _log = get_logger("frontend")
 
@@ -99,7 +101,7 @@
             self._stream.write(b"ERROR MALFORMED a connection begins with CONNECT\r\n")
             return False
         try:
-            self.session = self._open_session(fields[1].decode("latin-1"))
+            self.session = self._open_session(_decode_name(fields[1]))
         except ProxyError as error:
             self._stream.write(_encode_error(error))
             return False
@@ -128,6 +130,15 @@
         return b"READY %b -\r\n" % STATE_CODES[self.session.state]
 
 
+def _decode_name(name: bytes) -> str:
+    """Decode a database's name, in the encoding of the config that has the routes."""
+    try:
+        return name.decode()
+    except UnicodeDecodeError:
+        details = {"database": name.decode("ascii", "backslashreplace")}
+        raise ProxyError(ErrorKind.UNKNOWN_DATABASE, details) from None
+
+
 def _encode_error(error: ProxyError) -> bytes:
     code = ERROR_CODES.get(error.kind, UNKNOWN_OUTCOME_CODE)
     return b"ERROR %b %b\r\n" % (code, _one_line(error.message))
@@ -146,7 +157,8 @@
 
 
 def _one_line(text: str) -> bytes:
-    return text.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
+    line = text[:MAX_ERROR_CHARACTERS].encode("ascii", "replace")
+    return line.replace(b"\r", b" ").replace(b"\n", b" ")
 
 
 class LineFrontend:
--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -62,14 +62,14 @@
         """Fault: after how many seconds the next answer comes again; None: not."""
         self.statements: list[bytes] = []
         """Texts of the clients' statements."""
+        self.runs = 0
+        """Number of statements that were answered with a digest."""
         self.born = 1
         """Start time of the process in its register entry, in ms."""
         self.port = 0
         """Port of the listener, which a restart after `stop` may reuse."""
         self._server: asyncio.Server | None = None
         self.streams: set[LineStream] = set()
-        self.runs = 0
-        """Statements that were run, so that each has a digest of its own."""
 
     @property
     def received_position(self) -> tuple[int, int]:
@@ -238,9 +238,9 @@
         return None
 
     def _make_digest(self, request_id: bytes) -> bytes:
-        self._endpoint.runs += 1
-        fields = (self._endpoint.id.encode(), request_id, self._endpoint.runs)
-        return b"d.%b.%b.%d" % fields
+        endpoint = self._endpoint
+        endpoint.runs += 1
+        return b"d.%b.%b.%d" % (endpoint.id.encode(), request_id, endpoint.runs)
 
     async def _status(self, request_id: bytes, rest: bytes) -> None:
         self._complete(b"-", self._endpoint.status())
