Close endpoint connections on messages that no command awaits

What callers could get: the answer to another statement. An answer that came while a PostgreSQL connection was idle stayed in libpq's buffer and was taken for the answer to the next statement, of whichever session; a second ReadyForQuery ended the next pipeline without results, and each later answer was off by one.

Cause: while no pipeline ran, input was read but not parsed. It is now parsed at once, and once more before a statement is sent. Notices, notifications and changed parameters leave the connection open; all else closes it, also part of a message, which libpq doesn't tell from a cut answer.

--- a/src/celeryjunction/adapters/pg_endpoint.py
+++ b/src/celeryjunction/adapters/pg_endpoint.py
@@ -2,18 +2,23 @@
 
 Parameters and results pass through as raw bytes. Every call is one pipeline: all steps
 and one Sync take a single round trip, and the steps after a failed one do not run.
+
+The protocol assigns answers to commands by their order alone. A connection on which an
+answer is missing, doubled or out of place is therefore closed and never used again.
 """
 
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import OrderedDict, deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from psycopg import OperationalError, pq
 from psycopg.conninfo import make_conninfo
 
 from celeryjunction.errors import ConnectionLost, EndpointError
+from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
     Column,
@@ -38,6 +43,27 @@
 
 _ROW_STATUSES = (pq.ExecStatus.TUPLES_OK, pq.ExecStatus.SINGLE_TUPLE)
 
+_REPORTED_PARAMETERS = (
+    b"DateStyle",
+    b"IntervalStyle",
+    b"TimeZone",
+    b"application_name",
+    b"client_encoding",
+    b"default_transaction_read_only",
+    b"in_hot_standby",
+    b"is_superuser",
+    b"scram_iterations",
+    b"search_path",
+    b"server_encoding",
+    b"session_authorization",
+    b"standard_conforming_strings",
+)
+"""Parameters whose changes an endpoint reports at any time."""
+
+_ERROR_SEVERITIES = (b"ERROR", b"FATAL", b"PANIC")
+
+_log = get_logger("endpoints")
+
 
 class EndpointLogin:
     """Credentials of the proxy at endpoints."""
@@ -155,9 +181,11 @@
         "_names_to_close",
         "_new_statements",
         "_next_name",
+        "_notices",
         "_pgconn",
         "_pipeline",
         "_prepared_names",
+        "_unasked_message",
         "opened_at",
         "verified_term",
     )
@@ -176,6 +204,9 @@
         self._pipeline: _Pipeline | None = None
         self._closed = False
         self._loss_reason = ""
+        self._notices = 0
+        self._unasked_message = ""
+        pgconn.notice_handler = self._on_notice
         pgconn.nonblocking = 1
         pgconn.enter_pipeline_mode()
         self._fileno = pgconn.socket
@@ -233,14 +264,16 @@
             self._pgconn.finish()
 
     async def _run_pipeline(
-        self, send, commands: deque[int | None], timeout: float
+        self, send: Callable[[], None], commands: deque[int | None], timeout: float
     ) -> list[pq.abc.PGresult]:
+        if self._pipeline is not None:
+            raise AssertionError("a pipeline is already running on this connection")
+        if not self._closed:
+            self._on_readable()
         if self._closed:
             raise ConnectionLost(
                 self._loss_reason or "the connection is closed", sent=False
             )
-        if self._pipeline is not None:
-            raise AssertionError("a pipeline is already running on this connection")
         pipeline = _Pipeline(commands, self._loop.create_future())
         self._pipeline = pipeline
         self._new_statements.clear()
@@ -341,15 +374,62 @@
 
     def _on_readable(self) -> None:
         try:
-            self._pgconn.consume_input()
-            if self._pipeline is None:
-                if self._pgconn.status == pq.ConnStatus.BAD:
-                    self._mark_lost("the endpoint closed the connection")
+            if self._pipeline is None or self._pipeline.done.done():
+                self._read_idle_input()
                 return
+            self._pgconn.consume_input()
             self._read_results(self._pipeline)
         except OperationalError as error:
             self._mark_lost(str(error).strip())
 
+    def _read_idle_input(self) -> None:
+        """Read input while no answer is due; close unless it is an expected message.
+
+        Expected are notices, notifications and changed parameters. libpq does not tell
+        an incomplete message from none, so input without any of these closes too. TLS
+        has records that contain no message.
+        """
+        pgconn = self._pgconn
+        has_input = not pgconn.ssl_in_use and _has_input(self._fileno)
+        before = self._asynchronous_state() if has_input else ()
+        if has_input or pgconn.ssl_in_use:
+            pgconn.consume_input()
+        pgconn.is_busy()
+        notified = False
+        while pgconn.notifies() is not None:
+            notified = True
+        if pgconn.status == pq.ConnStatus.BAD:
+            self._mark_lost("the endpoint closed the connection")
+        elif self._unasked_message:
+            self._reject_answer(self._unasked_message)
+        elif has_input and not notified and self._asynchronous_state() == before:
+            self._reject_answer("part of a message while idle")
+
+    def _asynchronous_state(self) -> tuple[object, ...]:
+        parameters = map(self._pgconn.parameter_status, _REPORTED_PARAMETERS)
+        return (self._notices, *parameters)
+
+    def _on_notice(self, notice: pq.abc.PGresult) -> None:
+        """Count a notice; libpq also reports messages that no command awaits here."""
+        severity = notice.error_field(pq.DiagnosticField.SEVERITY_NONLOCALIZED)
+        sqlstate = notice.error_field(pq.DiagnosticField.SQLSTATE)
+        if sqlstate is None or severity in _ERROR_SEVERITIES:
+            text = notice.error_field(pq.DiagnosticField.MESSAGE_PRIMARY) or b""
+            self._unasked_message = text.decode("utf-8", "replace") or "an error"
+        else:
+            self._notices += 1
+
+    def _reject_answer(self, reason: str) -> None:
+        """Close the connection, because its next answers may be to other commands."""
+        _log.warning(
+            "endpoint_answer_rejected",
+            host=self._pgconn.host,
+            port=self._pgconn.port,
+            running=self._pipeline is not None,
+            reason=reason,
+        )
+        self._mark_lost(f"an answer was out of place: {reason}")
+
     def _read_results(self, pipeline: _Pipeline) -> None:
         pgconn = self._pgconn
         while not pipeline.done.done() and not pgconn.is_busy():
@@ -396,6 +476,13 @@
         done.set_exception(ConnectionLost("no answer in time", sent=True))
 
 
+def _has_input(fileno: int) -> bool:
+    """Return whether the socket can be read without blocking."""
+    poller = select.poll()
+    poller.register(fileno, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def _next_step_index(commands: deque[int | None]) -> int:
     return next((index for index in commands if index is not None), 0)
 
