Close endpoint connections whose answers do not match the pipeline

What callers could get: a doubled CommandComplete gave one step the answer to the step before; a ReadyForQuery that came early ended a call without its results; an answer too many raised IndexError in the reader's callback, and the call waited until its deadline.

Cause: answers were assigned by their place, and neither their number nor their kind was checked. A Parse, Close or Describe now must have no command tag and a statement must have one, no answer may be missing at ReadyForQuery, and nothing may follow it. Otherwise the connection is lost, with `sent` True, because the answer may be to another statement.

--- a/src/celeryjunction/adapters/pg_endpoint.py
+++ b/src/celeryjunction/adapters/pg_endpoint.py
@@ -159,15 +159,30 @@
 class _Pipeline:
     """The running pipeline and the results received so far."""
 
-    __slots__ = ("commands", "done", "error", "results")
-
-    def __init__(self, commands: deque[int | None], done: asyncio.Future[None]) -> None:
+    __slots__ = ("commands", "done", "error", "results", "runs_statements")
+
+    def __init__(
+        self,
+        commands: deque[int | None],
+        done: asyncio.Future[None],
+        *,
+        runs_statements: bool,
+    ) -> None:
         # One entry per unanswered command: the index of its step, or None for a Parse
         # or Close, whose answer carries no result.
         self.commands = commands
         self.done = done
         self.error: EndpointError | None = None
         self.results: list[pq.abc.PGresult] = []
+        self.runs_statements = runs_statements
+
+    def is_answer(self, result: pq.abc.PGresult, index: int | None) -> bool:
+        """Return whether the command with this index can have this result."""
+        status = result.status
+        if status not in (pq.ExecStatus.COMMAND_OK, *_ROW_STATUSES):
+            return True
+        is_statement = index is not None and self.runs_statements
+        return bool(result.command_status) == is_statement
 
 
 class PgConnection:
@@ -244,7 +259,9 @@
             self._pgconn.send_describe_prepared(name)
             commands.append(0)
 
-        (result,) = await self._run_pipeline(send, commands, timeout)
+        (result,) = await self._run_pipeline(
+            send, commands, timeout, runs_statements=False
+        )
         oids = tuple(result.param_type(i) for i in range(result.nparams))
         columns = _columns(result) if result.nfields else None
         return StatementShape(oids, columns)
@@ -264,7 +281,12 @@
             self._pgconn.finish()
 
     async def _run_pipeline(
-        self, send: Callable[[], None], commands: deque[int | None], timeout: float
+        self,
+        send: Callable[[], None],
+        commands: deque[int | None],
+        timeout: float,
+        *,
+        runs_statements: bool = True,
     ) -> list[pq.abc.PGresult]:
         if self._pipeline is not None:
             raise AssertionError("a pipeline is already running on this connection")
@@ -274,7 +296,9 @@
             raise ConnectionLost(
                 self._loss_reason or "the connection is closed", sent=False
             )
-        pipeline = _Pipeline(commands, self._loop.create_future())
+        pipeline = _Pipeline(
+            commands, self._loop.create_future(), runs_statements=runs_statements
+        )
         self._pipeline = pipeline
         self._new_statements.clear()
         try:
@@ -440,18 +464,34 @@
                 continue
             status = result.status
             if status == pq.ExecStatus.PIPELINE_SYNC:
-                pipeline.done.set_result(None)
+                self._end_pipeline(pipeline)
             else:
                 self._record_result(pipeline, result, status)
 
+    def _end_pipeline(self, pipeline: _Pipeline) -> None:
+        """Finish the pipeline unless an answer is missing or another one follows."""
+        if pipeline.commands:
+            self._reject_answer(f"{len(pipeline.commands)} answers are missing")
+            return
+        self._pgconn.is_busy()
+        if self._unasked_message:
+            self._reject_answer(self._unasked_message)
+        else:
+            pipeline.done.set_result(None)
+
     def _record_result(
         self, pipeline: _Pipeline, result: pq.abc.PGresult, status: int
     ) -> None:
         if self._pgconn.status == pq.ConnStatus.BAD:
             self._mark_lost(result.get_error_message().strip())
             return
+        if not pipeline.commands:
+            self._reject_answer("more answers than commands")
+            return
         index = pipeline.commands.popleft()
-        if status == pq.ExecStatus.FATAL_ERROR:
+        if not pipeline.is_answer(result, index):
+            self._reject_answer(_describe_result(result))
+        elif status == pq.ExecStatus.FATAL_ERROR:
             step = index if index is not None else _next_step_index(pipeline.commands)
             pipeline.error = EndpointError(_error_fields(result), step)
         elif status == pq.ExecStatus.PIPELINE_ABORTED:
@@ -483,6 +523,11 @@
     return bool(poller.poll(0))
 
 
+def _describe_result(result: pq.abc.PGresult) -> str:
+    tag = (result.command_status or b"").decode("utf-8", "replace")
+    return f"{tag or 'no tag'} for a command"
+
+
 def _next_step_index(commands: deque[int | None]) -> int:
     return next((index for index in commands if index is not None), 0)
 
--- a/tests/test_pg_second_answers.py
+++ b/tests/test_pg_second_answers.py
@@ -9,7 +9,7 @@
 import pytest_asyncio
 
 from celeryjunction.adapters.pg_endpoint import PgConnection
-from celeryjunction.errors import ConnectionLost
+from celeryjunction.errors import ConnectionLost, EndpointError
 from celeryjunction.pool import EndpointPool
 from celeryjunction.ports import Step, SystemClock
 from tests._odd_endpoint import (
@@ -17,6 +17,7 @@
     LIMIT_S,
     READY,
     ROW_HEAD,
+    Answer,
     OddEndpoint,
     answer,
     fields,
@@ -138,3 +139,79 @@
         assert await run(second, SECOND) == [b"SELECT 'second'"]
         pool.release(second)
         pool.close()
+
+
+def twice(parts: Answer) -> Answer:
+    return parts + parts
+
+
+def ready_twice(parts: Answer) -> Answer:
+    return [*parts, READY]
+
+
+def ready_first(parts: Answer) -> Answer:
+    return [READY, *parts]
+
+
+def late_first(parts: Answer) -> Answer:
+    return [*answer(b"late"), READY, *parts]
+
+
+def complete_twice(parts: Answer) -> Answer:
+    index = parts.index(COMPLETE)
+    return [*parts[:index], COMPLETE, *parts[index:]]
+
+
+def complete_before_ready(parts: Answer) -> Answer:
+    return [*parts[:-1], COMPLETE, READY]
+
+
+def last_answer_missing(parts: Answer) -> Answer:
+    return [*parts[:-3], READY]
+
+
+class TestAnswersInAPipeline:
+    @pytest.mark.parametrize(
+        "edit",
+        [
+            twice,
+            ready_twice,
+            ready_first,
+            late_first,
+            complete_twice,
+            complete_before_ready,
+            last_answer_missing,
+        ],
+    )
+    async def test_odd_answers_lose_the_connection(
+        self, endpoint: OddEndpoint, edit
+    ) -> None:
+        connection = await endpoint.connect()
+        await run(connection, FIRST)
+        endpoint.edit = edit
+        with pytest.raises(ConnectionLost) as lost:
+            async with asyncio.timeout(1.0):
+                await run(connection, FIRST, SECOND)
+        assert lost.value.sent and not connection.usable
+
+    async def test_an_error_followed_by_a_second_one_loses_the_connection(
+        self, endpoint: OddEndpoint
+    ) -> None:
+        connection = await endpoint.connect()
+        error = fields(b"E", S="ERROR", V="ERROR", C="23505", M="duplicate")
+        endpoint.edit = lambda parts: [error, READY, error, READY]
+        with pytest.raises(ConnectionLost):
+            await run(connection, FIRST)
+        assert not connection.usable
+
+    async def test_an_error_leaves_the_connection_open(
+        self, endpoint: OddEndpoint
+    ) -> None:
+        connection = await endpoint.connect()
+        error = fields(b"E", S="ERROR", V="ERROR", C="23505", M="duplicate")
+        endpoint.edit = lambda parts: [error, READY]
+        with pytest.raises(EndpointError):
+            await run(connection, FIRST, SECOND)
+        endpoint.edit = None
+        assert await run(connection, SECOND) == [b"SELECT 'second'"]
+        connection.close()
