Treat libpq's own errors as a lost connection

What callers got: "the statement failed" for a statement that may have run. libpq reports a message that it doesn't expect, such as a row without columns, as a result with an error but without SQLSTATE; it was passed on as the endpoint's error XX000, as if the step had been refused. A result with an error and no SQLSTATE is now an answer out of place, and the outcome is unknown.

A row without columns failed before; a message of unknown type was caught already by the number of answers.

--- a/src/celeryjunction/adapters/pg_endpoint.py
+++ b/src/celeryjunction/adapters/pg_endpoint.py
@@ -179,7 +179,10 @@
     def is_answer(self, result: pq.abc.PGresult, index: int | None) -> bool:
         """Return whether the command with this index can have this result."""
         status = result.status
-        if status not in (pq.ExecStatus.COMMAND_OK, *_ROW_STATUSES):
+        if status == pq.ExecStatus.FATAL_ERROR:
+            # libpq's own errors about unexpected messages have no SQLSTATE.
+            return result.error_field(pq.DiagnosticField.SQLSTATE) is not None
+        if status in (pq.ExecStatus.PIPELINE_ABORTED, pq.ExecStatus.EMPTY_QUERY):
             return True
         is_statement = index is not None and self.runs_statements
         return bool(result.command_status) == is_statement
@@ -525,7 +528,7 @@
 
 def _describe_result(result: pq.abc.PGresult) -> str:
     tag = (result.command_status or b"").decode("utf-8", "replace")
-    return f"{tag or 'no tag'} for a command"
+    return result.get_error_message().strip() or f"{tag or 'no tag'} for a command"
 
 
 def _next_step_index(commands: deque[int | None]) -> int:
--- a/tests/test_pg_second_answers.py
+++ b/tests/test_pg_second_answers.py
@@ -170,6 +170,14 @@
     return [*parts[:-3], READY]
 
 
+def row_without_columns(parts: Answer) -> Answer:
+    return [part for part in parts if part != ROW_HEAD]
+
+
+def unknown_type(parts: Answer) -> Answer:
+    return [message(b"?", b"x"), *parts]
+
+
 class TestAnswersInAPipeline:
     @pytest.mark.parametrize(
         "edit",
@@ -181,6 +189,8 @@
             complete_twice,
             complete_before_ready,
             last_answer_missing,
+            row_without_columns,
+            unknown_type,
         ],
     )
     async def test_odd_answers_lose_the_connection(
