Reject a Parse message whose parameter types are missing

Cause: the number of types was read as a signed integer, so 32,768 and more stood for none, and a message that claimed types without having any was accepted, while one with 32,768 types was refused. The number is unsigned now, as in Bind.

--- a/src/celeryjunction/adapters/_pg_messages.py
+++ b/src/celeryjunction/adapters/_pg_messages.py
@@ -54,10 +54,12 @@
 
 def parse_parse(payload: bytes) -> ParsedParse:
     """Return the fields of a Parse message."""
-    parsed = messages.parse_parse(payload)
-    end = payload.index(0, payload.index(0) + 1) + 3 + 4 * len(parsed.param_oids)
-    _expect_end(payload, end)
-    return parsed
+    name, start = _read_string(payload, 0)
+    sql, start = _read_string(payload, start)
+    (count,) = _unpack_uint16(payload, start)
+    oids = Struct(f"!{count}I").unpack_from(payload, start + 2)
+    _expect_end(payload, start + 2 + 4 * count)
+    return ParsedParse(name, sql, list(oids))
 
 
 def _read_formats(payload: bytes, start: int) -> tuple[tuple[int, ...], int]:
--- a/src/celeryjunction/adapters/pg_server.py
+++ b/src/celeryjunction/adapters/pg_server.py
@@ -553,7 +553,7 @@
             self._drop_statement("")
         elif name in self.statements:
             raise ProxyError(ErrorKind.DUPLICATE_STATEMENT, {"name": name})
-        oids = tuple(oid & 0xFFFFFFFF for oid in parsed.param_oids)
+        oids = tuple(parsed.param_oids)
         statement = _PreparedStatement(parsed.sql, oids)
         self._reserve_bytes(statement.size)
         self.statements[name] = statement
--- a/tests/test_pg_second_answers.py
+++ b/tests/test_pg_second_answers.py
@@ -7,12 +7,7 @@
 
 import pytest
 import pytest_asyncio
-
-from celeryjunction.adapters.pg_endpoint import PgConnection
-from celeryjunction.errors import ConnectionLost, EndpointError
-from celeryjunction.pool import EndpointPool
-from celeryjunction.ports import Step, SystemClock
-from tests._odd_endpoint import (
+from _odd_endpoint import (
     COMPLETE,
     LIMIT_S,
     READY,
@@ -25,6 +20,11 @@
     row,
 )
 
+from celeryjunction.adapters.pg_endpoint import PgConnection
+from celeryjunction.errors import ConnectionLost, EndpointError
+from celeryjunction.pool import EndpointPool
+from celeryjunction.ports import Step, SystemClock
+
 FIRST = Step("SELECT 'first'")
 SECOND = Step("SELECT 'second'")
 
