Keep a NUL field code out of ErrorResponse messages

A code of NUL ends the list of fields in an ErrorResponse, and what follows would be cut off by the client. Codes come from libpq and from peers' frames; only letters pass now. NUL in a value is left out, as before, and no value adds a field. The case of the NUL code failed before.

--- a/src/celeryjunction/adapters/_pg_messages.py
+++ b/src/celeryjunction/adapters/_pg_messages.py
@@ -216,6 +216,6 @@
     merged |= {
         code: value.encode(errors="replace").decode().replace("\x00", "")
         for code, value in fields.items()
-        if code not in merged and len(code) == 1 and code.isascii()
+        if code not in merged and len(code) == 1 and code.isascii() and code.isalpha()
     }
     return messages.make_error_response(merged)
--- a/tests/test_pg_client_bytes.py
+++ b/tests/test_pg_client_bytes.py
@@ -220,6 +220,11 @@
         for code, value in values.items():
             assert fields[code.encode()] == value.replace("\0", "").encode()
 
+    @pytest.mark.parametrize("code", ["\0", "", "MM", "\u00e9"])
+    def test_an_odd_code_adds_no_field(self, code: str) -> None:
+        error = pg.make_error({"C": "XX000", code: "x", "M": "m"}, severity="ERROR")
+        assert error_fields(error).keys() == {b"S", b"V", b"C", b"M"}
+
 
 ODD_QUERIES = (
     "select 'a\nb'",
