Quote label values on the metrics page

What operators got: a database's name with LF added lines to the page, and one with a quote ended its label early, because values were inserted unquoted. Label values are now JSON strings in ASCII, as in log lines. Names of safe ASCII characters look as before; other letters are written as \u escapes. All 8 cases of odd labels failed before.

--- a/src/celeryjunction/metrics.py
+++ b/src/celeryjunction/metrics.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Iterator, Mapping
 from typing import Any
 
@@ -141,7 +142,9 @@
     lines = []
     for name, value in counters.items():
         if isinstance(value, dict):
-            lines += [f'{name}{{kind="{k}"}} {v}' for k, v in sorted(value.items())]
+            lines += [
+                f"{name}{{kind={_quote(k)}}} {v}" for k, v in sorted(value.items())
+            ]
         else:
             lines.append(f"{name} {value}")
     return lines
@@ -152,10 +155,16 @@
     snapshot = metrics.snapshot()
     lines = []
     for row in snapshot["counters"]:
-        labels = ",".join(f'{k}="{v}"' for k, v in row["labels"].items())
+        labels = ",".join(f"{k}={_quote(v)}" for k, v in row["labels"].items())
         lines.append(f"{row['name']}{{{labels}}} {row['value']}")
     for row in snapshot["latency"]:
-        labels = f'rank="{row["rank"]}",database="{row["customer"]}"'
+        database = _quote(row["customer"])
+        labels = f'rank="{row["rank"]}",database={database}'
         for name in ("count", "p50_us", "p99_us", "p999_us", "max_us"):
             lines.append(f"latency_{name}{{{labels}}} {row[name]}")
     return lines
+
+
+def _quote(value: object) -> str:
+    """Return a label's value as a JSON string in ASCII, as in log lines."""
+    return json.dumps(str(value)).replace("\x7f", "\\u007f")
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import random
 
 import pytest
 from hdrh.histogram import HdrHistogram
 
 from celeryjunction.contract import Rank
-from celeryjunction.metrics import MAX_LATENCY_US, Metrics
+from celeryjunction.metrics import MAX_LATENCY_US, Metrics, format_metrics
 
 
 def record(metrics: Metrics, seconds: float, **changes: str) -> None:
@@ -72,3 +73,25 @@
                 "value": 3,
             },
         ]
+
+
+class TestLines:
+    @pytest.mark.parametrize(
+        "label",
+        ["a\nb 1", 'a"} 1', "a\\", "a\r\nb", "\x1b[0m", "a\u2028b", "\x85", "\ud800"],
+    )
+    def test_odd_labels_neither_add_lines_nor_end_the_label(self, label: str) -> None:
+        metrics = Metrics()
+        metrics.count("shed", customer=label, rank="urgent")
+        record(metrics, 0.001, customer=label)
+        lines = format_metrics(metrics)
+        assert len("\n".join(lines).splitlines()) == len(lines) == 6
+        quoted = json.dumps(label)
+        assert lines[0] == f'shed{{customer={quoted},rank="urgent"}} 1'
+        start = f'latency_count{{rank="urgent",database={quoted}}} '
+        assert lines[1] == f"{start}1"
+
+    def test_plain_labels_are_unchanged(self) -> None:
+        metrics = Metrics()
+        metrics.count("shed", customer="coop.counter")
+        assert format_metrics(metrics) == ['shed{customer="coop.counter"} 1']
