Treat a command tag that is no ASCII text as an answer out of place

What callers got: an internal error for a statement that may have run, while its connection was used on, because the tag was decoded after the pipeline had ended. The connection is now lost with `sent` True. The case added failed before (UnicodeDecodeError).

--- a/src/celeryjunction/adapters/pg_endpoint.py
+++ b/src/celeryjunction/adapters/pg_endpoint.py
@@ -200,7 +200,8 @@
             return True
         is_step = index is not None and index != _MARKER
         is_statement = is_step and self.runs_statements
-        return bool(result.command_status) == is_statement
+        tag = result.command_status or b""
+        return bool(tag) == is_statement and tag.isascii()
 
 
 class PgConnection:
@@ -571,7 +572,7 @@
 
 
 def _query_result(result: pq.abc.PGresult) -> QueryResult:
-    tag = (result.command_status or b"").decode()
+    tag = (result.command_status or b"").decode("ascii")
     if result.status not in _ROW_STATUSES:
         return QueryResult(tag, None, ())
     get = result.get_value
--- a/tests/test_pg_second_answers.py
+++ b/tests/test_pg_second_answers.py
@@ -184,6 +184,11 @@
     return [message(b"?", b"x"), *parts]
 
 
+def tag_that_is_no_text(parts: Answer) -> Answer:
+    odd = message(b"C", b"SELECT 1\xff\0")
+    return [odd if part == COMPLETE else part for part in parts]
+
+
 class TestAnswersInAPipeline:
     @pytest.mark.parametrize(
         "edit",
@@ -197,6 +202,7 @@
             last_answer_missing,
             row_without_columns,
             unknown_type,
+            tag_that_is_no_text,
         ],
     )
     async def test_odd_answers_lose_the_connection(
