--- a/src/celeryjunction/adapters/pg_endpoint.py
+++ b/src/celeryjunction/adapters/pg_endpoint.py
@@ -2,18 +2,25 @@
 
 Parameters and results pass through as raw bytes. Every call is one pipeline: all steps
 and one Sync take a single round trip, and the steps after a failed one do not run.
+
+The protocol assigns answers to commands by their order alone. A connection on which an
+answer is missing, doubled or out of place is therefore closed and never used again.
+Each pipeline begins with a marker, a statement without text whose parameter types
+encode the pipeline's number. Its description shows whose answer follows.
 """
 
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import OrderedDict, deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from psycopg import OperationalError, pq
 from psycopg.conninfo import make_conninfo
 
 from celeryjunction.errors import ConnectionLost, EndpointError
+from celeryjunction.logs import get_logger
 from celeryjunction.ports import (
     Clock,
     Column,
@@ -38,6 +45,52 @@
 
 _ROW_STATUSES = (pq.ExecStatus.TUPLES_OK, pq.ExecStatus.SINGLE_TUPLE)
 
+_REPORTED_PARAMETERS = (
+    b"DateStyle",
+    b"IntervalStyle",
+    b"TimeZone",
+    b"application_name",
+    b"client_encoding",
+    b"default_transaction_read_only",
+    b"in_hot_standby",
+    b"is_superuser",
+    b"scram_iterations",
+    b"search_path",
+    b"server_encoding",
+    b"session_authorization",
+    b"standard_conforming_strings",
+)
+"""Parameters whose changes an endpoint reports at any time."""
+
+_MARKER = -1
+"""Stands for the description of the marker among the commands of a pipeline."""
+
+_MARKER_TYPES = (
+    16,
+    17,
+    18,
+    19,
+    20,
+    21,
+    23,
+    25,
+    26,
+    700,
+    701,
+    1042,
+    1043,
+    1082,
+    1700,
+    2950,
+)
+"""Types for the digits of a pipeline's number, the OIDs of built-in ones."""
+
+_MARKER_DIGITS = 6
+
+_ERROR_SEVERITIES = (b"ERROR", b"FATAL", b"PANIC")
+
+_log = get_logger("endpoints")
+
 
 class EndpointLogin:
     """Credentials of the proxy at endpoints."""
@@ -133,15 +186,38 @@
 class _Pipeline:
     """The running pipeline and the results received so far."""
 
-    __slots__ = ("commands", "done", "error", "results")
+    __slots__ = ("commands", "done", "error", "marker", "results", "runs_statements")
 
-    def __init__(self, commands: deque[int | None], done: asyncio.Future[None]) -> None:
-        # One entry per unanswered command: the index of its step, or None for a Parse
-        # or Close, whose answer carries no result.
+    def __init__(
+        self,
+        commands: deque[int | None],
+        done: asyncio.Future[None],
+        *,
+        runs_statements: bool,
+    ) -> None:
+        # One entry per unanswered command: the index of its step, None for a Parse or
+        # Close, whose answer carries no result, or `_MARKER`.
         self.commands = commands
         self.done = done
         self.error: EndpointError | None = None
         self.results: list[pq.abc.PGresult] = []
+        self.runs_statements = runs_statements
+        self.marker: tuple[int, ...] = ()
+
+    def is_answer(self, result: pq.abc.PGresult, index: int | None) -> bool:
+        """Return whether the command with this index can have this result."""
+        status = result.status
+        if status == pq.ExecStatus.FATAL_ERROR:
+            # libpq's own errors about unexpected messages have no SQLSTATE.
+            has_sqlstate = result.error_field(pq.DiagnosticField.SQLSTATE) is not None
+            return has_sqlstate and index != _MARKER and _MARKER not in self.commands
+        if index == _MARKER:
+            return _param_types(result) == self.marker
+        if status in (pq.ExecStatus.PIPELINE_ABORTED, pq.ExecStatus.EMPTY_QUERY):
+            return True
+        is_statement = index is not None and self.runs_statements
+        tag = result.command_status or b""
+        return bool(tag) == is_statement and tag.isascii()
 
 
 class PgConnection:
@@ -155,9 +231,12 @@
         "_names_to_close",
         "_new_statements",
         "_next_name",
+        "_notices",
         "_pgconn",
         "_pipeline",
+        "_pipelines_sent",
         "_prepared_names",
+        "_unasked_message",
         "opened_at",
         "verified_term",
     )
@@ -176,6 +255,10 @@
         self._pipeline: _Pipeline | None = None
         self._closed = False
         self._loss_reason = ""
+        self._notices = 0
+        self._pipelines_sent = 0
+        self._unasked_message = ""
+        pgconn.notice_handler = self._on_notice
         pgconn.nonblocking = 1
         pgconn.enter_pipeline_mode()
         self._fileno = pgconn.socket
@@ -213,8 +296,10 @@
             self._pgconn.send_describe_prepared(name)
             commands.append(0)
 
-        (result,) = await self._run_pipeline(send, commands, timeout)
-        oids = tuple(result.param_type(i) for i in range(result.nparams))
+        (result,) = await self._run_pipeline(
+            send, commands, timeout, runs_statements=False
+        )
+        oids = _param_types(result)
         columns = _columns(result) if result.nfields else None
         return StatementShape(oids, columns)
 
@@ -233,18 +318,28 @@
             self._pgconn.finish()
 
     async def _run_pipeline(
-        self, send, commands: deque[int | None], timeout: float
+        self,
+        send: Callable[[], None],
+        commands: deque[int | None],
+        timeout: float,
+        *,
+        runs_statements: bool = True,
     ) -> list[pq.abc.PGresult]:
+        if self._pipeline is not None:
+            raise AssertionError("a pipeline is already running on this connection")
+        if not self._closed:
+            self._on_readable()
         if self._closed:
             raise ConnectionLost(
                 self._loss_reason or "the connection is closed", sent=False
             )
-        if self._pipeline is not None:
-            raise AssertionError("a pipeline is already running on this connection")
-        pipeline = _Pipeline(commands, self._loop.create_future())
+        pipeline = _Pipeline(
+            commands, self._loop.create_future(), runs_statements=runs_statements
+        )
         self._pipeline = pipeline
         self._new_statements.clear()
         try:
+            self._send_marker(pipeline)
             for name in self._names_to_close:
                 self._send_close(name, commands)
             self._names_to_close.clear()
@@ -324,6 +419,13 @@
         self._new_statements.append(key)
         return name
 
+    def _send_marker(self, pipeline: _Pipeline) -> None:
+        self._pipelines_sent += 1
+        pipeline.marker = _marker_types(self._pipelines_sent)
+        self._pgconn.send_prepare(b"", b"", pipeline.marker)
+        self._pgconn.send_describe_prepared(b"")
+        pipeline.commands += (None, _MARKER)
+
     def _send_close(self, name: bytes, commands: deque[int | None]) -> None:
         self._pgconn.send_close_prepared(name)
         commands.append(None)
@@ -341,15 +443,62 @@
 
     def _on_readable(self) -> None:
         try:
-            self._pgconn.consume_input()
-            if self._pipeline is None:
-                if self._pgconn.status == pq.ConnStatus.BAD:
-                    self._mark_lost("the endpoint closed the connection")
+            if self._pipeline is None or self._pipeline.done.done():
+                self._read_idle_input()
                 return
+            self._pgconn.consume_input()
             self._read_results(self._pipeline)
         except OperationalError as error:
             self._mark_lost(str(error).strip())
 
+    def _read_idle_input(self) -> None:
+        """Read input while no answer is due; close unless it is an expected message.
+
+        Expected are notices, notifications and changed parameters. libpq does not tell
+        an incomplete message from none, so input without any of these closes too. TLS
+        has records that contain no message.
+        """
+        pgconn = self._pgconn
+        has_input = not pgconn.ssl_in_use and _has_input(self._fileno)
+        before = self._asynchronous_state() if has_input else ()
+        if has_input or pgconn.ssl_in_use:
+            pgconn.consume_input()
+        pgconn.is_busy()
+        notified = False
+        while pgconn.notifies() is not None:
+            notified = True
+        if pgconn.status == pq.ConnStatus.BAD:
+            self._mark_lost("the endpoint closed the connection")
+        elif self._unasked_message:
+            self._reject_answer(self._unasked_message)
+        elif has_input and not notified and self._asynchronous_state() == before:
+            self._reject_answer("part of a message while idle")
+
+    def _asynchronous_state(self) -> tuple[object, ...]:
+        parameters = map(self._pgconn.parameter_status, _REPORTED_PARAMETERS)
+        return (self._notices, *parameters)
+
+    def _on_notice(self, notice: pq.abc.PGresult) -> None:
+        """Count a notice; libpq also reports messages that no command awaits here."""
+        severity = notice.error_field(pq.DiagnosticField.SEVERITY_NONLOCALIZED)
+        sqlstate = notice.error_field(pq.DiagnosticField.SQLSTATE)
+        if sqlstate is None or severity in _ERROR_SEVERITIES:
+            text = notice.error_field(pq.DiagnosticField.MESSAGE_PRIMARY) or b""
+            self._unasked_message = text.decode("utf-8", "replace") or "an error"
+        else:
+            self._notices += 1
+
+    def _reject_answer(self, reason: str) -> None:
+        """Close the connection, because its next answers may be to other commands."""
+        _log.warning(
+            "endpoint_answer_rejected",
+            host=self._pgconn.host,
+            port=self._pgconn.port,
+            running=self._pipeline is not None,
+            reason=reason,
+        )
+        self._mark_lost(f"an answer was out of place: {reason}")
+
     def _read_results(self, pipeline: _Pipeline) -> None:
         pgconn = self._pgconn
         while not pipeline.done.done() and not pgconn.is_busy():
@@ -360,23 +509,39 @@
                 continue
             status = result.status
             if status == pq.ExecStatus.PIPELINE_SYNC:
-                pipeline.done.set_result(None)
+                self._end_pipeline(pipeline)
             else:
                 self._record_result(pipeline, result, status)
 
+    def _end_pipeline(self, pipeline: _Pipeline) -> None:
+        """Finish the pipeline unless an answer is missing or another one follows."""
+        if pipeline.commands:
+            self._reject_answer(f"{len(pipeline.commands)} answers are missing")
+            return
+        self._pgconn.is_busy()
+        if self._unasked_message:
+            self._reject_answer(self._unasked_message)
+        else:
+            pipeline.done.set_result(None)
+
     def _record_result(
         self, pipeline: _Pipeline, result: pq.abc.PGresult, status: int
     ) -> None:
         if self._pgconn.status == pq.ConnStatus.BAD:
             self._mark_lost(result.get_error_message().strip())
             return
+        if not pipeline.commands:
+            self._reject_answer("more answers than commands")
+            return
         index = pipeline.commands.popleft()
-        if status == pq.ExecStatus.FATAL_ERROR:
+        if not pipeline.is_answer(result, index):
+            self._reject_answer(_describe_result(result))
+        elif status == pq.ExecStatus.FATAL_ERROR:
             step = index if index is not None else _next_step_index(pipeline.commands)
             pipeline.error = EndpointError(_error_fields(result), step)
         elif status == pq.ExecStatus.PIPELINE_ABORTED:
             return
-        elif index is not None:
+        elif index is not None and index != _MARKER:
             pipeline.results.append(result)
 
     def _mark_lost(self, reason: str) -> None:
@@ -396,10 +561,32 @@
         done.set_exception(ConnectionLost("no answer in time", sent=True))
 
 
+def _has_input(fileno: int) -> bool:
+    """Return whether the socket can be read without blocking."""
+    poller = select.poll()
+    poller.register(fileno, select.POLLIN)
+    return bool(poller.poll(0))
+
+
+def _describe_result(result: pq.abc.PGresult) -> str:
+    tag = (result.command_status or b"").decode("utf-8", "replace")
+    return result.get_error_message().strip() or f"{tag or 'no tag'} for a command"
+
+
 def _next_step_index(commands: deque[int | None]) -> int:
     return next((index for index in commands if index is not None), 0)
 
 
+def _marker_types(number: int) -> tuple[int, ...]:
+    """Return the parameter types of the marker of a pipeline."""
+    shifts = range(0, 4 * _MARKER_DIGITS, 4)
+    return tuple([_MARKER_TYPES[(number >> shift) & 15] for shift in shifts])
+
+
+def _param_types(result: pq.abc.PGresult) -> tuple[int, ...]:
+    return tuple([result.param_type(i) for i in range(result.nparams)])
+
+
 def _columns(result: pq.abc.PGresult) -> tuple[Column, ...]:
     return tuple(
         Column(result.fname(i) or b"", result.ftype(i), result.fsize(i), result.fmod(i))
@@ -408,7 +595,7 @@
 
 
 def _query_result(result: pq.abc.PGresult) -> QueryResult:
-    tag = (result.command_status or b"").decode()
+    tag = (result.command_status or b"").decode("ascii")
     if result.status not in _ROW_STATUSES:
         return QueryResult(tag, None, ())
     get = result.get_value
