--- a/src/celeryjunction/adapters/pg_endpoint.py
+++ b/src/celeryjunction/adapters/pg_endpoint.py
@@ -5,8 +5,8 @@
 
 The protocol assigns answers to commands by their order alone. A connection on which an
 answer is missing, doubled or out of place is therefore closed and never used again.
-Each pipeline begins with a marker, a statement without text whose parameter types
-encode the pipeline's number. Its description shows whose answer follows.
+Each pipeline begins with markers, commands without effect whose kinds depend on the
+pipeline's number, so that the answer to one of the pipelines before doesn't fit them.
 """
 
 from __future__ import annotations
@@ -63,29 +63,15 @@
 """Parameters whose changes an endpoint reports at any time."""
 
 _MARKER = -1
-"""Stands for the description of the marker among the commands of a pipeline."""
-
-_MARKER_TYPES = (
-    16,
-    17,
-    18,
-    19,
-    20,
-    21,
-    23,
-    25,
-    26,
-    700,
-    701,
-    1042,
-    1043,
-    1082,
-    1700,
-    2950,
-)
-"""Types for the digits of a pipeline's number, the OIDs of built-in ones."""
+"""Stands for a marker among the commands of a pipeline."""
+
+_MARKER_KINDS = ("CCC", "PCC", "CPC", "PPC")
+"""Kinds of the markers, Close or Parse. libpq skips the answer to either kind while it
+waits for the other. The pipeline may go on with a Close or Parse of its own, which must
+not stand in for a marker of the next pipeline: hence the order and the common end."""
 
-_MARKER_DIGITS = 6
+_MARKER_NAME = b"cj0"
+"""A name that no prepared statement has."""
 
 _ERROR_SEVERITIES = (b"ERROR", b"FATAL", b"PANIC")
 
@@ -186,7 +172,7 @@
 class _Pipeline:
     """The running pipeline and the results received so far."""
 
-    __slots__ = ("commands", "done", "error", "marker", "results", "runs_statements")
+    __slots__ = ("commands", "done", "error", "results", "runs_statements")
 
     def __init__(
         self,
@@ -202,7 +188,6 @@
         self.error: EndpointError | None = None
         self.results: list[pq.abc.PGresult] = []
         self.runs_statements = runs_statements
-        self.marker: tuple[int, ...] = ()
 
     def is_answer(self, result: pq.abc.PGresult, index: int | None) -> bool:
         """Return whether the command with this index can have this result."""
@@ -210,12 +195,11 @@
         if status == pq.ExecStatus.FATAL_ERROR:
             # libpq's own errors about unexpected messages have no SQLSTATE.
             has_sqlstate = result.error_field(pq.DiagnosticField.SQLSTATE) is not None
-            return has_sqlstate and index != _MARKER and _MARKER not in self.commands
-        if index == _MARKER:
-            return _param_types(result) == self.marker
+            return has_sqlstate and index != _MARKER
         if status in (pq.ExecStatus.PIPELINE_ABORTED, pq.ExecStatus.EMPTY_QUERY):
             return True
-        is_statement = index is not None and self.runs_statements
+        is_step = index is not None and index != _MARKER
+        is_statement = is_step and self.runs_statements
         tag = result.command_status or b""
         return bool(tag) == is_statement and tag.isascii()
 
@@ -299,7 +283,7 @@
         (result,) = await self._run_pipeline(
             send, commands, timeout, runs_statements=False
         )
-        oids = _param_types(result)
+        oids = tuple(result.param_type(i) for i in range(result.nparams))
         columns = _columns(result) if result.nfields else None
         return StatementShape(oids, columns)
 
@@ -339,7 +323,7 @@
         self._pipeline = pipeline
         self._new_statements.clear()
         try:
-            self._send_marker(pipeline)
+            self._send_markers(commands)
             for name in self._names_to_close:
                 self._send_close(name, commands)
             self._names_to_close.clear()
@@ -419,12 +403,15 @@
         self._new_statements.append(key)
         return name
 
-    def _send_marker(self, pipeline: _Pipeline) -> None:
+    def _send_markers(self, commands: deque[int | None]) -> None:
+        kinds = _MARKER_KINDS[self._pipelines_sent % len(_MARKER_KINDS)]
         self._pipelines_sent += 1
-        pipeline.marker = _marker_types(self._pipelines_sent)
-        self._pgconn.send_prepare(b"", b"", pipeline.marker)
-        self._pgconn.send_describe_prepared(b"")
-        pipeline.commands += (None, _MARKER)
+        for kind in kinds:
+            if kind == "C":
+                self._pgconn.send_close_prepared(_MARKER_NAME)
+            else:
+                self._pgconn.send_prepare(b"", b"")
+            commands.append(_MARKER)
 
     def _send_close(self, name: bytes, commands: deque[int | None]) -> None:
         self._pgconn.send_close_prepared(name)
@@ -577,16 +564,6 @@
     return next((index for index in commands if index is not None), 0)
 
 
-def _marker_types(number: int) -> tuple[int, ...]:
-    """Return the parameter types of the marker of a pipeline."""
-    shifts = range(0, 4 * _MARKER_DIGITS, 4)
-    return tuple([_MARKER_TYPES[(number >> shift) & 15] for shift in shifts])
-
-
-def _param_types(result: pq.abc.PGresult) -> tuple[int, ...]:
-    return tuple([result.param_type(i) for i in range(result.nparams)])
-
-
 def _columns(result: pq.abc.PGresult) -> tuple[Column, ...]:
     return tuple(
         Column(result.fname(i) or b"", result.ftype(i), result.fsize(i), result.fmod(i))
