--- a/src/celeryjunction/adapters/pg_endpoint.py
+++ b/src/celeryjunction/adapters/pg_endpoint.py
@@ -5,8 +5,6 @@
 
 The protocol assigns answers to commands by their order alone. A connection on which an
 answer is missing, doubled or out of place is therefore closed and never used again.
-Each pipeline begins with markers, commands without effect whose kinds depend on the
-pipeline's number, so that the answer to one of the pipelines before doesn't fit them.
 """
 
 from __future__ import annotations
@@ -62,17 +60,6 @@
 )
 """Parameters whose changes an endpoint reports at any time."""
 
-_MARKER = -1
-"""Stands for a marker among the commands of a pipeline."""
-
-_MARKER_KINDS = ("CCC", "PCC", "CPC", "PPC")
-"""Kinds of the markers, Close or Parse. libpq skips the answer to either kind while it
-waits for the other. The pipeline may go on with a Close or Parse of its own, which must
-not stand in for a marker of the next pipeline: hence the order and the common end."""
-
-_MARKER_NAME = b"cj0"
-"""A name that no prepared statement has."""
-
 _ERROR_SEVERITIES = (b"ERROR", b"FATAL", b"PANIC")
 
 _log = get_logger("endpoints")
@@ -181,8 +168,8 @@
         *,
         runs_statements: bool,
     ) -> None:
-        # One entry per unanswered command: the index of its step, None for a Parse or
-        # Close, whose answer carries no result, or `_MARKER`.
+        # One entry per unanswered command: the index of its step, or None for a Parse
+        # or Close, whose answer carries no result.
         self.commands = commands
         self.done = done
         self.error: EndpointError | None = None
@@ -194,12 +181,10 @@
         status = result.status
         if status == pq.ExecStatus.FATAL_ERROR:
             # libpq's own errors about unexpected messages have no SQLSTATE.
-            has_sqlstate = result.error_field(pq.DiagnosticField.SQLSTATE) is not None
-            return has_sqlstate and index != _MARKER
+            return result.error_field(pq.DiagnosticField.SQLSTATE) is not None
         if status in (pq.ExecStatus.PIPELINE_ABORTED, pq.ExecStatus.EMPTY_QUERY):
             return True
-        is_step = index is not None and index != _MARKER
-        is_statement = is_step and self.runs_statements
+        is_statement = index is not None and self.runs_statements
         tag = result.command_status or b""
         return bool(tag) == is_statement and tag.isascii()
 
@@ -218,7 +203,6 @@
         "_notices",
         "_pgconn",
         "_pipeline",
-        "_pipelines_sent",
         "_prepared_names",
         "_unasked_message",
         "opened_at",
@@ -240,7 +224,6 @@
         self._closed = False
         self._loss_reason = ""
         self._notices = 0
-        self._pipelines_sent = 0
         self._unasked_message = ""
         pgconn.notice_handler = self._on_notice
         pgconn.nonblocking = 1
@@ -323,7 +306,6 @@
         self._pipeline = pipeline
         self._new_statements.clear()
         try:
-            self._send_markers(commands)
             for name in self._names_to_close:
                 self._send_close(name, commands)
             self._names_to_close.clear()
@@ -403,16 +385,6 @@
         self._new_statements.append(key)
         return name
 
-    def _send_markers(self, commands: deque[int | None]) -> None:
-        kinds = _MARKER_KINDS[self._pipelines_sent % len(_MARKER_KINDS)]
-        self._pipelines_sent += 1
-        for kind in kinds:
-            if kind == "C":
-                self._pgconn.send_close_prepared(_MARKER_NAME)
-            else:
-                self._pgconn.send_prepare(b"", b"")
-            commands.append(_MARKER)
-
     def _send_close(self, name: bytes, commands: deque[int | None]) -> None:
         self._pgconn.send_close_prepared(name)
         commands.append(None)
@@ -528,7 +500,7 @@
             pipeline.error = EndpointError(_error_fields(result), step)
         elif status == pq.ExecStatus.PIPELINE_ABORTED:
             return
-        elif index is not None and index != _MARKER:
+        elif index is not None:
             pipeline.results.append(result)
 
     def _mark_lost(self, reason: str) -> None:
