Don't take a marker's unknown name for a statement's own error

Where endpoints answer DEALLOC of an unknown name with NOSTMT, a marker's answer that came out of turn was taken for the error of the next client statement: its key was new, so it counted as own.

An unknown name can only be the error of a prepared statement's run, and is then confirmed by markers, as a repeated error is; for all other commands it is foreign. The new test fails without the change. The stutter command also gets forms in which half of the proxy's commands are answered twice.

--- a/bench/stutter.py
+++ b/bench/stutter.py
@@ -59,6 +59,8 @@
     "all-5-slow": Form(repeat_share=0.05, delays_s=SLOW_S),
     "statements-10": Form(repeated="statements", repeat_share=0.1),
     "commands-10": Form(repeated="commands", repeat_share=0.1),
+    "commands-50": Form(repeated="commands", repeat_share=0.5),
+    "commands-50-slow": Form(repeated="commands", repeat_share=0.5, delays_s=SLOW_S),
     "errors-30": Form(repeated="errors", repeat_share=0.3, busy_share=0.2),
     "errors-50-quick": Form(
         repeated="errors", repeat_share=0.5, busy_share=0.2, delays_s=(0.001, 0.05)
--- a/src/celeryjunction/replication/answer_matching.py
+++ b/src/celeryjunction/replication/answer_matching.py
@@ -21,6 +21,7 @@
     AskStatus,
     Command,
     Demote,
+    Fault,
     OpenTransaction,
     PauseReceiving,
     Relay,
@@ -43,7 +44,7 @@
     FOREIGN = "foreign"
     """It answers an earlier command; the command's own answer is still to come."""
     UNCERTAIN = "uncertain"
-    """It repeats an earlier error, and may be this command's error as well."""
+    """It may be this command's error, or an earlier command's."""
 
 
 class AnswerMatcher:
@@ -69,6 +70,10 @@
             return Match.OWN if _fits(command, answer, self) else Match.FOREIGN
         if answer.state is TransactionState.OPEN and self.state is not answer.state:
             return Match.FOREIGN  # An error opens no transaction.
+        if answer.fault is Fault.UNKNOWN_STATEMENT:
+            # Markers may be answered with this, too.
+            may_be_own = isinstance(command, RelayPrepared)
+            return Match.UNCERTAIN if may_be_own else Match.FOREIGN
         is_repeated = _error_key(answer) in self._remembered
         return Match.UNCERTAIN if is_repeated else Match.OWN
 
@@ -86,6 +91,8 @@
 
     def may_be_discarded(self, answer: Answer) -> bool:
         """Whether an answer that no command waits for can only be a second one."""
+        if answer.fault is Fault.UNKNOWN_STATEMENT:
+            return True
         if answer.fault is not None:
             return _error_key(answer) in self._remembered
         return answer.digest == NO_DIGEST or self.remembers(answer.digest)
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -26,6 +26,7 @@
     Fault,
     OpenTransaction,
     Relay,
+    RelayPrepared,
     RollBack,
     SetValue,
     TransactionState,
@@ -44,11 +45,19 @@
     """
 
     def __init__(
-        self, stream: LineStream, *, late: list[int], errors: set[int]
+        self,
+        stream: LineStream,
+        *,
+        late: list[int],
+        errors: set[int],
+        unknown_names_fail: bool = False,
     ) -> None:
         self._stream = stream
         self._late = late
         self._errors = errors
+        self._unknown_names_fail = unknown_names_fail
+        self.insert_before_next_marker = b""
+        """A second answer that comes right before the next one to a marker."""
         self._buffer = b""
         self._state = b"I"
         self._commits = 0
@@ -81,6 +90,9 @@
         self.number += 1
         body = self._run(request_id, text)
         answer = body + b"READY %b 1.%d\r\n" % (self._state, self._commits)
+        if text.startswith(b"DEALLOC "):
+            answer = self.insert_before_next_marker + answer
+            self.insert_before_next_marker = b""
         self._sent.append(answer)
         loop = asyncio.get_running_loop()
         loop.call_soon(self._send, len(self._sent) - 1)
@@ -103,8 +115,15 @@
                 self._stream.data_received(self._sent[index])
                 return
 
+    @property
+    def last_answer(self) -> bytes:
+        """The bytes of the last answer."""
+        return self._sent[-1]
+
     def _run(self, request_id: bytes, text: bytes) -> bytes:
         word = text.split(b" ")[0]
+        if self._unknown_names_fail and word in (b"DEALLOC", b"EXECUTE"):
+            return b"ERROR NOSTMT i-1\r\n"
         if request_id == b"-":
             if word == b"STATUS":
                 row = b"ROW primary 1 1.%d 0 0 0 %d\r\n" % (self._commits, self.number)
@@ -128,10 +147,14 @@
         return b"ROW %b\r\nCOMPLETE d%d\r\n" % (row, self.number)
 
 
-def connect(late: list[int], errors: set[int]) -> tuple[PipelinedLink, Endpoint]:
+def connect(
+    late: list[int], errors: set[int], *, unknown_names_fail: bool = False
+) -> tuple[PipelinedLink, Endpoint]:
     """Return a link to a model of an endpoint."""
     stream = LineStream()
-    endpoint = Endpoint(stream, late=late, errors=errors)
+    endpoint = Endpoint(
+        stream, late=late, errors=errors, unknown_names_fail=unknown_names_fail
+    )
     stream.connection_made(endpoint)
     link = PipelinedLink(
         stream,
@@ -256,6 +279,23 @@
         check_own(command, answer, endpoint)
         assert answer.fault is None
 
+    async def test_an_unknown_name_of_a_marker_is_no_error_of_a_statement(self) -> None:
+        link, endpoint = connect([], set(), unknown_names_fail=True)
+        await link.run([AskStatus()], timeout=LIMIT_S)
+        marker_answer = endpoint.last_answer
+        await link.run([make_command("write", 1)], timeout=LIMIT_S)
+        endpoint.insert_before_next_marker = marker_answer
+        command = make_command("write", 2)
+        _, answer = await link.run([AskStatus(), command], timeout=LIMIT_S)
+        check_own(command, answer, endpoint)
+
+    async def test_an_unknown_prepared_name_may_be_the_own_error(self) -> None:
+        link, _ = connect([], set(), unknown_names_fail=True)
+        command = RelayPrepared(b"q1", b"s1", b"7")
+        (answer,) = await link.run([command], timeout=LIMIT_S)
+        assert answer.fault is Fault.UNKNOWN_STATEMENT
+        assert link.usable
+
     async def test_a_begin_is_not_answered_by_an_earlier_command(self) -> None:
         link, _ = connect([0, 1], set())
         await link.run([SetValue(b"a", b"b")], timeout=LIMIT_S)
