Ask for three markers after a status

A status and the answer to its marker that both came twice, right before those of the next status, were taken for the new ones: an old position or role counted as new evidence. Nothing in the answers tells them apart.

Three markers follow each status now, so an earlier status must come again together with three answers to markers. The new test fails without the change.

--- a/src/celeryjunction/replication/answer_assignment.py
+++ b/src/celeryjunction/replication/answer_assignment.py
@@ -26,21 +26,24 @@
 
 MARKERS_AFTER_ERROR = 3
 """As many second answers may come together with that of an error without harm."""
+MARKERS_AFTER_STATUS = 3
+"""An earlier status is taken for a new one only if it comes again together with as many
+answers to earlier markers."""
 STATUS_ATTEMPTS = 3
 """Attempts to get a status while second answers to earlier ones come."""
 MARKER = Synchronize()
-MARKED_COMMANDS = (*STATUS_COMMANDS, OpenTransaction)
-"""Commands whose answers contain nothing that an earlier answer can't contain."""
 
 _log = get_logger("replication")
 
 
 def with_markers(commands: Iterable[Command]) -> Iterator[Command]:
-    """Return the commands, each with the marker that it needs."""
+    """Return the commands, each with the markers that it needs."""
     for command in commands:
         yield command
-        if isinstance(command, MARKED_COMMANDS):
+        if isinstance(command, OpenTransaction):
             yield MARKER
+        elif isinstance(command, STATUS_COMMANDS):
+            yield from (MARKER,) * MARKERS_AFTER_STATUS
 
 
 class AnswerAssigner:
@@ -116,13 +119,13 @@
             return answer
 
     async def _read_status(self, command: Command) -> Answer:
-        """Return the only status that comes before the marker's answer.
+        """Return the only status that comes before the markers' answers.
 
         Statuses can't be told from one another, so if there are two, the command is
         sent again.
         """
         for _ in range(STATUS_ATTEMPTS):
-            answers = await self._read_until_marker(command)
+            answers = await self._read_until_markers(command)
             if len(answers) == 1:
                 self._matcher.accept(answers[0])
                 return answers[0]
@@ -130,18 +133,21 @@
             self._send(with_markers([command]))
         raise self.unassignable("a status came more than once")
 
-    async def _read_until_marker(self, command: Command) -> list[Answer]:
+    async def _read_until_markers(self, command: Command) -> list[Answer]:
         answers: list[Answer] = []
-        while True:
+        markers = 0
+        while markers < MARKERS_AFTER_STATUS:
             answer = await self._read()
             if _is_marker(answer):
                 if answers:
                     self._matcher.accept(answer)
-                    return answers
+                    markers += 1
+                    continue
             elif self._matcher.match(command, answer) is not Match.FOREIGN:
                 answers.append(answer)
                 continue
             self._count_discarded(command)
+        return answers
 
     async def _resolve(self, command: Command, error: Answer) -> Answer:
         """Return the command's own answer after an error that came before.
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -56,12 +56,12 @@
         self._late = late
         self._errors = errors
         self._unknown_names_fail = unknown_names_fail
-        self.insert_before_next_marker = b""
-        """A second answer that comes right before the next one to a marker."""
+        self.inserted: dict[bytes, bytes] = {}
+        """Second answers that come right before the next one to a command, by word."""
         self._buffer = b""
         self._state = b"I"
         self._commits = 0
-        self._sent: list[bytes] = []
+        self.sent: list[bytes] = []
         self._repeated: Counter[int] = Counter()
         self.number = 0
         self.budget = 1
@@ -90,36 +90,29 @@
         self.number += 1
         body = self._run(request_id, text)
         answer = body + b"READY %b 1.%d\r\n" % (self._state, self._commits)
-        if text.startswith(b"DEALLOC "):
-            answer = self.insert_before_next_marker + answer
-            self.insert_before_next_marker = b""
-        self._sent.append(answer)
+        answer = self.inserted.pop(text.split(b" ")[0], b"") + answer
+        self.sent.append(answer)
         loop = asyncio.get_running_loop()
-        loop.call_soon(self._send, len(self._sent) - 1)
+        loop.call_soon(self._send, len(self.sent) - 1)
 
     def _send(self, index: int) -> None:
         count = self._late[index % len(self._late)] if self._late else 0
         for _ in range(count):
             self.repeat_one(before=index)
         if not self._stream.closed:
-            self._stream.data_received(self._sent[index])
+            self._stream.data_received(self.sent[index])
 
     def repeat_one(self, *, before: int | None = None) -> None:
         """Send the oldest answer that came only once a second time."""
-        for index in range(len(self._sent) if before is None else before):
+        for index in range(len(self.sent) if before is None else before):
             if not self.budget or self._stream.closed:
                 return
             if not self._repeated[index]:
                 self._repeated[index] += 1
                 self.budget -= 1
-                self._stream.data_received(self._sent[index])
+                self._stream.data_received(self.sent[index])
                 return
 
-    @property
-    def last_answer(self) -> bytes:
-        """The bytes of the last answer."""
-        return self._sent[-1]
-
     def _run(self, request_id: bytes, text: bytes) -> bytes:
         word = text.split(b" ")[0]
         if self._unknown_names_fail and word in (b"DEALLOC", b"EXECUTE"):
@@ -261,6 +254,17 @@
             (answer,) = await link.run([AskStatus()], timeout=LIMIT_S)
             check_own(AskStatus(), answer, endpoint)
 
+    async def test_a_status_and_its_marker_that_come_twice_are_not_taken_for_new_ones(
+        self,
+    ) -> None:
+        link, endpoint = connect([], set())
+        await link.run([AskStatus()], timeout=LIMIT_S)
+        status_and_marker = b"".join(endpoint.sent[:2])
+        await link.run([make_command("write", 1)], timeout=LIMIT_S)
+        endpoint.inserted[b"STATUS"] = status_and_marker
+        (answer,) = await link.run([AskStatus()], timeout=LIMIT_S)
+        check_own(AskStatus(), answer, endpoint)
+
     async def test_an_error_that_came_before_may_be_the_own_one(self) -> None:
         link, _ = connect([], {1, 2})
         for number in range(2):
@@ -282,9 +286,9 @@
     async def test_an_unknown_name_of_a_marker_is_no_error_of_a_statement(self) -> None:
         link, endpoint = connect([], set(), unknown_names_fail=True)
         await link.run([AskStatus()], timeout=LIMIT_S)
-        marker_answer = endpoint.last_answer
+        marker_answer = endpoint.sent[-1]
         await link.run([make_command("write", 1)], timeout=LIMIT_S)
-        endpoint.insert_before_next_marker = marker_answer
+        endpoint.inserted[b"DEALLOC"] = marker_answer
         command = make_command("write", 2)
         _, answer = await link.run([AskStatus(), command], timeout=LIMIT_S)
         check_own(command, answer, endpoint)
