Give the stand-in's endpoints framing of their own

The stand-in read messages through the proxy's LineStream, so both sides cut a text at the same place and no test could see it. It splits messages at CR LF by code of its own now.

--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -16,7 +16,7 @@
 
 from httptools import HttpParserError, HttpRequestParser
 
-from celeryjunction.adapters.line_stream import LineStream
+from celeryjunction.platform.standin_stream import StandinStream
 
 PROMOTION_DELAY_S = 0.2
 """Time from an accepted promotion call until it takes effect."""
@@ -65,7 +65,7 @@
         self.port = 0
         """Port of the listener, which a restart after `stop` may reuse."""
         self._server: asyncio.Server | None = None
-        self.streams: set[LineStream] = set()
+        self.streams: set[StandinStream] = set()
 
     @property
     def received_position(self) -> tuple[int, int]:
@@ -106,10 +106,10 @@
         self.term, self.is_primary = 1, is_primary
         self.born += 1
 
-    def _accept(self) -> LineStream:
-        return _AcceptedStream(self._serve)
+    def _accept(self) -> StandinStream:
+        return StandinStream(self._serve)
 
-    def _serve(self, stream: LineStream) -> None:
+    def _serve(self, stream: StandinStream) -> None:
         self.streams.add(stream)
         stream.on_lost = lambda: self.streams.discard(stream)
         task = asyncio.create_task(_EndpointConnection(self, stream).serve())
@@ -139,20 +139,10 @@
         return b"%b %d %d.%d %d %d 0 %d" % fields
 
 
-class _AcceptedStream(LineStream):
-    def __init__(self, serve: Callable[[LineStream], None]) -> None:
-        super().__init__()
-        self._serve = serve
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
-        self._serve(self)
-
-
 class _EndpointConnection:
     """Server side of a connection to an endpoint."""
 
-    def __init__(self, endpoint: StandinEndpoint, stream: LineStream) -> None:
+    def __init__(self, endpoint: StandinEndpoint, stream: StandinStream) -> None:
         self._endpoint = endpoint
         self._stream = stream
         self._state = b"I"
