--- a/src/celeryjunction/platform/answer_parser.py
+++ b/src/celeryjunction/platform/answer_parser.py
@@ -82,13 +82,7 @@
         if position != self._position_text:
             self._position_text = position
             self._position = parse_position(position)
-        answer = Answer(
-            tuple(self._rows),
-            self._digest,
-            state,
-            self._position,
-            self._fault,
-            self._detail,
-        )
+        rows, fault = tuple(self._rows), self._fault
+        answer = Answer(rows, self._digest, state, self._position, fault, self._detail)
         self._start_answer()
         return answer
--- a/src/celeryjunction/replication/answer_assignment.py
+++ b/src/celeryjunction/replication/answer_assignment.py
@@ -29,23 +29,26 @@
 
 MARKERS_AFTER_ERROR = 4
 """One fewer second answers may come together with that of an error without harm."""
+MARKERS_AFTER_STATUS = 2
+"""An earlier status is taken for a new one only if it comes again together with as many
+answers to earlier markers."""
 STATUS_ATTEMPTS = 3
 """Attempts to get a status while second answers to earlier ones come."""
 MARKER = Synchronize()
 STATE_COMMANDS = frozenset((OpenTransaction, ClearSession, SetValue, PrepareStatement))
 """Commands that change the connection's state; a refusal must not be missed."""
-MARKED_COMMANDS = STATUS_COMMANDS | STATE_COMMANDS
-"""Commands whose answers contain nothing that an earlier answer can't contain."""
 
 _log = get_logger("replication")
 
 
 def with_markers(commands: Iterable[Command]) -> Iterator[Command]:
-    """Return the commands, each with the marker that it needs."""
+    """Return the commands, each with the markers that it needs."""
     for command in commands:
         yield command
-        if type(command) in MARKED_COMMANDS:
+        if type(command) in STATE_COMMANDS:
             yield MARKER
+        elif type(command) in STATUS_COMMANDS:
+            yield from (MARKER,) * MARKERS_AFTER_STATUS
 
 
 class AnswerAssigner:
@@ -115,21 +118,13 @@
         return answer
 
     async def _read_status(self, command: Command) -> Answer:
-        """Return the only status that comes before the marker's answer.
+        """Return the only status that comes before the markers' answers.
 
         Statuses can't be told from one another, so if there are two, the command is
         sent again.
         """
-        answer, following = await self._read(), await self._read()
-        if self._is_status(command, answer) and _is_marker(following):
-            self._matcher.accept(answer)
-            self._matcher.accept(following)
-            return answer
-        return await self._resolve_status(command, [answer, following])
-
-    async def _resolve_status(self, command: Command, answers: list[Answer]) -> Answer:
         for _ in range(STATUS_ATTEMPTS):
-            statuses = await self._read_until_marker(command, answers)
+            statuses = await self._read_until_markers(command)
             if len(statuses) == 1:
                 self._matcher.accept(statuses[0])
                 return statuses[0]
@@ -137,23 +132,22 @@
                 self._matcher.remember(answer)
             self._count_discarded(command)
             self._send(with_markers([command]))
-            answers = []
         raise self.unassignable("a status came more than once")
 
-    async def _read_until_marker(
-        self, command: Command, answers: list[Answer]
-    ) -> list[Answer]:
-        """Return the statuses before a marker's answer; `answers` came already."""
+    async def _read_until_markers(self, command: Command) -> list[Answer]:
+        """Return the statuses, or errors, that come before the last marker's answer."""
         statuses: list[Answer] = []
-        while True:
-            answer = answers.pop(0) if answers else await self._read()
-            if self._is_status(command, answer):
-                statuses.append(answer)
-            elif statuses and _is_marker(answer):
+        markers = 0
+        while markers < MARKERS_AFTER_STATUS:
+            answer = await self._read()
+            if statuses and _is_marker(answer):
                 self._matcher.accept(answer)
-                return statuses
+                markers += 1
+            elif self._is_status(command, answer):
+                statuses.append(answer)
             else:
                 self._count_discarded(command)
+        return statuses
 
     def _is_status(self, command: Command, answer: Answer) -> bool:
         """Whether an answer has a status, or says why there is none."""
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -18,7 +18,10 @@
 from celeryjunction.errors import ConnectionLost
 from celeryjunction.platform.answer_parser import AnswerParser
 from celeryjunction.platform.wire import encode_command
-from celeryjunction.replication.answer_assignment import MARKERS_AFTER_ERROR
+from celeryjunction.replication.answer_assignment import (
+    MARKERS_AFTER_ERROR,
+    MARKERS_AFTER_STATUS,
+)
 from celeryjunction.replication.ports import (
     Answer,
     AskStatus,
@@ -27,6 +30,7 @@
     Fault,
     OpenTransaction,
     Relay,
+    RelayPrepared,
     RollBack,
     SetValue,
     TransactionState,
@@ -48,15 +52,23 @@
     """
 
     def __init__(
-        self, stream: LineStream, *, late: list[int], errors: set[int]
+        self,
+        stream: LineStream,
+        *,
+        late: list[int],
+        errors: set[int],
+        unknown_names_fail: bool = False,
     ) -> None:
         self._stream = stream
         self._late = late
         self._errors = errors
+        self._unknown_names_fail = unknown_names_fail
+        self.inserted: dict[bytes, bytes] = {}
+        """Second answers that come right before the next one to a command, by word."""
         self._buffer = b""
         self._state = b"I"
         self._commits = 0
-        self._sent: list[bytes] = []
+        self.sent: list[bytes] = []
         self._repeated: Counter[int] = Counter()
         self.number = 0
         self.budget = 1
@@ -85,30 +97,33 @@
         self.number += 1
         body = self._run(request_id, text)
         answer = body + b"READY %b 1.%d\r\n" % (self._state, self._commits)
-        self._sent.append(answer)
+        answer = self.inserted.pop(text.split(b" ")[0], b"") + answer
+        self.sent.append(answer)
         loop = asyncio.get_running_loop()
-        loop.call_soon(self._send, len(self._sent) - 1)
+        loop.call_soon(self._send, len(self.sent) - 1)
 
     def _send(self, index: int) -> None:
         count = self._late[index % len(self._late)] if self._late else 0
         for _ in range(count):
             self.repeat_one(before=index)
         if not self._stream.closed:
-            self._stream.data_received(self._sent[index])
+            self._stream.data_received(self.sent[index])
 
     def repeat_one(self, *, before: int | None = None) -> None:
         """Send the oldest answer that came only once a second time."""
-        for index in range(len(self._sent) if before is None else before):
+        for index in range(len(self.sent) if before is None else before):
             if not self.budget or self._stream.closed:
                 return
             if not self._repeated[index]:
                 self._repeated[index] += 1
                 self.budget -= 1
-                self._stream.data_received(self._sent[index])
+                self._stream.data_received(self.sent[index])
                 return
 
     def _run(self, request_id: bytes, text: bytes) -> bytes:
         word = text.split(b" ")[0]
+        if self._unknown_names_fail and word in (b"DEALLOC", b"EXECUTE"):
+            return b"ERROR NOSTMT i-1\r\n"
         if request_id == b"-":
             if word == b"STATUS":
                 row = b"ROW primary 1 1.%d 0 0 0 %d\r\n" % (self._commits, self.number)
@@ -133,11 +148,17 @@
 
 
 def connect(
-    late: list[int], errors: set[int], *, kind: type[Endpoint] = Endpoint
+    late: list[int],
+    errors: set[int],
+    *,
+    kind: type[Endpoint] = Endpoint,
+    unknown_names_fail: bool = False,
 ) -> tuple[PipelinedLink, Endpoint]:
     """Return a link to a model of an endpoint."""
     stream = LineStream()
-    endpoint = kind(stream, late=late, errors=errors)
+    endpoint = kind(
+        stream, late=late, errors=errors, unknown_names_fail=unknown_names_fail
+    )
     stream.connection_made(endpoint)
     link = PipelinedLink(
         stream,
@@ -262,6 +283,17 @@
             (answer,) = await link.run([AskStatus()], timeout=LIMIT_S)
             check_own(AskStatus(), answer, endpoint)
 
+    async def test_a_status_and_its_marker_that_come_twice_are_not_taken_for_new_ones(
+        self,
+    ) -> None:
+        link, endpoint = connect([], set())
+        await link.run([AskStatus()], timeout=LIMIT_S)
+        status_and_marker = b"".join(endpoint.sent[:2])
+        await link.run([make_command("write", 1)], timeout=LIMIT_S)
+        endpoint.inserted[b"STATUS"] = status_and_marker
+        (answer,) = await link.run([AskStatus()], timeout=LIMIT_S)
+        check_own(AskStatus(), answer, endpoint)
+
     async def test_an_error_that_came_before_may_be_the_own_one(self) -> None:
         link, _ = connect([], {1, 2})
         for number in range(2):
@@ -314,9 +346,10 @@
         link, endpoint = connect_silent()
         asked = asyncio.create_task(link.run([AskStatus()], timeout=LIMIT_S))
         await asyncio.sleep(0)
-        endpoint.answer_with(STATUS_ANSWER, BUSY_ANSWER, PLAIN_ANSWER)
+        markers = [PLAIN_ANSWER] * MARKERS_AFTER_STATUS
+        endpoint.answer_with(STATUS_ANSWER, BUSY_ANSWER, *markers)
         await asyncio.sleep(0)
-        endpoint.answer_with(STATUS_ANSWER, PLAIN_ANSWER)
+        endpoint.answer_with(STATUS_ANSWER, *markers)
         await asked
         command = make_command("write", 1)
         written = asyncio.create_task(link.run([command], timeout=LIMIT_S))
@@ -326,6 +359,23 @@
         (answer,) = await written
         assert answer.fault is None
 
+    async def test_an_unknown_name_of_a_marker_is_no_error_of_a_statement(self) -> None:
+        link, endpoint = connect([], set(), unknown_names_fail=True)
+        await link.run([AskStatus()], timeout=LIMIT_S)
+        marker_answer = endpoint.sent[-1]
+        await link.run([make_command("write", 1)], timeout=LIMIT_S)
+        endpoint.inserted[b"DEALLOC"] = marker_answer
+        command = make_command("write", 2)
+        _, answer = await link.run([AskStatus(), command], timeout=LIMIT_S)
+        check_own(command, answer, endpoint)
+
+    async def test_an_unknown_prepared_name_may_be_the_own_error(self) -> None:
+        link, _ = connect([], set(), unknown_names_fail=True)
+        command = RelayPrepared(b"q1", b"s1", b"7")
+        (answer,) = await link.run([command], timeout=LIMIT_S)
+        assert answer.fault is Fault.UNKNOWN_STATEMENT
+        assert link.usable
+
     async def test_a_begin_is_not_answered_by_an_earlier_command(self) -> None:
         link, _ = connect([0, 1], set())
         await link.run([SetValue(b"a", b"b")], timeout=LIMIT_S)
