Close connections on foreign answers that are no second ones

A ROLLBACK whose refusal (READONLY in state T: the primary lost the lead) came after a second answer `COMPLETE -` counted as done. The refusal then met the next command, was discarded because an error opens no transaction, and the next client's statement ran in the transaction. An answer that isn't the command's own now has to be one that came before, as it had to be while no command waits. The test fails without the change.

--- a/src/celeryjunction/replication/answer_assignment.py
+++ b/src/celeryjunction/replication/answer_assignment.py
@@ -108,6 +108,8 @@
             return await self._read_status(command)
         answer = await self._read()
         while (match := self._matcher.match(command, answer)) is Match.FOREIGN:
+            if not self._matcher.may_be_discarded(answer):
+                raise self.unassignable("an answer came to no known command")
             self._count_discarded(command)
             answer = await self._read()
         if match is Match.UNCERTAIN:
--- /dev/null
+++ b/tests/test_unknown_answers.py
@@ -0,0 +1,51 @@
+"""What a connection does with answers that fit nothing it knows."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from test_second_answers import (
+    LIMIT_S,
+    PLAIN_ANSWER,
+    connect_silent,
+    make_command,
+)
+
+from celeryjunction.errors import ConnectionLost
+from celeryjunction.replication.answer_assignment import MARKERS_AFTER_STATUS
+from celeryjunction.replication.ports import (
+    RollBack,
+)
+
+MARKER_ANSWERS = [PLAIN_ANSWER] * MARKERS_AFTER_STATUS
+
+
+class TestRollBack:
+    async def test_a_refused_rollback_is_not_hidden_by_a_second_answer(self) -> None:
+        link, endpoint = connect_silent()
+        opening = asyncio.create_task(
+            link.run([make_command("begin", 1)], timeout=LIMIT_S)
+        )
+        await asyncio.sleep(0)
+        open_answer = b"COMPLETE -\r\nREADY T 1.0\r\n"
+        endpoint.answer_with(open_answer, open_answer)
+        await opening
+        ending = asyncio.create_task(link.run([RollBack()], timeout=LIMIT_S))
+        await asyncio.sleep(0)
+        # The first one answers an earlier command a second time.
+        endpoint.answer_with(PLAIN_ANSWER)
+        try:
+            await ending
+        except ConnectionLost:
+            return
+        if not link.usable:
+            return
+        writing = asyncio.create_task(
+            link.run([make_command("write", 2)], timeout=LIMIT_S)
+        )
+        await asyncio.sleep(0)
+        endpoint.answer_with(b"ERROR READONLY i-1\r\nREADY T 1.0\r\n")
+        endpoint.answer_with(b"COMPLETE d2\r\nREADY T 1.0\r\n")
+        with pytest.raises(ConnectionLost):
+            await writing
