Don't send PAUSE, RESUME or DEMOTE again for a second status

A status that came more than once had its command sent again. A RESUME sent so comes later than the limit up to which the failover may send it, and may undo another one's PAUSE. The command has run once statuses and the markers' answers have come, so a STATUS now asks for the row. A refused command is still sent again. The test fails without the change.

--- a/src/celeryjunction/replication/answer_assignment.py
+++ b/src/celeryjunction/replication/answer_assignment.py
@@ -17,6 +17,7 @@
 from celeryjunction.replication.ports import (
     STATUS_COMMANDS,
     Answer,
+    AskStatus,
     ClearSession,
     Command,
     Fault,
@@ -122,8 +123,8 @@
     async def _read_status(self, command: Command) -> Answer:
         """Return the only status that comes before the markers' answers.
 
-        Statuses can't be told from one another, so if there are two, the command is
-        sent again.
+        Statuses can't be told from one another, so if there are two, another one is
+        asked for.
         """
         for _ in range(STATUS_ATTEMPTS):
             statuses = await self._read_until_markers(command)
@@ -133,6 +134,9 @@
             for answer in statuses:
                 self._matcher.remember(answer)
             self._count_discarded(command)
+            if all(answer.fault is None for answer in statuses):
+                # The command has run, and must not run again later.
+                command = AskStatus()
             self._send(with_markers([command]))
         raise self.unassignable("a status came more than once")
 
--- a/tests/test_unknown_answers.py
+++ b/tests/test_unknown_answers.py
@@ -8,6 +8,9 @@
 from test_second_answers import (
     LIMIT_S,
     PLAIN_ANSWER,
+    STATUS_ANSWER,
+    SilentEndpoint,
+    connect,
     connect_silent,
     make_command,
 )
@@ -15,6 +18,7 @@
 from celeryjunction.errors import ConnectionLost
 from celeryjunction.replication.answer_assignment import MARKERS_AFTER_STATUS
 from celeryjunction.replication.ports import (
+    ResumeReceiving,
     RollBack,
 )
 
@@ -49,3 +53,22 @@
         endpoint.answer_with(b"COMPLETE d2\r\nREADY T 1.0\r\n")
         with pytest.raises(ConnectionLost):
             await writing
+
+
+class CommandRecorder(SilentEndpoint):
+    """Keeps the texts of the commands that it got."""
+
+    def _answer(self, line: bytes) -> None:
+        self.sent.append(line.split(b" ", 2)[2])
+
+
+class TestCommandsWithEffect:
+    async def test_a_resume_whose_status_came_twice_is_sent_once(self) -> None:
+        link, endpoint = connect([], set(), kind=CommandRecorder)
+        resuming = asyncio.create_task(link.run([ResumeReceiving()], timeout=LIMIT_S))
+        await asyncio.sleep(0)
+        endpoint.answer_with(STATUS_ANSWER, STATUS_ANSWER, *MARKER_ANSWERS)
+        await asyncio.sleep(0)
+        endpoint.answer_with(STATUS_ANSWER, *MARKER_ANSWERS)
+        await resuming
+        assert endpoint.sent.count(b"RESUME") == 1
