Close control connections that can't be used any more

A connection on which part of an answer came while idle, or that is full, is not usable, but was dropped without a close: it stayed open at the endpoint and counted towards its limit. The test fails without the change.

--- a/src/celeryjunction/replication/control.py
+++ b/src/celeryjunction/replication/control.py
@@ -153,7 +153,9 @@
         link = self._link
         borrowed = None
         if link is None or not link.usable:
-            self._was_closed = self._was_closed or link is not None
+            if link is not None:
+                self._was_closed = True
+                link.close()
             self._link = None
             if self._idle_pool is not None:
                 borrowed = self._idle_pool.borrow(self.info.id)
--- a/tests/test_unknown_answers.py
+++ b/tests/test_unknown_answers.py
@@ -15,9 +15,15 @@
     make_command,
 )
 
+from celeryjunction.adapters.pipelined_link import PipelinedLink
 from celeryjunction.errors import ConnectionLost
+from celeryjunction.ports import BootClock
 from celeryjunction.replication.answer_assignment import MARKERS_AFTER_STATUS
+from celeryjunction.replication.control import ControlLink
 from celeryjunction.replication.ports import (
+    Answer,
+    EndpointInfo,
+    EndpointStatus,
     ResumeReceiving,
     RollBack,
 )
@@ -72,3 +78,35 @@
         endpoint.answer_with(STATUS_ANSWER, *MARKER_ANSWERS)
         await resuming
         assert endpoint.sent.count(b"RESUME") == 1
+
+
+class SilentDialer:
+    """Opens connections to endpoints whose answers the test supplies."""
+
+    def __init__(self) -> None:
+        self.endpoints: list[SilentEndpoint] = []
+
+    async def connect(self, endpoint: EndpointInfo, *, timeout: float) -> PipelinedLink:
+        """Return a link to a silent endpoint."""
+        link, silent = connect_silent()
+        self.endpoints.append(silent)
+        return link
+
+    def status(self, answer: Answer) -> EndpointStatus | None:
+        """Decode no status."""
+        return None
+
+
+class TestControlLink:
+    async def test_a_connection_with_part_of_an_answer_is_closed(self) -> None:
+        dialer = SilentDialer()
+        info = EndpointInfo("i-1", "db", "127.0.0.1", 1, "a", 4)
+        control = ControlLink(info, dialer=dialer, clock=BootClock())
+        for number in range(2):
+            asking = asyncio.create_task(control.ask(timeout=LIMIT_S))
+            await asyncio.sleep(0.01)
+            dialer.endpoints[number].answer_with(STATUS_ANSWER, *MARKER_ANSWERS)
+            await asyncio.sleep(0.01)
+            dialer.endpoints[number].answer_with(b"ROW a\r\n")
+            await asking
+        assert dialer.endpoints[0]._stream.closed
