Close idle connections that can't be used any more

A pooled connection on which something unexpected had come, or that had given as many answers as are remembered, was dropped from the pool without a close. It stayed open at the endpoint and counted towards its limit. The test failed before.

--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -186,8 +186,13 @@
         return self._idle.pop()[0] if self._idle else None
 
     def _drop_broken(self) -> None:
-        kept = [entry for entry in self._idle if entry[0].usable]
-        self.links -= len(self._idle) - len(kept)
+        kept = []
+        for entry in self._idle:
+            if entry[0].usable:
+                kept.append(entry)
+            else:
+                entry[0].close()
+                self.links -= 1
         self._idle = kept
 
     def _record_connect_failure(self, error: BaseException) -> None:
--- a/tests/test_lent_connections.py
+++ b/tests/test_lent_connections.py
@@ -10,6 +10,7 @@
 
 from celeryjunction.dispatch.connection_budget import ConnectionBudget
 from celeryjunction.dispatch.dispatcher import Dispatcher, PendingStatement
+from celeryjunction.dispatch.gates import EndpointGate
 from celeryjunction.ports import BootClock
 from celeryjunction.replication.control import ControlLink
 from celeryjunction.replication.ports import EndpointInfo
@@ -101,3 +102,33 @@
         gate.close()
         assert gate.links == 0
         pool.dispatcher.close()
+
+
+class StubLink:
+    """A connection that can turn unusable without being closed."""
+
+    def __init__(self) -> None:
+        self.usable, self.closed = True, False
+        self.in_transaction = False
+        self.values: dict[bytes, bytes] = {}
+        self.opened_at = 0.0
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class TestIdleConnections:
+    def test_one_that_can_not_be_used_any_more_is_closed(self) -> None:
+        gate = EndpointGate(
+            EndpointInfo("a1", "g", "h", 1, "a", 3),
+            dialer=FakeCluster("a1"),
+            clock=BootClock(),
+            random=Random(1),
+            max_links=3,
+        )
+        link = StubLink()
+        assert gate.adopt(link)
+        link.usable = False
+        assert gate.borrow() is None
+        assert link.closed
+        assert gate.links == 0
