Don't promise an error that came again on a connection that repeats answers

Where every answer came again after 10 ms and 30% of the statements were refused, an old error and the answers to its markers came again together, and confirmed the error for a write that ran (REFUSED).

--- a/src/celeryjunction/replication/answer_assignment.py
+++ b/src/celeryjunction/replication/answer_assignment.py
@@ -59,7 +59,14 @@
     the answers that were not those of the command that waited, by its kind.
     """
 
-    __slots__ = ("_discarded", "_endpoint", "_matcher", "_read", "_send")
+    __slots__ = (
+        "_discarded",
+        "_endpoint",
+        "_has_second_answers",
+        "_matcher",
+        "_read",
+        "_send",
+    )
 
     def __init__(
         self,
@@ -74,6 +81,7 @@
         self._send = send
         self._discarded = discarded
         self._matcher = AnswerMatcher()
+        self._has_second_answers = False
 
     @property
     def state(self) -> TransactionState:
@@ -93,6 +101,7 @@
         if not self._matcher.may_be_discarded(answer):
             raise self.unassignable("an answer came that no command waits for")
         self._discarded["no_command_waits"] += 1
+        self._has_second_answers = True
 
     def unassignable(self, reason: str) -> ConnectionLost:
         """Log why answers can't be assigned any more, and return the error."""
@@ -180,6 +189,9 @@
                 return answer
             else:
                 self._count_discarded(command)
+        if self._has_second_answers:
+            # The error may have come again together with the answers to its markers.
+            raise self.unassignable("an error came again, as other answers did")
         return error
 
     async def _expect_marker(self, state: TransactionState) -> None:
@@ -206,6 +218,7 @@
 
     def _count_discarded(self, command: Command) -> None:
         self._discarded[type(command).__name__] += 1
+        self._has_second_answers = True
 
 
 def _is_marker(answer: Answer) -> bool:
