Identify clients by API key and name their organisation to endpoints

Cause: no code knew organisations: the config's list was dropped, the key of a CONNECT was discarded, and every connection to an endpoint named the VM.

Change: a key's digest identifies the organisation; unknown keys are refused; connections to endpoints have an owner and are reused by it only; the version of the routes travels with a forwarded statement, and a home with older routes doesn't run it; sessions whose key was removed are ended.

--- a/src/celeryjunction/adapters/pipelined_link.py
+++ b/src/celeryjunction/adapters/pipelined_link.py
@@ -59,8 +59,10 @@
         parser: LineParser,
         opened_at: float,
         counts: LinkCounts,
+        owner: str = "",
     ) -> None:
         self._counts = counts
+        self.owner = owner
         self.opened_at = opened_at
         self.values: dict[bytes, bytes] = {}
         self.prepared: set[bytes] = set()
--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -55,6 +55,7 @@
         "excluded",
         "may_have_run",
         "opens_transaction",
+        "organisation",
         "priority",
         "queue_deadline",
         "required_endpoint",
@@ -70,7 +71,10 @@
         required_endpoint: str | None = None,
         opens_transaction: bool = False,
         values: dict[bytes, bytes] | None = None,
+        organisation: str = "",
     ) -> None:
+        self.organisation = organisation
+        """Owner of the connection that the statement needs; empty for none."""
         self.priority = priority
         self.arrived = arrived
         self.queue_deadline = queue_deadline
@@ -276,7 +280,7 @@
         else:
             gate.running += 1
         try:
-            link = await gate.acquire(pending.values)
+            link = await gate.acquire(pending.values, pending.organisation)
         except BaseException:
             gate.running -= 1
             pending.excluded.add(gate.info.id)
@@ -351,7 +355,11 @@
     def _has_room(
         self, gate: EndpointGate, pending: PendingStatement, now: float
     ) -> bool:
-        if now < gate.avoid_until or gate.is_stuck(now) or not gate.has_link(now):
+        if (
+            now < gate.avoid_until
+            or gate.is_stuck(now)
+            or not gate.has_link(now, pending.organisation)
+        ):
             return False
         if pending.opens_transaction and not gate.may_pin:
             return False
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -148,10 +148,10 @@
         yield "running", self.running
         yield "links", self.links
 
-    def has_link(self, now: float) -> bool:
-        """Whether a connection is idle or may be opened at `now`."""
+    def has_link(self, now: float, owner: str = "") -> bool:
+        """Whether a connection of an owner is idle or may be opened at `now`."""
         free = len(self._idle) - self.promised
-        if free > 0:
+        if free > 0 and any(link.owner == owner for link, _ in self._idle):
             return True
         may_open = self.links - free < self.max_links
         return may_open and now >= self.connection_limit_until
@@ -161,29 +161,47 @@
         """Whether another transaction may pin a connection."""
         return self.pinned < self.max_links - self.max_links // RESERVED_DIVISOR
 
-    async def acquire(self, values: dict[bytes, bytes]) -> EndpointLink:
-        """Return an idle connection, preferably one with these values, or open one.
+    async def acquire(
+        self, values: dict[bytes, bytes], owner: str = ""
+    ) -> EndpointLink:
+        """Return an idle connection of an owner, or open one.
+
+        One with these values is preferred.
 
         Raises `ConnectionLost` (nothing sent) or `EndpointRefused`.
         """
-        link = self._take_idle(values)
+        link = self._take_idle(values, owner)
         if link is not None:
             return link
+        self._make_room()
         self.links += 1
         try:
-            link = await self._dialer.connect(self.info, timeout=CONNECT_TIMEOUT_S)
+            link = await self._dialer.connect(
+                self.info, timeout=CONNECT_TIMEOUT_S, owner=owner
+            )
         except BaseException as error:
             self.links -= 1
             self._record_connect_failure(error)
             raise
         return link
 
-    def _take_idle(self, values: dict[bytes, bytes]) -> EndpointLink | None:
+    def _take_idle(self, values: dict[bytes, bytes], owner: str) -> EndpointLink | None:
         self._drop_broken()
+        newest = None
         for index in range(len(self._idle) - 1, -1, -1):
-            if self._idle[index][0].values == values:
+            link = self._idle[index][0]
+            if link.owner != owner:
+                continue
+            if link.values == values:
                 return self._idle.pop(index)[0]
-        return self._idle.pop()[0] if self._idle else None
+            newest = index if newest is None else newest
+        return None if newest is None else self._idle.pop(newest)[0]
+
+    def _make_room(self) -> None:
+        """Close the connection that was idle longest if no further one may be open."""
+        if self.links >= self.max_links and self._idle:
+            self._idle.pop(0)[0].close()
+            self.links -= 1
 
     def _drop_broken(self) -> None:
         kept = []
--- a/src/celeryjunction/errors.py
+++ b/src/celeryjunction/errors.py
@@ -25,6 +25,8 @@
     NOT_RUN_DEADLINE = "not_run_deadline"
     NOT_RUN_NO_PRIMARY = "not_run_no_primary"
     NOT_RUN_SHED = "not_run_shed"
+    NOT_RUN_ALLOTMENT = "not_run_allotment"
+    NOT_RUN_OLDER_ROUTES = "not_run_older_routes"
     NOT_RUN_ROLLED_BACK = "not_run_rolled_back"
     NOT_RUN_CONNECTION = "not_run_connection"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -35,6 +37,7 @@
     UNKNOWN_DATABASE = "unknown_database"
     NO_CONTRACT = "no_contract"
     WRONG_PASSWORD = "wrong_password"
+    UNKNOWN_KEY = "unknown_key"
     STATEMENT_TOO_LARGE = "statement_too_large"
     PROTOCOL_VIOLATION = "protocol_violation"
     UNKNOWN_STATEMENT = "unknown_statement"
@@ -77,6 +80,18 @@
         Ran.NO,
         True,
     ),
+    ErrorKind.NOT_RUN_ALLOTMENT: ErrorSpec(
+        "CJ006",
+        "not run: organisation {organisation} has used up its allotment",
+        Ran.NO,
+        True,
+    ),
+    ErrorKind.NOT_RUN_OLDER_ROUTES: ErrorSpec(
+        "CJ007",
+        "not run: the routes in force are older than version {version}",
+        Ran.NO,
+        True,
+    ),
     ErrorKind.NOT_RUN_ROLLED_BACK: ErrorSpec(
         "CJ004",
         "not run: the transaction was rolled back before it was committed ({reason})",
@@ -140,6 +155,12 @@
         Ran.NO,
         False,
     ),
+    ErrorKind.UNKNOWN_KEY: ErrorSpec(
+        "28001",
+        'no organisation with access to database "{database}" has this key',
+        Ran.NO,
+        False,
+    ),
     ErrorKind.STATEMENT_TOO_LARGE: ErrorSpec(
         "54000",
         "not run: a message of {size} bytes is larger than the limit of {limit} bytes",
--- a/src/celeryjunction/gateway/gateway.py
+++ b/src/celeryjunction/gateway/gateway.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from celeryjunction.dispatch.dispatcher import Dispatcher
 from celeryjunction.gateway.request_log import RequestLog
 from celeryjunction.gateway.routes import Route, RouteTable
@@ -26,6 +28,8 @@
         self.table: RouteTable | None = None
         self.groups: dict[str, ReplicationGroup] = {}
         self.dispatchers: dict[str, Dispatcher] = {}
+        self.on_newer_routes: Callable[[int], None] = lambda version: None
+        """Called when another VM has newer routes in force than this one."""
         self.open_transactions = 0
         self.running = 0
 
--- a/src/celeryjunction/gateway/routes.py
+++ b/src/celeryjunction/gateway/routes.py
@@ -7,6 +7,9 @@
 
 import msgspec
 
+from celeryjunction.errors import ErrorKind, ProxyError
+from celeryjunction.gateway.organisations import ANYONE, Caller, OrganisationTable
+
 
 class Consistency(Enum):
     """What a route's reads must see."""
@@ -36,6 +39,8 @@
     priority: int = 1
     staleness_s: float = 0.0
     """Bound of the staleness of reads, seconds."""
+    anonymous: bool = False
+    """Whether clients need no key and belong to no organisation."""
 
 
 class GroupSettings(msgspec.Struct, frozen=True):
@@ -50,7 +55,13 @@
 class RouteTable:
     """All routes of one config version; immutable."""
 
-    __slots__ = ("_by_database", "groups", "idle_transaction_s", "version")
+    __slots__ = (
+        "_by_database",
+        "groups",
+        "idle_transaction_s",
+        "organisations",
+        "version",
+    )
 
     def __init__(
         self,
@@ -59,8 +70,11 @@
         routes: tuple[Route, ...],
         groups: tuple[GroupSettings, ...],
         idle_transaction_s: float,
+        organisations: OrganisationTable | None = None,
     ) -> None:
         self.version = version
+        self.organisations = organisations
+        """The organisations; None if clients need no key."""
         self.groups = {group.name: group for group in groups}
         self.idle_transaction_s = idle_transaction_s
         self._by_database = {route.database: route for route in routes}
@@ -77,3 +91,31 @@
     def route(self, database: str) -> Route | None:
         """Return the route of a database name, or None."""
         return self._by_database.get(database)
+
+    def identify(self, database: str, digest: bytes) -> Caller:
+        """Return who a client of a database is, by the digest of its key.
+
+        Raises `ProxyError` if there is no such route, or no organisation has the key.
+        """
+        route = self.route(database)
+        if route is None:
+            raise ProxyError(ErrorKind.UNKNOWN_DATABASE, {"database": database})
+        if self.organisations is None or route.anonymous:
+            return ANYONE
+        organisation = self.organisations.find(digest)
+        if organisation is None:
+            raise ProxyError(ErrorKind.UNKNOWN_KEY, {"database": database})
+        return Caller(organisation.name, digest)
+
+    def still_admits(self, database: str, caller: Caller) -> bool:
+        """Whether a session that an earlier version admitted may go on.
+
+        A session whose route was removed is refused statement by statement instead.
+        """
+        route = self.route(database)
+        if route is None:
+            return True
+        try:
+            return self.identify(database, caller.digest) == caller
+        except ProxyError:
+            return False
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -19,6 +19,7 @@
     rolled_back_error,
 )
 from celeryjunction.gateway.gateway import Gateway
+from celeryjunction.gateway.organisations import NO_ORGANISATION
 from celeryjunction.gateway.routes import Consistency, Route
 from celeryjunction.gateway.shared_state import (
     apply_state,
@@ -121,9 +122,18 @@
     """
 
     def __init__(
-        self, database: str, *, gateway: Gateway, state: SessionState | None = None
+        self,
+        database: str,
+        *,
+        gateway: Gateway,
+        state: SessionState | None = None,
+        organisation: str = NO_ORGANISATION,
+        routes_version: int = 0,
     ) -> None:
         self.database = database
+        self.organisation = organisation
+        self._routes_version = routes_version
+        """Version of the routes under which the client was admitted."""
         self.session_state = state or SessionState()
         """State that outlives transactions."""
         self._gateway = gateway
@@ -162,6 +172,8 @@
             await self._wait_for_abort()
             if self._closed:
                 raise rolled_back_error("its session was closed")
+            if self._transaction is None:
+                self._check_routes_version()
             if route is None and self._transaction is None:
                 raise ProxyError(
                     ErrorKind.UNKNOWN_DATABASE, {"database": self.database}
@@ -179,6 +191,16 @@
             self._start_idle_timer()
             self._record_outcome(request, route, outcome)
 
+    def _check_routes_version(self) -> None:
+        """Refuse a statement of a client that was admitted under newer routes."""
+        table = self._gateway.table
+        in_force = table.version if table is not None else 0
+        if in_force < self._routes_version:
+            self._gateway.on_newer_routes(self._routes_version)
+            raise ProxyError(
+                ErrorKind.NOT_RUN_OLDER_ROUTES, {"version": self._routes_version}
+            )
+
     def _record_outcome(
         self, request: Request, route: Route | None, outcome: str
     ) -> None:
@@ -197,6 +219,7 @@
             id=request.id.decode("latin-1"),
             statement=type(request.statement).__name__,
             database=self.database,
+            organisation=self.organisation or None,
             group=route.group if route else None,
             consistency=route.consistency if route else None,
             routes_version=gateway.table.version if gateway.table else None,
@@ -829,6 +852,7 @@
             queue_deadline=arrived + min(queue_wait_s, route.timeout_s),
             opens_transaction=opens_transaction,
             values=self.session_state.values,
+            organisation=self.organisation,
         )
 
     def _is_synchronous(self, group: ReplicationGroup) -> bool:
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from random import Random
 from typing import Protocol
@@ -30,6 +31,7 @@
 )
 from celeryjunction.follower import PrefixFollower
 from celeryjunction.gateway.gateway import Gateway
+from celeryjunction.gateway.organisations import key_digest
 from celeryjunction.gateway.routes import RouteTable
 from celeryjunction.logs import get_logger
 from celeryjunction.membership import Membership
@@ -105,6 +107,10 @@
     running: bool
     session: ForwardingSession | None
 
+    def revoke(self) -> None:
+        """End the connection, after the answer to a running statement."""
+        ...
+
 
 class Frontend(Protocol):
     """Accepts clients."""
@@ -173,6 +179,7 @@
         self._homes = HomeSelector(
             membership.record, random=random, on_update=self._apply_home_update
         )
+        self.gateway.on_newer_routes = self._refresh_routes
         self.home_server = HomeServer(
             self.gateway,
             status=self._home_status,
@@ -213,6 +220,7 @@
         call for each pair of VMs.
         """
         if self.gateway.apply_routes(table):
+            self._end_revoked_sessions()
             self._update_topology()
 
     def _update_topology(self) -> None:
@@ -397,16 +405,45 @@
 
     # Clients and the balancer
 
-    def open_session(self, database: str) -> ForwardingSession:
-        """Open a client's session; raises `ProxyError`."""
-        if self.gateway.table is None:
+    def open_session(self, database: str, key: bytes = b"") -> ForwardingSession:
+        """Open the session of a client that presents a key; raises `ProxyError`."""
+        table = self.gateway.table
+        if table is None:
             raise ProxyError(
                 ErrorKind.NOT_RUN_CONNECTION,
                 {"database": database, "reason": "no config yet"},
             )
-        if self.gateway.route(database) is None:
-            raise ProxyError(ErrorKind.UNKNOWN_DATABASE, {"database": database})
-        return ForwardingSession(database, gateway=self.gateway, homes=self._homes)
+        digest = key_digest(key) if table.organisations is not None else b""
+        try:
+            caller = table.identify(database, digest)
+        except ProxyError as error:
+            self.metrics.count("refused_sessions", reason=error.kind.value)
+            raise
+        return ForwardingSession(
+            database, gateway=self.gateway, homes=self._homes, caller=caller
+        )
+
+    def _end_revoked_sessions(self) -> None:
+        """End the sessions of clients that the routes in force don't admit any more."""
+        table = self.gateway.table
+        if self._frontend is None or table is None:
+            return
+        ended: Counter[str] = Counter()
+        for connection in self._frontend.connections:
+            session = connection.session
+            if session is not None and not table.still_admits(
+                session.database, session.caller
+            ):
+                ended[session.caller.organisation] += 1
+                connection.revoke()
+        for organisation, count in ended.items():
+            self.metrics.count("revoked_sessions", count, organisation=organisation)
+            _log.info(
+                "sessions_revoked",
+                organisation=organisation,
+                sessions=count,
+                routes_version=table.version,
+            )
 
     @property
     def ready(self) -> bool:
--- a/src/celeryjunction/platform/endpoints.py
+++ b/src/celeryjunction/platform/endpoints.py
@@ -22,7 +22,8 @@
 class LineDialer:
     """Implements `EndpointDialer`.
 
-    `client_name` is the name that the proxy gives in the CONNECT message to endpoints.
+    `client_name` is the name that the CONNECT message to endpoints gives on connections
+    without an owner.
     """
 
     def __init__(self, *, client_name: str, clock: Clock) -> None:
@@ -32,9 +33,13 @@
         """Connections opened since the start."""
         self.counts = LinkCounts()
 
-    async def connect(self, endpoint: EndpointInfo, *, timeout: float) -> PipelinedLink:
+    async def connect(
+        self, endpoint: EndpointInfo, *, timeout: float, owner: str = ""
+    ) -> PipelinedLink:
         """Open a connection and wait until the endpoint is ready for statements.
 
+        The endpoint is told the name of `owner`, or of this VM without one.
+
         Raises `EndpointRefused` if the endpoint answers with an error, and
         `ConnectionLost` if it can't be reached within `timeout` seconds.
         """
@@ -47,7 +52,7 @@
                 )
                 fields = (
                     endpoint.group.encode(),
-                    self._client_name,
+                    owner.encode() or self._client_name,
                     endpoint.id.encode(),
                 )
                 stream.write(b"CONNECT %b %b %b\r\n" % fields)
@@ -71,6 +76,7 @@
             parser=AnswerParser(greeting=line or b""),
             opened_at=self._clock.monotonic(),
             counts=self.counts,
+            owner=owner,
         )
 
     @staticmethod
--- a/src/celeryjunction/platform/frontend.py
+++ b/src/celeryjunction/platform/frontend.py
@@ -5,10 +5,10 @@
 import asyncio
 from collections.abc import Callable
 
+from celeryjunction.adapters.line_server import LineServer
 from celeryjunction.adapters.line_stream import LineStream, LineTooLong
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.gateway.statements import Request
-from celeryjunction.logs import get_logger
 from celeryjunction.platform.wire import (
     ERROR_CODES,
     FAULT_CODES,
@@ -26,10 +26,8 @@
 MAX_ERROR_CHARACTERS = 1000
 """Length of error texts, which may quote names of up to 1 MiB."""
 
-_log = get_logger("frontend")
-
-OpenSession = Callable[[str], ForwardingSession]
-"""Opens a session for a database name; raises `ProxyError`."""
+OpenSession = Callable[[str, bytes], ForwardingSession]
+"""Opens a session for a database name and a client's key; raises `ProxyError`."""
 
 
 class ClientConnection:
@@ -43,6 +41,7 @@
         self._clock = clock
         self.session: ForwardingSession | None = None
         self.running = False
+        self._revoked = False
 
     @property
     def is_idle(self) -> bool:
@@ -55,6 +54,12 @@
         """Close the connection after pending output has been sent."""
         self._stream.close()
 
+    def revoke(self) -> None:
+        """End the connection: at once, or after the answer to a running statement."""
+        self._revoked = True
+        if not self.running:
+            self._stream.close()
+
     async def serve(self) -> None:
         """Serve the client until the connection ends.
 
@@ -79,7 +84,7 @@
             return
         while True:
             line = await self._stream.read_line()
-            if line is None or line == b"RELEASE":
+            if line is None or line == b"RELEASE" or self._revoked:
                 return
             arrived_at = self._clock.monotonic()
             self.running = True
@@ -94,6 +99,8 @@
                 raise
             finally:
                 self.running = False
+            if self._revoked:
+                return
 
     def _handle_connect(self, line: bytes) -> bool:
         fields = line.split(b" ")
@@ -101,7 +108,8 @@
             self._stream.write(b"ERROR MALFORMED a connection begins with CONNECT\r\n")
             return False
         try:
-            self.session = self._open_session(_decode_name(fields[1]))
+            key = b" ".join(fields[2:])
+            self.session = self._open_session(_decode_name(fields[1]), key)
         except ProxyError as error:
             self._stream.write(_encode_error(error))
             return False
@@ -161,76 +169,17 @@
     return line.replace(b"\r", b" ").replace(b"\n", b" ")
 
 
-class LineFrontend:
+class LineFrontend(LineServer[ClientConnection]):
     """Accepts clients' connections and runs a task for each."""
 
     def __init__(
         self, *, host: str, port: int, open_session: OpenSession, clock: Clock
     ) -> None:
-        self._host = host
-        self._port = port
+        super().__init__(host=host, port=port)
         self._open_session = open_session
         self._clock = clock
-        self._server: asyncio.Server | None = None
-        self._connections: dict[ClientConnection, asyncio.Task[None]] = {}
 
-    @property
-    def connections(self) -> list[ClientConnection]:
-        """The open connections."""
-        return list(self._connections)
-
-    async def start(self) -> None:
-        """Open the listener; raises `OSError`."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._accept, self._host, self._port, backlog=512
-        )
-
-    def _accept(self) -> LineStream:
-        stream = _AcceptedStream()
-        stream.on_connected = self._serve
-        return stream
-
-    def _serve(self, stream: LineStream) -> None:
-        connection = ClientConnection(
+    def _make_connection(self, stream: LineStream) -> ClientConnection:
+        return ClientConnection(
             stream, open_session=self._open_session, clock=self._clock
         )
-        task = asyncio.create_task(connection.serve())
-        self._connections[connection] = task
-        task.add_done_callback(lambda done: self._connection_done(connection, done))
-
-    def _connection_done(
-        self, connection: ClientConnection, task: asyncio.Task[None]
-    ) -> None:
-        self._connections.pop(connection, None)
-        if task.cancelled():
-            return
-        error = task.exception()
-        if error is not None and not isinstance(error, TimeoutError):
-            _log.error("connection_failed", reason=repr(error))
-
-    def stop_accepting(self) -> None:
-        """Close the listener, so that new connections are refused."""
-        if self._server is not None:
-            self._server.close()
-
-    def close_idle(self) -> int:
-        """Close the connections that are idle; return how many."""
-        idle = [connection for connection in self._connections if connection.is_idle]
-        for connection in idle:
-            connection.close()
-        return len(idle)
-
-    async def close(self) -> None:
-        """Close the listener and all connections, and wait for their tasks."""
-        self.stop_accepting()
-        tasks = list(self._connections.values())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-
-class _AcceptedStream(LineStream):
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
-        self.on_connected(self)
--- a/src/celeryjunction/platform/records.py
+++ b/src/celeryjunction/platform/records.py
@@ -16,6 +16,7 @@
     decode_json,
     is_word,
 )
+from celeryjunction.gateway.organisations import Organisation, OrganisationTable
 from celeryjunction.gateway.routes import Consistency, GroupSettings, Route, RouteTable
 from celeryjunction.logs import get_logger
 from celeryjunction.ports import KeyValue
@@ -42,6 +43,7 @@
     """Latency objective of a whole operation."""
     priority: Count = 1
     max_staleness_ms: Amount = 0.0
+    anonymous: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -58,11 +60,22 @@
     """Time after which an idle transaction is rolled back; 0 for no limit."""
 
 
+class _Tenant(msgspec.Struct):
+    """An organisation."""
+
+    name: Name
+    api_keys: list[str] = []
+    rate_per_s: Amount = 0.0
+    """Operations per second that all VMs together may run; 0 for no limit."""
+    burst: Amount = 0.0
+
+
 class _Config(msgspec.Struct):
     version: Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
 
 
 class _RegisterEntry(msgspec.Struct):
@@ -92,6 +105,24 @@
         routes=tuple(map(_convert_route, config.routes)),
         groups=groups,
         idle_transaction_s=config.limits.tx_idle_ms / 1000,
+        organisations=_convert_tenants(config.tenants),
+    )
+
+
+def _convert_tenants(tenants: list[_Tenant]) -> OrganisationTable | None:
+    """Return the organisations; None if the config has none.
+
+    A name that endpoints can't be told is left out, and its keys are then unknown.
+    """
+    if not tenants:
+        return None
+    return OrganisationTable(
+        (
+            Organisation(tenant.name, tenant.rate_per_s, tenant.burst),
+            [key.encode() for key in tenant.api_keys],
+        )
+        for tenant in tenants
+        if is_word(tenant.name)
     )
 
 
@@ -105,6 +136,7 @@
         goal_s=route.goal_ms / 1000,
         priority=route.priority,
         staleness_s=route.max_staleness_ms / 1000,
+        anonymous=route.anonymous,
     )
 
 
--- a/src/celeryjunction/relay/home_link.py
+++ b/src/celeryjunction/relay/home_link.py
@@ -118,6 +118,8 @@
         transaction: int,
         state: SessionState | None,
         timeout: float,
+        organisation: str = "",
+        routes_version: int = 0,
     ) -> Outcome:
         """Run a statement; raises `ConnectionLost` without an outcome in `timeout` s.
 
@@ -128,7 +130,9 @@
         if stream is None or stream.closed:
             raise ConnectionLost(f"no connection to home {self.vm}", sent=False)
         number = next(self._statement_numbers)
-        message = RunStatement(number, transaction, database, request, state)
+        message = RunStatement(
+            number, transaction, database, request, state, organisation, routes_version
+        )
         try:
             stream.write_frame(encode(message))
         except FrameTooLarge as error:
--- a/src/celeryjunction/relay/home_server.py
+++ b/src/celeryjunction/relay/home_server.py
@@ -276,7 +276,11 @@
             if message.state is None or (message.seat != NO_TRANSACTION and not begins):
                 return None
             session = StatementSession(
-                message.database, gateway=self._gateway, state=message.state
+                message.database,
+                gateway=self._gateway,
+                state=message.state,
+                organisation=message.organisation,
+                routes_version=message.routes_version,
             )
             if message.seat != NO_TRANSACTION:
                 self.transactions[message.seat] = session
--- a/src/celeryjunction/relay/messages.py
+++ b/src/celeryjunction/relay/messages.py
@@ -10,6 +10,7 @@
 
 from celeryjunction.decoding import Amount, Count, decode
 from celeryjunction.errors import ErrorKind, ProxyError
+from celeryjunction.gateway.organisations import NO_ORGANISATION
 from celeryjunction.gateway.session import SessionState
 from celeryjunction.gateway.statements import Request
 from celeryjunction.replication.ports import (
@@ -27,7 +28,8 @@
 class RunStatement(msgspec.Struct, frozen=True, array_like=True, tag="run"):
     """Run a statement; `seat` is the transaction's number on this connection.
 
-    `state` is omitted if the home already has it for this transaction.
+    `state` is omitted if the home already has it for this transaction. A home whose
+    routes are older than `routes_version` does not begin the statement.
     """
 
     number: int
@@ -35,6 +37,8 @@
     database: str
     request: Request
     state: SessionState | None = None
+    organisation: str = NO_ORGANISATION
+    routes_version: Count = 0
 
 
 class EndTransaction(msgspec.Struct, frozen=True, array_like=True, tag="end"):
--- a/src/celeryjunction/relay/session.py
+++ b/src/celeryjunction/relay/session.py
@@ -18,6 +18,7 @@
     rolled_back_error,
 )
 from celeryjunction.gateway.gateway import Gateway
+from celeryjunction.gateway.organisations import ANYONE, Caller
 from celeryjunction.gateway.routes import Route
 from celeryjunction.gateway.session import StatementSession
 from celeryjunction.gateway.statements import (
@@ -38,9 +39,13 @@
 """Homes to try before this VM runs a statement itself: all homes of a zone."""
 OUTCOME_MARGIN_S = 0.1
 """Wait beyond a statement's time-out, so that the home's own error can arrive."""
-RUN_LOCALLY = (ErrorKind.UNKNOWN_DATABASE, ErrorKind.STATEMENT_TOO_LARGE)
+RUN_LOCALLY = (
+    ErrorKind.UNKNOWN_DATABASE,
+    ErrorKind.NOT_RUN_OLDER_ROUTES,
+    ErrorKind.STATEMENT_TOO_LARGE,
+)
 """Errors after which this VM runs a statement itself: the home does not have the route
-yet, or the answer to a read is too large for a frame."""
+or its version yet, or the answer to a read is too large for a frame."""
 
 _IDLE, _OPEN, _FAILED = TransactionState
 
@@ -76,11 +81,21 @@
     It has the interface of `StatementSession`.
     """
 
-    def __init__(self, database: str, *, gateway: Gateway, homes: HomeSelector) -> None:
+    def __init__(
+        self,
+        database: str,
+        *,
+        gateway: Gateway,
+        homes: HomeSelector,
+        caller: Caller = ANYONE,
+    ) -> None:
         self.database = database
+        self.caller = caller
         self._gateway = gateway
         self._homes = homes
-        self._local = StatementSession(database, gateway=gateway)
+        self._local = StatementSession(
+            database, gateway=gateway, organisation=caller.organisation
+        )
         self._transaction: _HomeTransaction | None = None
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
@@ -183,6 +198,8 @@
                 raise
             if outcome.error is not None:
                 chosen.end_transaction(number)
+                if outcome.error is ErrorKind.NOT_RUN_ALLOTMENT:
+                    raise ProxyError(outcome.error, outcome.details)
                 break
             self._transaction = _HomeTransaction(chosen, number, request.id)
             return self._answer(outcome)
@@ -255,6 +272,8 @@
             transaction=transaction,
             state=self._local.session_state if state else None,
             timeout=max(route.timeout_s - elapsed_s, 0.0) + OUTCOME_MARGIN_S,
+            organisation=self.caller.organisation,
+            routes_version=self._gateway.table.version,
         )
         self._gateway.metrics.count("forwarded_statements", home=link.vm)
         session_state = self._local.session_state
--- a/src/celeryjunction/replication/ports.py
+++ b/src/celeryjunction/replication/ports.py
@@ -210,6 +210,9 @@
 
     opened_at: float
     """Time when the connection was established, seconds."""
+    owner: str
+    """Organisation whose statements may run on the connection; empty for those of
+    clients without one, and for control commands only."""
     values: dict[bytes, bytes]
     """Session values that the endpoint acknowledged on this connection."""
     prepared: set[bytes]
@@ -243,8 +246,13 @@
 class EndpointDialer(Protocol):
     """Opens connections to endpoints and reads their status."""
 
-    async def connect(self, endpoint: EndpointInfo, *, timeout: float) -> EndpointLink:
-        """Open a connection; raises `ConnectionLost` or `EndpointRefused`."""
+    async def connect(
+        self, endpoint: EndpointInfo, *, timeout: float, owner: str = ""
+    ) -> EndpointLink:
+        """Open a connection for an owner.
+
+        Raises `ConnectionLost` or `EndpointRefused`.
+        """
         ...
 
     def status(self, answer: Answer) -> EndpointStatus | None:
--- a/tests/_node_support.py
+++ b/tests/_node_support.py
@@ -167,8 +167,12 @@
 
     # EndpointDialer and Promoter
 
-    async def connect(self, endpoint: EndpointInfo, *, timeout: float) -> FakeLink:
-        return await self.groups[endpoint.group].connect(endpoint, timeout=timeout)
+    async def connect(
+        self, endpoint: EndpointInfo, *, timeout: float, owner: str = ""
+    ) -> FakeLink:
+        return await self.groups[endpoint.group].connect(
+            endpoint, timeout=timeout, owner=owner
+        )
 
     @staticmethod
     def status(answer: Answer) -> EndpointStatus | None:
--- a/tests/_wire_support.py
+++ b/tests/_wire_support.py
@@ -177,7 +177,7 @@
         info = self.vm.cluster["a1"].info
         return msgspec.structs.replace(info, host="127.0.0.1", port=port, slots=20)
 
-    def session(self, database: str) -> ForwardingSession:
+    def session(self, database: str, key: bytes = b"") -> ForwardingSession:
         session = ForwardingSession(
             database, gateway=self.vm.gateway, homes=_AlwaysHome()
         )
--- a/tests/replicated_fakes.py
+++ b/tests/replicated_fakes.py
@@ -120,7 +120,9 @@
 
     # EndpointDialer
 
-    async def connect(self, endpoint: EndpointInfo, *, timeout: float) -> FakeLink:
+    async def connect(
+        self, endpoint: EndpointInfo, *, timeout: float, owner: str = ""
+    ) -> FakeLink:
         fake = self.endpoints.get(endpoint.id)
         if fake is not None and fake.silent:
             await asyncio.sleep(timeout)
@@ -131,7 +133,7 @@
         open_links = [link for link in fake.links if link.usable or link.running]
         if len(open_links) >= self.limit:
             raise EndpointRefused(Fault.TOO_MANY_CONNECTIONS)
-        link = FakeLink(self, fake)
+        link = FakeLink(self, fake, owner)
         fake.links.append(link)
         self.opened += 1
         return link
@@ -208,7 +210,10 @@
 class FakeLink:
     """Implements `EndpointLink`."""
 
-    def __init__(self, cluster: FakeCluster, endpoint: FakeEndpoint) -> None:
+    def __init__(
+        self, cluster: FakeCluster, endpoint: FakeEndpoint, owner: str = ""
+    ) -> None:
+        self.owner = owner
         self.opened_at = asyncio.get_running_loop().time()
         self.values: dict[bytes, bytes] = {}
         self.prepared: set[bytes] = set()
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -34,7 +34,7 @@
         """Guards against a connection that ends without an answer."""
         sessions: list[FailingSession] = []
 
-        def open_session(database: str) -> FailingSession:
+        def open_session(database: str, key: bytes) -> FailingSession:
             sessions.append(FailingSession())
             return sessions[-1]
 
@@ -60,7 +60,7 @@
 async def answers_to(requests: bytes, *databases: str) -> bytes:
     """Return what a client gets for its requests where only some databases exist."""
 
-    def open_session(database: str) -> FailingSession:
+    def open_session(database: str, key: bytes) -> FailingSession:
         if database not in databases:
             raise ProxyError(ErrorKind.UNKNOWN_DATABASE, {"database": database})
         return FailingSession()
--- a/tests/test_lent_connections.py
+++ b/tests/test_lent_connections.py
@@ -111,6 +111,7 @@
         self.usable, self.closed = True, False
         self.in_transaction = False
         self.values: dict[bytes, bytes] = {}
+        self.owner = ""
         self.opened_at = 0.0
 
     def close(self) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -387,7 +387,8 @@
         self, site: Site
     ) -> None:
         # The first home is given up after 0.6 s or more; the second needs time too.
-        site.forwarding_vm.gateway.apply_routes(table(2, timeout_s=LIMIT_S))
+        for vm in (site.forwarding_vm, *site.homes):
+            vm.gateway.apply_routes(table(2, timeout_s=LIMIT_S))
         site.homes[0].server._server.close()
         for connection in list(site.homes[0].server._forwarding_vms):
             connection.stream._transport.pause_reading()
--- a/tests/test_unknown_answers.py
+++ b/tests/test_unknown_answers.py
@@ -86,7 +86,9 @@
     def __init__(self) -> None:
         self.endpoints: list[SilentEndpoint] = []
 
-    async def connect(self, endpoint: EndpointInfo, *, timeout: float) -> PipelinedLink:
+    async def connect(
+        self, endpoint: EndpointInfo, *, timeout: float, owner: str = ""
+    ) -> PipelinedLink:
         """Return a link to a silent endpoint."""
         link, silent = connect_silent()
         self.endpoints.append(silent)
