--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 NAME ?= overhead
+TEST_WORKERS ?= 4
 export PYTHONPATH := src
 export UV_USE_IO_URING := 0
 
@@ -23,7 +24,7 @@
 	$(BIN)/ruff check --fix .
 
 test: install
-	$(BIN)/python -m pytest -q
+	$(BIN)/python -m pytest -q -n $(TEST_WORKERS) --dist loadgroup
 
 demo: install
 	$(BIN)/python -m bench demo
--- a/bench/platform_cluster.py
+++ b/bench/platform_cluster.py
@@ -53,12 +53,12 @@
         self._number = 0
         self._writer: asyncio.StreamWriter | None = None
 
-    async def open(self, database: str) -> str:
-        """Connect to a database; return the line of the answer."""
+    async def open(self, database: str, key: str = "c1") -> str:
+        """Connect to a database with a key; return the line of the answer."""
         self._reader, self._writer = await asyncio.open_connection(
             "127.0.0.1", self._port
         )
-        self._writer.write(f"CONNECT {database} c1\r\n".encode())
+        self._writer.write(f"CONNECT {database} {key}\r\n".encode())
         return await self._line()
 
     async def _line(self) -> str:
--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -11,6 +11,7 @@
 import base64
 import json
 import time
+from collections import deque
 from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
 
@@ -27,6 +28,7 @@
 """Time until a replica applies the entries that it received."""
 FIRST_LEASE = 200_000_000_000_000
 """Leases are numbers of up to 48 bits, as on the platform."""
+RECORDED_CALLERS = 10_000
 SYNC_COMMIT_TIMEOUT_S = 10.0
 """Time after which a commit that no replica received fails."""
 
@@ -62,6 +64,8 @@
         """Fault: after how many seconds the next answer comes again; None: not."""
         self.statements: list[bytes] = []
         """Texts of the clients' statements."""
+        self.callers: deque[tuple[str, bytes]] = deque(maxlen=RECORDED_CALLERS)
+        """Name that a connection gave and text of the last statements on it."""
         self.runs = 0
         """Number of statements that were answered with a digest."""
         self.born = 1
@@ -175,6 +179,7 @@
             request_id, _, text = rest.partition(b" ")
             if endpoint.silent or endpoint.ignores(caller, text.partition(b" ")[0]):
                 continue
+            endpoint.callers.append((caller, text))
             await self._run(request_id, text)
             self._send_ready()
 
@@ -779,6 +784,8 @@
         self.groups = {name: StandinGroup(name, self.zones) for name in groups}
         self.store.groups = self.groups
         self._version = 0
+        self.tenants: list[dict] = []
+        """Organisations of the configs written from now on."""
         self._config: dict = {}
         self.store_address = ""
         """Address of the store in the edges' settings, if not the store's own."""
@@ -838,6 +845,8 @@
             "services": services,
             "limits": {"tx_idle_ms": 3000},
         }
+        if self.tenants:
+            self._config["tenants"] = self.tenants
         self.store.put_json("op/config", self._config)
         return self._version
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,22 @@
 import pytest
 from known_red import KnownRed, parse_known_red
 
+REAL_PROCESSES = frozenset(
+    f"tests/{name}.py"
+    for name in (
+        "test_commits_lost",
+        "test_competing_holders",
+        "test_contract_cli",
+        "test_fencing_tokens",
+        "test_forwarding",
+        "test_platform_edge",
+        "test_soak",
+        "test_unanswered_calls",
+    )
+)
+"""Files whose tests start the system's processes. They run on one worker, one after the
+other, because they share the machine's processors with nothing of their kind."""
+
 _LIST = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
@@ -48,6 +64,9 @@
     """Expect the listed tests to fail; one that passes fails the run."""
     reasons = {entry.test: entry.reason for entry in _listed()}
     for item in items:
+        file = item.nodeid.partition("::")[0]
+        group = "processes" if file in REAL_PROCESSES else file
+        item.add_marker(pytest.mark.xdist_group(group))
         if item.nodeid in reasons:
             item.add_marker(pytest.mark.xfail(reason=reasons[item.nodeid], strict=True))
 
--- a/tests/test_platform_edge.py
+++ b/tests/test_platform_edge.py
@@ -59,9 +59,9 @@
     clients: list[LineClient] = []
     open_client = LineClient.open
 
-    async def record(client: LineClient, database: str) -> str:
+    async def record(client: LineClient, database: str, key: str = "c1") -> str:
         clients.append(client)
-        return await open_client(client, database)
+        return await open_client(client, database, key)
 
     monkeypatch.setattr(LineClient, "open", record)
     yield
