Keep the connections of organisations by expected use, a third at most for one

The pool of connections leaves the gates. Idle connections are indexed by owner, the one with the fewest expected uses makes way for a new one, and an owner gets at most a third of the connections while others need some. Reads of small organisations stay on few endpoints, and a new connection counts with its measured time in the cost. Control connections, which have no owner, are adopted only where statements without an owner may come; elsewhere the budget at rest counts them.

--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -16,9 +16,11 @@
 
 from celeryjunction.dispatch.connection_budget import ConnectionBudget
 from celeryjunction.dispatch.gates import EndpointGate
+from celeryjunction.dispatch.owner_placement import OwnerPlacement
 from celeryjunction.dispatch.retry_budget import RetryBudget
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.logs import get_logger
+from celeryjunction.metrics import Metrics
 from celeryjunction.ports import Clock
 from celeryjunction.replication.ports import EndpointDialer, EndpointInfo, EndpointLink
 
@@ -169,7 +171,7 @@
     def pin(self) -> None:
         """Reserve the connection for a transaction until `release`."""
         self._pinned = True
-        self.gate.pinned += 1
+        self.gate.pool.connections.pin(self.link.owner)
 
     def begin_statement(self) -> None:
         """Take a slot for the next statement of a transaction, without queueing.
@@ -187,8 +189,8 @@
         """Return the connection, and free the slot if it is still held."""
         if self._pinned:
             self._pinned = False
-            self.gate.pinned -= 1
-        self.gate.release(self.link, reusable=reusable)
+            self.gate.pool.connections.pin(self.link.owner, -1)
+        self.gate.pool.release(self.link, reusable=reusable)
         self.end_statement(answered=answered, served=served)
 
 
@@ -208,10 +210,15 @@
         random: Random,
         budget: Callable[[EndpointInfo], ConnectionBudget],
         vm_count: Callable[[], int] = lambda: 1,
+        metrics: Metrics | None = None,
     ) -> None:
         self.gates: dict[str, EndpointGate] = {}
         self.lends_idle_connections = False
         """Whether `borrow` and `adopt` share connections with control commands."""
+        self.serves_no_owner = True
+        """Whether statements without an owner may come, which use what `adopt` took."""
+        self._metrics = metrics or Metrics()
+        self._placement = OwnerPlacement()
         self._zone = zone
         self._dialer = dialer
         self._clock = clock
@@ -258,9 +265,11 @@
                     clock=self._clock,
                     random=self._random,
                     max_links=1,
+                    metrics=self._metrics,
                 )
             gate.info = info
-            gate.max_links, gate.resting_links = self._budget(info)
+            pool = gate.pool
+            pool.connections.max_links, pool.resting_links = self._budget(info)
             gate.shared.slots = max(info.slots, 1)
             gate.shared.vm_count = max(self._vm_count(), 1)
         self.dispatch_waiting()
@@ -276,7 +285,7 @@
         gate = None if self._must_queue(pending) else self._choose_gate(pending)
         if gate is None:
             gate = await self._wait(pending)
-            gate.promised -= 1
+            gate.pool.connections.promise(pending.organisation, -1)
         else:
             gate.running += 1
         try:
@@ -303,13 +312,16 @@
         if gate is None:
             link.close()
             return
-        gate.take_back(link)
+        gate.pool.take_back(link)
         self.dispatch_waiting()
 
     def adopt(self, endpoint: EndpointInfo, link: EndpointLink) -> bool:
-        """Take over a connection opened for a control command, if there is room."""
+        """Take over a connection opened for a control command, if there is room.
+
+        It has no owner, so where all statements have one it would serve none.
+        """
         gate = self.gates.get(endpoint.id)
-        if gate is None or not self.lends_idle_connections:
+        if gate is None or not self.lends_idle_connections or not self.serves_no_owner:
             return False
         adopted = gate.info.is_same_process(endpoint) and gate.adopt(link)
         if adopted:
@@ -320,7 +332,7 @@
         """Return the age of the connection that `borrow` would lend, in seconds."""
         gate = self.gates.get(endpoint)
         return (
-            gate.oldest_idle_s
+            gate.pool.oldest_idle_s
             if gate is not None and self.lends_idle_connections
             else 0.0
         )
@@ -343,14 +355,43 @@
 
     def _choose_gate(self, pending: PendingStatement) -> EndpointGate | None:
         now = self._clock.monotonic()
-        best, best_cost = None, 0.0
-        for name, gate in self.gates.items():
-            if not pending.allows(name) or not self._has_room(gate, pending, now):
-                continue
-            cost = self._cost(gate)
-            if best is None or cost < best_cost:
-                best, best_cost = gate, cost
-        return best
+        candidates = [
+            gate
+            for name, gate in self.gates.items()
+            if pending.allows(name) and self._has_room(gate, pending, now)
+        ]
+        if len(candidates) > 1:
+            return self._cheapest(candidates, pending.organisation, now)
+        return candidates[0] if candidates else None
+
+    def _cheapest(
+        self, candidates: list[EndpointGate], owner: str, now: float
+    ) -> EndpointGate:
+        """Return the endpoint with the lowest expected cost for an owner."""
+        if not owner:
+            return min(candidates, key=self._cost)
+        homes = self._homes_of(owner, candidates, now)
+
+        def cost(gate: EndpointGate) -> float:
+            if gate.pool.connections.has_idle(owner):
+                return self._cost(gate)
+            away = gate.info.id not in homes
+            return self._cost(gate, opening_s=gate.pool.opening_s * (1 + away))
+
+        return min(candidates, key=cost)
+
+    def _homes_of(
+        self, owner: str, candidates: list[EndpointGate], now: float
+    ) -> list[str]:
+        """Return the endpoints on which an owner's connections are kept."""
+        uses_per_s = sum(
+            gate.pool.connections.uses_per_s(owner, now) for gate in self.gates.values()
+        )
+        return self._placement.homes(
+            owner,
+            {gate.info.id: self._load(gate) for gate in candidates},
+            uses_per_s=uses_per_s,
+        )
 
     def _has_room(
         self, gate: EndpointGate, pending: PendingStatement, now: float
@@ -358,12 +399,14 @@
         if (
             now < gate.avoid_until
             or gate.is_stuck(now)
-            or not gate.has_link(now, pending.organisation)
+            or not gate.pool.has_link(now, pending.organisation)
         ):
             return False
-        if pending.opens_transaction and not gate.may_pin:
+        if gate.running >= self._limit(gate, pending):
             return False
-        return gate.running < self._limit(gate, pending)
+        return not pending.opens_transaction or gate.pool.connections.may_pin(
+            pending.organisation, now
+        )
 
     @staticmethod
     def _limit(gate: EndpointGate, pending: PendingStatement) -> int:
@@ -378,17 +421,29 @@
             return max(limit - 1, 1)
         return limit
 
-    def _cost(self, gate: EndpointGate) -> float:
-        """Return the expected seconds until success: network, queue and service."""
+    def _cost(self, gate: EndpointGate, opening_s: float = 0.0) -> float:
+        """Return the expected seconds until success: network, queue and service.
+
+        Opening a connection occupies a slot for `opening_s`, as service does.
+        """
         network_s = 0.0 if gate.info.zone == self._zone else CROSS_ZONE_RTT_S
-        load = (gate.running + gate.slots_busy_elsewhere) / max(gate.info.slots, 1)
-        return (network_s + gate.service_s * (1.0 + load)) * gate.expected_attempts
+        load = self._load(gate) / max(gate.info.slots, 1)
+        slot_s = gate.service_s + opening_s
+        return (network_s + slot_s * (1.0 + load)) * gate.expected_attempts
+
+    @staticmethod
+    def _load(gate: EndpointGate) -> int:
+        return gate.running + gate.slots_busy_elsewhere
 
     async def _wait(self, pending: PendingStatement) -> EndpointGate:
         now = self._clock.monotonic()
         if now + self._expected_wait(pending) >= pending.queue_deadline:
             raise self._record_refusal(pending)
         pending._queue_key = (pending.priority, pending.arrived, next(self._sequence))
+        if pending.organisation:
+            for name, gate in self.gates.items():
+                if pending.allows(name):
+                    gate.pool.connections.record_need(pending.organisation, now)
         pending._future = asyncio.get_running_loop().create_future()
         insort(self._waiting, pending, key=lambda waiting: waiting._queue_key)
         self._schedule_retry()
@@ -421,7 +476,7 @@
         if future.done() and not future.cancelled() and future.exception() is None:
             gate = future.result()
             gate.running -= 1
-            gate.promised -= 1
+            gate.pool.connections.promise(pending.organisation, -1)
             self.dispatch_waiting()
 
     def _expected_wait(self, pending: PendingStatement) -> float:
@@ -442,7 +497,7 @@
             gate = self._choose_gate(pending)
             if gate is not None:
                 gate.running += 1
-                gate.promised += 1
+                gate.pool.connections.promise(pending.organisation)
                 self._waiting.remove(pending)
                 pending._future.set_result(gate)
 
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -1,4 +1,4 @@
-"""Dispatch state of one endpoint: statements in flight, connections and failures."""
+"""Dispatch state of one endpoint: statements in flight, answer times and failures."""
 
 from __future__ import annotations
 
@@ -7,9 +7,15 @@
 from typing import Protocol
 
 from celeryjunction.dispatch.answer_patience import AnswerPatience
+from celeryjunction.dispatch.connection_pool import (
+    IDLE_TIMEOUT_S,
+    RESTING_IDLE_S,
+    ConnectionPool,
+)
 from celeryjunction.dispatch.shared_slots import SharedSlots
 from celeryjunction.errors import ConnectionLost
 from celeryjunction.logs import get_logger
+from celeryjunction.metrics import Metrics
 from celeryjunction.ports import Clock
 from celeryjunction.replication.ports import (
     EndpointDialer,
@@ -19,24 +25,13 @@
     Fault,
 )
 
-CONNECT_TIMEOUT_S = 0.3
-"""Opening a connection takes 12 to 16 ms without load; the rest allows for a full
-queue at the endpoint."""
-IDLE_TIMEOUT_S = 8.0
-"""Idle connections are closed after this, to leave the endpoint's connection limit to
-other VMs."""
-RESTING_IDLE_S = 0.5
-"""Idle connections above the number at rest are closed after this."""
+__all__ = ["IDLE_TIMEOUT_S", "RESTING_IDLE_S", "EndpointGate", "SentStatement"]
+
 AVOID_AFTER_FAILURES = 2
 """Consecutive failures after which an endpoint is avoided."""
 MIN_AVOID_S = 0.3
 MAX_AVOID_S = 3.0
 """An avoided endpoint is retried after a delay that doubles between these bounds."""
-RESERVED_DIVISOR = 3
-"""One connection in this many is reserved for statements outside transactions, since a
-transaction may hold its connection idle for up to 3 s."""
-CONNECTION_LIMIT_BACKOFF_S = 0.1
-"""Mean pause before another connection to an endpoint that is at its limit."""
 SERVICE_WEIGHT = 0.1
 """Weight of a new sample in the moving average of the service time."""
 FAULT_WEIGHT = 0.1
@@ -59,7 +54,7 @@
 
 
 class EndpointGate:
-    """Tracks this VM's statements at one endpoint and pools its connections to it.
+    """Tracks this VM's statements at one endpoint; `pool` has its connections to it.
 
     `max_links` bounds the connections that this VM opens for statements.
     """
@@ -67,26 +62,16 @@
     __slots__ = (
         "_avoid_s",
         "_clock",
-        "_dialer",
         "_failed_at",
         "_failures",
-        "_idle",
-        "_lent",
-        "_random",
         "_sent_at",
         "answered_at",
         "avoid_until",
         "behind_since",
-        "closed",
-        "connection_limit_until",
         "fault_rate",
         "info",
-        "links",
-        "max_links",
         "patience",
-        "pinned",
-        "promised",
-        "resting_links",
+        "pool",
         "running",
         "service_s",
         "shared",
@@ -102,19 +87,18 @@
         clock: Clock,
         random: Random,
         max_links: int,
+        metrics: Metrics | None = None,
     ) -> None:
         self.info = info
-        self.max_links = max_links
-        self.resting_links = max_links
-        """Connections above which idle ones are closed soon."""
+        self.pool = ConnectionPool(
+            dialer=dialer,
+            clock=clock,
+            random=random,
+            max_links=max_links,
+            metrics=metrics or Metrics(),
+        )
         self.running = 0
         """Slots in use: statements of this VM that are sent or about to be."""
-        self.links = 0
-        """Connections that are open or being opened."""
-        self.promised = 0
-        """Statements that left the queue and have not taken a connection yet."""
-        self.pinned = 0
-        """Connections held by open transactions."""
         self.slots_busy_elsewhere = 0
         """Slots that other VMs used according to the last status."""
         self.service_s = INITIAL_SERVICE_S
@@ -126,13 +110,7 @@
         """Time since which the endpoint refuses reads for replication lag; 0 if it does
         not."""
         self.avoid_until = 0.0
-        self.connection_limit_until = 0.0
-        self.closed = False
-        self._idle: list[tuple[EndpointLink, float]] = []
-        self._lent: set[EndpointLink] = set()
-        self._dialer = dialer
         self._clock = clock
-        self._random = random
         self._failures = 0
         self._failed_at = 0.0
         self._avoid_s = 0.0
@@ -148,151 +126,57 @@
         yield "running", self.running
         yield "links", self.links
 
-    def has_link(self, now: float, owner: str = "") -> bool:
-        """Whether a connection of an owner is idle or may be opened at `now`."""
-        free = len(self._idle) - self.promised
-        if free > 0 and any(link.owner == owner for link, _ in self._idle):
-            return True
-        may_open = self.links - free < self.max_links
-        return may_open and now >= self.connection_limit_until
+    @property
+    def links(self) -> int:
+        """Connections that are open or being opened."""
+        return self.pool.connections.links
+
+    @property
+    def max_links(self) -> int:
+        """Connections that this VM may have at any time."""
+        return self.pool.connections.max_links
 
     @property
-    def may_pin(self) -> bool:
-        """Whether another transaction may pin a connection."""
-        return self.pinned < self.max_links - self.max_links // RESERVED_DIVISOR
+    def pinned(self) -> int:
+        """Connections held by open transactions."""
+        return self.pool.connections.pinned
 
     async def acquire(
         self, values: dict[bytes, bytes], owner: str = ""
     ) -> EndpointLink:
         """Return an idle connection of an owner, or open one.
 
-        One with these values is preferred.
-
-        Raises `ConnectionLost` (nothing sent) or `EndpointRefused`.
+        One with these values is preferred. Raises `ConnectionLost` (nothing sent) or
+        `EndpointRefused`.
         """
-        link = self._take_idle(values, owner)
-        if link is not None:
-            return link
-        self._make_room()
-        self.links += 1
         try:
-            link = await self._dialer.connect(
-                self.info, timeout=CONNECT_TIMEOUT_S, owner=owner
-            )
-        except BaseException as error:
-            self.links -= 1
-            self._record_connect_failure(error)
+            return await self.pool.acquire(self.info, values, owner)
+        except ConnectionLost as error:
+            self.record_failure(error.reason, weight=AVOID_AFTER_FAILURES)
             raise
-        return link
-
-    def _take_idle(self, values: dict[bytes, bytes], owner: str) -> EndpointLink | None:
-        self._drop_broken()
-        newest = None
-        for index in range(len(self._idle) - 1, -1, -1):
-            link = self._idle[index][0]
-            if link.owner != owner:
-                continue
-            if link.values == values:
-                return self._idle.pop(index)[0]
-            newest = index if newest is None else newest
-        return None if newest is None else self._idle.pop(newest)[0]
-
-    def _make_room(self) -> None:
-        """Close the connection that was idle longest if no further one may be open."""
-        if self.links >= self.max_links and self._idle:
-            self._idle.pop(0)[0].close()
-            self.links -= 1
-
-    def _drop_broken(self) -> None:
-        kept = []
-        for entry in self._idle:
-            if entry[0].usable:
-                kept.append(entry)
-            else:
-                entry[0].close()
-                self.links -= 1
-        self._idle = kept
-
-    def _record_connect_failure(self, error: BaseException) -> None:
-        now = self._clock.monotonic()
-        if isinstance(error, EndpointRefused):
-            if error.fault is Fault.TOO_MANY_CONNECTIONS:
-                self.connection_limit_until = (
-                    now + CONNECTION_LIMIT_BACKOFF_S * self._random.uniform(0.5, 1.5)
-                )
-            else:
+        except EndpointRefused as error:
+            if error.fault is not Fault.TOO_MANY_CONNECTIONS:
                 self.record_failure("refused", weight=AVOID_AFTER_FAILURES)
-        elif isinstance(error, ConnectionLost):
-            self.record_failure(error.reason, weight=AVOID_AFTER_FAILURES)
-
-    def release(self, link: EndpointLink, *, reusable: bool) -> None:
-        """Return a connection to the pool, or close it if it is not reusable.
-
-        A connection with an open transaction is closed too, since the next statement
-        would run inside that transaction.
-        """
-        if self.closed or not reusable or not link.usable or link.in_transaction:
-            link.close()
-            self.links -= 1
-            return
-        self._idle.append((link, self._clock.monotonic()))
+            raise
 
     def borrow(self) -> EndpointLink | None:
         """Lend the oldest idle connection for a control command; None without one."""
-        self._drop_broken()
-        if not self._idle:
-            return None
-        oldest = min(self._idle, key=lambda entry: entry[0].opened_at)
-        self._idle.remove(oldest)
-        self._lent.add(oldest[0])
-        return oldest[0]
-
-    def take_back(self, link: EndpointLink) -> None:
-        """Return a lent connection to the pool; close it if another gate lent it."""
-        if link not in self._lent:
-            link.close()
-            return
-        self._lent.remove(link)
-        self.release(link, reusable=True)
+        return self.pool.borrow()
 
     def adopt(self, link: EndpointLink) -> bool:
         """Take over a connection opened for a control command, if there is room."""
-        if self.closed or not link.usable or self.links >= self.max_links:
-            return False
-        self.links += 1
-        self.release(link, reusable=True)
-        return True
-
-    @property
-    def oldest_idle_s(self) -> float:
-        """Age of the connection that `borrow` would lend, in seconds."""
-        opened = [link.opened_at for link, _ in self._idle if link.usable]
-        return self._clock.monotonic() - min(opened) if opened else 0.0
+        return self.pool.adopt(link)
 
     def close_idle(self, *, older_than: float = IDLE_TIMEOUT_S, keep: int = 0) -> None:
         """Close the connections that have been idle for `older_than` seconds.
 
-        Those above `resting_links` are closed sooner. The `keep` oldest ones stay open:
-        a new connection costs the endpoint a slot, and evidence counts only on one that
-        has been open for a while.
+        Those above the number at rest are closed sooner; the `keep` oldest ones stay.
         """
-        now = self._clock.monotonic()
-        oldest_first = sorted(self._idle, key=lambda entry: entry[0].opened_at)
-        kept = []
-        for position, (link, since) in enumerate(oldest_first):
-            surplus = self.links > self.resting_links and position >= keep
-            limit_s = min(older_than, RESTING_IDLE_S) if surplus else older_than
-            if link.usable and (position < keep or now - since <= limit_s):
-                kept.append((link, since))
-            else:
-                link.close()
-                self.links -= 1
-        self._idle = sorted(kept, key=lambda entry: entry[1])
+        self.pool.close_idle(older_than=older_than, keep=keep)
 
     def close(self) -> None:
         """Close the idle connections now, and those in use when they are released."""
-        self.closed = True
-        self.close_idle(older_than=float("-inf"))
+        self.pool.close()
 
     # Statements in flight
 
--- a/src/celeryjunction/gateway/routes.py
+++ b/src/celeryjunction/gateway/routes.py
@@ -57,6 +57,7 @@
 
     __slots__ = (
         "_by_database",
+        "_open_groups",
         "groups",
         "idle_transaction_s",
         "organisations",
@@ -78,6 +79,7 @@
         self.groups = {group.name: group for group in groups}
         self.idle_transaction_s = idle_transaction_s
         self._by_database = {route.database: route for route in routes}
+        self._open_groups = {route.group for route in routes if route.anonymous}
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
         yield "version", self.version
@@ -92,6 +94,10 @@
         """Return the route of a database name, or None."""
         return self._by_database.get(database)
 
+    def serves_no_owner(self, group: str) -> bool:
+        """Whether a group has statements of clients without an organisation."""
+        return self.organisations is None or group in self._open_groups
+
     def identify(self, database: str, digest: bytes) -> Caller:
         """Return who a client of a database is, by the digest of its key.
 
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -302,6 +302,7 @@
             random=self._random,
             budget=self._connection_budget,
             vm_count=lambda: self._homes.active_home_count(name),
+            metrics=self.metrics,
         )
         group = ReplicationGroup(
             name,
@@ -392,7 +393,9 @@
             homes=self._homes.home_count(group),
             active_homes=self._homes.active_home_count(group),
             is_home=self._homes.is_home(group),
-            shares_status=self._lends_idle_connections(group),
+            shares_status=(
+                self._lends_idle_connections(group) and table.serves_no_owner(group)
+            ),
             running_s=self._clock.monotonic() - self._started_at,
         )
 
@@ -603,6 +606,8 @@
 
     def _maintain_group(self, group: ReplicationGroup, dispatcher: Dispatcher) -> None:
         dispatcher.lends_idle_connections = self._lends_idle_connections(group.name)
+        table = self.gateway.table
+        dispatcher.serves_no_owner = table is None or table.serves_no_owner(group.name)
         is_home = self._homes.is_home(group.name)
         idle_s = IDLE_TIMEOUT_S if is_home else NON_HOME_IDLE_TIMEOUT_S
         for endpoint, gate in dispatcher.gates.items():
--- /dev/null
+++ b/tests/test_connection_pool.py
@@ -0,0 +1,192 @@
+"""Tests of the connections of organisations, without a network."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from fakes import ManualClock
+from replicated_fakes import FakeCluster
+from test_lent_connections import StubLink
+
+from celeryjunction.dispatch.connection_budget import ConnectionBudget
+from celeryjunction.dispatch.dispatcher import Dispatcher, PendingStatement
+from celeryjunction.dispatch.owned_connections import NEED_S, OwnedConnections
+from celeryjunction.dispatch.owner_placement import OwnerPlacement
+from celeryjunction.metrics import Metrics
+
+
+def owned_link(owner: str, opened_at: float = 0.0) -> StubLink:
+    link = StubLink()
+    link.owner, link.opened_at = owner, opened_at
+    return link
+
+
+def use(connections: OwnedConnections, owner: str, now: float) -> StubLink:
+    """Run a statement; return its connection, idle again."""
+    link = connections.take(owner, {}, now)
+    if link is None:
+        connections.make_room(owner, now)
+        connections.add(owner)
+        link = owned_link(owner, now)
+    connections.put(link, now)
+    return link
+
+
+class TestReuse:
+    def test_a_connection_serves_its_owner_only(self) -> None:
+        connections = OwnedConnections(max_links=4)
+        link = use(connections, "bode", 0.0)
+        assert connections.take("cairo", {}, 1.0) is None
+        assert connections.take("", {}, 1.0) is None
+        assert connections.take("bode", {}, 1.0) is link
+
+    def test_one_with_the_same_values_is_preferred(self) -> None:
+        connections = OwnedConnections(max_links=4)
+        links = [owned_link("bode") for _ in range(3)]
+        links[1].values = {b"a": b"1"}
+        for link in links:
+            connections.add("bode")
+            connections.put(link, 0.0)
+        assert connections.take("bode", {b"a": b"1"}, 1.0) is links[1]
+        assert connections.take("bode", {b"a": b"1"}, 1.0) is links[2]
+
+    def test_promises_of_others_do_not_take_more_than_there_are(self) -> None:
+        """Guards against more connections than the budget when several wait."""
+        connections = OwnedConnections(max_links=1)
+        use(connections, "bode", 0.0)
+        assert connections.may_take("cairo", 0.0, may_open=True)
+        connections.promise("cairo")
+        assert not connections.may_take("bode", 0.0, may_open=True)
+        connections.promise("cairo", -1)
+        assert connections.may_take("bode", 0.0, may_open=True)
+
+
+class TestEviction:
+    def test_a_statement_does_not_wait_for_idle_connections_of_others(self) -> None:
+        connections = OwnedConnections(max_links=2)
+        links = [use(connections, owner, 0.0) for owner in ("bode", "cairo")]
+        assert connections.may_take("delhi", 0.1, may_open=True)
+        use(connections, "delhi", 0.1)
+        assert connections.links == 2
+        assert [link.closed for link in links] == [True, False]
+
+    def test_the_last_one_of_a_frequent_owner_is_kept(self) -> None:
+        connections = OwnedConnections(max_links=2)
+        for tick in range(20):
+            frequent = use(connections, "bode", tick / 10)
+        rare = use(connections, "cairo", 2.0)
+        use(connections, "delhi", 2.1)
+        assert rare.closed
+        assert not frequent.closed
+
+    def test_one_beside_others_of_its_owner_goes_first(self) -> None:
+        connections = OwnedConnections(max_links=3)
+        for tick in range(20):
+            use(connections, "bode", tick / 10)
+        connections.add("bode")
+        spare = owned_link("bode")
+        connections.put(spare, 2.0)
+        connections._records["bode"].idle.reverse()
+        last = use(connections, "cairo", 9.0)
+        use(connections, "delhi", 9.1)
+        assert spare.closed
+        assert not last.closed
+
+
+class TestOwnerLimit:
+    def hold(self, connections: OwnedConnections, owner: str, now: float) -> None:
+        connections.take(owner, {}, now)
+        connections.make_room(owner, now)
+        connections.add(owner)
+
+    def test_an_owner_at_its_limit_takes_no_connection_that_others_need(self) -> None:
+        connections = OwnedConnections(max_links=6)
+        for _ in range(2):
+            self.hold(connections, "bode", 0.0)
+        for owner in ("cairo", "delhi", "essen", "fargo"):
+            use(connections, owner, 0.0)
+        assert not connections.may_take("bode", 1.0, may_open=True)
+        assert connections.may_take("genoa", 1.0, may_open=True)
+        assert connections.may_take("bode", NEED_S + 0.1, may_open=True)
+
+    def test_transactions_of_one_owner_pin_a_third_while_others_need_some(self) -> None:
+        connections = OwnedConnections(max_links=22)
+        for _ in range(7):
+            self.hold(connections, "bode", 0.0)
+            connections.pin("bode")
+        assert connections.may_pin("bode", 0.1)
+        connections.record_need("cairo", 0.1)
+        assert not connections.may_pin("bode", 0.2)
+        assert connections.may_pin("cairo", 0.2)
+
+    @pytest.mark.parametrize("owner", ["", "bode"])
+    def test_an_owner_alone_may_use_all(self, owner: str) -> None:
+        connections = OwnedConnections(max_links=6)
+        for _ in range(6):
+            assert connections.may_take(owner, 0.0, may_open=True)
+            self.hold(connections, owner, 0.0)
+        assert not connections.may_take(owner, 0.0, may_open=True)
+
+
+class TestRest:
+    def test_those_with_the_fewest_uses_are_closed(self) -> None:
+        connections = OwnedConnections(max_links=4)
+        frequent = [use(connections, "bode", tick / 10) for tick in range(20)][-1]
+        rare = use(connections, "cairo", 2.0)
+        connections.close_idle(3.0, older_than=8.0, resting_links=1, resting_idle_s=0.5)
+        assert rare.closed
+        assert not frequent.closed
+        assert connections.links == 1
+
+
+class TestPlacement:
+    def test_a_busy_endpoint_is_passed_over(self) -> None:
+        placement = OwnerPlacement()
+        loads = {"a1": 0, "b1": 0, "c1": 0}
+        (home,) = placement.homes("bode", loads, uses_per_s=0.1)
+        (other,) = placement.homes("bode", loads | {home: 4}, uses_per_s=0.1)
+        assert other != home
+        assert len(placement.homes("bode", loads, uses_per_s=9.0)) == 3
+
+    async def test_reads_of_a_small_organisation_stay_on_one_endpoint(self) -> None:
+        """Guards against a new connection at each endpoint for a few reads."""
+        cluster, clock, metrics = FakeCluster(), ManualClock(), Metrics()
+        dispatcher = Dispatcher(
+            zone="a",
+            dialer=cluster,
+            clock=clock,
+            random=Random(1),
+            budget=lambda info: ConnectionBudget(4, 4),
+            metrics=metrics,
+        )
+        dispatcher.update_endpoints(cluster.infos)
+        for number in range(60):
+            now = clock.monotonic()
+            pending = PendingStatement(
+                priority=1,
+                arrived=now,
+                queue_deadline=now + 1,
+                organisation=f"o{number % 6}",
+            )
+            (await dispatcher.acquire(pending)).release()
+        assert cluster.opened == 6
+        counts = {row["name"]: row["value"] for row in metrics.snapshot()["counters"]}
+        assert counts == {"connections_opened": 6, "connections_reused": 54}
+        dispatcher.close()
+
+    async def test_a_control_connection_is_adopted_only_where_it_is_useful(self) -> None:
+        cluster = FakeCluster("a1")
+        dispatcher = Dispatcher(
+            zone="a",
+            dialer=cluster,
+            clock=ManualClock(),
+            random=Random(1),
+            budget=lambda info: ConnectionBudget(4, 4),
+        )
+        dispatcher.lends_idle_connections = True
+        dispatcher.update_endpoints(cluster.infos)
+        dispatcher.serves_no_owner = False
+        assert not dispatcher.adopt(cluster["a1"].info, owned_link(""))
+        dispatcher.serves_no_owner = True
+        assert dispatcher.adopt(cluster["a1"].info, owned_link(""))
