--- a/src/celeryjunction/_fair_queue.py
+++ b/src/celeryjunction/_fair_queue.py
@@ -1,7 +1,8 @@
 """Fair queues of one endpoint: one per rank, and one per customer within a rank.
 
 Amounts of work are in seconds of endpoint time, the time for which a statement occupies
-one slot. The rules that use these queues are in `celeryjunction.admission`.
+one slot. The rules that use these queues are in `celeryjunction.admission`, and the
+virtual time of start-time fair queueing is that of `celeryjunction.virtual_time`.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from celeryjunction.contract import Rank
+from celeryjunction.virtual_time import VirtualClock, VirtualFlow
 
 if TYPE_CHECKING:
     from celeryjunction.admission import Ticket
@@ -65,14 +67,13 @@
         )
 
 
-class Flow:
+class Flow(VirtualFlow):
     """Work of one customer in one rank.
 
-    `virtual_s` is the virtual time of start-time fair queueing: the endpoint time
-    received, divided by the share. `queues` holds statements in four queues: short and
-    long ones of open transactions, then short and long ones that need a connection. The
-    kinds are separate because the connection limit or the reserve may block one and not
-    another.
+    `virtual_s` is the endpoint time received, divided by the share. `queues` holds
+    statements in four queues: short and long ones of open transactions, then short and
+    long ones that need a connection. The kinds are separate because the connection
+    limit or the reserve may block one and not another.
     """
 
     __slots__ = (
@@ -81,15 +82,12 @@
         "queue",
         "queues",
         "running",
-        "share",
-        "virtual_s",
         "waiting",
     )
 
     def __init__(self, queue: RankQueue, share: float) -> None:
+        super().__init__(max(share, MIN_SHARE))
         self.queue = queue
-        self.share = max(share, MIN_SHARE)
-        self.virtual_s = 0.0
         self.expected_s = FIRST_EXPECTED_S
         self.active = False
         self.waiting = 0
@@ -99,16 +97,8 @@
         )
 
     def sync_virtual_time(self) -> None:
-        """Align the virtual times of flow and rank when a statement skips the queue.
-
-        A flow that is behind the rank is moved up, so that idle time earns no credit;
-        otherwise the rank is moved up to the flow.
-        """
-        queue = self.queue
-        if self.virtual_s < queue.virtual_s:
-            self.virtual_s = queue.virtual_s
-        else:
-            queue.virtual_s = self.virtual_s
+        """Align the virtual times of flow and rank when a statement skips the queue."""
+        self.queue.skip_queue(self)
 
     def next_ticket(
         self, *, allow_short: bool, allow_long: bool, allow_new: bool
@@ -137,7 +127,7 @@
         return None
 
 
-class RankQueue:
+class RankQueue(VirtualClock):
     """Queues of one rank, and how far the rank is behind its guaranteed share.
 
     `credit` grows by `guarantee_rate` for each second of endpoint time that is charged
@@ -162,12 +152,12 @@
         "rank",
         "running",
         "share",
-        "virtual_s",
         "waiting",
         "waiting_flows",
     )
 
     def __init__(self, rank: Rank) -> None:
+        super().__init__()
         self.rank = rank
         self.index = int(rank)
         self.flows: dict[str, Flow] = {}
@@ -176,7 +166,6 @@
         self.active_flows = 0
         self.waiting = self.running = self.connections_held = 0
         self.credit = self.guarantee_rate = self.share = 0.0
-        self.virtual_s = 0.0
         self.idle_since = 0.0
         self.expected_s = FIRST_EXPECTED_S
         self.mean_allowed_wait_s = 0.0
@@ -224,7 +213,7 @@
         by the rank's share of the time during which it was idle.
         """
         flow.active = True
-        flow.virtual_s = max(flow.virtual_s, self.virtual_s)
+        self.start(flow)
         if self.active_flows == 0:
             recovered_s = self.share * slots * (now - self.idle_since)
             self.credit = min(0.0, self.credit + recovered_s)
@@ -270,8 +259,7 @@
         Statements of open transactions come first, then the customer that is furthest
         behind its share.
         """
-        least = min(flow.virtual_s for flow in self.waiting_flows)
-        self.virtual_s = max(self.virtual_s, least)
+        least = self.advance(self.waiting_flows)
         best = None
         best_key = (True, 0.0)
         for flow in self.waiting_flows:
--- a/src/celeryjunction/admission.py
+++ b/src/celeryjunction/admission.py
@@ -662,7 +662,7 @@
         self._restricted_running -= ticket._is_restricted
 
     def _charge(self, flow: Flow, amount_s: float, guaranteed: bool) -> float:
-        flow.virtual_s += amount_s / flow.share
+        flow.charge(amount_s)
         if self._waiting:
             for queue in self._queues[1:]:
                 if queue.active_flows:
