--- a/src/celeryjunction/dispatch/connection_pool.py
+++ b/src/celeryjunction/dispatch/connection_pool.py
@@ -84,7 +84,10 @@
         yield "lent", len(self._lent)
 
     def has_link(self, now: float, owner: str = "") -> bool:
-        """Whether a connection of an owner is idle or may be opened at `now`."""
+        """Whether a connection of an owner is idle or may be opened at `now`.
+
+        While the endpoint is at its limit, a new one only replaces another owner's.
+        """
         may_open = now >= self.connection_limit_until
         return self.connections.may_take(owner, now, may_open=may_open)
 
@@ -101,7 +104,8 @@
         if link is not None:
             self._metrics.count("connections_reused")
             return link
-        if connections.make_room(owner, now):
+        may_open = now >= self.connection_limit_until
+        if connections.make_room(now, may_open=may_open):
             self._metrics.count("connections_evicted")
         connections.add(owner)
         try:
--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -247,6 +247,7 @@
             gate.running += 1
             charged_s = gate.service_s
             flow = queue.charge_at_once(pending, charged_s)
+        since = self._clock.monotonic()
         try:
             link = await gate.acquire(pending.values, pending.organisation)
         except BaseException:
@@ -254,6 +255,7 @@
             pending.excluded.add(gate.info.id)
             self.dispatch_waiting()
             raise
+        flow.charge(self._clock.monotonic() - since)
         return Grant(
             self,
             gate,
--- a/src/celeryjunction/dispatch/owned_connections.py
+++ b/src/celeryjunction/dispatch/owned_connections.py
@@ -84,7 +84,7 @@
     connections = OwnedConnections(max_links=22)
     connections.may_take("bode", now, may_open=True)  # True: one may be opened
     connections.take("bode", {}, now)                 # None: none of it is idle
-    connections.make_room("bode", now)                # False: nothing had to be closed
+    connections.make_room(now)                        # False: nothing had to be closed
     connections.add("bode")                           # now counted as open
     connections.put(link, now)                        # idle, for the next statement
     ```
@@ -154,19 +154,19 @@
     # Decisions
 
     def may_take(self, owner: str, now: float, *, may_open: bool) -> bool:
-        """Whether a statement may reuse an idle connection, or open one if allowed.
+        """Whether a statement may reuse an idle connection, or open one.
 
-        An owner at its limit opens one beside those of others, but not in the place of
-        one while they need it.
+        Without `may_open` a new one only replaces another. An owner at its limit opens
+        one beside those of others, but not in the place of one while they need it.
         """
         if self.has_idle(owner):
             return True
-        if not may_open:
+        free = self.idle_count - self.promised
+        if self.links - free >= self.max_links:
             return False
-        in_use = self.links - self.idle_count + self.promised
-        if in_use >= self.max_links:
-            return False
-        return self.links < self.max_links or not self._is_limited(owner, now)
+        if may_open and self.links < self.max_links:
+            return True
+        return free > 0 and not self._is_limited(owner, now)
 
     def may_pin(self, owner: str, now: float) -> bool:
         """Whether another transaction of the owner may pin a connection."""
@@ -217,12 +217,12 @@
         self.idle_count -= 1
         return idle.pop(next(matching, -1))[0]
 
-    def make_room(self, owner: str, now: float) -> bool:
-        """Close the idle connection of least value if no further one may be open.
+    def make_room(self, now: float, *, may_open: bool = True) -> bool:
+        """Close the idle connection of least value if a new one must replace another.
 
         Returns whether one was closed.
         """
-        if self.links < self.max_links:
+        if may_open and self.links < self.max_links:
             return False
         limit = self.owner_limit
         best: tuple[tuple[bool, bool, float], tuple[EndpointLink, float]] | None = None
