--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -1,24 +1,32 @@
 """Assigns the statements of this VM to the endpoints of a group.
 
 A statement is sent at once to the endpoint with the lowest expected cost that has a
-free slot. Otherwise it waits in a priority queue. It is refused at once when the
-expected wait exceeds its queue deadline, so that the client can still try another VM.
+free slot. Otherwise it waits in a queue. It is refused at once when it could not get a
+slot before its queue deadline even if each statement that runs, or surely goes before
+it, took only the shortest recent time; the client can then still try another VM.
 """
 
 from __future__ import annotations
 
 import asyncio
-from bisect import insort
 from collections import deque
-from collections.abc import Callable, Iterator
-from itertools import count
+from collections.abc import Callable
 from random import Random
 
 from celeryjunction.dispatch.connection_budget import ConnectionBudget
 from celeryjunction.dispatch.gates import EndpointGate
+from celeryjunction.dispatch.owner_placement import OwnerPlacement
 from celeryjunction.dispatch.retry_budget import RetryBudget
+from celeryjunction.dispatch.statement_queue import (
+    Kind,
+    OrganisationFlow,
+    PendingStatement,
+    StatementQueue,
+    shortest_wait,
+)
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.logs import get_logger
+from celeryjunction.metrics import Metrics
 from celeryjunction.ports import Clock
 from celeryjunction.replication.ports import EndpointDialer, EndpointInfo, EndpointLink
 
@@ -36,76 +44,19 @@
 RETRY_INTERVAL_S = 0.02
 """Interval of retries for queued statements while endpoints are avoided or full."""
 
-_log = get_logger("dispatch")
-
-
-class PendingStatement:
-    """A statement that needs an endpoint.
-
-    `required_endpoint` is the only endpoint that may run the statement; if None, any
-    endpoint that is not in `excluded` may. `arrived` and `queue_deadline` are seconds
-    of the dispatcher's clock; a statement that is still queued at `queue_deadline` is
-    refused.
-    """
+__all__ = ["Dispatcher", "Grant", "PendingStatement"]
 
-    __slots__ = (
-        "_future",
-        "_queue_key",
-        "arrived",
-        "excluded",
-        "may_have_run",
-        "opens_transaction",
-        "organisation",
-        "priority",
-        "queue_deadline",
-        "required_endpoint",
-        "values",
-    )
-
-    def __init__(
-        self,
-        *,
-        priority: int,
-        arrived: float,
-        queue_deadline: float,
-        required_endpoint: str | None = None,
-        opens_transaction: bool = False,
-        values: dict[bytes, bytes] | None = None,
-        organisation: str = "",
-    ) -> None:
-        self.organisation = organisation
-        """Owner of the connection that the statement needs; empty for none."""
-        self.priority = priority
-        self.arrived = arrived
-        self.queue_deadline = queue_deadline
-        self.required_endpoint = required_endpoint
-        self.opens_transaction = opens_transaction
-        """Whether the statement opens a transaction, which pins its connection."""
-        self.excluded: set[str] = set()
-        self.may_have_run = False
-        """Whether an earlier attempt may have run: it failed or was not answered."""
-        self.values = values or {}
-        self._queue_key = (priority, arrived, 0)
-        self._future: asyncio.Future[EndpointGate] | None = None
-
-    def __rich_repr__(self) -> Iterator[tuple[str, object]]:
-        yield "priority", self.priority
-        yield "required_endpoint", self.required_endpoint, None
-        yield "excluded", self.excluded
-
-    def allows(self, endpoint: str) -> bool:
-        """Whether the endpoint may run the statement."""
-        if self.required_endpoint is not None:
-            return endpoint == self.required_endpoint
-        return endpoint not in self.excluded
+_log = get_logger("dispatch")
 
 
 class Grant:
     """A connection to an endpoint and the slot of the statement that runs on it."""
 
     __slots__ = (
+        "_charged_s",
         "_clock",
         "_dispatcher",
+        "_flow",
         "_pinned",
         "_priority",
         "_slot_since",
@@ -122,8 +73,12 @@
         *,
         clock: Clock,
         priority: int,
+        flow: OrganisationFlow,
+        charged_s: float,
     ) -> None:
         self._dispatcher = dispatcher
+        self._flow = flow
+        self._charged_s = charged_s
         self._priority = priority
         self._clock = clock
         self._slot_since: float | None = clock.monotonic()
@@ -163,13 +118,15 @@
         self.gate.running -= 1
         if answered:
             self.gate.record_answer()
+            self._flow.charge(seconds - self._charged_s)
+        self._charged_s = 0.0
         if served:
             self.gate.record_service_time(seconds, priority=self._priority)
 
     def pin(self) -> None:
         """Reserve the connection for a transaction until `release`."""
         self._pinned = True
-        self.gate.pinned += 1
+        self.gate.pool.connections.pin(self.link.owner)
 
     def begin_statement(self) -> None:
         """Take a slot for the next statement of a transaction, without queueing.
@@ -187,8 +144,8 @@
         """Return the connection, and free the slot if it is still held."""
         if self._pinned:
             self._pinned = False
-            self.gate.pinned -= 1
-        self.gate.release(self.link, reusable=reusable)
+            self.gate.pool.connections.pin(self.link.owner, -1)
+        self.gate.pool.release(self.link, reusable=reusable)
         self.end_statement(answered=answered, served=served)
 
 
@@ -208,18 +165,22 @@
         random: Random,
         budget: Callable[[EndpointInfo], ConnectionBudget],
         vm_count: Callable[[], int] = lambda: 1,
+        metrics: Metrics | None = None,
     ) -> None:
         self.gates: dict[str, EndpointGate] = {}
         self.lends_idle_connections = False
         """Whether `borrow` and `adopt` share connections with control commands."""
+        self.serves_no_owner = True
+        """Whether statements without an owner may come, which use what `adopt` took."""
+        self._metrics = metrics or Metrics()
+        self._placement = OwnerPlacement()
         self._zone = zone
         self._dialer = dialer
         self._clock = clock
         self._random = random
         self._budget = budget
         self._vm_count = vm_count
-        self._waiting: list[PendingStatement] = []
-        self._sequence = count(1)
+        self._queue: StatementQueue[EndpointGate] = StatementQueue()
         self._retry_timer: asyncio.TimerHandle | None = None
         self._stuck_check_timer: asyncio.TimerHandle | None = None
         self._refused_at: deque[float] = deque(maxlen=OVERLOAD_REFUSALS)
@@ -231,7 +192,7 @@
     @property
     def waiting(self) -> int:
         """Number of statements in the queue."""
-        return len(self._waiting)
+        return self._queue.waiting
 
     def unanswered_since(self, endpoint: str) -> float:
         """Return since when a stuck endpoint answered nothing, seconds; 0 if not."""
@@ -258,9 +219,11 @@
                     clock=self._clock,
                     random=self._random,
                     max_links=1,
+                    metrics=self._metrics,
                 )
             gate.info = info
-            gate.max_links, gate.resting_links = self._budget(info)
+            pool = gate.pool
+            pool.connections.max_links, pool.resting_links = self._budget(info)
             gate.shared.slots = max(info.slots, 1)
             gate.shared.vm_count = max(self._vm_count(), 1)
         self.dispatch_waiting()
@@ -273,12 +236,18 @@
         connection to the chosen endpoint can be opened; the endpoint is then added to
         `pending.excluded`.
         """
-        gate = None if self._must_queue(pending) else self._choose_gate(pending)
+        queue = self._queue
+        gate = None if queue.has_before(pending) else self._choose_gate(pending)
         if gate is None:
             gate = await self._wait(pending)
-            gate.promised -= 1
+            gate.pool.connections.promise(pending.organisation, -1)
+            charged_s = gate.service_s
+            flow = queue.charge_selected(pending, 0.0)
         else:
             gate.running += 1
+            charged_s = gate.service_s
+            flow = queue.charge_at_once(pending, charged_s)
+        since = self._clock.monotonic()
         try:
             link = await gate.acquire(pending.values, pending.organisation)
         except BaseException:
@@ -286,7 +255,16 @@
             pending.excluded.add(gate.info.id)
             self.dispatch_waiting()
             raise
-        return Grant(self, gate, link, clock=self._clock, priority=pending.priority)
+        flow.charge(self._clock.monotonic() - since)
+        return Grant(
+            self,
+            gate,
+            link,
+            clock=self._clock,
+            priority=pending.priority,
+            flow=flow,
+            charged_s=charged_s,
+        )
 
     # Connections shared with control commands
 
@@ -303,13 +281,16 @@
         if gate is None:
             link.close()
             return
-        gate.take_back(link)
+        gate.pool.take_back(link)
         self.dispatch_waiting()
 
     def adopt(self, endpoint: EndpointInfo, link: EndpointLink) -> bool:
-        """Take over a connection opened for a control command, if there is room."""
+        """Take over a connection opened for a control command, if there is room.
+
+        It has no owner, so where all statements have one it would serve none.
+        """
         gate = self.gates.get(endpoint.id)
-        if gate is None or not self.lends_idle_connections:
+        if gate is None or not self.lends_idle_connections or not self.serves_no_owner:
             return False
         adopted = gate.info.is_same_process(endpoint) and gate.adopt(link)
         if adopted:
@@ -320,7 +301,7 @@
         """Return the age of the connection that `borrow` would lend, in seconds."""
         gate = self.gates.get(endpoint)
         return (
-            gate.oldest_idle_s
+            gate.pool.oldest_idle_s
             if gate is not None and self.lends_idle_connections
             else 0.0
         )
@@ -328,29 +309,49 @@
     def close(self) -> None:
         """Close all idle connections and refuse the queued statements."""
         self.update_endpoints({})
-        for pending in self._waiting:
-            if not pending._future.done():
-                pending._future.set_exception(ProxyError(ErrorKind.SHUTTING_DOWN))
-
-    def _must_queue(self, pending: PendingStatement) -> bool:
-        """Whether a statement that is at least as urgent waits for the same slots."""
-        return any(
-            other.priority <= pending.priority
-            and (other.required_endpoint, other.opens_transaction)
-            == (pending.required_endpoint, pending.opens_transaction)
-            for other in self._waiting
-        )
+        for pending in self._queue:
+            if pending.future is not None and not pending.future.done():
+                pending.future.set_exception(ProxyError(ErrorKind.SHUTTING_DOWN))
 
     def _choose_gate(self, pending: PendingStatement) -> EndpointGate | None:
         now = self._clock.monotonic()
-        best, best_cost = None, 0.0
-        for name, gate in self.gates.items():
-            if not pending.allows(name) or not self._has_room(gate, pending, now):
-                continue
-            cost = self._cost(gate)
-            if best is None or cost < best_cost:
-                best, best_cost = gate, cost
-        return best
+        candidates = [
+            gate
+            for name, gate in self.gates.items()
+            if pending.allows(name) and self._has_room(gate, pending, now)
+        ]
+        if len(candidates) > 1:
+            return self._cheapest(candidates, pending.organisation, now)
+        return candidates[0] if candidates else None
+
+    def _cheapest(
+        self, candidates: list[EndpointGate], owner: str, now: float
+    ) -> EndpointGate:
+        """Return the endpoint with the lowest expected cost for an owner."""
+        if not owner:
+            return min(candidates, key=self._cost)
+        homes = self._homes_of(owner, candidates, now)
+
+        def cost(gate: EndpointGate) -> float:
+            if gate.pool.connections.has_idle(owner):
+                return self._cost(gate)
+            away = gate.info.id not in homes
+            return self._cost(gate, opening_s=gate.pool.opening_s * (1 + away))
+
+        return min(candidates, key=cost)
+
+    def _homes_of(
+        self, owner: str, candidates: list[EndpointGate], now: float
+    ) -> list[str]:
+        """Return the endpoints on which an owner's connections are kept."""
+        uses_per_s = sum(
+            gate.pool.connections.uses_per_s(owner, now) for gate in self.gates.values()
+        )
+        return self._placement.homes(
+            owner,
+            {gate.info.id: self._load(gate) for gate in candidates},
+            uses_per_s=uses_per_s,
+        )
 
     def _has_room(
         self, gate: EndpointGate, pending: PendingStatement, now: float
@@ -358,43 +359,58 @@
         if (
             now < gate.avoid_until
             or gate.is_stuck(now)
-            or not gate.has_link(now, pending.organisation)
+            or not gate.pool.has_link(now, pending.organisation)
         ):
             return False
-        if pending.opens_transaction and not gate.may_pin:
+        if gate.running >= self._limit(gate, pending.priority):
             return False
-        return gate.running < self._limit(gate, pending)
+        return not pending.opens_transaction or gate.pool.connections.may_pin(
+            pending.organisation, now
+        )
 
     @staticmethod
-    def _limit(gate: EndpointGate, pending: PendingStatement) -> int:
-        """Return the number of statements in flight from which on this one waits.
+    def _limit(gate: EndpointGate, priority: int) -> int:
+        """Return the number of statements in flight from which on another one waits.
 
         A statement of priority 0 may exceed this VM's limit at the endpoint by one.
         """
         limit = gate.shared.limit
-        if pending.priority == 0:
+        if priority == 0:
             return limit + 1
-        if pending.priority >= LOW_PRIORITY:
+        if priority >= LOW_PRIORITY:
             return max(limit - 1, 1)
         return limit
 
-    def _cost(self, gate: EndpointGate) -> float:
-        """Return the expected seconds until success: network, queue and service."""
+    def _cost(self, gate: EndpointGate, opening_s: float = 0.0) -> float:
+        """Return the expected seconds until success: network, queue and service.
+
+        Opening a connection occupies a slot for `opening_s`, as service does.
+        """
         network_s = 0.0 if gate.info.zone == self._zone else CROSS_ZONE_RTT_S
-        load = (gate.running + gate.slots_busy_elsewhere) / max(gate.info.slots, 1)
-        return (network_s + gate.service_s * (1.0 + load)) * gate.expected_attempts
+        load = self._load(gate) / max(gate.info.slots, 1)
+        slot_s = gate.service_s + opening_s
+        return (network_s + slot_s * (1.0 + load)) * gate.expected_attempts
+
+    @staticmethod
+    def _load(gate: EndpointGate) -> int:
+        return gate.running + gate.slots_busy_elsewhere
 
     async def _wait(self, pending: PendingStatement) -> EndpointGate:
         now = self._clock.monotonic()
-        if now + self._expected_wait(pending) >= pending.queue_deadline:
+        if now + self._shortest_wait(pending, now) >= pending.queue_deadline:
             raise self._record_refusal(pending)
-        pending._queue_key = (pending.priority, pending.arrived, next(self._sequence))
-        pending._future = asyncio.get_running_loop().create_future()
-        insort(self._waiting, pending, key=lambda waiting: waiting._queue_key)
+        future = pending.future = asyncio.get_running_loop().create_future()
+        self._queue.add(pending)
         self._schedule_retry()
+        if pending.organisation:
+            for name, gate in self.gates.items():
+                if pending.allows(name):
+                    gate.pool.connections.record_need(pending.organisation, now)
+            # Those before it may wait for connections that this one does not need.
+            self.dispatch_waiting()
         try:
             async with asyncio.timeout(pending.queue_deadline - now):
-                return await pending._future
+                return await future
         except BaseException as error:
             self._withdraw(pending)
             if isinstance(error, TimeoutError):
@@ -415,36 +431,52 @@
 
     def _withdraw(self, pending: PendingStatement) -> None:
         """Remove a statement from the queue; free the slot it may have just got."""
-        if pending in self._waiting:
-            self._waiting.remove(pending)
-        future = pending._future
-        if future.done() and not future.cancelled() and future.exception() is None:
+        self._queue.remove(pending)
+        future = pending.future
+        if future is None or not future.done() or future.cancelled():
+            return
+        if future.exception() is None:
             gate = future.result()
             gate.running -= 1
-            gate.promised -= 1
+            gate.pool.connections.promise(pending.organisation, -1)
+            self._queue.charge_selected(pending, -gate.service_s)
             self.dispatch_waiting()
 
-    def _expected_wait(self, pending: PendingStatement) -> float:
-        """Return the expected seconds in the queue, from the statements ahead."""
+    def _shortest_wait(self, pending: PendingStatement, now: float) -> float:
+        """Return the seconds that a statement surely has to wait for a slot."""
         gates = [gate for name, gate in self.gates.items() if pending.allows(name)]
         if not gates:
             return 0.0
-        slots = sum(self._limit(gate, pending) for gate in gates)
-        service_s = sum(gate.service_s for gate in gates) / len(gates)
-        ahead = sum(other.priority <= pending.priority for other in self._waiting)
-        return ahead * service_s / slots
+        return shortest_wait(
+            self._queue.ahead(pending),
+            slots=sum(self._limit(gate, pending.priority) for gate in gates),
+            remaining_s=[left for gate in gates for left in gate.remaining_s(now)],
+            shortest_s=min(gate.shortest_s for gate in gates),
+        )
 
     def dispatch_waiting(self) -> None:
         """Give free slots to queued statements in queue order."""
-        for pending in list(self._waiting):
-            if pending._future.done():
-                continue
-            gate = self._choose_gate(pending)
-            if gate is not None:
-                gate.running += 1
-                gate.promised += 1
-                self._waiting.remove(pending)
-                pending._future.set_result(gate)
+        queue = self._queue
+        while queue.waiting:
+            selected = queue.select(self._has_slot, self._choose_gate)
+            if selected is None:
+                return
+            pending, gate = selected
+            queue.remove(pending)
+            queue.charge_selected(pending, gate.service_s)
+            gate.running += 1
+            gate.pool.connections.promise(pending.organisation)
+            if pending.future is not None:
+                pending.future.set_result(gate)
+
+    def _has_slot(self, kind: Kind, priority: int) -> bool:
+        """Whether an endpoint that may run a kind of statement has a free slot."""
+        required, _, excluded = kind
+        return any(
+            gate.running < self._limit(gate, priority)
+            for name, gate in self.gates.items()
+            if (name == required if required is not None else name not in excluded)
+        )
 
     def schedule_stuck_check(self) -> None:
         """Start the timer of the stuck check if it is not running."""
@@ -473,7 +505,7 @@
             self.schedule_stuck_check()
 
     def _schedule_retry(self) -> None:
-        if self._retry_timer is None and self._waiting:
+        if self._retry_timer is None and self._queue.waiting:
             loop = asyncio.get_running_loop()
             self._retry_timer = loop.call_later(RETRY_INTERVAL_S, self._retry_waiting)
 
