--- /dev/null
+++ b/src/celeryjunction/allotments/share_keeper.py
@@ -0,0 +1,350 @@
+"""Claims, renews and gives up this VM's shares in the store.
+
+All shares of a VM are under one lease of its own. Its time counts from before the
+lease was requested or last renewed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from celeryjunction.allotments.bound import QuotaBound
+from celeryjunction.allotments.share_rules import (
+    LEASE_S,
+    RENEWAL_S,
+    SHARE_PREFIX,
+    SHARES,
+    USE_S,
+    Decision,
+    Knowledge,
+    ShareEntry,
+    candidates,
+    decide,
+    decode_entry,
+    share_key,
+    trace_key,
+)
+from celeryjunction.allotments.shares import HeldShare, HeldShares
+from celeryjunction.follower import PrefixFollower
+from celeryjunction.logs import get_logger
+from celeryjunction.membership import VmRecord
+from celeryjunction.ports import (
+    Clock,
+    Compare,
+    KeyValue,
+    KeyValueStore,
+    LeaseExpired,
+    Put,
+    PutResult,
+    StoreRefused,
+    StoreUnavailable,
+    WatchEvent,
+)
+from celeryjunction.store_history import StoreHistory
+
+STEP_S = 0.25
+"""Interval of the checks."""
+CALL_TIMEOUT_S = 0.6
+"""Time-out of a call. The last second before `USE_S` leaves room for a renewal."""
+
+_log = get_logger("allotments")
+
+
+class ShareKeeper:
+    """Keeps `shares` in accordance with the store.
+
+    `vms` returns the VMs that may hold shares, this one included; it is empty while
+    they are not known. `is_wanted` returns whether there are limits to enforce.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        *,
+        own: VmRecord,
+        shares: HeldShares,
+        follower: PrefixFollower,
+        vms: Callable[[], Mapping[str, VmRecord]],
+        is_wanted: Callable[[], bool],
+        bound: Callable[[], QuotaBound],
+        history: StoreHistory,
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._own = own
+        self._shares = shares
+        self._follower = follower
+        self._vms = vms
+        self._is_wanted = is_wanted
+        self._bound = bound
+        self._history = history
+        self._clock = clock
+        self._lease = 0
+        self._lease_until = 0.0
+        """Until when the lease may be relied on."""
+        self._renew_at = 0.0
+        self._revisions: dict[int, int] = {}
+        """Revision of each held share's key, as this VM wrote it."""
+        self._unconfirmed: set[int] = set()
+        """Held shares whose keys the store may have lost."""
+        self._unsettled: set[int] = set()
+        """Held shares whose keys still say that a forgotten holder may use them."""
+        self._absent_since: dict[int, float] = {}
+        self._contact_since: float | None = None
+        self._lost_at: float | None = clock.monotonic() if history.losses else None
+        self._failing = False
+        history.subscribe(self._store_lost_changes)
+        follower.subscribe(self._apply_change)
+
+    async def run(self) -> None:
+        """Keep shares until cancelled."""
+        while True:
+            try:
+                await self._step()
+                self._failing = False
+            except LeaseExpired:
+                self._lease = 0
+                self._lose_all("lease_expired")
+            except (StoreUnavailable, StoreRefused) as error:
+                if not self._failing:
+                    self._failing = True
+                    _log.warning("share_call_failed", reason=str(error))
+            await asyncio.sleep(STEP_S)
+
+    async def give_up(self) -> None:
+        """Stop using all shares and free them for other VMs."""
+        held = [share.number for share in self._shares]
+        for number in held:
+            self._drop(number, "share_given_up", reason="not_needed_here")
+        lease, self._lease = self._lease, 0
+        if not lease:
+            return
+        try:
+            await self._store.revoke_lease(lease, timeout=CALL_TIMEOUT_S)
+        except (StoreUnavailable, StoreRefused) as error:
+            _log.info("lease_left_to_lapse", lease=lease, reason=str(error))
+
+    # Changes in the store
+
+    def _store_lost_changes(self) -> None:
+        """Confirm the held shares again; their use goes on until the lease ends.
+
+        Other VMs that find the loss wait for the time that this VM may still use them.
+        """
+        self._lost_at = self._clock.monotonic()
+        self._lease = 0
+        self._unconfirmed.update(share.number for share in self._shares)
+
+    def _apply_change(self, event: WatchEvent) -> None:
+        number = _share_number(event.key)
+        if number is None:
+            return
+        if event.value is None:
+            self._absent_since.setdefault(number, self._clock.monotonic())
+        else:
+            self._absent_since.pop(number, None)
+        is_older = event.revision <= self._revisions.get(number, 0)
+        if number not in self._shares or number in self._unconfirmed or is_older:
+            return
+        if not self._is_own(decode_entry(event.value)):
+            self._drop(number, "share_lost", reason="taken_or_deleted")
+
+    def _is_own(self, entry: ShareEntry | None) -> bool:
+        return (
+            entry is not None
+            and entry.vm == self._own.name
+            and entry.incarnation == self._own.incarnation
+        )
+
+    # Steps
+
+    async def _step(self) -> None:
+        now = self._clock.monotonic()
+        for share in list(self._shares):
+            if now >= share.valid_until:
+                self._drop(share.number, "share_lost", reason="not_renewed")
+        if not self._is_wanted():
+            if self._lease:
+                await self.give_up()
+            return
+        if not self._follower.synced.is_set():
+            return
+        if self._contact_since is None:
+            self._contact_since = now
+        if self._lease and now >= self._renew_at:
+            await self._renew()
+        for number in range(SHARES):
+            if number in self._unconfirmed:
+                await self._confirm(number)
+            elif number in self._shares:
+                await self._settle(number)
+            else:
+                await self._consider(number)
+
+    async def _renew(self) -> None:
+        lease, sent_at = self._lease, self._clock.monotonic()
+        renewed = await self._store.renew_lease(lease, timeout=CALL_TIMEOUT_S)
+        if lease != self._lease:
+            return  # The store lost changes meanwhile.
+        if not renewed:
+            raise LeaseExpired("the lease of the shares expired")
+        self._record_lease(lease, sent_at)
+        for share in self._shares:
+            if share.number not in self._unconfirmed:
+                share.valid_until = self._lease_until
+
+    def _record_lease(self, lease: int, sent_at: float) -> None:
+        self._lease = lease
+        self._lease_until = sent_at + USE_S
+        self._renew_at = sent_at + RENEWAL_S
+
+    async def _ensure_lease(self) -> None:
+        if not self._lease:
+            sent_at = self._clock.monotonic()
+            losses = self._history.losses
+            lease = await self._store.grant_lease(LEASE_S, timeout=CALL_TIMEOUT_S)
+            self._history.check_no_loss_since(losses)
+            self._record_lease(lease, sent_at)
+
+    async def _consider(self, number: int) -> None:
+        """Take a share if it is free and this VM's turn."""
+        now = self._clock.monotonic()
+        items = self._follower.items
+        item, trace = items.get(share_key(number)), items.get(trace_key(number))
+        entry = _decode(item)
+        if item is not None and entry is None:
+            return  # Written by another program.
+        ranked = candidates(number, self._vms())
+        if self._own.name not in ranked:
+            return
+        absent_since = self._absent_since.setdefault(number, now)
+        decision = decide(
+            entry,
+            _decode(trace),
+            own=self._entry(),
+            known=self._known,
+            free_for_s=now - absent_since if item is None else 0.0,
+            position=ranked.index(self._own.name),
+            now=now,
+        )
+        if decision is not Decision.LEAVE:
+            revision = item.revision if item is not None else 0
+            await self._take(number, revision, settled=decision is Decision.TAKE)
+
+    async def _take(self, number: int, revision: int, *, settled: bool) -> None:
+        known = self._known
+        result = await self._write(number, revision, settled=settled)
+        if not result.succeeded:
+            return
+        now = self._clock.monotonic()
+        free_from = now if settled else max(now, known.forgotten_until)
+        self._shares.add(
+            HeldShare(
+                number,
+                free_from=free_from,
+                valid_until=self._lease_until,
+                bound=self._bound(),
+            )
+        )
+        self._revisions[number] = result.revision
+        if not settled:
+            self._unsettled.add(number)
+        _log.info(
+            "share_taken",
+            share=number,
+            revision=result.revision,
+            usable_in_s=round(free_from - now, 1),
+        )
+
+    async def _write(self, number: int, revision: int, *, settled: bool) -> PutResult:
+        """Write this VM's entry; raises `StoreUnavailable` if changes were lost."""
+        await self._ensure_lease()
+        losses = self._history.losses
+        key, entry = share_key(number), self._entry(settled=settled)
+        result = await self._store.compare_and_put(
+            [Compare(key, revision)],
+            [Put(key, msgspec.json.encode(entry))],
+            lease=self._lease,
+            timeout=CALL_TIMEOUT_S,
+        )
+        self._history.check_no_loss_since(losses)
+        return result
+
+    async def _confirm(self, number: int) -> None:
+        """Write a held share's key again, which the store may have lost.
+
+        An entry of an earlier era is that of a holder before this VM.
+        """
+        item = await self._store.get(share_key(number), timeout=CALL_TIMEOUT_S)
+        entry = _decode(item)
+        is_stale = entry is not None and entry.era != self._history.era
+        if item is not None and not (is_stale or self._is_own(entry)):
+            self._drop(number, "share_lost", reason="taken_after_loss")
+            return
+        revision = item.revision if item is not None else 0
+        settled = number not in self._unsettled
+        result = await self._write(number, revision, settled=settled)
+        share = self._shares.get(number)
+        if result.succeeded and share is not None:
+            self._unconfirmed.discard(number)
+            self._revisions[number] = result.revision
+            share.valid_until = self._lease_until
+            _log.info("share_confirmed", share=number, revision=result.revision)
+
+    async def _settle(self, number: int) -> None:
+        """Record that no forgotten holder can use the share any more."""
+        share = self._shares.get(number)
+        if share is None or self._clock.monotonic() < share.free_from:
+            return
+        if number in self._unsettled:
+            revision = self._revisions[number]
+            result = await self._write(number, revision, settled=True)
+            if not result.succeeded:
+                return
+            self._revisions[number] = result.revision
+            self._unsettled.discard(number)
+        trace = _decode(self._follower.items.get(trace_key(number)))
+        if trace is None or not trace.settled or trace.era != self._history.era:
+            entry = msgspec.json.encode(self._entry())
+            await self._store.compare_and_put(
+                [], [Put(trace_key(number), entry)], timeout=CALL_TIMEOUT_S
+            )
+
+    # State
+
+    @property
+    def _known(self) -> Knowledge:
+        return Knowledge(self._history.era, self._contact_since or 0.0, self._lost_at)
+
+    def _entry(self, *, settled: bool = True) -> ShareEntry:
+        return ShareEntry(
+            self._own.name, self._own.incarnation, self._history.era, settled
+        )
+
+    def _lose_all(self, reason: str) -> None:
+        for share in list(self._shares):
+            if share.number not in self._unconfirmed:
+                self._drop(share.number, "share_lost", reason=reason)
+
+    def _drop(self, number: int, event: str, *, reason: str) -> None:
+        """Stop using a share and log it as an event."""
+        self._shares.remove(number)
+        self._unconfirmed.discard(number)
+        self._unsettled.discard(number)
+        self._revisions.pop(number, None)
+        _log.info(event, share=number, reason=reason)
+
+
+def _decode(item: KeyValue | None) -> ShareEntry | None:
+    return decode_entry(item.value) if item is not None else None
+
+
+def _share_number(key: str) -> int | None:
+    """Return the number of the share whose key this is; None for other keys."""
+    for number in range(SHARES):
+        if key == SHARE_PREFIX + str(number):
+            return number
+    return None
--- a/src/celeryjunction/gateway/gateway.py
+++ b/src/celeryjunction/gateway/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from celeryjunction.dispatch.dispatcher import Dispatcher
 from celeryjunction.gateway.request_log import RequestLog
@@ -12,6 +13,9 @@
 from celeryjunction.ports import Clock
 from celeryjunction.replication.group import ReplicationGroup
 
+if TYPE_CHECKING:
+    from celeryjunction.allotments.allotments import Allotments
+
 _log = get_logger("gateway")
 
 
@@ -28,6 +32,8 @@
         self.table: RouteTable | None = None
         self.groups: dict[str, ReplicationGroup] = {}
         self.dispatchers: dict[str, Dispatcher] = {}
+        self.allotments: Allotments | None = None
+        """Limits of the organisations; None while no routes in force have any."""
         self.on_newer_routes: Callable[[int], None] = lambda version: None
         """Called when another VM has newer routes in force than this one."""
         self.open_transactions = 0
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -9,6 +9,7 @@
 import msgspec
 from msgspec.structs import replace
 
+from celeryjunction.allotments.admission import admit_operation
 from celeryjunction.dispatch.dispatcher import Dispatcher, Grant, PendingStatement
 from celeryjunction.errors import (
     ConnectionLost,
@@ -167,7 +168,7 @@
         self._endpoint = ""
         route = gateway.route(self.database)
         self._timeout_s = route.timeout_s if route is not None else 0.0
-        outcome = ""
+        outcome = reason = ""
         try:
             await self._wait_for_abort()
             if self._closed:
@@ -178,18 +179,28 @@
                 raise ProxyError(
                     ErrorKind.UNKNOWN_DATABASE, {"database": self.database}
                 )
+            if gateway.allotments is not None and self._transaction is None:
+                await admit_operation(
+                    gateway.allotments,
+                    request.statement,
+                    prepared=self.session_state.prepared,
+                    table=gateway.table,
+                    organisation=self.organisation,
+                    deadline=request.arrived + self._timeout_s,
+                )
             answer = await self._run(request.statement, request, route)
             if answer.fault is not None:
                 outcome = answer.fault.value
             return answer
         except ProxyError as error:
             outcome = error.kind.value
+            reason = str(error.details.get("reason", ""))
             raise
         finally:
             gateway.running -= 1
             self._statement_task = None
             self._start_idle_timer()
-            self._record_outcome(request, route, outcome)
+            self._record_outcome(request, route, outcome, reason)
 
     def _check_routes_version(self) -> None:
         """Refuse a statement of a client that was admitted under newer routes."""
@@ -202,7 +213,7 @@
             )
 
     def _record_outcome(
-        self, request: Request, route: Route | None, outcome: str
+        self, request: Request, route: Route | None, outcome: str, reason: str
     ) -> None:
         seconds = self._clock.monotonic() - request.arrived
         gateway = self._gateway
@@ -228,6 +239,7 @@
             took_ms=round(seconds * 1000, 1),
             **self._decision_inputs(route),
             outcome=outcome,
+            reason=reason or None,
         )
 
     def _decision_inputs(self, route: Route | None) -> dict[str, object]:
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -13,6 +13,8 @@
 from random import Random
 from typing import Protocol
 
+from celeryjunction.allotments.allotments import Allotments
+from celeryjunction.allotments.bound import QuotaBound
 from celeryjunction.dispatch.connection_budget import (
     ConnectionBudget,
     connection_budget,
@@ -34,7 +36,7 @@
 from celeryjunction.gateway.organisations import key_digest
 from celeryjunction.gateway.routes import RouteTable
 from celeryjunction.logs import get_logger
-from celeryjunction.membership import Membership
+from celeryjunction.membership import Membership, VmRecord
 from celeryjunction.metrics import Metrics
 from celeryjunction.ports import Clock, KeyValueStore, WatchEvent
 from celeryjunction.reach import EndpointContact, is_cut_off
@@ -92,13 +94,17 @@
 class NodeLimits:
     """Limits set by the platform, in seconds."""
 
-    __slots__ = ("drain_s", "grace_s")
+    __slots__ = ("drain_s", "grace_s", "quota")
 
-    def __init__(self, *, drain_s: float, grace_s: float) -> None:
+    def __init__(
+        self, *, drain_s: float, grace_s: float, quota: QuotaBound | None = None
+    ) -> None:
         self.drain_s = drain_s
         """Time after which a draining endpoint must get no new statements."""
         self.grace_s = grace_s
         """Time from the order to stop until the process is killed."""
+        self.quota = quota or QuotaBound()
+        """Bound on the operations of an organisation."""
 
 
 class ClientConnection(Protocol):
@@ -220,9 +226,38 @@
         call for each pair of VMs.
         """
         if self.gateway.apply_routes(table):
+            self._apply_limits(table)
             self._end_revoked_sessions()
             self._update_topology()
 
+    def _apply_limits(self, table: RouteTable) -> None:
+        """Enforce the organisations' limits from the first routes that have any."""
+        allotments = self.gateway.allotments
+        if allotments is None:
+            organisations = table.organisations or ()
+            if not any(organisation.is_limited for organisation in organisations):
+                return
+            allotments = self.gateway.allotments = Allotments(
+                self._store,
+                own=self._membership.record,
+                vms=self._known_vms,
+                may_hold=lambda: not self._draining,
+                bound=lambda: self.limits.quota,
+                history=self._history,
+                metrics=self.metrics,
+                clock=self._clock,
+                random=self._random,
+            )
+            self.start_service("allotments", allotments.run)
+        allotments.apply_routes(table)
+
+    def _known_vms(self) -> dict[str, VmRecord]:
+        """Return all VMs, this one included; none while they are not known."""
+        if not self._membership.follower.synced.is_set():
+            return {}
+        own = self._membership.record
+        return {**self._membership.peers(), own.name: own}
+
     def _update_topology(self) -> None:
         self._update_homes()
         self._apply_endpoints()
@@ -672,6 +707,8 @@
             group.close()
         try:
             async with asyncio.timeout(EXIT_MARGIN_S / 2):
+                if self.gateway.allotments is not None:
+                    await self.gateway.allotments.close()
                 await self._membership.leave()
         except TimeoutError:
             _log.warning("lease_left_to_lapse", vm=self._vm)
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -11,6 +11,7 @@
 from random import Random
 
 from celeryjunction.adapters.http_client import HttpClient, HttpResponder
+from celeryjunction.allotments.bound import QuotaBound
 from celeryjunction.follower import PrefixFollower
 from celeryjunction.log_stream import BackgroundStream
 from celeryjunction.logs import get_logger, set_up_logs
@@ -165,7 +166,10 @@
 
 def _make_limits(settings: EdgeSettings) -> NodeLimits:
     bounds = settings.bounds
-    return NodeLimits(drain_s=bounds.drain_ms / 1000, grace_s=bounds.grace_s)
+    quota = QuotaBound(bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack)
+    return NodeLimits(
+        drain_s=bounds.drain_ms / 1000, grace_s=bounds.grace_s, quota=quota
+    )
 
 
 def _make_membership(
--- a/src/celeryjunction/platform/settings.py
+++ b/src/celeryjunction/platform/settings.py
@@ -49,6 +49,10 @@
     """Time from SIGTERM to SIGKILL."""
     config_apply_ms: Amount = 3000.0
     """Time after which a changed config must be in force."""
+    quota_window_s: Amount = 5.0
+    quota_overrun: Amount = 0.1
+    quota_slack: Amount = 20.0
+    """Bound on an organisation's operations, see `QuotaBound`."""
 
 
 class Limits(msgspec.Struct, frozen=True):
--- a/src/celeryjunction/platform/standin.py
+++ b/src/celeryjunction/platform/standin.py
@@ -467,6 +467,9 @@
         """Rises by one each time the store comes back from an older copy; None if the
         store does not tell."""
         self.leases: dict[int, float] = {}
+        """End of each lease, monotonic seconds."""
+        self._lease_lives: dict[int, float] = {}
+        """Seconds from a renewal of each lease to its end."""
         self.groups: dict[str, StandinGroup] = {}
         self.advertised_ports: dict[str, int] = {}
         """Ports that `register` writes for endpoints behind a proxy, by endpoint."""
@@ -693,7 +696,8 @@
     def _lease_call(self, method: str, path: str, data: dict) -> tuple[int, object]:
         if path == "/kv-lease":
             lease = max(self.leases, default=FIRST_LEASE) + 1
-            self.leases[lease] = time.monotonic() + data["ttl_ms"] / 1000
+            self._lease_lives[lease] = data["ttl_ms"] / 1000
+            self.leases[lease] = time.monotonic() + self._lease_lives[lease]
             return 200, {"lease": lease, "ttl_ms": data["ttl_ms"]}
         lease = int(path.rpartition("/")[2])
         if lease not in self.leases:
@@ -701,7 +705,7 @@
         if method == "DELETE":
             self.end_lease(lease)
         else:
-            self.leases[lease] = time.monotonic() + 10
+            self.leases[lease] = time.monotonic() + self._lease_lives[lease]
         return 200, {}
 
 
--- a/src/celeryjunction/relay/home_link.py
+++ b/src/celeryjunction/relay/home_link.py
@@ -197,7 +197,7 @@
             elif isinstance(message, EndpointList):
                 self.endpoints = message
                 self._on_update(self)
-            else:
+            elif isinstance(message, Outcome):
                 future = self._outcomes.get(message.number)
                 if future is not None and not future.done():
                     future.set_result(message)
--- a/src/celeryjunction/relay/home_server.py
+++ b/src/celeryjunction/relay/home_server.py
@@ -12,6 +12,8 @@
     FrameStream,
     FrameTooLarge,
 )
+from celeryjunction.allotments.holder_link import IDLE_TIMEOUT_S
+from celeryjunction.allotments.shares import Borrowed
 from celeryjunction.decoding import DecodingError
 from celeryjunction.errors import ErrorKind, ProxyError, rolled_back_error
 from celeryjunction.gateway.gateway import Gateway
@@ -21,12 +23,14 @@
 from celeryjunction.relay.messages import (
     NO_TRANSACTION,
     AskEndpoints,
+    AskTokens,
     EndpointList,
     EndTransaction,
     FromHome,
     HomeStatus,
     Outcome,
     RunStatement,
+    Tokens,
     decode_to_home,
     encode,
     error_details,
@@ -48,6 +52,10 @@
 `home_link`, after which a forwarding VM gives up a home, and longer than two of its
 status intervals."""
 
+BORROWER_TIMEOUT_S = IDLE_TIMEOUT_S + 2.0
+"""Time-out of a connection on which a VM asks for tokens, and which it closes itself
+when it doesn't need it."""
+
 _log = get_logger("relay")
 
 
@@ -156,6 +164,9 @@
         """Tasks of statements."""
         self._ending: set[asyncio.Task[None]] = set()
         """Tasks that roll back transactions which the VM ended."""
+        self._borrowed: dict[str, Borrowed] | None = None
+        """Tokens last granted on this connection, by organisation; None if the VM has
+        not asked for any."""
         self._gateway = gateway
         self._status = status
         self._endpoints = endpoints
@@ -171,7 +182,7 @@
             read_at = self._gateway.clock.monotonic()
             while (frame := await self._read()) is not None:
                 before, read_at = read_at, self._gateway.clock.monotonic()
-                if read_at - before >= STALL_THRESHOLD_S:
+                if read_at - before >= STALL_THRESHOLD_S and self._borrowed is None:
                     # Running a write that the sender gave up could undo what the
                     # client wrote since.
                     _log.warning("guest_stalled", for_s=round(read_at - before, 3))
@@ -189,7 +200,10 @@
 
     async def _read(self) -> bytes | None:
         try:
-            async with asyncio.timeout(SILENCE_TIMEOUT_S):
+            silence_s = SILENCE_TIMEOUT_S
+            if self._borrowed is not None:
+                silence_s = BORROWER_TIMEOUT_S
+            async with asyncio.timeout(silence_s):
                 return await self.stream.read_frame()
         except TimeoutError:
             _log.warning("guest_silent", transactions=len(self.transactions))
@@ -215,6 +229,8 @@
                 task.add_done_callback(self._ending.discard)
         elif isinstance(message, AskEndpoints):
             self._send(self._endpoints())
+        elif isinstance(message, AskTokens):
+            self._send(self._grant(message))
         else:
             self._send(self._status())
 
@@ -266,6 +282,15 @@
         error = ProxyError(ErrorKind.INTERNAL, {"reason": reason})
         return _failed(message.number, state, error)
 
+    def _grant(self, message: AskTokens) -> Tokens:
+        """Grant tokens; a late request costs tokens and does no other harm."""
+        if self._borrowed is None:
+            self._borrowed = {}
+        allotments = self._gateway.allotments
+        if allotments is None:
+            return Tokens(message.number, {})
+        return allotments.grant(message, self._borrowed)
+
     def _send(self, message: FromHome) -> None:
         self.stream.write_frame(encode(message))
 
--- a/src/celeryjunction/relay/messages.py
+++ b/src/celeryjunction/relay/messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from celeryjunction.decoding import Amount, Count, decode
+from celeryjunction.decoding import Amount, Count, Name, decode
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.gateway.organisations import NO_ORGANISATION
 from celeryjunction.gateway.session import SessionState
@@ -97,8 +97,26 @@
     """Revision of the store that the list reflects; 0 from a home that does not say."""
 
 
-ToHome = RunStatement | EndTransaction | AskHomeStatus | AskEndpoints
-FromHome = Outcome | HomeStatus | EndpointList
+class AskTokens(msgspec.Struct, frozen=True, array_like=True, tag="ask_tokens"):
+    """Ask the holder of a share for tokens, by organisation.
+
+    The amounts are the tokens wanted, and those of the last grant on this connection
+    that are returned unused.
+    """
+
+    number: Count
+    organisations: dict[Name, tuple[Amount, Amount]]
+
+
+class Tokens(msgspec.Struct, frozen=True, array_like=True, tag="tokens"):
+    """Reply to `AskTokens`: the tokens granted, by organisation."""
+
+    number: Count
+    granted: dict[Name, Amount]
+
+
+ToHome = RunStatement | EndTransaction | AskHomeStatus | AskEndpoints | AskTokens
+FromHome = Outcome | HomeStatus | EndpointList | Tokens
 
 _encoder = msgspec.msgpack.Encoder()
 _to_home = msgspec.msgpack.Decoder(ToHome)
