Merge the choice of endpoints by expected free slots with pools by owner

An owner's statements take turns among the endpoints where it has an idle connection and a slot is expected to be free, else among those that its connections are kept on.

--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -14,6 +14,7 @@
 from random import Random
 
 from celeryjunction.dispatch.connection_budget import ConnectionBudget
+from celeryjunction.dispatch.endpoint_choice import Candidate, EndpointChoice
 from celeryjunction.dispatch.gates import EndpointGate
 from celeryjunction.dispatch.owner_placement import OwnerPlacement
 from celeryjunction.dispatch.retry_budget import RetryBudget
@@ -181,6 +182,7 @@
         self._budget = budget
         self._vm_count = vm_count
         self._queue: StatementQueue[EndpointGate] = StatementQueue()
+        self._choice = EndpointChoice(random=random)
         self._retry_timer: asyncio.TimerHandle | None = None
         self._stuck_check_timer: asyncio.TimerHandle | None = None
         self._refused_at: deque[float] = deque(maxlen=OVERLOAD_REFUSALS)
@@ -226,6 +228,7 @@
             pool.connections.max_links, pool.resting_links = self._budget(info)
             gate.shared.slots = max(info.slots, 1)
             gate.shared.vm_count = max(self._vm_count(), 1)
+        self._choice.retain(self.gates)
         self.dispatch_waiting()
 
     async def acquire(self, pending: PendingStatement) -> Grant:
@@ -321,24 +324,35 @@
             if pending.allows(name) and self._has_room(gate, pending, now)
         ]
         if len(candidates) > 1:
-            return self._cheapest(candidates, pending.organisation, now)
+            return self._select(candidates, pending.organisation, now)
         return candidates[0] if candidates else None
 
-    def _cheapest(
+    def _select(
         self, candidates: list[EndpointGate], owner: str, now: float
     ) -> EndpointGate:
-        """Return the endpoint with the lowest expected cost for an owner."""
-        if not owner:
-            return min(candidates, key=self._cost)
-        homes = self._homes_of(owner, candidates, now)
-
-        def cost(gate: EndpointGate) -> float:
-            if gate.pool.connections.has_idle(owner):
-                return self._cost(gate)
-            away = gate.info.id not in homes
-            return self._cost(gate, opening_s=gate.pool.opening_s * (1 + away))
-
-        return min(candidates, key=cost)
+        """Return the endpoint whose turn it is, for an owner among its own ones.
+
+        These are the endpoints with an idle connection of the owner, unless all slots
+        are expected to be taken there, or else those that its connections are kept on.
+        """
+        if owner:
+            own = [
+                gate
+                for gate in candidates
+                if gate.pool.connections.has_idle(owner) and gate.free_slots > 0
+            ]
+            if not own:
+                homes = self._homes_of(owner, candidates, now)
+                own = [gate for gate in candidates if gate.info.id in homes]
+            candidates = own or candidates
+        name = self._choice.choose(
+            [
+                Candidate(gate.info.id, self._cost(gate), gate.free_slots)
+                for gate in candidates
+            ],
+            vm_count=max(gate.shared.vm_count for gate in candidates),
+        )
+        return self.gates[name]
 
     def _homes_of(
         self, owner: str, candidates: list[EndpointGate], now: float
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -12,6 +12,7 @@
     RESTING_IDLE_S,
     ConnectionPool,
 )
+from celeryjunction.dispatch.load_estimate import LoadEstimate
 from celeryjunction.dispatch.shared_slots import SharedSlots
 from celeryjunction.errors import ConnectionLost
 from celeryjunction.logs import get_logger
@@ -32,8 +33,13 @@
 MIN_AVOID_S = 0.3
 MAX_AVOID_S = 3.0
 """An avoided endpoint is retried after a delay that doubles between these bounds."""
-SERVICE_WEIGHT = 0.1
-"""Weight of a new sample in the moving average of the service time."""
+SERVICE_WEIGHT = 0.02
+"""Weight of a new sample in the moving average of the service time. With 0.1 the
+average differs between equal endpoints by a quarter, more than their load does, and
+most statements go to the one that seems fastest."""
+FIRST_SERVICE_ANSWERS = 20
+"""Answers that are averaged with equal weights at first, the assumed service time being
+the first of them."""
 FAULT_WEIGHT = 0.1
 """Weight of a statement in the moving average of the fault rate."""
 MAX_FAULT_RATE = 0.9
@@ -63,6 +69,7 @@
     """
 
     __slots__ = (
+        "_answers",
         "_avoid_s",
         "_clock",
         "_failed_at",
@@ -73,13 +80,13 @@
         "behind_since",
         "fault_rate",
         "info",
+        "load",
         "patience",
         "pool",
         "running",
         "service_s",
         "shared",
         "shortest_s",
-        "slots_busy_elsewhere",
         "unanswered_since",
     )
 
@@ -103,9 +110,9 @@
         )
         self.running = 0
         """Slots in use: statements of this VM that are sent or about to be."""
-        self.slots_busy_elsewhere = 0
-        """Slots that other VMs used according to the last status."""
+        self.load = LoadEstimate()
         self.service_s = INITIAL_SERVICE_S
+        self._answers = 0
         self.shortest_s = 0.0
         """The shortest recent service time, 0 before the first answer."""
         self.patience = AnswerPatience()
@@ -137,6 +144,18 @@
         """Connections that are open or being opened."""
         return self.pool.connections.links
 
+    @property
+    def slots_busy_elsewhere(self) -> float:
+        """Slots that other VMs are expected to use now."""
+        return self.load.busy_elsewhere(
+            self._clock.monotonic(), service_s=self.service_s
+        )
+
+    @property
+    def free_slots(self) -> float:
+        """Slots that are expected to be free; negative with a queue."""
+        return max(self.info.slots, 1) - self.running - self.slots_busy_elsewhere
+
     @property
     def max_links(self) -> int:
         """Connections that this VM may have at any time."""
@@ -237,12 +256,16 @@
         """Record the service time of a statement."""
         self.shared.observe(priority, seconds)
         self.patience.record_answer(seconds)
-        self.service_s += SERVICE_WEIGHT * (seconds - self.service_s)
         shortest_s = self.shortest_s
         if not shortest_s or seconds < shortest_s:
             self.shortest_s = seconds
         else:
             self.shortest_s = shortest_s + SHORTEST_WEIGHT * (seconds - shortest_s)
+        self._answers += 1
+        weight = 1 / (self._answers + 1)
+        if self._answers >= FIRST_SERVICE_ANSWERS:
+            weight = SERVICE_WEIGHT
+        self.service_s += weight * (seconds - self.service_s)
         self.behind_since = 0.0
 
     def record_behind(self) -> None:
