Let steady load use the burst that each window allows

Cause: a token bucket gives a steady load its rate only, though rate and burst allow the burst in every window.

Change: a bucket's rate is raised by a burst in each window as far as the bound of the window has room for it.

--- a/src/celeryjunction/allotments/bound.py
+++ b/src/celeryjunction/allotments/bound.py
@@ -39,13 +39,16 @@
         """Return the rate and the capacity of an organisation's bucket in one share.
 
         Each share can hold a whole token, unless the tolerance of the bound is too
-        small for that. The rate is lower if the bound has no room for the life of a
-        token.
+        small for that. Under steady load a bucket's capacity is used once and its rate
+        all the time, while rate and burst allow the burst in every window: the rate is
+        therefore higher by a burst in each window, as far as the bound has room for
+        the life of a token.
         """
         burst, limit = organisation.burst, self.limit(organisation)
         capacity = max(float(SHARES), burst)
         spent_s = self.memory_s + DISPATCH_S
         if capacity + organisation.rate_per_s * spent_s > limit:
             capacity = max(1.0, burst)
-        rate = min(organisation.rate_per_s, max(0.0, limit - capacity) / spent_s)
+        steady = organisation.rate_per_s + burst / self.window_s
+        rate = min(steady, max(0.0, limit - capacity) / spent_s)
         return rate / SHARES, capacity / SHARES
