--- a/src/celeryjunction/dispatch/connection_pool.py
+++ b/src/celeryjunction/dispatch/connection_pool.py
@@ -50,6 +50,7 @@
         "_lent",
         "_metrics",
         "_random",
+        "_reused",
         "closed",
         "connection_limit_until",
         "connections",
@@ -78,6 +79,8 @@
         self._random = random
         self._metrics = metrics
         self._lent: set[EndpointLink] = set()
+        self._reused = 0
+        """Connections reused since the last count, which `close_idle` passes on."""
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
         yield from self.connections.__rich_repr__()
@@ -88,24 +91,24 @@
 
         While the endpoint is at its limit, a new one only replaces another owner's.
         """
-        may_open = now >= self.connection_limit_until
-        return self.connections.may_take(owner, now, may_open=may_open)
+        connections = self.connections
+        return connections.has_idle(owner) or connections.may_open(
+            owner, now, beside=now >= self.connection_limit_until
+        )
 
-    async def acquire(
-        self, info: EndpointInfo, values: dict[bytes, bytes], owner: str
-    ) -> EndpointLink:
-        """Return an idle connection of an owner, or open one.
+    def take(self, values: dict[bytes, bytes], owner: str) -> EndpointLink | None:
+        """Take an idle connection of an owner; one with these values is preferred."""
+        link = self.connections.take(owner, values, self._clock.monotonic())
+        self._reused += link is not None
+        return link
 
-        One with these values is preferred. Raises `ConnectionLost` (nothing sent) or
-        `EndpointRefused`.
+    async def open(self, info: EndpointInfo, owner: str) -> EndpointLink:
+        """Open a connection, in the place of an idle one if necessary.
+
+        Raises `ConnectionLost` (nothing sent) or `EndpointRefused`.
         """
         connections, now = self.connections, self._clock.monotonic()
-        link = connections.take(owner, values, now)
-        if link is not None:
-            self._metrics.count("connections_reused")
-            return link
-        may_open = now >= self.connection_limit_until
-        if connections.make_room(now, may_open=may_open):
+        if connections.make_room(now, beside=now >= self.connection_limit_until):
             self._metrics.count("connections_evicted")
         connections.add(owner)
         try:
@@ -179,6 +182,9 @@
         a new connection costs the endpoint a slot, and evidence counts only on one that
         has been open for a while.
         """
+        if self._reused:
+            self._metrics.count("connections_reused", self._reused)
+            self._reused = 0
         self.connections.close_idle(
             self._clock.monotonic(),
             older_than=older_than,
--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -237,7 +237,8 @@
         `pending.excluded`.
         """
         queue = self._queue
-        gate = None if queue.has_before(pending) else self._choose_gate(pending)
+        must_wait = queue.waiting and queue.has_before(pending)
+        gate = None if must_wait else self._choose_gate(pending)
         if gate is None:
             gate = await self._wait(pending)
             gate.pool.connections.promise(pending.organisation, -1)
@@ -247,7 +248,7 @@
             gate.running += 1
             charged_s = gate.service_s
             flow = queue.charge_at_once(pending, charged_s)
-        since = self._clock.monotonic()
+        since = self._clock.monotonic() if pending.organisation else 0.0
         try:
             link = await gate.acquire(pending.values, pending.organisation)
         except BaseException:
@@ -255,7 +256,8 @@
             pending.excluded.add(gate.info.id)
             self.dispatch_waiting()
             raise
-        flow.charge(self._clock.monotonic() - since)
+        if pending.organisation:
+            flow.charge(self._clock.monotonic() - since)
         return Grant(
             self,
             gate,
@@ -349,7 +351,10 @@
         )
         return self._placement.homes(
             owner,
-            {gate.info.id: self._load(gate) for gate in candidates},
+            {
+                gate.info.id: gate.running + gate.slots_busy_elsewhere
+                for gate in candidates
+            },
             uses_per_s=uses_per_s,
         )
 
@@ -387,14 +392,10 @@
         Opening a connection occupies a slot for `opening_s`, as service does.
         """
         network_s = 0.0 if gate.info.zone == self._zone else CROSS_ZONE_RTT_S
-        load = self._load(gate) / max(gate.info.slots, 1)
+        load = (gate.running + gate.slots_busy_elsewhere) / max(gate.info.slots, 1)
         slot_s = gate.service_s + opening_s
         return (network_s + slot_s * (1.0 + load)) * gate.expected_attempts
 
-    @staticmethod
-    def _load(gate: EndpointGate) -> int:
-        return gate.running + gate.slots_busy_elsewhere
-
     async def _wait(self, pending: PendingStatement) -> EndpointGate:
         now = self._clock.monotonic()
         if now + self._shortest_wait(pending, now) >= pending.queue_deadline:
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -155,8 +155,11 @@
         One with these values is preferred. Raises `ConnectionLost` (nothing sent) or
         `EndpointRefused`.
         """
+        link = self.pool.take(values, owner)
+        if link is not None:
+            return link
         try:
-            return await self.pool.acquire(self.info, values, owner)
+            return await self.pool.open(self.info, owner)
         except ConnectionLost as error:
             self.record_failure(error.reason, weight=AVOID_AFTER_FAILURES)
             raise
--- a/src/celeryjunction/dispatch/owned_connections.py
+++ b/src/celeryjunction/dispatch/owned_connections.py
@@ -29,6 +29,8 @@
 PINNABLE_DIVISOR = 3
 """One connection in this many is reserved for statements outside transactions, since a
 transaction may hold its connection idle for up to 3 s."""
+DECAY_INTERVAL_S = 0.1
+"""The count decays in steps of this, an error of 1%."""
 RATE_TIME_CONSTANT_S = 10.0
 """Time constant of the decaying count of an owner's uses. The smallest of 87
 organisations uses an endpoint every few seconds."""
@@ -43,7 +45,15 @@
     `idle` holds connections and since when they are idle, in that order.
     """
 
-    __slots__ = ("_uses", "held", "idle", "pinned", "promised", "used_at")
+    __slots__ = (
+        "_counted_at",
+        "_uses",
+        "held",
+        "idle",
+        "pinned",
+        "promised",
+        "used_at",
+    )
 
     def __init__(self) -> None:
         self.idle: list[tuple[EndpointLink, float]] = []
@@ -55,16 +65,19 @@
         """Statements that left the queue and have not taken a connection yet."""
         self.used_at = 0.0
         self._uses = 0.0
+        self._counted_at = 0.0
 
     def record_use(self, now: float) -> None:
         """Record that a statement takes a connection."""
-        decay = exp((self.used_at - now) / RATE_TIME_CONSTANT_S) if self._uses else 0.0
-        self._uses = self._uses * decay + 1.0
         self.used_at = now
+        if now - self._counted_at > DECAY_INTERVAL_S:
+            self._uses = self.uses_per_s(now) * RATE_TIME_CONSTANT_S
+            self._counted_at = now
+        self._uses += 1.0
 
     def uses_per_s(self, now: float) -> float:
         """Return the recent rate of statements, as a decaying mean."""
-        decay = exp((self.used_at - now) / RATE_TIME_CONSTANT_S)
+        decay = exp((self._counted_at - now) / RATE_TIME_CONSTANT_S)
         return self._uses * decay / RATE_TIME_CONSTANT_S
 
     def value(self, idle_since: float, now: float) -> float:
@@ -82,11 +95,11 @@
 
     ```python
     connections = OwnedConnections(max_links=22)
-    connections.may_take("bode", now, may_open=True)  # True: one may be opened
-    connections.take("bode", {}, now)                 # None: none of it is idle
-    connections.make_room(now)                        # False: nothing had to be closed
-    connections.add("bode")                           # now counted as open
-    connections.put(link, now)                        # idle, for the next statement
+    connections.may_open("bode", now)      # True: there is room
+    connections.take("bode", {}, now)      # None: none of its own is idle
+    connections.make_room(now)             # False: nothing had to be closed
+    connections.add("bode")                # counted as open from now on
+    connections.put(link, now)             # idle, for the next statement
     ```
     """
 
@@ -153,18 +166,16 @@
 
     # Decisions
 
-    def may_take(self, owner: str, now: float, *, may_open: bool) -> bool:
-        """Whether a statement may reuse an idle connection, or open one.
+    def may_open(self, owner: str, now: float, *, beside: bool = True) -> bool:
+        """Whether a connection may be opened, `beside` others or only for another.
 
-        Without `may_open` a new one only replaces another. An owner at its limit opens
-        one beside those of others, but not in the place of one while they need it.
+        An owner at its limit opens one beside those of others, but not in the place of
+        one while they need it.
         """
-        if self.has_idle(owner):
-            return True
         free = self.idle_count - self.promised
         if self.links - free >= self.max_links:
             return False
-        if may_open and self.links < self.max_links:
+        if beside and self.links < self.max_links:
             return True
         return free > 0 and not self._is_limited(owner, now)
 
@@ -202,12 +213,15 @@
         if the owner has none; broken ones are closed.
         """
         self.record_need(owner, now)
-        record = self.record(owner)
+        record = self._records.get(owner) or self.record(owner)
         record.record_use(now)
         idle = record.idle
-        if idle and idle[-1][0].values == values and idle[-1][0].usable:
-            self.idle_count -= 1
-            return idle.pop()[0]
+        if idle:
+            link = idle[-1][0]
+            if link.values == values and link.usable:
+                idle.pop()
+                self.idle_count -= 1
+                return link
         self.drop_broken(owner)
         if not idle:
             return None
@@ -217,12 +231,12 @@
         self.idle_count -= 1
         return idle.pop(next(matching, -1))[0]
 
-    def make_room(self, now: float, *, may_open: bool = True) -> bool:
+    def make_room(self, now: float, *, beside: bool = True) -> bool:
         """Close the idle connection of least value if a new one must replace another.
 
         Returns whether one was closed.
         """
-        if may_open and self.links < self.max_links:
+        if beside and self.links < self.max_links:
             return False
         limit = self.owner_limit
         best: tuple[tuple[bool, bool, float], tuple[EndpointLink, float]] | None = None
--- a/src/celeryjunction/dispatch/statement_queue.py
+++ b/src/celeryjunction/dispatch/statement_queue.py
@@ -285,8 +285,6 @@
 
     def has_before(self, pending: PendingStatement) -> bool:
         """Whether a statement that is at least as urgent waits for the same slots."""
-        if not self.waiting:
-            return False
         slots = pending.required_endpoint, pending.opens_transaction
         return any(
             kind[:2] == slots
@@ -335,7 +333,7 @@
 
         Returns the flow, which is charged the difference when the statement ends.
         """
-        level = self.level(pending.priority)
+        level = self._levels.get(pending.priority) or self.level(pending.priority)
         flow = level.flow(pending)
         if not level.counts:
             level.skip_queue(flow)
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -74,18 +74,19 @@
         """Guards against more connections than the budget when several wait."""
         connections = OwnedConnections(max_links=1)
         use(connections, "bode", 0.0)
-        assert connections.may_take("cairo", 0.0, may_open=True)
+        assert connections.may_open("cairo", 0.0)
         connections.promise("cairo")
-        assert not connections.may_take("bode", 0.0, may_open=True)
+        assert not connections.has_idle("bode")
+        assert not connections.may_open("bode", 0.0)
         connections.promise("cairo", -1)
-        assert connections.may_take("bode", 0.0, may_open=True)
+        assert connections.has_idle("bode")
 
 
 class TestEviction:
     def test_a_statement_does_not_wait_for_idle_connections_of_others(self) -> None:
         connections = OwnedConnections(max_links=2)
         links = [use(connections, owner, 0.0) for owner in ("bode", "cairo")]
-        assert connections.may_take("delhi", 0.1, may_open=True)
+        assert connections.may_open("delhi", 0.1)
         use(connections, "delhi", 0.1)
         assert connections.links == 2
         assert [link.closed for link in links] == [True, False]
@@ -102,10 +103,10 @@
     def test_at_the_limit_of_the_endpoint_a_new_one_replaces_another(self) -> None:
         """Guards against waits for a limit that this VM's idle connections fill."""
         connections = OwnedConnections(max_links=9)
-        assert not connections.may_take("bode", 0.0, may_open=False)
+        assert not connections.may_open("bode", 0.0, beside=False)
         link = use(connections, "cairo", 0.0)
-        assert connections.may_take("bode", 0.0, may_open=False)
-        assert connections.make_room(0.0, may_open=False)
+        assert connections.may_open("bode", 0.0, beside=False)
+        assert connections.make_room(0.0, beside=False)
         assert link.closed
 
 
@@ -121,9 +122,9 @@
             self.hold(connections, "bode", 0.0)
         for owner in ("cairo", "delhi", "essen", "fargo"):
             use(connections, owner, 0.0)
-        assert not connections.may_take("bode", 1.0, may_open=True)
-        assert connections.may_take("genoa", 1.0, may_open=True)
-        assert connections.may_take("bode", NEED_S + 0.1, may_open=True)
+        assert not connections.may_open("bode", 1.0)
+        assert connections.may_open("genoa", 1.0)
+        assert connections.may_open("bode", NEED_S + 0.1)
 
     def test_transactions_of_one_owner_pin_a_third_while_others_need_some(self) -> None:
         connections = OwnedConnections(max_links=22)
@@ -139,9 +140,9 @@
     def test_an_owner_alone_may_use_all(self, owner: str) -> None:
         connections = OwnedConnections(max_links=6)
         for _ in range(6):
-            assert connections.may_take(owner, 0.0, may_open=True)
+            assert connections.may_open(owner, 0.0)
             self.hold(connections, owner, 0.0)
-        assert not connections.may_take(owner, 0.0, may_open=True)
+        assert not connections.may_open(owner, 0.0)
 
 
 class TestRest:
