--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -1,9 +1,10 @@
 """Assigns the statements of this VM to the endpoints of a group.
 
 A statement is sent at once to the endpoint with the lowest expected cost that has a
-free slot. Otherwise it waits in a queue. It is refused at once when it could not get a
-slot before its queue deadline even if each statement that runs, or surely goes before
-it, took only the shortest recent time; the client can then still try another VM.
+free slot. Otherwise it waits in a queue. It is refused at once only if no slot could
+become free for it before its queue deadline, even if each statement that runs, or goes
+before it and may wait as long, took only the shortest recent time; the client can then
+still try another VM.
 """
 
 from __future__ import annotations
@@ -117,7 +118,7 @@
         self.gate.record_ended(self)
         self.gate.running -= 1
         if answered:
-            self.gate.record_answer()
+            self.gate.record_answer(seconds)
             self._flow.charge(seconds - self._charged_s)
         self._charged_s = 0.0
         if served:
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -40,7 +40,7 @@
 """Bound of the fault rate in the cost, so that an endpoint that fails all statements is
 still tried at times."""
 SHORTEST_WEIGHT = 0.01
-"""Weight of a longer time in the shortest recent service time, so that a single short
+"""Weight of a longer time in the shortest recent one, so that a single short
 statement counts for about a hundred."""
 INITIAL_SERVICE_S = 0.02
 """Service time assumed before the first answer: the work of a typical statement."""
@@ -107,7 +107,7 @@
         """Slots that other VMs used according to the last status."""
         self.service_s = INITIAL_SERVICE_S
         self.shortest_s = 0.0
-        """The shortest recent service time, 0 before the first answer."""
+        """The shortest recent time of a statement, 0 before the first answer."""
         self.patience = AnswerPatience()
         self.shared = SharedSlots(slots=info.slots, vm_count=1)
         self.fault_rate = 0.0
@@ -229,8 +229,13 @@
             sent.link.close()
         return len(interrupted)
 
-    def record_answer(self) -> None:
+    def record_answer(self, seconds: float) -> None:
         """Record that a statement was answered, whatever the answer was."""
+        shortest_s = self.shortest_s
+        if not shortest_s or seconds < shortest_s:
+            self.shortest_s = seconds
+        else:
+            self.shortest_s = shortest_s + SHORTEST_WEIGHT * (seconds - shortest_s)
         self.answered_at = self._clock.monotonic()
         self.unanswered_since = 0.0
         self._failures = 0
@@ -241,11 +246,6 @@
         self.shared.observe(priority, seconds)
         self.patience.record_answer(seconds)
         self.service_s += SERVICE_WEIGHT * (seconds - self.service_s)
-        shortest_s = self.shortest_s
-        if not shortest_s or seconds < shortest_s:
-            self.shortest_s = seconds
-        else:
-            self.shortest_s = shortest_s + SHORTEST_WEIGHT * (seconds - shortest_s)
         self.behind_since = 0.0
 
     def record_behind(self) -> None:
--- a/src/celeryjunction/dispatch/statement_queue.py
+++ b/src/celeryjunction/dispatch/statement_queue.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import asyncio
-from bisect import bisect_left, bisect_right, insort
+from bisect import bisect_left, insort
 from collections.abc import Callable, Iterable, Iterator
 from itertools import count
 from typing import Generic, TypeVar
@@ -108,11 +108,36 @@
 class OrganisationFlow(VirtualFlow):
     """Statements of one organisation and priority, by kind and in order of arrival."""
 
-    __slots__ = ("waiting",)
+    __slots__ = ("_deadlines", "waiting")
 
     def __init__(self, share: float) -> None:
         super().__init__(share)
         self.waiting: dict[Kind, list[PendingStatement]] = {}
+        self._deadlines: dict[Kind, list[float]] = {}
+        """Queue deadlines of the waiting statements, in order."""
+
+    def add(self, pending: PendingStatement, kind: Kind) -> None:
+        """Add a statement in the order of its arrival."""
+        insort(self.waiting.setdefault(kind, []), pending, key=lambda p: p._order)
+        insort(self._deadlines.setdefault(kind, []), pending.queue_deadline)
+
+    def remove(self, pending: PendingStatement, kind: Kind) -> bool:
+        """Remove a statement; return whether it waited."""
+        statements = self.waiting.get(kind, [])
+        index = bisect_left(statements, pending._order, key=lambda p: p._order)
+        if index == len(statements) or statements[index] is not pending:
+            return False
+        del statements[index]
+        deadlines = self._deadlines[kind]
+        del deadlines[bisect_left(deadlines, pending.queue_deadline)]
+        if not statements:
+            del self.waiting[kind], self._deadlines[kind]
+        return True
+
+    def outlasting(self, pending: PendingStatement) -> int:
+        """Return how many statements of a statement's kind may wait as long as it."""
+        deadlines = self._deadlines.get(pending.kind, [])
+        return len(deadlines) - bisect_left(deadlines, pending.queue_deadline)
 
     def first(self, kind: Kind) -> PendingStatement | None:
         """Return the first statement of a kind that is still wanted."""
@@ -159,22 +184,17 @@
         if not flow.waiting:
             self.start(flow)
             self.waiting_flows[flow] = None
-        insort(flow.waiting.setdefault(kind, []), pending, key=lambda p: p._order)
+        flow.add(pending, kind)
         self.counts[kind] = self.counts.get(kind, 0) + 1
 
     def remove(self, pending: PendingStatement) -> bool:
         """Remove a statement; return whether it waited."""
         flow, kind = self.flow(pending), pending.kind
-        statements = flow.waiting.get(kind, [])
-        index = bisect_left(statements, pending._order, key=lambda p: p._order)
-        if index == len(statements) or statements[index] is not pending:
+        if not flow.remove(pending, kind):
             return False
-        del statements[index]
         self.counts[kind] -= 1
         if not self.counts[kind]:
             del self.counts[kind]
-        if not statements:
-            del flow.waiting[kind]
         if not flow.waiting:
             del self.waiting_flows[flow]
         return True
@@ -219,18 +239,17 @@
                 return pending, endpoint
         return None
 
-    def waiting_of(self, organisation: str, kind: Kind) -> int:
-        """Return how many statements of an organisation and kind wait."""
-        flow = self._flows.get(organisation)
-        return len(flow.waiting.get(kind, ())) if flow is not None else 0
+    def ahead(self, pending: PendingStatement, *, urgent: bool) -> int:
+        """Return how many statements surely go before a new one of this level.
 
-    def ahead(self, pending: PendingStatement) -> int:
-        """Return how many statements of its organisation and kind came before one."""
+        With `urgent` the new one is of a less urgent level.
+        """
         flow = self._flows.get(pending.organisation)
-        statements = flow.waiting.get(pending.kind) if flow is not None else None
-        if not statements:
+        if flow is None or pending.kind not in flow.waiting:
             return 0
-        return bisect_right(statements, pending.arrived, key=lambda p: p.arrived)
+        last = flow.waiting[pending.kind][-1]
+        is_behind = urgent or last.arrived <= pending.arrived
+        return flow.outlasting(pending) if is_behind else 0
 
 
 class StatementQueue(Generic[T]):
@@ -314,15 +333,14 @@
         """Return how many waiting statements surely go before a new one.
 
         These are its organisation's of the same kind, if they are more urgent or came
-        before. Others may run elsewhere, or wait for a connection, and be overtaken.
+        before, and may wait as long as the new one. Others may be refused before, run
+        elsewhere, or wait for a connection and be overtaken.
         """
-        kind, total = pending.kind, 0
-        for priority, level in self._levels.items():
-            if priority < pending.priority:
-                total += level.waiting_of(pending.organisation, kind)
-            elif priority == pending.priority:
-                total += level.ahead(pending)
-        return total
+        return sum(
+            level.ahead(pending, urgent=priority < pending.priority)
+            for priority, level in self._levels.items()
+            if priority <= pending.priority
+        )
 
     # Shares
 
