Test the limits of organisations with fakes, and use turns only for free shares

A share that another VM held counted as free from the time at which a VM first saw it held, so all candidates tried to take it at once after it was freed.

--- a/src/celeryjunction/allotments/account.py
+++ b/src/celeryjunction/allotments/account.py
@@ -23,6 +23,9 @@
 operation would cost a request to each holder."""
 LOW_STOCK_FRACTION = 0.5
 """Tokens are asked for ahead once less than this fraction of the forecast is left."""
+MAX_AHEAD_FRACTION = 0.125
+"""Tokens that one VM has at hand for its forecast, as a fraction of the burst: the
+other VMs do not have these while they need them."""
 RETURN_AFTER_S = 0.2
 """Tokens that are still unused after this time are returned to their holder."""
 
@@ -116,8 +119,13 @@
     def _level(self, now: float) -> float:
         return self._stock.level(now) + self._shares.level(self.organisation, now)
 
+    def _needed(self, now: float) -> float:
+        """Return the tokens to have at hand for the forecast."""
+        most = self.organisation.burst * MAX_AHEAD_FRACTION
+        return min(self._forecast.needed(now), most)
+
     def _ask_ahead(self, now: float) -> None:
-        needed = self._forecast.needed(now)
+        needed = self._needed(now)
         if needed and self._level(now) < needed * LOW_STOCK_FRACTION:
             self._start_gathering()
 
@@ -145,7 +153,7 @@
             while True:
                 now = self._clock.monotonic()
                 self._serve_waiters(now)
-                needed = self._forecast.needed(now)
+                needed = self._needed(now)
                 missing = len(self._waiters) + needed - self._level(now)
                 is_stocked = missing <= needed * (1 - LOW_STOCK_FRACTION)
                 if not self._waiters and is_stocked:
@@ -187,7 +195,7 @@
             waiter = self._waiters.popleft()
             if not waiter.done():
                 waiter.set_exception(Refused(reason))
-        if not self._forecast.needed(now):
+        if not self._needed(now):
             self._return_lots(now, older_than_s=0.0)
 
     def _return_unused(self) -> None:
--- a/src/celeryjunction/allotments/allotments.py
+++ b/src/celeryjunction/allotments/allotments.py
@@ -11,7 +11,7 @@
 
 from celeryjunction.allotments.account import Account, Refused
 from celeryjunction.allotments.bound import QuotaBound
-from celeryjunction.allotments.holder_link import HolderLink
+from celeryjunction.allotments.holder_link import Connect, HolderLink, connect_frames
 from celeryjunction.allotments.share_keeper import ShareKeeper
 from celeryjunction.allotments.share_rules import (
     SHARE_PREFIX,
@@ -31,8 +31,8 @@
 from celeryjunction.relay.messages import AskTokens, Tokens
 from celeryjunction.store_history import StoreHistory
 
-MAINTENANCE_S = 1.0
-"""Interval at which idle links are closed."""
+MAINTENANCE_S = 0.5
+"""Interval at which idle links are closed and the holders' addresses looked up."""
 
 
 class Allotments:
@@ -55,17 +55,21 @@
         metrics: Metrics,
         clock: Clock,
         random: Random,
+        connect: Connect = connect_frames,
     ) -> None:
         self._own = own
         self._vms = vms
         self._metrics = metrics
         self._clock = clock
         self._bound = bound
+        self._connect = connect
         self._limits: dict[str, Organisation] = {}
         self._accounts: dict[str, Account] = {}
         self._links: dict[str, HolderLink] = {}
         self._holders: dict[int, str] = {}
         """VMs that hold the shares, as last seen in the store."""
+        self._ordered: list[HolderLink] | None = None
+        """Links in the order in which holders are asked; None if it may be outdated."""
         self._held = HeldShares()
         self._follower = PrefixFollower(store, SHARE_PREFIX, clock=clock, random=random)
         self._follower.subscribe(self._apply_change)
@@ -148,6 +152,8 @@
 
     def _ordered_links(self) -> list[HolderLink]:
         """Return links to the other holders: first that in this VM's zone."""
+        if self._ordered is not None:
+            return self._ordered
         vms = self._vms()
         names = {
             name: vms[name].zone != self._own.zone
@@ -159,6 +165,7 @@
             address = parse_address(vms[name].peer_address)
             if address is not None:
                 links.append(self._link(name, address))
+        self._ordered = links
         return links
 
     def _link(self, vm: str, address: tuple[str, int]) -> HolderLink:
@@ -167,7 +174,9 @@
             link.close()
             link = None
         if link is None:
-            link = self._links[vm] = HolderLink(vm, address, clock=self._clock)
+            link = self._links[vm] = HolderLink(
+                vm, address, clock=self._clock, connect=self._connect
+            )
         return link
 
     # Requests of other VMs
@@ -193,6 +202,7 @@
     # Holders and links
 
     def _apply_change(self, event: WatchEvent) -> None:
+        self._ordered = None
         for number in range(SHARES):
             if event.key == share_key(number):
                 entry = decode_entry(event.value)
@@ -204,6 +214,7 @@
     async def _maintain(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_S)
+            self._ordered = None
             vms = self._vms()
             for name, link in list(self._links.items()):
                 if link.is_idle or name not in vms:
--- a/src/celeryjunction/allotments/demand.py
+++ b/src/celeryjunction/allotments/demand.py
@@ -12,6 +12,9 @@
 
 HORIZON_S = 0.2
 """A VM asks for what it needs in this time."""
+MIN_AHEAD = 4.0
+"""Nothing is asked for ahead below this forecast. With fewer operations the tokens
+often stay unused, and the round trip of 0.4 to 2 ms is short beside any statement."""
 RATE_MEMORY_S = 0.5
 """Time constant of the recent rate: two and a half horizons."""
 TOKEN_LIFE_S = 0.3
@@ -40,9 +43,9 @@
         return self._rate * exp(-elapsed_s / RATE_MEMORY_S) if self._rate else 0.0
 
     def needed(self, now: float) -> float:
-        """Return the tokens to have at hand; 0 if one would rarely be used in time."""
+        """Return the tokens to have at hand; 0 if they would rarely be used in time."""
         expected = self.rate(now) * HORIZON_S
-        return expected if expected >= 1.0 else 0.0
+        return expected if expected >= MIN_AHEAD else 0.0
 
 
 class TokenSource(Protocol):
--- a/src/celeryjunction/allotments/holder_link.py
+++ b/src/celeryjunction/allotments/holder_link.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from itertools import count
 
 from celeryjunction.adapters.frame_stream import FrameStream
@@ -26,9 +26,19 @@
 IDLE_TIMEOUT_S = 10.0
 """A connection that was not used for this long is closed."""
 
+Connect = Callable[[tuple[str, int]], Awaitable[FrameStream]]
+"""Opens a connection to a host and port; raises `OSError` or `UnicodeError`."""
+
 _log = get_logger("allotments")
 
 
+async def connect_frames(address: tuple[str, int]) -> FrameStream:
+    """Open a connection over TCP."""
+    loop = asyncio.get_running_loop()
+    _, stream = await loop.create_connection(FrameStream, *address)
+    return stream
+
+
 class _Want:
     """Tokens that one organisation wants, until the reply or the time-out."""
 
@@ -53,10 +63,18 @@
 class HolderLink:
     """Requests tokens from one VM that holds shares."""
 
-    def __init__(self, vm: str, address: tuple[str, int], *, clock: Clock) -> None:
+    def __init__(
+        self,
+        vm: str,
+        address: tuple[str, int],
+        *,
+        clock: Clock,
+        connect: Connect = connect_frames,
+    ) -> None:
         self.vm = vm
         self.address = address
         self._clock = clock
+        self._connect = connect
         self._numbers = count(1)
         self._stream: FrameStream | None = None
         self._connecting: asyncio.Task[None] | None = None
@@ -122,7 +140,7 @@
         stream = self._stream
         if stream is None or stream.closed:
             if self._connecting is None or self._connecting.done():
-                self._connecting = asyncio.create_task(self._connect())
+                self._connecting = asyncio.create_task(self._open())
             return
         wants, self._wanted = self._wanted, {}
         returned, self._returned = self._returned, {}
@@ -136,12 +154,11 @@
         }
         stream.write_frame(encode(AskTokens(number, amounts)))
 
-    async def _connect(self) -> None:
-        loop = asyncio.get_running_loop()
+    async def _open(self) -> None:
         self._used_at = self._clock.monotonic()
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
-                _, stream = await loop.create_connection(FrameStream, *self.address)
+                stream = await self._connect(self.address)
         except (OSError, TimeoutError, UnicodeError) as error:
             self._fail(type(error).__name__)  # UnicodeError: no name of a host.
             return
--- a/src/celeryjunction/allotments/share_keeper.py
+++ b/src/celeryjunction/allotments/share_keeper.py
@@ -1,23 +1,15 @@
-"""Claims, renews and gives up this VM's shares in the store.
-
-All shares of a VM are under one lease of its own. Its time counts from before the
-lease was requested or last renewed.
-"""
+"""Claims, renews, confirms and gives up this VM's shares in the store."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable, Mapping
 
-import msgspec
-
 from celeryjunction.allotments.bound import QuotaBound
+from celeryjunction.allotments.leased_keys import LeasedKeys
 from celeryjunction.allotments.share_rules import (
-    LEASE_S,
-    RENEWAL_S,
     SHARE_PREFIX,
     SHARES,
-    USE_S,
     Decision,
     Knowledge,
     ShareEntry,
@@ -33,12 +25,9 @@
 from celeryjunction.membership import VmRecord
 from celeryjunction.ports import (
     Clock,
-    Compare,
     KeyValue,
     KeyValueStore,
     LeaseExpired,
-    Put,
-    PutResult,
     StoreRefused,
     StoreUnavailable,
     WatchEvent,
@@ -47,8 +36,6 @@
 
 STEP_S = 0.25
 """Interval of the checks."""
-CALL_TIMEOUT_S = 0.6
-"""Time-out of a call. The last second before `USE_S` leaves room for a renewal."""
 
 _log = get_logger("allotments")
 
@@ -73,7 +60,7 @@
         history: StoreHistory,
         clock: Clock,
     ) -> None:
-        self._store = store
+        self._keys = LeasedKeys(store, history=history, clock=clock)
         self._own = own
         self._shares = shares
         self._follower = follower
@@ -82,12 +69,10 @@
         self._bound = bound
         self._history = history
         self._clock = clock
-        self._lease = 0
-        self._lease_until = 0.0
-        """Until when the lease may be relied on."""
-        self._renew_at = 0.0
         self._revisions: dict[int, int] = {}
         """Revision of each held share's key, as this VM wrote it."""
+        self._eras: dict[int, int] = {}
+        """Era of the store in which this VM last wrote each held share's key."""
         self._unconfirmed: set[int] = set()
         """Held shares whose keys the store may have lost."""
         self._unsettled: set[int] = set()
@@ -106,7 +91,7 @@
                 await self._step()
                 self._failing = False
             except LeaseExpired:
-                self._lease = 0
+                self._keys.forget_lease()
                 self._lose_all("lease_expired")
             except (StoreUnavailable, StoreRefused) as error:
                 if not self._failing:
@@ -119,13 +104,7 @@
         held = [share.number for share in self._shares]
         for number in held:
             self._drop(number, "share_given_up", reason="not_needed_here")
-        lease, self._lease = self._lease, 0
-        if not lease:
-            return
-        try:
-            await self._store.revoke_lease(lease, timeout=CALL_TIMEOUT_S)
-        except (StoreUnavailable, StoreRefused) as error:
-            _log.info("lease_left_to_lapse", lease=lease, reason=str(error))
+        await self._keys.revoke()
 
     # Changes in the store
 
@@ -135,7 +114,7 @@
         Other VMs that find the loss wait for the time that this VM may still use them.
         """
         self._lost_at = self._clock.monotonic()
-        self._lease = 0
+        self._keys.forget_lease()
         self._unconfirmed.update(share.number for share in self._shares)
 
     def _apply_change(self, event: WatchEvent) -> None:
@@ -167,14 +146,14 @@
             if now >= share.valid_until:
                 self._drop(share.number, "share_lost", reason="not_renewed")
         if not self._is_wanted():
-            if self._lease:
+            if self._keys.has_lease:
                 await self.give_up()
             return
         if not self._follower.synced.is_set():
             return
         if self._contact_since is None:
             self._contact_since = now
-        if self._lease and now >= self._renew_at:
+        if self._keys.is_renewal_due:
             await self._renew()
         for number in range(SHARES):
             if number in self._unconfirmed:
@@ -185,29 +164,10 @@
                 await self._consider(number)
 
     async def _renew(self) -> None:
-        lease, sent_at = self._lease, self._clock.monotonic()
-        renewed = await self._store.renew_lease(lease, timeout=CALL_TIMEOUT_S)
-        if lease != self._lease:
-            return  # The store lost changes meanwhile.
-        if not renewed:
-            raise LeaseExpired("the lease of the shares expired")
-        self._record_lease(lease, sent_at)
-        for share in self._shares:
-            if share.number not in self._unconfirmed:
-                share.valid_until = self._lease_until
-
-    def _record_lease(self, lease: int, sent_at: float) -> None:
-        self._lease = lease
-        self._lease_until = sent_at + USE_S
-        self._renew_at = sent_at + RENEWAL_S
-
-    async def _ensure_lease(self) -> None:
-        if not self._lease:
-            sent_at = self._clock.monotonic()
-            losses = self._history.losses
-            lease = await self._store.grant_lease(LEASE_S, timeout=CALL_TIMEOUT_S)
-            self._history.check_no_loss_since(losses)
-            self._record_lease(lease, sent_at)
+        if await self._keys.renew():
+            for share in self._shares:
+                if share.number not in self._unconfirmed:
+                    share.valid_until = self._keys.valid_until
 
     async def _consider(self, number: int) -> None:
         """Take a share if it is free and this VM's turn."""
@@ -220,13 +180,15 @@
         ranked = candidates(number, self._vms())
         if self._own.name not in ranked:
             return
-        absent_since = self._absent_since.setdefault(number, now)
+        free_for_s = 0.0
+        if item is None:
+            free_for_s = now - self._absent_since.setdefault(number, now)
         decision = decide(
             entry,
             _decode(trace),
             own=self._entry(),
             known=self._known,
-            free_for_s=now - absent_since if item is None else 0.0,
+            free_for_s=free_for_s,
             position=ranked.index(self._own.name),
             now=now,
         )
@@ -236,8 +198,8 @@
 
     async def _take(self, number: int, revision: int, *, settled: bool) -> None:
         known = self._known
-        result = await self._write(number, revision, settled=settled)
-        if not result.succeeded:
+        revision = await self._write(number, revision, settled=settled)
+        if not revision:
             return
         now = self._clock.monotonic()
         free_from = now if settled else max(now, known.forgotten_until)
@@ -245,54 +207,45 @@
             HeldShare(
                 number,
                 free_from=free_from,
-                valid_until=self._lease_until,
+                valid_until=self._keys.valid_until,
                 bound=self._bound(),
             )
         )
-        self._revisions[number] = result.revision
+        self._record_write(number, revision)
         if not settled:
             self._unsettled.add(number)
         _log.info(
             "share_taken",
             share=number,
-            revision=result.revision,
+            revision=revision,
             usable_in_s=round(free_from - now, 1),
         )
 
-    async def _write(self, number: int, revision: int, *, settled: bool) -> PutResult:
-        """Write this VM's entry; raises `StoreUnavailable` if changes were lost."""
-        await self._ensure_lease()
-        losses = self._history.losses
-        key, entry = share_key(number), self._entry(settled=settled)
-        result = await self._store.compare_and_put(
-            [Compare(key, revision)],
-            [Put(key, msgspec.json.encode(entry))],
-            lease=self._lease,
-            timeout=CALL_TIMEOUT_S,
-        )
-        self._history.check_no_loss_since(losses)
-        return result
+    async def _write(self, number: int, revision: int, *, settled: bool) -> int:
+        entry = self._entry(settled=settled)
+        return await self._keys.write(number, entry, revision=revision)
 
     async def _confirm(self, number: int) -> None:
         """Write a held share's key again, which the store may have lost.
 
-        An entry of an earlier era is that of a holder before this VM.
+        An entry of an era up to that of this VM's own is that of a holder before it.
         """
-        item = await self._store.get(share_key(number), timeout=CALL_TIMEOUT_S)
+        item = await self._keys.read(number)
         entry = _decode(item)
-        is_stale = entry is not None and entry.era != self._history.era
+        written_era, era = self._eras[number], self._history.era
+        is_stale = entry is not None and entry.era <= written_era and entry.era != era
         if item is not None and not (is_stale or self._is_own(entry)):
             self._drop(number, "share_lost", reason="taken_after_loss")
             return
         revision = item.revision if item is not None else 0
         settled = number not in self._unsettled
-        result = await self._write(number, revision, settled=settled)
+        revision = await self._write(number, revision, settled=settled)
         share = self._shares.get(number)
-        if result.succeeded and share is not None:
+        if revision and share is not None:
             self._unconfirmed.discard(number)
-            self._revisions[number] = result.revision
-            share.valid_until = self._lease_until
-            _log.info("share_confirmed", share=number, revision=result.revision)
+            self._record_write(number, revision)
+            share.valid_until = self._keys.valid_until
+            _log.info("share_confirmed", share=number, revision=revision)
 
     async def _settle(self, number: int) -> None:
         """Record that no forgotten holder can use the share any more."""
@@ -301,20 +254,21 @@
             return
         if number in self._unsettled:
             revision = self._revisions[number]
-            result = await self._write(number, revision, settled=True)
-            if not result.succeeded:
+            revision = await self._write(number, revision, settled=True)
+            if not revision:
                 return
-            self._revisions[number] = result.revision
+            self._record_write(number, revision)
             self._unsettled.discard(number)
         trace = _decode(self._follower.items.get(trace_key(number)))
         if trace is None or not trace.settled or trace.era != self._history.era:
-            entry = msgspec.json.encode(self._entry())
-            await self._store.compare_and_put(
-                [], [Put(trace_key(number), entry)], timeout=CALL_TIMEOUT_S
-            )
+            await self._keys.write_trace(number, self._entry())
 
     # State
 
+    def _record_write(self, number: int, revision: int) -> None:
+        self._revisions[number] = revision
+        self._eras[number] = self._history.era
+
     @property
     def _known(self) -> Knowledge:
         return Knowledge(self._history.era, self._contact_since or 0.0, self._lost_at)
--- a/src/celeryjunction/allotments/share_rules.py
+++ b/src/celeryjunction/allotments/share_rules.py
@@ -24,8 +24,10 @@
 TRACE_SUFFIX = "/trace"
 LEASE_S = 12
 """The store may be unavailable for 9 s without a holder losing its share."""
-RENEWAL_S = 2.75
-"""Interval of renewals: with an outage of 9 s it still ends before `USE_S`."""
+RENEWAL_S = 1.75
+"""Interval of renewals. An outage of 9 s that begins just before one, the check that is
+due up to 0.25 s later and a call that hangs at the end of the outage (0.5 s, and 0.25 s
+to the next check) are together shorter than `USE_S`."""
 USE_S = 11.8
 """Time after sending a renewal for which a share may be used. The difference from
 `LEASE_S` allows the clocks of the VM and the store to differ by 1.6% in speed."""
--- a/src/celeryjunction/allotments/shares.py
+++ b/src/celeryjunction/allotments/shares.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from celeryjunction.allotments.bound import QuotaBound
+from celeryjunction.allotments.demand import ROUNDING, TOKEN_LIFE_S
 from celeryjunction.allotments.token_bucket import Loan, TokenBucket
 from celeryjunction.gateway.organisations import Organisation
 
@@ -102,10 +103,12 @@
 class HeldShares:
     """All shares that this VM holds."""
 
-    __slots__ = ("_by_number",)
+    __slots__ = ("_by_number", "_shortages")
 
     def __init__(self) -> None:
         self._by_number: dict[int, HeldShare] = {}
+        self._shortages: dict[str, tuple[Borrowed, float]] = {}
+        """Who last got less than it wanted and when, by organisation."""
 
     def __len__(self) -> int:
         return len(self._by_number)
@@ -163,12 +166,25 @@
         always belongs to the last grant.
         """
         borrowed.settle()
+        amount = min(wanted, self.level(organisation, now))
+        if amount < wanted:
+            if self._is_contended(organisation.name, borrowed, now):
+                amount = float(int(amount + ROUNDING))
+            self._shortages[organisation.name] = borrowed, now
         granted = 0.0
         for share in self:
-            if granted < wanted and share.is_usable(now):
+            if granted < amount and share.is_usable(now):
                 bucket = share.bucket(organisation, now)
-                loan = bucket.lend(wanted - granted, now)
+                loan = bucket.lend(amount - granted, now)
                 if loan.amount:
                     borrowed.loans.append((bucket, loan))
                     granted += loan.amount
         return granted
+
+    def _is_contended(self, name: str, borrowed: Borrowed, now: float) -> bool:
+        """Whether another VM got too little within the life of a token.
+
+        If several VMs each got a fraction of a token, none could use it in time.
+        """
+        other, short_at = self._shortages.get(name, (borrowed, 0.0))
+        return other is not borrowed and now - short_at < TOKEN_LIFE_S
