Keep what a failover learned until its group has a new primary

Cause: what the next primary needs was known only to the attempt that learned it. The votes of VMs that passed on an acknowledgement end when the replicas are paused, and the roster took over the new process of a member that had started again with a position of the dead primary that was 0.7 s old. The class is knowledge of one attempt, or of half of the VMs, that a later step takes as complete. It can act wherever a process without its log replaces one that counted as a witness: a demoted primary whose member restarts (changed too), and a VM that ends after it has confirmed (named in docs/platform.md).

An attempt stores what it required with its seal and before the replicas receive again. A VM that voted proves no commit beyond its vote, and proves anew when the vote has ended.

--- /dev/null
+++ b/src/celeryjunction/failover/attempt.py
@@ -0,0 +1,74 @@
+"""One attempt to replace a primary, and what it has found."""
+
+from __future__ import annotations
+
+from celeryjunction.failover.claims import Claim
+from celeryjunction.replication.ports import (
+    NO_POSITION,
+    EndpointInfo,
+    EndpointStatus,
+    LogPosition,
+    PromotionPath,
+)
+
+
+class Attempt:
+    """One replacement under a claim: what was found, and what a choice must keep."""
+
+    __slots__ = (
+        "acknowledged",
+        "claim",
+        "demoted_primary",
+        "infos",
+        "is_announced",
+        "is_unanimous",
+        "old_primary",
+        "outstanding",
+        "path",
+        "paused",
+        "promotion_pending",
+        "required",
+        "sealed",
+        "term",
+        "token",
+    )
+
+    def __init__(
+        self,
+        claim: Claim,
+        path: PromotionPath,
+        *,
+        term: int,
+        infos: dict[str, EndpointInfo],
+        demoted_primary: str,
+        sealed: str,
+        outstanding: str,
+    ) -> None:
+        self.claim = claim
+        self.path = path
+        self.term = term
+        """Term of the primary that is replaced."""
+        self.infos = infos
+        """All endpoints that may be chosen, by id."""
+        self.demoted_primary = demoted_primary
+        """The term's primary if an earlier attempt may have demoted it, or empty."""
+        self.old_primary: str | None = None
+        """The endpoint that leads the term, if it is known."""
+        self.acknowledged: LogPosition = NO_POSITION
+        """Highest position that the voting VMs saw acknowledged."""
+        self.is_unanimous = False
+        """Whether all VMs that monitor the group have voted."""
+        self.required = NO_POSITION
+        """Position that the next primary must have received."""
+        self.sealed = sealed
+        """Endpoint whose promotion to the next term is announced, or empty."""
+        self.outstanding = outstanding
+        """Endpoint that a call of an earlier term may still promote, or empty."""
+        self.paused: dict[str, EndpointStatus] = {}
+        """Statuses of the paused replicas."""
+        self.promotion_pending = False
+        """Whether an earlier promotion may rely on the pauses."""
+        self.is_announced = False
+        """Whether the call of this attempt is announced in the stored roster."""
+        self.token = 0
+        """Fencing token of the promotion; 0 until one is decided."""
--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -11,6 +11,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 
+from celeryjunction.failover.attempt import Attempt
 from celeryjunction.failover.claims import Claim, Claims
 from celeryjunction.failover.promotion_paths import PromotionPaths
 from celeryjunction.failover.selection import choose_replica
@@ -32,6 +33,7 @@
     PromotionResult,
     ResumeReceiving,
 )
+from celeryjunction.replication.restarts import restarted_members
 from celeryjunction.replication.roster import SEAL_LIMIT_S, GroupRoster
 from celeryjunction.replication.stored_roster import Roster
 
@@ -57,62 +59,6 @@
 _log = get_logger("failover")
 
 
-class _Attempt:
-    """One replacement under a claim: what was found, and what a choice must keep."""
-
-    __slots__ = (
-        "claim",
-        "demoted_primary",
-        "infos",
-        "is_announced",
-        "old_primary",
-        "outstanding",
-        "path",
-        "paused",
-        "promotion_pending",
-        "required",
-        "sealed",
-        "term",
-        "token",
-    )
-
-    def __init__(
-        self,
-        claim: Claim,
-        path: PromotionPath,
-        *,
-        term: int,
-        infos: dict[str, EndpointInfo],
-        demoted_primary: str,
-        sealed: str,
-        outstanding: str,
-    ) -> None:
-        self.claim = claim
-        self.path = path
-        self.term = term
-        """Term of the primary that is replaced."""
-        self.infos = infos
-        """All endpoints that may be chosen, by id."""
-        self.demoted_primary = demoted_primary
-        """The term's primary if an earlier attempt may have demoted it, or empty."""
-        self.old_primary: str | None = None
-        """The endpoint that leads the term, if it is known."""
-        self.required = NO_POSITION
-        """Position that the next primary must have received."""
-        self.sealed = sealed
-        """Endpoint whose promotion to the next term is announced, or empty."""
-        self.outstanding = outstanding
-        """Endpoint that a call of an earlier term may still promote, or empty."""
-        self.paused: dict[str, EndpointStatus] = {}
-        """Statuses of the paused replicas."""
-        self.promotion_pending = False
-        """Whether an earlier promotion may rely on the pauses."""
-        self.is_announced = False
-        """Whether the call of this attempt is announced in the stored roster."""
-        self.token = 0
-        """Fencing token of the promotion; 0 until one is decided."""
-
-
 class Coordinator:
     """Runs the replacement of one group's primary."""
 
@@ -139,12 +85,18 @@
         self._unregistered: dict[str, ControlLink] = {}
 
     async def replace(
-        self, reason: str, *, term: int, acknowledged: LogPosition
+        self,
+        reason: str,
+        *,
+        term: int,
+        acknowledged: LogPosition,
+        is_unanimous: bool = False,
     ) -> bool:
         """Replace the primary of `term`; return whether a later term has begun.
 
-        `acknowledged` is the highest log position that VMs saw acknowledged. While a
-        call of another VM is on its way, this VM leaves the claim alone.
+        `acknowledged` is the highest log position that VMs saw acknowledged, and
+        `is_unanimous` whether all that monitor the group were asked. While a call of
+        another VM is on its way, this VM leaves the claim alone.
         """
         roster = self._roster
         if roster.must_await_call(term) or roster.has_unanswered_resume:
@@ -166,7 +118,10 @@
             path = path or await self._open_path()
             if path is None:
                 return False
-            return await self._replace_as_holder(claim, path, reason, acknowledged)
+            attempt = self._replace(
+                claim, path, acknowledged, is_unanimous=is_unanimous
+            )
+            return await self._log_attempt(claim, reason, attempt)
         finally:
             if path is not None:
                 path.close()
@@ -194,8 +149,8 @@
         )
         return True
 
-    async def _replace_as_holder(
-        self, claim: Claim, path: PromotionPath, reason: str, acknowledged: LogPosition
+    async def _log_attempt(
+        self, claim: Claim, reason: str, attempt: Awaitable[bool]
     ) -> bool:
         group = self._group
         _log.warning(
@@ -207,7 +162,7 @@
             claim=claim.revision,
         )
         started = self._clock.monotonic()
-        done = await self._replace(claim, path, acknowledged)
+        done = await attempt
         _log.warning(
             "failover_ended",
             group=group.name,
@@ -219,7 +174,12 @@
         return done
 
     async def _replace(
-        self, claim: Claim, path: PromotionPath, acknowledged: LogPosition
+        self,
+        claim: Claim,
+        path: PromotionPath,
+        acknowledged: LogPosition,
+        *,
+        is_unanimous: bool = False,
     ) -> bool:
         group, term = self._group, self._group.term
         stored = await self._roster.read()
@@ -228,6 +188,7 @@
         if self._must_wait(term):
             return False
         attempt = self._begin_attempt(claim, path, stored)
+        attempt.acknowledged, attempt.is_unanimous = acknowledged, is_unanimous
         statuses = await self._ask_all(attempt.infos)
         if group.term != term:
             return True  # Another holder has replaced this primary.
@@ -238,11 +199,12 @@
         if restart_floor is None:
             return False
         attempt.required = max(
-            acknowledged,
+            attempt.acknowledged,
             restart_floor,
             self._roster.floor(stored, term=term),
             *map(group.highest_received, to_pause),
         )
+        self._roster.require(attempt.required, term=term)
         # Replicas found paused: an earlier holder may have requested a promotion.
         attempt.promotion_pending = bool(attempt.sealed) or any(
             statuses[name].held_term > term for name in to_pause
@@ -269,7 +231,7 @@
 
     def _begin_attempt(
         self, claim: Claim, path: PromotionPath, stored: Roster
-    ) -> _Attempt:
+    ) -> Attempt:
         group, roster = self._group, self._roster
         infos = roster.endpoints_to_pause(
             stored, term=group.term, registered=group.endpoints
@@ -278,7 +240,7 @@
         demoted = self._find_demoted_primary()
         if demoted:
             infos[demoted] = group.endpoints[demoted]
-        return _Attempt(
+        return Attempt(
             claim,
             path,
             term=group.term,
@@ -302,7 +264,7 @@
         return name if control is not None and not control.failure else ""
 
     async def _select_members(
-        self, attempt: _Attempt, statuses: dict[str, EndpointStatus | None]
+        self, attempt: Attempt, statuses: dict[str, EndpointStatus | None]
     ) -> dict[str, EndpointInfo]:
         """Return the endpoints to pause; empty if one that is needed has not answered.
 
@@ -334,29 +296,39 @@
         return {}
 
     async def _floor_of_restarts(
-        self, attempt: _Attempt, stored: Roster
+        self, attempt: Attempt, stored: Roster
     ) -> LogPosition | None:
         """Return what the next primary needs if members started again without a log.
 
-        That is the primary's position; None if it doesn't answer. The roster takes over
-        the new processes soon, so a failover waits for that only once.
+        That is the primary's position; None if it doesn't answer. If all VMs voted, the
+        roster takes over the new processes with what these saw acknowledged.
         """
         group = self._group
         members = {member.id: member for member in stored.members}
-        restarted = self._roster.restarted_members(members, group.endpoints)
+        restarted = restarted_members(members, group.endpoints)
         if attempt.old_primary in restarted:
             restarted.remove(attempt.old_primary)
         if stored.term != attempt.term or not restarted:
             return NO_POSITION
-        status = None
-        if attempt.old_primary is not None:
-            status = await self._send(attempt.old_primary)
-        if status is not None and status.is_primary:
-            return status.received
-        _log.warning("member_restarted", group=group.name, endpoints=restarted)
+        leader = attempt.old_primary or attempt.demoted_primary
+        if leader and leader not in restarted:
+            status = await self._send(leader)
+            if status is not None and status.term == attempt.term:
+                return status.received
+        _log.warning(
+            "member_restarted",
+            group=group.name,
+            endpoints=restarted,
+            unanimous=attempt.is_unanimous,
+        )
+        if attempt.is_unanimous:
+            floor = max(attempt.acknowledged, *map(group.highest_received, restarted))
+            processes = {name: group.endpoints[name] for name in restarted}
+            if await self._roster.accept_restarts(processes, floor=floor):
+                return floor
         return None
 
-    def _choose(self, attempt: _Attempt) -> str | None:
+    def _choose(self, attempt: Attempt) -> str | None:
         """Choose the next primary; None if none has the required commits.
 
         The old primary keeps leading then. One that was demoted is chosen only if no
@@ -553,7 +525,7 @@
         known = self._group.statuses.get(endpoint)
         return known is None or known[1].term == self._group.term
 
-    async def _promote(self, attempt: _Attempt, chosen: str) -> bool:
+    async def _promote(self, attempt: Attempt, chosen: str) -> bool:
         """Announce the promotion in the store, and request it at once.
 
         The platform has to answer on the connection of the call first: a call that is
@@ -627,7 +599,7 @@
             await self._roster.record_answer(token=attempt.token)
         return False
 
-    async def _give_up(self, attempt: _Attempt, chosen: str, *, reason: str) -> bool:
+    async def _give_up(self, attempt: Attempt, chosen: str, *, reason: str) -> bool:
         """Take back the announcement of a promotion that won't be carried out.
 
         One that an earlier holder announced may have been requested and stays.
@@ -649,7 +621,7 @@
 
     def _log_request(
         self,
-        attempt: _Attempt,
+        attempt: Attempt,
         chosen: str,
         *,
         result: PromotionResult,
--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -200,6 +200,12 @@
             await self._suspicions.object(group.name, term=group.term, primary=primary)
         else:
             await self._suspicions.withdraw(group.name)
+        self._end_vote()
+
+    def _end_vote(self) -> None:
+        """Prove commits again, unless the store may have this VM's suspicion."""
+        if not self._suspicions.may_be_stored(self._group.name):
+            self._group.receipts.limit_to_vote(None)
 
     async def _stand_by(self) -> None:
         """Leave the group to the VMs that monitor it."""
@@ -208,6 +214,7 @@
         for control in self._group.controls.values():
             control.close_idle()
         await self._suspicions.withdraw(self._group.name)
+        self._end_vote()
 
     async def _still_stalled(self) -> bool:
         """Confirm a stall with new statuses, as those of some replicas may be old."""
@@ -224,14 +231,16 @@
         group = self._group
         if not group.term:
             return
+        registered, answer = group.endpoints, None
         if group.primary is not None and self._roster.needs_primary_position(
-            group.term, group.endpoints
+            group.term, registered
         ):
-            await group.ask(group.primary)
+            answer = await group.ask(group.primary)
+        is_leading = answer is not None and answer.is_primary
         members = {
-            name: group.endpoints[name]
+            name: registered[name]
             for name, (_, status) in group.statuses.items()
-            if status.term == group.term and name in group.endpoints
+            if status.term == group.term and name in registered
         }
         leader = group.statuses.get(group.primary or "")
         is_current = leader is not None and leader[1].term == group.term
@@ -239,8 +248,9 @@
             term=group.term,
             primary=group.primary if is_current else None,
             members=members,
-            registered=group.endpoints,
+            registered=registered,
             primary_received=leader[1].received if is_current else NO_POSITION,
+            restart_floor=answer.received if is_leading and is_current else None,
         )
         self._start_member_check()
         now = self._clock.monotonic()
@@ -400,21 +410,25 @@
         self._next_attempt_at = (
             self._clock.monotonic() + RETRY_DELAY_S * self._random.uniform(1, 2)
         )
-        term, acknowledged = group.term, group.acknowledged
+        term, acknowledged, is_unanimous = group.term, group.acknowledged, False
         if reason in ("refused", "silent", "stalled", "no_primary"):
             agreed = await self._agreed_position(reason)
             if agreed is None:
                 return
-            acknowledged = max(acknowledged, agreed)
+            acknowledged, is_unanimous = max(acknowledged, agreed[0]), agreed[1]
+        else:
+            await self._suspicions.withdraw(group.name)
+            self._end_vote()
         if await self._coordinator.replace(
-            reason, term=term, acknowledged=acknowledged
+            reason, term=term, acknowledged=acknowledged, is_unanimous=is_unanimous
         ):
             await self._update_roster(write_now=True)
 
-    async def _agreed_position(self, reason: str) -> LogPosition | None:
+    async def _agreed_position(self, reason: str) -> tuple[LogPosition, bool] | None:
         """Share this VM's suspicion; return the highest position seen acknowledged.
 
-        None unless the store answers and the VMs agree to replace the primary.
+        Also returns whether all VMs that monitor the group have voted. None unless the
+        store answers and the VMs agree to replace the primary.
         """
         group = self._group
         primary = group.primary or self._last_primary or UNKNOWN_PRIMARY
@@ -423,9 +437,10 @@
         self._agreement_pause_s = min(
             2 * self._agreement_pause_s, MAX_AGREEMENT_PAUSE_S
         )
-        votes = None
+        votes, acknowledged = None, group.acknowledged
+        group.receipts.limit_to_vote(acknowledged)
         if await self._suspicions.publish(
-            group.name, term=term, primary=primary, acknowledged=group.acknowledged
+            group.name, term=term, primary=primary, acknowledged=acknowledged
         ):
             votes = await self._suspicions.list_votes(
                 group.name, term=term, primary=primary
@@ -444,7 +459,8 @@
         self._next_attempt_at = (
             self._clock.monotonic() + RETRY_DELAY_S * self._random.uniform(1, 2)
         )
-        return max(LogPosition(*vote.acknowledged) for vote in agreeing)
+        position = max(LogPosition(*vote.acknowledged) for vote in agreeing)
+        return position, len(agreeing) >= self._monitor_count()
 
     def _is_agreed(self, reason: str, *, agreeing: int, objecting: int) -> bool:
         """Whether the votes suffice to replace the suspected primary.
--- a/src/celeryjunction/failover/suspicions.py
+++ b/src/celeryjunction/failover/suspicions.py
@@ -160,6 +160,12 @@
             self._unexpected.discard(group)
             self._withdrawn[group] = losses
 
+    def may_be_stored(self, group: str) -> bool:
+        """Whether the store may have a suspicion of this VM."""
+        vote, *_ = self._published.get(group, (None,))
+        is_known = vote is not None and vote.is_objection
+        return group in self._unexpected or not (vote is None or is_known)
+
     def _key(self, group: str) -> str:
         return f"{SUSPICION_PREFIX}{group}/{self._vm}"
 
--- a/src/celeryjunction/replication/receipts.py
+++ b/src/celeryjunction/replication/receipts.py
@@ -45,6 +45,7 @@
         "_request_refresh",
         "_round",
         "_term",
+        "_vote",
         "_witnesses",
         "received",
         "witnessed_at",
@@ -67,6 +68,7 @@
         self._request_refresh = request_refresh
         self._clock = clock
         self._round: asyncio.Task[bool] | None = None
+        self._vote: LogPosition | None = None
         self.received = NO_POSITION
         """Highest position of this term that a witness is known to have received."""
         self.witnessed_at = 0.0
@@ -75,8 +77,19 @@
     def clear(self) -> None:
         """Forget everything: a later term has begun."""
         self.received = NO_POSITION
+        self._vote = None
         self.witnessed_at = 0.0
 
+    def limit_to_vote(self, acknowledged: LogPosition | None) -> None:
+        """Prove nothing beyond what this VM's vote says; None if it has none any more.
+
+        A member that started again is taken over with what all votes say, so a commit
+        must not be proven later by what its earlier process had received.
+        """
+        if acknowledged is None and self._vote is not None:
+            self.received = NO_POSITION
+        self._vote = acknowledged
+
     def record(self, received: LogPosition) -> None:
         """Note how far a witness that stays has received."""
         self.received = max(self.received, received)
@@ -134,6 +147,8 @@
         return False
 
     def _is_proven(self, position: LogPosition) -> bool:
+        if self._vote is not None and position > self._vote:
+            return False
         return self._term() == position.term and self.received >= position
 
     async def _share_round(self, position: LogPosition) -> bool:
--- a/src/celeryjunction/replication/roster.py
+++ b/src/celeryjunction/replication/roster.py
@@ -39,6 +39,7 @@
 )
 from celeryjunction.replication.fencing_token import compose_token
 from celeryjunction.replication.ports import NO_POSITION, EndpointInfo, LogPosition
+from celeryjunction.replication.restarts import MemberRestarts, restarted_members
 from celeryjunction.replication.stored_roster import Roster
 from celeryjunction.store_history import StoreHistory
 
@@ -100,6 +101,7 @@
         "_next_read_at",
         "_read_at",
         "_registered",
+        "_restarts",
         "_resume_awaited_until",
         "_resume_seen",
         "_seal_seen",
@@ -129,6 +131,7 @@
         self._stored_losses = self._history.losses
         """Losses of the store that were known when the roster was read or written."""
         self._seen = Roster()
+        self._restarts = MemberRestarts(clock)
         self._departed: set[tuple[str, int]] = set()
         self._registered: set[tuple[str, int]] = set()
         self._absent_since: dict[str, float] = {}
@@ -168,27 +171,32 @@
         members: dict[str, EndpointInfo],
         registered: dict[str, EndpointInfo],
         primary_received: LogPosition = NO_POSITION,
+        restart_floor: LogPosition | None = None,
     ) -> None:
         """Record the members that report a term in their status.
 
         `registered` are the entries that the register has now, `primary_received` is
         the end of the primary's log. The next primary needs that if no promotion to
-        this term was announced.
+        this term was announced. `restart_floor` is the end of that log if the primary
+        was asked for it later than `registered` was read.
         """
         self._registered = {info.process_key for info in registered.values()}
-        if term > self._seen.term:
+        is_new = term > self._seen.term
+        if is_new:
             self._departed.clear()
             self._floor = self._first_received = NO_POSITION
         if primary is not None and self._first_received == NO_POSITION:
             self._first_received = primary_received
-        merged = {} if term > self._seen.term else _by_id(self._seen)
-        stored = self._stored_in_term(term, primary)
-        if stored is not None:
-            merged = _by_id(stored) | merged
-        if self.restarted_members(merged, registered):
-            self._floor = max(self._floor, primary_received)
+        stored = self._stored_in_term(term, primary) or Roster()
+        merged = self._restarts.merge(stored, Roster() if is_new else self._seen)
+        leader = stored.primary
+        earlier = self._restarts.earlier_processes(merged, registered, primary=leader)
+        if earlier and restart_floor is not None:
+            self._restarts.accept(registered[name] for name in earlier)
+            self._floor, earlier = max(self._floor, restart_floor), {}
         self._record_absent(registered)
-        merged |= {m: registered[m] for m in merged if m in registered} | members
+        current = {m: registered[m] for m in merged if m in registered}
+        merged |= current | members | earlier
         remaining = {
             name: member
             for name, member in merged.items()
@@ -224,10 +232,6 @@
                 self._absent_since.setdefault(member.id, now)
             else:
                 self._absent_since.pop(member.id, None)
-        self._seen = msgspec.structs.replace(
-            self._seen,
-            members=tuple(registered.get(m.id, m) for m in self._seen.members),
-        )
 
     def _stored_in_term(self, term: int, primary: str | None = None) -> Roster | None:
         """Return the stored roster of a term, or what a seal announces for it.
@@ -308,6 +312,21 @@
             and not self._is_removed(member)
         ]
 
+    def require(self, position: LogPosition, *, term: int) -> None:
+        """Have the next writes of the roster store what the next primary needs."""
+        if term == self._seen.term:
+            self._floor = max(self._floor, position)
+
+    async def accept_restarts(
+        self, new: dict[str, EndpointInfo], *, floor: LogPosition
+    ) -> bool:
+        """Store new processes of members, whose earlier ones had received `floor`."""
+        self._restarts.accept(new.values())
+        self.require(floor, term=self._seen.term)
+        members = tuple(new.get(m.id, m) for m in self._seen.members)
+        self._seen = msgspec.structs.replace(self._seen, members=members)
+        return await self.write()
+
     def remove_member(
         self, member: EndpointInfo, *, received: LogPosition = NO_POSITION
     ) -> None:
@@ -587,6 +606,7 @@
             next_floor=announced.next_floor,
             seal_token=announced.seal_token,
             seal_holder=announced.seal_holder,
+            floor=self.floor(current, term=term),
             seals=current.seals + 1 if is_repeated else 1,
             answered=answered if is_repeated else 0,
             outstanding="" if is_old else current.outstanding,
@@ -700,7 +720,8 @@
             current = stored if current is None else current
             if current.is_sealed or self.has_unanswered_resume:
                 break
-            announced = msgspec.structs.replace(current, resuming=resuming)
+            known = {"resuming": resuming, "floor": self.floor(current, term=term)}
+            announced = msgspec.structs.replace(current, **known)
             if await self._put(announced, [claim, Compare(self._key, revision)]):
                 return resuming
         self._ended_resume = resuming  # It may be stored, but nothing is sent.
@@ -750,17 +771,7 @@
         stored, revision = found
         if not self._is_own_seal(stored, token):
             return not stored.is_sealed
-        opened = msgspec.structs.replace(
-            stored,
-            next_primary="",
-            next_members=(),
-            next_floor=NO_POSITION,
-            seal_token=0,
-            seal_holder="",
-            seals=0,
-            answered=0,
-        )
-        return bool(await self._put(opened, [Compare(self._key, revision)]))
+        return bool(await self._put(stored.opened(), [Compare(self._key, revision)]))
 
     async def _put(
         self,
@@ -809,7 +820,7 @@
             stored = msgspec.structs.replace(
                 stored, outstanding="", repeat_unanswered=False
             )
-        members = _by_id(stored) | _by_id(seen)
+        members = self._restarts.merge(stored, seen)
         remaining = {name: m for name, m in members.items() if not self._is_removed(m)}
         return Roster(
             seen.term,
@@ -829,20 +840,9 @@
     ) -> bool:
         """Whether a new term or a restarted member is to be recorded next."""
         return term > self._seen.term or bool(
-            self.restarted_members(_by_id(self._seen), registered)
+            restarted_members(_by_id(self._seen), registered)
         )
 
-    @staticmethod
-    def restarted_members(
-        members: Mapping[str, EndpointInfo], registered: Mapping[str, EndpointInfo]
-    ) -> list[str]:
-        """Return the members that started again: they may hold nothing of before."""
-        return [
-            name
-            for name, member in members.items()
-            if name in registered and registered[name].process_key != member.process_key
-        ]
-
     def endpoints_to_pause(
         self, stored: Roster, *, term: int, registered: dict[str, EndpointInfo]
     ) -> dict[str, EndpointInfo]:
--- a/src/celeryjunction/replication/stored_roster.py
+++ b/src/celeryjunction/replication/stored_roster.py
@@ -64,6 +64,19 @@
         """Highest fencing token known; VMs of earlier versions keep only the seal's."""
         return max(self.fence, self.seal_token)
 
+    def opened(self) -> Roster:
+        """Return the roster without its seal."""
+        return msgspec.structs.replace(
+            self,
+            next_primary="",
+            next_members=(),
+            next_floor=NO_POSITION,
+            seal_token=0,
+            seal_holder="",
+            seals=0,
+            answered=0,
+        )
+
     def successor(self) -> Roster:
         """Return the roster of the next term, as announced by the seal.
 
--- a/tests/test_confirmed_commits.py
+++ b/tests/test_confirmed_commits.py
@@ -671,6 +671,78 @@
         assert cluster["b1"].info in stored.members
         assert LogPosition(*stored.floor) == position
 
+    async def test_its_new_process_waits_for_the_votes_of_all(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against a promotion when the VM that confirmed has not voted."""
+        vm = await started_vm(cluster, store)
+        await self.restart_empty(cluster, vm)
+        cluster["a1"].silent = True
+        other = Vm(cluster, store, "vm2", monitor_count=2)
+        other.run()
+        await asyncio.sleep(FAILOVER_LIMIT_S + 5)
+        await other.stop()
+        assert not cluster.promotions
+        assert cluster["b1"].info not in (await vm.roster.read()).members
+
+    async def test_all_votes_replace_it_and_stay_required(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against forgetting a vote that ends with its VM."""
+        vm = await started_vm(cluster, store)
+        vm.group.acknowledged = await self.restart_empty(cluster, vm)
+        cluster["a1"].silent = True
+        vms = [vm, Vm(cluster, store, "vm2", monitor_count=2)]
+        for each in vms:
+            each.run()
+        await asyncio.sleep(FAILOVER_LIMIT_S)
+        await vm.stop()
+        store.put("suspects/g/vm1", None)
+        await asyncio.sleep(FAILOVER_LIMIT_S + 5)
+        await vms[1].stop()
+        stored = await vm.roster.read()
+        assert cluster["b1"].info in stored.members and not cluster.promotions
+        assert LogPosition(*stored.floor) == vm.group.acknowledged
+
+    async def test_a_replica_that_has_all_is_promoted_after_all_votes(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        await self.restart_empty(cluster, vm)
+        cluster["a1"].silent = True
+        vm.run()
+        assert await wait_for_term(vm, 2)
+        await vm.stop()
+
+    async def test_an_attempt_that_gives_up_stores_what_is_required(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        vm = await started_vm(cluster, store)
+        cluster["c1"].replication_cut = cluster["b1"].replication_cut = True
+        position = LogPosition(1, 7)
+        cluster["a1"].silent = True
+        options = {"term": 1, "acknowledged": position}
+        assert not await vm.coordinator.replace("silent", **options)
+        later = Vm(cluster, store, "vm2")
+        await later.group.refresh()
+        options["acknowledged"] = NO_COMMIT
+        assert not await later.coordinator.replace("silent", **options)
+        assert not cluster.promotions
+
+    async def test_a_vote_limits_what_its_vm_proves(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against a proof by an earlier process, after its position is known."""
+        vm = await started_vm(cluster, store)
+        position = await cluster.commit(cluster["a1"])
+        receipts = vm.group.receipts
+        deadline = asyncio.get_running_loop().time() + 0.3
+        receipts.limit_to_vote(NO_COMMIT)
+        assert not await receipts.prove(position, deadline=deadline)
+        receipts.limit_to_vote(None)
+        assert receipts.received == NO_COMMIT
+        assert await receipts.prove(position, deadline=deadline + 0.3)
+
 
 class TestUnannouncedTerm:
     """A term that no seal announced: nobody knows where its log began."""
