Count a drain from when the register last said otherwise

Cause: the bound on a draining primary counted from when this VM learnt of the drain, so a VM that the store had not answered for 9 s used it for as much longer. The class is a time limit that counts from the arrival of news instead of from the event. It can act wherever news come through a watch that may have been silent: lists from another VM's register count the same way now; `DrainWatch` counts from this VM's first sight on purpose, as later is safer there.

Change: a drain counts from the last confirmation of the register before the one that shows it. An answer that is itself delayed on its way, by at most the watch's time-out, still counts from its arrival.

Measured: the new test of tests/test_register.py failed before and passes.

--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -70,7 +70,8 @@
         """Age up to which the last confirmation shows that the store is available."""
         self.endpoints: dict[str, EndpointInfo] = {}
         self.draining_since: dict[str, float] = {}
-        """When each endpoint was first seen draining, seconds; 0 for the first list."""
+        """Instant before which each draining endpoint did not drain; seconds, 0 if none
+        is known. The register may have said so since then, unseen by this VM."""
         self._drained: dict[tuple[str, int], float] = {}
         """The same by id and start time of each process that drained."""
         self.synced = asyncio.Event()
@@ -83,6 +84,8 @@
         self._peer_revisions: dict[str, int] = {}
         """Revision of the last list that each other VM passed on."""
         self._answered_at = 0.0
+        self._answered_before = 0.0
+        """When the register was confirmed before that; seconds."""
         self._available_since = 0.0
         self._listeners: list[OnEndpoints] = []
         self._items: dict[str, KeyValue] = {}
@@ -127,7 +130,7 @@
                 self._apply(event)
                 continue
             # The changes up to this revision have been applied.
-            self._answered_at = now
+            self._confirm(now)
             self._revision = max(self._revision, event.revision)
             self._applied_revision = max(self._applied_revision, event.revision)
             self._process_items(now)
@@ -179,7 +182,7 @@
             self._revision = revision
         now = self._clock.monotonic()
         self._peer_list_until = now + self._max_age_s - age_s
-        self._answered_at = max(self._answered_at, now - age_s)
+        self._confirm(max(self._answered_at, now - age_s))
         found = {info.id: self._keep_draining(info) for info in endpoints}
         if found != self.endpoints or not self.synced.is_set():
             self._set_endpoints(found, now)
@@ -204,12 +207,15 @@
         if not self._available_since or now - self._answered_at > self._max_age_s:
             _log.info("register_available", revision=listed.revision)
             self._available_since = now
-        self._answered_at = now
+        self._confirm(now)
         self._revision = listed.revision
         self._set_items(listed)
         self._process_items(now)
         return True
 
+    def _confirm(self, now: float) -> None:
+        self._answered_before, self._answered_at = self._answered_at, now
+
     def _set_items(self, listed: KeyValueList) -> None:
         self._applied_revision = listed.revision
         self._items = {item.key: item for item in listed.items}
@@ -278,7 +284,8 @@
         first = not self.synced.is_set()
         draining = [info for info in found.values() if info.draining]
         for info in draining:
-            self._drained.setdefault(info.process_key, 0.0 if first else now)
+            since = 0.0 if first else self._answered_before
+            self._drained.setdefault(info.process_key, since)
         while len(self._drained) > MAX_DRAINED:
             del self._drained[next(iter(self._drained))]
         self.draining_since = {
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -85,6 +85,22 @@
         assert await site.names_after(0.25) == {"a1"}
         site.stop()
 
+    async def test_a_drain_counts_from_when_it_may_have_begun(self) -> None:
+        """Guards against a primary in use past the bound of a drain learnt of late."""
+        site = Register()
+        site.put("a1")
+        await site.start()
+        await asyncio.sleep(1)
+        cut_off_at = site.register._clock.monotonic()
+        site.store.unavailable = True
+        await asyncio.sleep(1)
+        site.put("a1", b"draining")
+        await asyncio.sleep(8)
+        site.store.unavailable = False
+        await asyncio.sleep(4)
+        assert 0 < site.register.draining_since["a1"] <= cut_off_at
+        site.stop()
+
     async def test_an_expired_entry_that_returns_was_never_lost(self) -> None:
         """Guards against giving up an endpoint that was only slow to report.
 
