Learn endpoints' speed from comparable statements, without this VM's pauses

Cause: the service time of an endpoint mixed all its statements, so a primary with short writes seemed fast and attracted reads. A value without new answers stayed for ever, so a slow or failing endpoint was not tried again where another was cheaper. After a pause of this VM, all endpoints seemed stuck and slow, and failures to connect made it avoid them.

Change: times are compared with the group's mean of the same priority, for statements that had a choice. Slowness and fault rate fade without answers. The stuck check notices that it comes late; what overlaps the pause is not counted.

--- a/src/celeryjunction/_pauses.py
+++ b/src/celeryjunction/_pauses.py
@@ -17,12 +17,14 @@
 class PauseDetector:
     """Detects pauses of the process by overdue ticks. Times are monotonic seconds.
 
-    Without any tick, no pause is reported.
+    A tick is overdue `threshold_s` after the last one. Without any tick, no pause is
+    reported.
     """
 
-    __slots__ = ("_last_tick_at", "_pause_ended_at")
+    __slots__ = ("_last_tick_at", "_pause_ended_at", "_threshold_s")
 
-    def __init__(self) -> None:
+    def __init__(self, threshold_s: float = PAUSE_THRESHOLD_S) -> None:
+        self._threshold_s = threshold_s
         self._last_tick_at: float | None = None
         self._pause_ended_at = -inf
 
@@ -30,12 +32,18 @@
         yield "last_tick_at", self._last_tick_at
         yield "pause_ended_at", self._pause_ended_at
 
-    def tick(self, now: float) -> None:
-        """Record that the process is running."""
-        if self._is_tick_overdue(now):
-            self._pause_ended_at = now
+    def resume(self, now: float) -> None:
+        """Begin to tick again after a time without ticks, which was no pause."""
         self._last_tick_at = now
 
+    def tick(self, now: float) -> float:
+        """Record that the process is running; return how long it has just paused."""
+        last, self._last_tick_at = self._last_tick_at, now
+        if last is None or now - last <= self._threshold_s:
+            return 0.0
+        self._pause_ended_at = now
+        return now - last
+
     def overlaps_pause(self, started_at: float, now: float) -> bool:
         """Return whether the time from `started_at` to `now` overlaps a pause.
 
@@ -47,5 +55,5 @@
     def _is_tick_overdue(self, now: float) -> bool:
         return (
             self._last_tick_at is not None
-            and now - self._last_tick_at > PAUSE_THRESHOLD_S
+            and now - self._last_tick_at > self._threshold_s
         )
--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -14,8 +14,10 @@
 from itertools import count
 from random import Random
 
+from celeryjunction._pauses import PauseDetector
 from celeryjunction.dispatch.connection_budget import ConnectionBudget
 from celeryjunction.dispatch.endpoint_choice import Candidate, EndpointChoice
+from celeryjunction.dispatch.endpoint_speed import GroupTimes
 from celeryjunction.dispatch.gates import EndpointGate
 from celeryjunction.dispatch.retry_budget import RetryBudget
 from celeryjunction.errors import ErrorKind, ProxyError
@@ -30,6 +32,10 @@
 an endpoint, unless it has only one."""
 STUCK_CHECK_INTERVAL_S = 0.05
 """Interval of the check for stuck endpoints while statements are in flight."""
+LATE_CHECK_S = 3 * STUCK_CHECK_INTERVAL_S
+"""A check that comes this long after the last one shows that this process paused, for
+example because it used up its share of the processor. What it then sees as slow or
+silent is not the endpoints' fault."""
 OVERLOAD_REFUSALS = 8
 OVERLOAD_WINDOW_S = 1.0
 """The VM is overloaded when this many statements miss their queue deadline within the
@@ -107,6 +113,7 @@
     __slots__ = (
         "_clock",
         "_dispatcher",
+        "_had_choice",
         "_pinned",
         "_priority",
         "_slot_since",
@@ -123,7 +130,9 @@
         *,
         clock: Clock,
         priority: int,
+        had_choice: bool = True,
     ) -> None:
+        self._had_choice = had_choice
         self._dispatcher = dispatcher
         self._priority = priority
         self._clock = clock
@@ -158,14 +167,20 @@
     def _free_slot(self, answered: bool, served: bool) -> None:
         if self._slot_since is None:
             return
-        seconds = self._clock.monotonic() - self._slot_since
+        now = self._clock.monotonic()
+        seconds = now - self._slot_since
+        served = served and not self._dispatcher.pauses.overlaps_pause(
+            self._slot_since, now
+        )
         self._slot_since = None
         self.gate.record_ended(self)
         self.gate.running -= 1
         if answered:
             self.gate.record_answer()
         if served:
-            self.gate.record_service_time(seconds, priority=self._priority)
+            self.gate.record_service_time(
+                seconds, priority=self._priority, had_choice=self._had_choice
+            )
 
     def pin(self) -> None:
         """Reserve the connection for a transaction until `release`."""
@@ -220,6 +235,9 @@
         self._budget = budget
         self._vm_count = vm_count
         self._choice = EndpointChoice(random=random)
+        self._times = GroupTimes()
+        self.pauses = PauseDetector(LATE_CHECK_S)
+        """Pauses of this process while statements are in flight."""
         self._waiting: list[PendingStatement] = []
         self._sequence = count(1)
         self._retry_timer: asyncio.TimerHandle | None = None
@@ -260,6 +278,8 @@
                     clock=self._clock,
                     random=self._random,
                     max_links=1,
+                    times=self._times,
+                    pauses=self.pauses,
                 )
             gate.info = info
             gate.max_links, gate.resting_links = self._budget(info)
@@ -282,6 +302,7 @@
             gate.promised -= 1
         else:
             gate.running += 1
+        self.schedule_stuck_check()
         try:
             link = await gate.acquire(pending.values, pending.organisation)
         except BaseException:
@@ -289,7 +310,14 @@
             pending.excluded.add(gate.info.id)
             self.dispatch_waiting()
             raise
-        return Grant(self, gate, link, clock=self._clock, priority=pending.priority)
+        return Grant(
+            self,
+            gate,
+            link,
+            clock=self._clock,
+            priority=pending.priority,
+            had_choice=pending.required_endpoint is None,
+        )
 
     # Connections shared with control commands
 
@@ -346,15 +374,17 @@
 
     def _choose_gate(self, pending: PendingStatement) -> EndpointGate | None:
         now = self._clock.monotonic()
-        candidates = [
-            Candidate(name, self._cost(gate), gate.free_slots)
-            for name, gate in self.gates.items()
-            if pending.allows(name) and self._has_room(gate, pending, now)
-        ]
+        candidates = []
+        for name, gate in self.gates.items():
+            if pending.allows(name) and self._has_room(gate, pending, now):
+                gate.refresh(now)
+                busy = gate.running + gate.slots_busy_elsewhere
+                free = max(gate.info.slots, 1) - busy
+                candidates.append(Candidate(name, self._cost(gate), free))
         if not candidates:
             return None
-        vm_count = max(self.gates[c.name].shared.vm_count for c in candidates)
-        return self.gates[self._choice.choose(candidates, vm_count=vm_count)]
+        name = self._choice.choose(candidates, vm_count=gate.shared.vm_count)
+        return self.gates[name]
 
     def _has_room(
         self, gate: EndpointGate, pending: PendingStatement, now: float
@@ -453,15 +483,22 @@
     def schedule_stuck_check(self) -> None:
         """Start the timer of the stuck check if it is not running."""
         if self._stuck_check_timer is None:
-            loop = asyncio.get_running_loop()
-            self._stuck_check_timer = loop.call_later(
-                STUCK_CHECK_INTERVAL_S, self._check_for_stuck
-            )
+            self.pauses.resume(self._clock.monotonic())
+            self._start_stuck_timer()
+
+    def _start_stuck_timer(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._stuck_check_timer = loop.call_later(
+            STUCK_CHECK_INTERVAL_S, self._check_for_stuck
+        )
 
     def _check_for_stuck(self) -> None:
         self._stuck_check_timer = None
         now = self._clock.monotonic()
+        paused_s = self.pauses.tick(now)
         for gate in self.gates.values():
+            if paused_s:
+                gate.excuse_pause(paused_s)
             if gate.is_stuck(now):
                 gate.record_stuck()
                 interrupted = gate.interrupt()
@@ -474,7 +511,7 @@
                     )
                 self.on_stuck(gate.info.id)
         if any(gate.running for gate in self.gates.values()):
-            self.schedule_stuck_check()
+            self._start_stuck_timer()
 
     def _schedule_retry(self) -> None:
         if self._retry_timer is None and self._waiting:
--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from math import inf
 from random import Random
 from typing import Protocol
 
+from celeryjunction._pauses import PauseDetector
 from celeryjunction.dispatch.answer_patience import AnswerPatience
+from celeryjunction.dispatch.endpoint_speed import (
+    SERVICE_WEIGHT,
+    FadingMean,
+    GroupTimes,
+)
 from celeryjunction.dispatch.load_estimate import LoadEstimate
 from celeryjunction.dispatch.shared_slots import SharedSlots
 from celeryjunction.errors import ConnectionLost
@@ -38,20 +45,14 @@
 transaction may hold its connection idle for up to 3 s."""
 CONNECTION_LIMIT_BACKOFF_S = 0.1
 """Mean pause before another connection to an endpoint that is at its limit."""
-SERVICE_WEIGHT = 0.02
-"""Weight of a new sample in the moving average of the service time. With 0.1 the
-average differs between equal endpoints by a quarter, more than their load does, and
-most statements go to the one that seems fastest."""
-FIRST_SERVICE_ANSWERS = 20
-"""Answers that are averaged with equal weights at first, the assumed service time being
-the first of them."""
+REFRESH_S = 0.01
+"""Interval at which estimates are computed again at most: they change little within
+half a service time."""
 FAULT_WEIGHT = 0.1
 """Weight of a statement in the moving average of the fault rate."""
 MAX_FAULT_RATE = 0.9
 """Bound of the fault rate in the cost, so that an endpoint that fails all statements is
 still tried at times."""
-INITIAL_SERVICE_S = 0.02
-"""Service time assumed before the first answer: the work of a typical statement."""
 
 _log = get_logger("dispatch")
 
@@ -67,20 +68,27 @@
 class EndpointGate:
     """Tracks this VM's statements at one endpoint and pools its connections to it.
 
-    `max_links` bounds the connections that this VM opens for statements.
+    `max_links` bounds the connections that this VM opens for statements. `times` is
+    shared with the other endpoints of the group. A failure to connect during a pause
+    that `pauses` reports is this VM's own, not the endpoint's.
     """
 
     __slots__ = (
-        "_answers",
         "_avoid_s",
         "_clock",
         "_dialer",
         "_failed_at",
         "_failures",
+        "_faults",
         "_idle",
         "_lent",
+        "_pauses",
         "_random",
+        "_refreshed_at",
         "_sent_at",
+        "_service_s",
+        "_slowness",
+        "_times",
         "answered_at",
         "avoid_until",
         "behind_since",
@@ -96,8 +104,8 @@
         "promised",
         "resting_links",
         "running",
-        "service_s",
         "shared",
+        "slots_busy_elsewhere",
         "unanswered_since",
     )
 
@@ -109,6 +117,8 @@
         clock: Clock,
         random: Random,
         max_links: int,
+        times: GroupTimes | None = None,
+        pauses: PauseDetector | None = None,
     ) -> None:
         self.info = info
         self.max_links = max_links
@@ -123,12 +133,20 @@
         self.pinned = 0
         """Connections held by open transactions."""
         self.load = LoadEstimate()
-        self.service_s = INITIAL_SERVICE_S
-        self._answers = 0
-        self.patience = AnswerPatience()
-        self.shared = SharedSlots(slots=info.slots, vm_count=1)
+        self._times = times or GroupTimes()
+        self._pauses = pauses or PauseDetector()
+        now = clock.monotonic()
+        self._slowness = FadingMean(neutral=1.0, weight=SERVICE_WEIGHT, now=now)
+        """Answer times relative to the group's mean."""
+        self._service_s = self._times.mean_s
+        self._refreshed_at = -inf
         self.fault_rate = 0.0
         """Moving average of the part of statements that the endpoint failed, 0 to 1."""
+        self.slots_busy_elsewhere = 0.0
+        """Slots that other VMs are expected to use."""
+        self._faults = FadingMean(neutral=0.0, weight=FAULT_WEIGHT, now=now)
+        self.patience = AnswerPatience()
+        self.shared = SharedSlots(slots=info.slots, vm_count=1)
         self.behind_since = 0.0
         """Time since which the endpoint refuses reads for replication lag; 0 if it does
         not."""
@@ -155,17 +173,26 @@
         yield "running", self.running
         yield "links", self.links
 
-    @property
-    def slots_busy_elsewhere(self) -> float:
-        """Slots that other VMs are expected to use now."""
-        return self.load.busy_elsewhere(
-            self._clock.monotonic(), service_s=self.service_s
-        )
+    def refresh(self, now: float) -> None:
+        """Update the estimates of load, speed and faults, at most every 10 ms."""
+        if now - self._refreshed_at >= REFRESH_S:
+            self._refreshed_at = now
+            self._service_s = self._times.mean_s * self._slowness.value(now)
+            self.fault_rate = self._faults.value(now)
+            self.slots_busy_elsewhere = self.load.busy_elsewhere(
+                now, service_s=self._service_s
+            )
 
     @property
-    def free_slots(self) -> float:
-        """Slots that are expected to be free; negative with a queue."""
-        return max(self.info.slots, 1) - self.running - self.slots_busy_elsewhere
+    def service_s(self) -> float:
+        """Expected time of a statement with the group's usual mix, in seconds."""
+        return self._service_s
+
+    @service_s.setter
+    def service_s(self, seconds: float) -> None:
+        slowness = seconds / self._times.mean_s
+        self._slowness.assume(slowness, now=self._clock.monotonic())
+        self._refreshed_at = -inf
 
     def has_link(self, now: float, owner: str = "") -> bool:
         """Whether a connection of an owner is idle or may be opened at `now`."""
@@ -194,13 +221,15 @@
             return link
         self._make_room()
         self.links += 1
+        started = self._clock.monotonic()
         try:
             link = await self._dialer.connect(
                 self.info, timeout=CONNECT_TIMEOUT_S, owner=owner
             )
         except BaseException as error:
             self.links -= 1
-            self._record_connect_failure(error)
+            if not self._pauses.overlaps_pause(started, self._clock.monotonic()):
+                self._record_connect_failure(error)
             raise
         return link
 
@@ -330,6 +359,13 @@
         oldest = next(iter(self._sent_at.values()))
         return now - max(oldest, self.answered_at) >= self.patience.timeout_s
 
+    def excuse_pause(self, paused_s: float) -> None:
+        """Don't count a pause of this process, which has just ended, as silence."""
+        if self._sent_at:
+            oldest = next(iter(self._sent_at.values()))
+            now = self._clock.monotonic()
+            self.answered_at = min(now, max(oldest, self.answered_at) + paused_s)
+
     def record_stuck(self) -> None:
         """Record that the endpoint was found stuck, before its statements end."""
         if not self.unanswered_since and self._sent_at:
@@ -356,15 +392,19 @@
         self._failures = 0
         self._avoid_s = 0.0
 
-    def record_service_time(self, seconds: float, *, priority: int) -> None:
-        """Record the service time of a statement."""
+    def record_service_time(
+        self, seconds: float, *, priority: int, had_choice: bool = True
+    ) -> None:
+        """Record the service time of a statement.
+
+        `had_choice` is whether other endpoints may run such statements. The times of
+        others, such as writes, can't be compared.
+        """
         self.shared.observe(priority, seconds)
         self.patience.record_answer(seconds)
-        self._answers += 1
-        weight = 1 / (self._answers + 1)
-        if self._answers >= FIRST_SERVICE_ANSWERS:
-            weight = SERVICE_WEIGHT
-        self.service_s += weight * (seconds - self.service_s)
+        ratio = self._times.record((priority, had_choice), seconds)
+        if had_choice:
+            self._slowness.record(ratio, now=self._clock.monotonic())
         self.behind_since = 0.0
 
     def record_behind(self) -> None:
@@ -373,7 +413,8 @@
 
     def record_fault(self, failed: bool) -> None:
         """Record whether the endpoint failed a statement that it may have run."""
-        self.fault_rate += FAULT_WEIGHT * (failed - self.fault_rate)
+        self._faults.record(float(failed), now=self._clock.monotonic())
+        self._refreshed_at = -inf
 
     @property
     def expected_attempts(self) -> float:
