Weigh homes by processors as well as by links

Cause: homes were chosen by link bandwidth only, although processors differ by a factor of four, so a slow VM with a wide link was the home of most groups.

--- a/src/celeryjunction/membership.py
+++ b/src/celeryjunction/membership.py
@@ -70,6 +70,8 @@
     heartbeat_address: Name = ""
     link_mbps: Amount = 1.0
     """Capacity of the VM's network link, Mbit/s."""
+    cores: Amount = 0.0
+    """Processor capacity, in cores; 0 from a version that does not announce it."""
 
 
 async def list_vms(store: KeyValueStore) -> tuple[VmRecord, ...]:
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -36,6 +36,7 @@
 )
 from celeryjunction.platform.store import HttpStore
 from celeryjunction.ports import BootClock, Clock, WatchEvent
+from celeryjunction.relay.placement import MIN_CORES
 from celeryjunction.replication.register import EndpointRegister
 
 SETTINGS_POLL_S = 2.0
@@ -181,6 +182,7 @@
         incarnation=int(now * 1_000_000),
         started_at=now,
         link_mbps=settings.limits.link_mbps,
+        cores=max(settings.limits.cpu_share * settings.limits.cores, MIN_CORES),
     )
     return Membership(store, record, clock=clock, random=random, history=store.history)
 
--- a/src/celeryjunction/platform/settings.py
+++ b/src/celeryjunction/platform/settings.py
@@ -56,6 +56,9 @@
 
     link_mbps: Amount = 1.0
     """Capacity of the VM's network link, Mbit/s."""
+    cpu_share: Amount = 1.0
+    """Part of its processor cores that the VM may use."""
+    cores: Amount = 1.0
 
 
 class EdgeSettings(msgspec.Struct, frozen=True):
--- a/src/celeryjunction/relay/homes.py
+++ b/src/celeryjunction/relay/homes.py
@@ -9,7 +9,11 @@
 from celeryjunction.decoding import parse_address
 from celeryjunction.membership import VmRecord
 from celeryjunction.relay.home_link import HomeLink
-from celeryjunction.relay.placement import HOMES_PER_ZONE, homes_of_group
+from celeryjunction.relay.placement import (
+    HOMES_PER_ZONE,
+    home_weights,
+    homes_of_group,
+)
 
 HOME_WAIT_S = 0.3
 """Longest wait of a statement for a home that may soon be usable: VMs that start at the
@@ -51,12 +55,16 @@
     def update(self, peers: Mapping[str, VmRecord], groups: Iterable[str]) -> None:
         """Compute the homes of the groups from the other VMs, and adapt the links."""
         self._has_vm_list = True
+        records = [
+            record
+            for record in (self._own_record, *peers.values())
+            if not record.leaving
+        ]
+        weights = home_weights({r.name: (r.link_mbps, r.cores) for r in records})
         zones: dict[str, dict[str, float]] = {}
-        for record in (self._own_record, *peers.values()):
-            if not record.leaving:
-                links = zones.setdefault(record.zone, {})
-                links[record.name] = max(record.link_mbps, 1.0)
-        self._vms_per_zone = {zone: len(links) for zone, links in zones.items()}
+        for record in records:
+            zones.setdefault(record.zone, {})[record.name] = weights[record.name]
+        self._vms_per_zone = {zone: len(vms) for zone, vms in zones.items()}
         self._homes = {group: homes_of_group(group, zones) for group in groups}
         self._update_links(
             {
