Don't take endpoints for stuck right after a pause of this VM

Cause: between a pause and the next stuck check, every endpoint with statements in flight seemed stuck. No endpoint had room then, and the VM could report itself as cut off from the other zones.

--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -353,8 +353,11 @@
         self._sent_at.pop(sent, None)
 
     def is_stuck(self, now: float) -> bool:
-        """Whether statements are in flight and none was answered for too long."""
-        if not self._sent_at:
+        """Whether statements are in flight and none was answered for too long.
+
+        False while a pause of this process is not yet taken into account.
+        """
+        if not self._sent_at or self._pauses.overlaps_pause(now, now):
             return False
         oldest = next(iter(self._sent_at.values()))
         return now - max(oldest, self.answered_at) >= self.patience.timeout_s
--- a/tests/test_endpoint_speed.py
+++ b/tests/test_endpoint_speed.py
@@ -90,6 +90,7 @@
         grant = await self.send()
         before = grant.gate.service_s
         self.clock.advance(1.0)
+        assert not grant.gate.is_stuck(self.clock.monotonic())
         self.dispatcher._check_for_stuck()
         assert not grant.gate.unanswered_since
         grant.release()
