--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -708,7 +708,10 @@
         sent_at = self._clock.monotonic()
         grant.mark_sent(interruptible=interruptible)
         (answer,) = await grant.link.run([command], timeout=timeout)
-        group = self._gateway.groups.get(grant.gate.info.group)
+        info = grant.gate.info
+        counter = "busy_refusals" if answer.fault is Fault.BUSY else "statements_placed"
+        self._gateway.metrics.count(counter, group=info.group, endpoint=info.id)
+        group = self._gateway.groups.get(info.group)
         if group is not None:
             # Only a digest shows that the position is as new as the command.
             is_signed = answer.fault is None and answer.digest != NO_DIGEST
--- a/src/celeryjunction/relay/placement.py
+++ b/src/celeryjunction/relay/placement.py
@@ -21,8 +21,9 @@
 """Traffic of a home, Mbit/s, that keeps one core busy. A statement takes 0.5 ms of a
 core (0.03 to 0.06 of a core with 65 to 120 statements/s, docs/CAPACITY.md), so a core
 bears 2,000 a second. A home receives and sends each statement and its answer, four
-messages of about 0.75 KB: 25 kbit a statement. VMs that started beside 100 others were
-measured at 1.7 MB/s with 27% of their processor, which is 50 Mbit/s as well."""
+messages of about 0.75 KB: 25 kbit a statement. VMs of a sweep had
+1.7 MB/s at 27% of their processor while 101 VMs started, which is 50 Mbit/s as well.
+The size is assumed; docs/design/load-balancing.md says what the figure is good for."""
 MIN_CORES = 0.01
 """Least capacity that a VM announces; 0 means that it announces none."""
 HOMES_PER_ZONE = 2
