Don't learn service times from faults in transactions; simulate learnt speed

A statement of a transaction that an endpoint refused as busy counted as a fast answer, or with the pauses of its retries as a slow one.

--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -673,7 +673,7 @@
         grant = transaction.grant
         self._endpoint = grant.endpoint
         remaining_s = max(deadline - self._clock.monotonic(), 0.001)
-        answered = False
+        answered = served = False
         try:
             commands = state_commands(
                 grant.link,
@@ -687,6 +687,8 @@
             answer = await self._send_command(
                 grant, command, remaining_s, interruptible=not commits
             )
+            # The time of a fault, or with pauses for retries, is no service time.
+            served = answer.fault is None
             for _ in range(BUSY_RETRIES):
                 if answer.fault is not Fault.BUSY or answer.state is not _OPEN:
                     break
@@ -699,7 +701,7 @@
             answered = True
             return answer
         finally:
-            grant.end_statement(answered=answered)
+            grant.end_statement(answered=answered, served=served)
 
     async def _send_command(
         self, grant: Grant, command: Command, timeout: float, *, interruptible: bool
--- a/tests/_choice_rules.py
+++ b/tests/_choice_rules.py
@@ -10,6 +10,11 @@
 from _choice_simulation import Chooser, Site, simulate
 
 from celeryjunction.dispatch.endpoint_choice import Candidate, EndpointChoice
+from celeryjunction.dispatch.endpoint_speed import (
+    SERVICE_WEIGHT,
+    FadingMean,
+    GroupTimes,
+)
 from celeryjunction.dispatch.load_estimate import LoadEstimate
 
 SERVICE_S = 0.02
@@ -132,13 +137,21 @@
         return min(allowed, key=load)
 
 
-class Turns(SlowService):
+class Turns(Chooser):
     """Turns in proportion to the expected free slots: the product's own code."""
 
     def __init__(self, site: Site, random: Random) -> None:
         super().__init__(site, random)
         self.loads = [LoadEstimate() for _ in site.slots]
         self.turns = EndpointChoice(random=random)
+        self.times = GroupTimes()
+        self.slowness = [
+            FadingMean(neutral=1.0, weight=SERVICE_WEIGHT, now=0.0) for _ in site.slots
+        ]
+
+    def answered(self, endpoint: int, seconds: float, now: float) -> None:
+        ratio = self.times.record((1, True), seconds * SERVICE_S)
+        self.slowness[endpoint].record(ratio, now=now * SERVICE_S)
 
     def sampled(self, elsewhere: list[float], sampled_at: float, now: float) -> None:
         for load, value in zip(self.loads, elsewhere, strict=True):
@@ -147,6 +160,8 @@
     def choose(self, allowed: Sequence[int], now: float) -> int:
         candidates = []
         for e in allowed:
+            slowness = self.slowness[e].value(now * SERVICE_S)
+            self.service[e] = self.times.mean_s * slowness / SERVICE_S
             self.elsewhere[e] = self.loads[e].busy_elsewhere(
                 now * SERVICE_S, service_s=self.service[e] * SERVICE_S
             )
