--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -14,8 +14,10 @@
 from collections.abc import Callable
 from random import Random
 
+from celeryjunction._pauses import PauseDetector
 from celeryjunction.dispatch.connection_budget import ConnectionBudget
 from celeryjunction.dispatch.endpoint_choice import Candidate, EndpointChoice
+from celeryjunction.dispatch.endpoint_speed import GroupTimes
 from celeryjunction.dispatch.gates import EndpointGate
 from celeryjunction.dispatch.owner_placement import OwnerPlacement
 from celeryjunction.dispatch.retry_budget import RetryBudget
@@ -39,6 +41,10 @@
 an endpoint, unless it has only one."""
 STUCK_CHECK_INTERVAL_S = 0.05
 """Interval of the check for stuck endpoints while statements are in flight."""
+LATE_CHECK_S = 3 * STUCK_CHECK_INTERVAL_S
+"""A check that comes this long after the last one shows that this process paused, for
+example because it used up its share of the processor. What it then sees as slow or
+silent is not the endpoints' fault."""
 OVERLOAD_REFUSALS = 8
 OVERLOAD_WINDOW_S = 1.0
 """The VM is overloaded when this many statements miss their queue deadline within the
@@ -59,6 +65,7 @@
         "_clock",
         "_dispatcher",
         "_flow",
+        "_had_choice",
         "_pinned",
         "_priority",
         "_slot_since",
@@ -77,7 +84,9 @@
         priority: int,
         flow: OrganisationFlow,
         charged_s: float,
+        had_choice: bool = True,
     ) -> None:
+        self._had_choice = had_choice
         self._dispatcher = dispatcher
         self._flow = flow
         self._charged_s = charged_s
@@ -114,7 +123,11 @@
     def _free_slot(self, answered: bool, served: bool) -> None:
         if self._slot_since is None:
             return
-        seconds = self._clock.monotonic() - self._slot_since
+        now = self._clock.monotonic()
+        seconds = now - self._slot_since
+        served = served and not self._dispatcher.pauses.overlaps_pause(
+            self._slot_since, now
+        )
         self._slot_since = None
         self.gate.record_ended(self)
         self.gate.running -= 1
@@ -123,7 +136,9 @@
             self._flow.charge(seconds - self._charged_s)
         self._charged_s = 0.0
         if served:
-            self.gate.record_service_time(seconds, priority=self._priority)
+            self.gate.record_service_time(
+                seconds, priority=self._priority, had_choice=self._had_choice
+            )
 
     def pin(self) -> None:
         """Reserve the connection for a transaction until `release`."""
@@ -184,6 +199,9 @@
         self._vm_count = vm_count
         self._queue: StatementQueue[EndpointGate] = StatementQueue()
         self._choice = EndpointChoice(random=random)
+        self._times = GroupTimes()
+        self.pauses = PauseDetector(LATE_CHECK_S)
+        """Pauses of this process while statements are in flight."""
         self._retry_timer: asyncio.TimerHandle | None = None
         self._stuck_check_timer: asyncio.TimerHandle | None = None
         self._refused_at: deque[float] = deque(maxlen=OVERLOAD_REFUSALS)
@@ -223,6 +241,8 @@
                     random=self._random,
                     max_links=1,
                     metrics=self._metrics,
+                    times=self._times,
+                    pauses=self.pauses,
                 )
             gate.info = info
             pool = gate.pool
@@ -252,6 +272,7 @@
             gate.running += 1
             charged_s = gate.service_s
             flow = queue.charge_at_once(pending, charged_s)
+        self.schedule_stuck_check()
         since = self._clock.monotonic() if pending.organisation else 0.0
         try:
             link = await gate.acquire(pending.values, pending.organisation)
@@ -270,6 +291,7 @@
             priority=pending.priority,
             flow=flow,
             charged_s=charged_s,
+            had_choice=pending.required_endpoint is None,
         )
 
     # Connections shared with control commands
@@ -338,6 +360,8 @@
         These are the endpoints with an idle connection of the owner, unless all slots
         are expected to be taken there, or else those that its connections are kept on.
         """
+        for gate in candidates:
+            gate.refresh(now)
         if owner:
             own = [
                 gate
@@ -353,7 +377,7 @@
                 Candidate(gate.info.id, self._cost(gate), gate.free_slots)
                 for gate in candidates
             ],
-            vm_count=max(gate.shared.vm_count for gate in candidates),
+            vm_count=candidates[0].shared.vm_count,
         )
         return self.gates[name]
 
@@ -497,15 +521,22 @@
     def schedule_stuck_check(self) -> None:
         """Start the timer of the stuck check if it is not running."""
         if self._stuck_check_timer is None:
-            loop = asyncio.get_running_loop()
-            self._stuck_check_timer = loop.call_later(
-                STUCK_CHECK_INTERVAL_S, self._check_for_stuck
-            )
+            self.pauses.resume(self._clock.monotonic())
+            self._start_stuck_timer()
+
+    def _start_stuck_timer(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._stuck_check_timer = loop.call_later(
+            STUCK_CHECK_INTERVAL_S, self._check_for_stuck
+        )
 
     def _check_for_stuck(self) -> None:
         self._stuck_check_timer = None
         now = self._clock.monotonic()
+        paused_s = self.pauses.tick(now)
         for gate in self.gates.values():
+            if paused_s:
+                gate.excuse_pause(paused_s)
             if gate.is_stuck(now):
                 gate.record_stuck()
                 interrupted = gate.interrupt()
@@ -518,7 +549,7 @@
                     )
                 self.on_stuck(gate.info.id)
         if any(gate.running for gate in self.gates.values()):
-            self.schedule_stuck_check()
+            self._start_stuck_timer()
 
     def _schedule_retry(self) -> None:
         if self._retry_timer is None and self._queue.waiting:
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -685,7 +685,7 @@
         grant = transaction.grant
         self._endpoint = grant.endpoint
         remaining_s = max(deadline - self._clock.monotonic(), 0.001)
-        answered = False
+        answered = served = False
         try:
             commands = state_commands(
                 grant.link,
@@ -699,6 +699,8 @@
             answer = await self._send_command(
                 grant, command, remaining_s, interruptible=not commits
             )
+            # The time of a fault, or with pauses for retries, is no service time.
+            served = answer.fault is None
             for _ in range(BUSY_RETRIES):
                 if answer.fault is not Fault.BUSY or answer.state is not _OPEN:
                     break
@@ -711,7 +713,7 @@
             answered = True
             return answer
         finally:
-            grant.end_statement(answered=answered)
+            grant.end_statement(answered=answered, served=served)
 
     async def _send_command(
         self, grant: Grant, command: Command, timeout: float, *, interruptible: bool
@@ -720,7 +722,10 @@
         sent_at = self._clock.monotonic()
         grant.mark_sent(interruptible=interruptible)
         (answer,) = await grant.link.run([command], timeout=timeout)
-        group = self._gateway.groups.get(grant.gate.info.group)
+        info = grant.gate.info
+        counter = "busy_refusals" if answer.fault is Fault.BUSY else "statements_placed"
+        self._gateway.metrics.count(counter, group=info.group, endpoint=info.id)
+        group = self._gateway.groups.get(info.group)
         if group is not None:
             # Only a digest shows that the position is as new as the command.
             is_signed = answer.fault is None and answer.digest != NO_DIGEST
