End busy sessions in a drain right after an answer

Cause: a drain closed only connections that were idle when it looked, every 50 ms, so a session that sends its next statement right after an answer went on until the process ended and cut its statement off. The class is an end that waits for a moment of rest which the other side need not give. Where else: transactions that are busy at half of the grace time (changed too). Homes don't have it, as VMs that forward choose another one once its status says that it leaves.

Change: from the notice on, a connection ends right after an answer outside a transaction. From half of the grace time on, statements outside one are refused without being run, and a transaction is rolled back after the answer to its running statement. A statement that still runs when the process ends gets an unknown outcome instead of a closed connection. `gateway/connection_end.py` decides this.

--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -111,6 +111,10 @@
         """End the connection, after the answer to a running statement."""
         ...
 
+    def drain(self, refusal: ProxyError | None) -> None:
+        """End the connection between transactions; a `refusal` ends these as well."""
+        ...
+
 
 class Frontend(Protocol):
     """Accepts clients."""
@@ -643,8 +647,11 @@
             elapsed = self._clock.monotonic() - started
             if elapsed >= grace_s - EXIT_MARGIN_S:
                 break
-            frontend.close_idle()
-            if elapsed >= grace_s / 2:
+            is_late = elapsed >= grace_s / 2
+            refusal = ProxyError(ErrorKind.SHUTTING_DOWN) if is_late else None
+            for connection in frontend.connections:
+                connection.drain(refusal)
+            if is_late:
                 self._abort_idle_transactions()
             await asyncio.sleep(DRAIN_POLL_S)
         _log.info("drain_finished", connections=len(frontend.connections))
--- a/src/celeryjunction/platform/frontend.py
+++ b/src/celeryjunction/platform/frontend.py
@@ -8,6 +8,7 @@
 from celeryjunction.adapters.line_server import LineServer
 from celeryjunction.adapters.line_stream import LineStream, LineTooLong
 from celeryjunction.errors import ErrorKind, ProxyError
+from celeryjunction.gateway.connection_end import ConnectionEnd
 from celeryjunction.gateway.statements import Request
 from celeryjunction.platform.wire import (
     ERROR_CODES,
@@ -41,7 +42,7 @@
         self._clock = clock
         self.session: ForwardingSession | None = None
         self.running = False
-        self._revoked = False
+        self._end = ConnectionEnd()
 
     @property
     def is_idle(self) -> bool:
@@ -56,10 +57,16 @@
 
     def revoke(self) -> None:
         """End the connection: at once, or after the answer to a running statement."""
-        self._revoked = True
+        self._end.is_revoked = True
         if not self.running:
             self._stream.close()
 
+    def drain(self, refusal: ProxyError | None) -> None:
+        """End the connection between transactions; a `refusal` ends these as well."""
+        self._end.drain(refusal)
+        if self.is_idle:
+            self._stream.close()
+
     async def serve(self) -> None:
         """Serve the client until the connection ends.
 
@@ -84,14 +91,13 @@
             return
         while True:
             line = await self._stream.read_line()
-            if line is None or line == b"RELEASE" or self._revoked:
+            if line is None or line == b"RELEASE" or self._end.is_revoked:
                 return
             arrived_at = self._clock.monotonic()
             self.running = True
             try:
                 self._stream.write(await self._handle_query(line, arrived_at))
-                await self._stream.drain()
-            except Exception as error:
+            except (Exception, asyncio.CancelledError) as error:
                 # The session's state is unknown, so the connection ends after this.
                 reason = {"reason": type(error).__name__}
                 failure = ProxyError(ErrorKind.INTERNAL, reason)
@@ -99,7 +105,8 @@
                 raise
             finally:
                 self.running = False
-            if self._revoked:
+            await self._stream.drain()
+            if self._end.is_due(self.session, has_input=self._stream.buffered):
                 return
 
     def _handle_connect(self, line: bytes) -> bool:
@@ -129,6 +136,7 @@
             return _encode_error(failure) + self._encode_ready()
         request = Request(request_id, text, statement, arrived_at)
         try:
+            self._end.check(self.session)
             answer = await self.session.execute(request)
         except ProxyError as error:
             return _encode_error(error) + self._encode_ready()
