--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -69,8 +69,8 @@
     """Tracks this VM's statements at one endpoint and pools its connections to it.
 
     `max_links` bounds the connections that this VM opens for statements. `times` is
-    shared with the other endpoints of the group. A failure to connect during a pause
-    that `pauses` reports is this VM's own, not the endpoint's.
+    shared with the other endpoints of the group. A time-out of a connection during a
+    pause that `pauses` reports is this VM's own failure, not the endpoint's.
     """
 
     __slots__ = (
@@ -228,7 +228,8 @@
             )
         except BaseException as error:
             self.links -= 1
-            if not self._pauses.overlaps_pause(started, self._clock.monotonic()):
+            paused = self._pauses.overlaps_pause(started, self._clock.monotonic())
+            if isinstance(error, EndpointRefused) or not paused:
                 self._record_connect_failure(error)
             raise
         return link
