--- a/src/celeryjunction/dispatch/gates.py
+++ b/src/celeryjunction/dispatch/gates.py
@@ -67,8 +67,8 @@
     """Tracks this VM's statements at one endpoint; `pool` has its connections to it.
 
     `max_links` bounds the connections that this VM opens for statements. `times` is
-    shared with the other endpoints of the group. A failure to connect during a pause
-    that `pauses` reports is this VM's own, not the endpoint's.
+    shared with the other endpoints of the group. A time-out of a connection during a
+    pause that `pauses` reports is this VM's own failure, not the endpoint's.
     """
 
     __slots__ = (
@@ -128,6 +128,8 @@
         """Answer times relative to the group's mean."""
         self._service_s = self._times.mean_s
         self._refreshed_at = -inf
+        self.shortest_s = 0.0
+        """The shortest recent time of a statement, 0 before the first answer."""
         self.fault_rate = 0.0
         """Moving average of the part of statements that the endpoint failed, 0 to 1."""
         self.slots_busy_elsewhere = 0.0
@@ -211,7 +213,8 @@
         try:
             return await self.pool.open(self.info, owner)
         except (ConnectionLost, EndpointRefused) as error:
-            if not self._pauses.overlaps_pause(started, self._clock.monotonic()):
+            paused = self._pauses.overlaps_pause(started, self._clock.monotonic())
+            if isinstance(error, EndpointRefused) or not paused:
                 self._record_connect_failure(error)
             raise
 
