--- a/model/all_checks.py
+++ b/model/all_checks.py
@@ -4,6 +4,7 @@
 
 from model import (
     acknowledgement,
+    allotments,
     answers,
     at_most_once,
     confirmed_commits,
@@ -30,5 +31,6 @@
     fencing_tokens,
     promotion_calls,
     answers,
+    allotments,
 )
 CHECKS = [check for module in MODULES for check in module.CHECKS]
