Reset the connection of a promotion call when its process is killed

Cause: a VM that gets no answer resets the connection, so that a call which a cut holds up is discarded, but the system went on delivering the call of a process that was killed before that. The class is clean-up that a process owes on the way out and that a kill skips.

Change: the connection of a promotion call is opened with a linger time of 0, so that the end of the process resets it, and the system gives up what stays unacknowledged for 5 s, also if the process stands still.

model/promotion_calls.py has the premise `resets_at_end` and refutes the variant without it.

--- a/model/promotion_calls.py
+++ b/model/promotion_calls.py
@@ -21,7 +21,8 @@
 
 Premises, each of which a variant leaves out:
 - No call arrives after the limit, when its holder has called or given up
-  (`lost_at_limit`). The limit passes for all VMs at a time.
+  (`lost_at_limit`). The limit passes for all VMs at a time. A holder that gets no
+  answer resets the connection, and so does the end of its process (`resets_at_end`).
 - An answer comes from the platform, after the call arrived (`answer_proves`).
 - A term begins by a call of a holder, not by an outside call to the endpoint in the
   seal (`outside_call`).
@@ -90,6 +91,8 @@
     roster: Roster = Roster()
     claim: int = NOBODY
     vms: tuple[Vm, ...] = (Vm(),) * len(VMS)
+    held: bool = False
+    """Whether a call on its way belongs to a process that ended without a reset."""
     on_way: tuple[tuple[int, int], ...] = ()
     """VM and token of the calls on their way whose answer nobody awaits."""
     accepted: int = 0
@@ -144,6 +147,8 @@
     """Whether a holder keeps its seal if its call may be on its way."""
     lost_at_limit: bool = True
     """Whether no call arrives after the limit."""
+    resets_at_end: bool = True
+    """Whether the end of a process that awaits an answer resets its connection."""
     claim_at_seal: bool = True
     check_pause: bool = True
     """Whether a holder finds the members still paused for its term after the seal."""
@@ -376,7 +381,7 @@
             roster=roster._replace(
                 is_old=bool(roster.token), outstanding=False, awaits_call=False
             ),
-            on_way=() if rules.lost_at_limit else state.on_way,
+            on_way=() if rules.lost_at_limit and not state.held else state.on_way,
             accepted=0,
         ),
     )
@@ -542,6 +547,8 @@
     on_way = tuple(sorted((*state.on_way, (v, vm.token))))
     unanswered = state._replace(on_way=on_way)
     yield f"VM {v} gets no answer", _end(unanswered, v)
+    if not rules.resets_at_end:
+        yield f"VM {v} is killed", _end(unanswered._replace(held=True), v)
     if not rules.answer_proves:
         counted = _with_answer(unanswered, v, rules)
         yield f"VM {v} counts an answer that is not the platform's", _end(counted, v)
@@ -657,6 +664,10 @@
         _BASE._replace(lost_at_limit=False),
         "the limit (a call arrives after it)",
     ),
+    _check(
+        _BASE._replace(resets_at_end=False),
+        "the reset of a killed process's connection (its call is held up longer)",
+    ),
     _check(
         _BASE._replace(answer_proves=False),
         "the count after the arrival (an answer is not the platform's, as a gateway's)",
--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -19,6 +19,10 @@
 CONNECT_TIMEOUT_S = 0.7
 """Connecting takes one round trip of a few ms. The system resends a lost first packet
 only after 1 s, so a new attempt before then loses no time."""
+UNDELIVERED_LIMIT_MS = 5000
+"""Bytes of a channel that stay unacknowledged are given up after this, also if the
+process stands still. Shorter than the time after which a promotion call counts as lost
+(7 s)."""
 SWITCHING_PROTOCOLS = 101
 """The only status below 200 that no other response to the request follows."""
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -134,6 +138,17 @@
         self._transport.write(data)
         return await self._response
 
+    def discard_unsent(self) -> None:
+        """Have the system discard what was not delivered when the process is killed.
+
+        It gives up by itself what stays unacknowledged for `UNDELIVERED_LIMIT_MS`.
+        """
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            limit = UNDELIVERED_LIMIT_MS
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit)
+
     def close(self) -> None:
         """Close the connection after its response has come."""
         self.closed = True
@@ -227,12 +242,17 @@
         return data
 
     async def open_channel(self) -> HttpChannel:
-        """Open a connection for one caller; raises `HttpFailure` without one."""
+        """Open a connection for one caller; raises `HttpFailure` without one.
+
+        The end of the process resets it as well.
+        """
         try:
-            return HttpChannel(self._encode, await self._connect())
+            connection = await self._connect()
         except (TimeoutError, OSError) as error:
             reason = f"no connection: {type(error).__name__}"
             raise HttpFailure(reason) from None
+        connection.discard_unsent()
+        return HttpChannel(self._encode, connection)
 
     async def _connect(self) -> _Connection:
         loop = asyncio.get_running_loop()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from itertools import cycle, pairwise
@@ -525,3 +526,44 @@
         with suppress(OSError):
             sockets += str(descriptor.readlink()).startswith("socket:")
     return sockets
+
+
+CALLER = """
+import asyncio, sys
+from celeryjunction.adapters.http_client import HttpClient
+from celeryjunction.adapters.http_path import HttpPath
+
+async def call():
+    path = HttpPath(HttpClient("127.0.0.1", int(sys.argv[1])))
+    assert await path.confirm()
+    await path.send("POST", "/call", body=b"", headers={}, timeout=60)
+
+asyncio.run(call())
+"""
+
+
+class TestKilledProcess:
+    async def test_a_call_on_its_way_is_reset_with_its_process(self) -> None:
+        """Guards against a call that the system delivers long after its process."""
+        called, ended = asyncio.Event(), asyncio.get_running_loop().create_future()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await read_request(reader)
+            writer.write(CHECKED)
+            await read_request(reader)
+            called.set()
+            try:
+                ended.set_result(await reader.read())
+            except ConnectionResetError as error:
+                ended.set_result(error)
+
+        async with serving(serve) as client, asyncio.timeout(4 * LIMIT_S):
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-c", CALLER, str(client._port)
+            )
+            await called.wait()
+            process.kill()
+            await process.wait()
+            assert isinstance(await ended, ConnectionResetError)
