Give up lists of few keys soon

Cause: a list waited 5 s, twice as long after each failure, as for 33,000 groups. One that is sent as the store falls silent gets no answer when the store is back, and nothing else was tried meanwhile. The class is a patience that is sized for large answers, or grows with failures, on a call whose answer may never come. It acted on the config, the votes and the list of VMs (all changed); the register's lists and refreshes had 1.5 s already.

Change: followers of the platform's three small prefixes give a list up after 1 s, without growth, and send it again within 0.5 s. Those of the directory of groups stay as they are.

--- a/src/celeryjunction/follower.py
+++ b/src/celeryjunction/follower.py
@@ -28,6 +28,12 @@
 _MAX_LIST_TIMEOUT_S = 60.0
 """The timeout for lists doubles up to this after each failure: when all VMs list 33,000
 groups at once, 5 s may be too short for each of them on every attempt."""
+_SMALL_LIST_TIMEOUT_S = 1.0
+"""Time-out for lists of few keys, which take some ms. It does not grow: a call that is
+sent as the service falls silent gets no answer when the service is back."""
+_SMALL_MAX_BACKOFF_S = 0.5
+"""Longest pause between such lists. With the time-out, a change is in force 1.5 s after
+the service is back."""
 REFRESH_TIMEOUT_S = 1.5
 """Time-out of a list besides the watch. It does not grow with failures: while one
 waits on a dead connection, no other is made."""
@@ -56,8 +62,9 @@
     a contract change is in force within 3 s after an outage. `set_vm_count` makes the
     pauses longer with many VMs.
 
-    With `keep_values=False` only keys and revisions are kept, for subscribers that
-    store the values in another form.
+    With `is_small` set, the prefix has few keys, and a list without an answer is given
+    up soon. With `keep_values=False` only keys and revisions are kept, for subscribers
+    that store the values in another form.
     """
 
     __slots__ = (
@@ -79,6 +86,7 @@
         "_store",
         "_subscribers",
         "_synced_listeners",
+        "is_small",
         "synced",
     )
 
@@ -94,6 +102,7 @@
         keep_values: bool = True,
         sleep: Sleep = asyncio.sleep,
     ) -> None:
+        self.is_small = False
         self._store = store
         self._prefix = prefix
         self._clock = clock
@@ -191,7 +200,8 @@
         is_first = self._failures == 0
         exponential = self._base_backoff_s * 2 ** min(self._failures, 16)
         self._failures += 1
-        ceiling = min(self._max_backoff_s, exponential)
+        longest = _SMALL_MAX_BACKOFF_S if self.is_small else self._max_backoff_s
+        ceiling = min(longest, exponential)
         if is_first and self._spread_s > ceiling:
             pause = self._random.uniform(0.0, self._spread_s)
         else:
@@ -201,6 +211,8 @@
 
     @property
     def _list_timeout_s(self) -> float:
+        if self.is_small:
+            return _SMALL_LIST_TIMEOUT_S
         timeout = _LIST_TIMEOUT_S * 2 ** min(self._failures, 16)
         return min(timeout, _MAX_LIST_TIMEOUT_S)
 
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -179,6 +179,7 @@
         self._votes = PrefixFollower(
             store, SUSPICION_PREFIX, clock=clock, random=random, keep_values=False
         )
+        self._votes.is_small = membership.follower.is_small = True
         self._votes.subscribe(self._apply_vote)
         self._homes = HomeSelector(
             membership.record, random=random, on_update=self._apply_home_update
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -61,6 +61,7 @@
             self._store_client, config_apply_ms=settings.bounds.config_apply_ms
         )
         self._config = PrefixFollower(store, CONFIG_PREFIX, clock=clock, random=random)
+        self._config.is_small = True
         self._config.subscribe(self._apply_config)
         register = EndpointRegister(
             store,
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -100,6 +100,34 @@
                 server.heal()
                 await eventually(lambda: prefix_follower.age_s < 1, time)
 
+    async def test_lists_of_few_keys_are_given_up_soon(self) -> None:
+        """Guards against a call from a silence that is waited for when it is over.
+
+        The service falls silent twice, and answers from 6 s on.
+        """
+        time = FakeTime()
+        began = time.monotonic()
+
+        class TwiceSilent:
+            async def list(self, prefix: str, *, timeout: float) -> KeyValueList:
+                started = time.monotonic() - began
+                if started < 4.5 or 4.9 <= started < 6.0:
+                    await time.sleep(timeout)
+                    raise StoreUnavailable("no answer")
+                answered_at.append(started)
+                return KeyValueList((), 1)
+
+            async def watch(self, prefix: str, **options: int) -> None:
+                await asyncio.Event().wait()
+                yield
+
+        answered_at: list[float] = []
+        prefix_follower = follower(TwiceSilent(), time, [])
+        prefix_follower.is_small = True
+        async with background_tasks(prefix_follower.run()):
+            await eventually(prefix_follower.synced.is_set, time, limit=60)
+        assert answered_at[0] <= 6.0 + 1.5
+
     async def test_an_older_revision_of_the_service_is_ignored(self) -> None:
         # Guards against contracts that revert when the service is restored from an old
         # backup.
