--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -16,8 +16,8 @@
 from celeryjunction.log_stream import BackgroundStream
 from celeryjunction.logs import get_logger, set_up_logs
 from celeryjunction.membership import Membership, VmRecord
-from celeryjunction.metrics import format_counters, format_metrics
 from celeryjunction.node import Node, NodeLimits
+from celeryjunction.node_page import NodePage
 from celeryjunction.platform.endpoints import LineDialer
 from celeryjunction.platform.frontend import LineFrontend
 from celeryjunction.platform.promotion import HttpPromoter
@@ -108,10 +108,11 @@
         await self.node.home_server.start(*internal_address(self._settings))
         host, port = split_address(listen.ready)
         loop = asyncio.get_running_loop()
+        page = NodePage(self.node, counters=self._io_counters)
         http_ports = {port, int(os.environ.get(METRICS_PORT_VARIABLE) or port)}
         for http_port in http_ports:
             await loop.create_server(
-                lambda: HttpResponder(self._handle_get), host, http_port
+                lambda: HttpResponder(page.respond), host, http_port
             )
         self.node.start(frontend)
         self.node.start_service("config", self._config.run)
@@ -124,12 +125,6 @@
         if table is not None:
             self.node.apply_routes(table)
 
-    def _handle_get(self, path: str) -> tuple[int, bytes]:
-        if path.startswith("/metrics"):
-            return 200, self._metrics_text()
-        ready = self.node.check_readiness()
-        return (200, b"ready\n") if ready else (503, b"not ready\n")
-
     def _io_counters(self) -> dict[str, object]:
         return {
             "endpoint_connections_opened": self._dialer.connections_opened,
@@ -139,10 +134,6 @@
             "store_era": self._store.history.era,
         }
 
-    def _metrics_text(self) -> bytes:
-        lines = format_metrics(self.node.metrics) + format_counters(self._io_counters())
-        return ("\n".join(lines) + "\n").encode()
-
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_POLL_S)
--- a/src/celeryjunction/platform/settings.py
+++ b/src/celeryjunction/platform/settings.py
@@ -77,10 +77,6 @@
     """The service that promotes replicas."""
     bounds: Bounds
     limits: Limits = Limits()
-    heartbeat_ms: Amount = 1200.0
-    """Interval at which endpoints renew their register entries; not used."""
-    seeds: list[str] = []
-    """Not used: other VMs are found in the store."""
     internal_port_range: list[ListenPort] = []
 
 
