--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -8,6 +8,7 @@
 import pytest
 from _allotment_support import Site, Vm
 from fakes import event_loop_policy  # noqa: F401
+from test_gateway import Proxy, kind_of, table
 
 from celeryjunction.allotments.admission import begins_operation
 from celeryjunction.allotments.bound import DISPATCH_S, QuotaBound
@@ -28,8 +29,18 @@
 )
 from celeryjunction.allotments.shares import Borrowed, HeldShare, HeldShares
 from celeryjunction.allotments.token_bucket import TokenBucket
-from celeryjunction.gateway.organisations import Organisation
-from celeryjunction.gateway.statements import Begin, Commit, Execute, Prepare, Read
+from celeryjunction.errors import ErrorKind, ProxyError
+from celeryjunction.gateway.organisations import Organisation, OrganisationTable
+from celeryjunction.gateway.routes import Consistency, RouteTable
+from celeryjunction.gateway.session import StatementSession
+from celeryjunction.gateway.statements import (
+    Begin,
+    Commit,
+    Execute,
+    Prepare,
+    Read,
+    Write,
+)
 from celeryjunction.membership import VmRecord
 
 ORGANISATION = Organisation("bode", rate_per_s=30, burst=30)
@@ -38,6 +49,33 @@
 KNOWN = Knowledge(era=2, contact_since=100.0)
 
 
+class StubAllotments:
+    """Admits a number of operations."""
+
+    def __init__(self, tokens: int = 100) -> None:
+        self.tokens = tokens
+        self.admitted: list[str] = []
+
+    async def admit(self, organisation: Organisation, *, deadline: float) -> None:
+        if len(self.admitted) == self.tokens:
+            details = {"organisation": organisation.name, "reason": "nothing_left"}
+            raise ProxyError(ErrorKind.NOT_RUN_ALLOTMENT, details)
+        self.admitted.append(organisation.name)
+
+
+def limited_table() -> RouteTable:
+    known = table()
+    return RouteTable(
+        version=2,
+        routes=tuple(known.routes),
+        groups=tuple(known.groups.values()),
+        idle_transaction_s=3.0,
+        organisations=OrganisationTable(
+            [(ORGANISATION, []), (Organisation("free"), [])]
+        ),
+    )
+
+
 @pytest.fixture
 async def site() -> AsyncIterator[Site]:
     site = Site(ORGANISATION, SMALL)
@@ -320,3 +358,44 @@
         holder.draining = True
         await asyncio.sleep(3.0)
         assert site.holder(2) not in (None, holder)
+
+
+class TestSessions:
+    @pytest.fixture
+    async def proxy(self):
+        proxy = Proxy()
+        await proxy.start()
+        proxy.gateway.apply_routes(limited_table())
+        yield proxy
+        proxy.dispatcher.close()
+
+    @staticmethod
+    def session(proxy: Proxy, organisation: str = "bode") -> StatementSession:
+        name = Consistency.PRIMARY.value
+        return StatementSession(name, gateway=proxy.gateway, organisation=organisation)
+
+    async def test_a_transaction_is_counted_at_its_begin(self, proxy: Proxy) -> None:
+        allotments = proxy.gateway.allotments = StubAllotments()
+        session = self.session(proxy)
+        for statement in (Begin(read_only=False), Write(), Read(), Commit()):
+            await proxy.run(session, statement)
+        assert allotments.admitted == ["bode"]
+        await proxy.run(session, Read())
+        await kind_of(proxy.run(session, Execute(b"unknown", b"")))
+        assert allotments.admitted == ["bode", "bode"]
+
+    async def test_a_refused_statement_reaches_no_endpoint(self, proxy: Proxy) -> None:
+        proxy.gateway.allotments = StubAllotments(tokens=0)
+        session = self.session(proxy)
+        for statement in (Read(), Write(), Begin(read_only=False)):
+            refused = await kind_of(proxy.run(session, statement))
+            assert refused is ErrorKind.NOT_RUN_ALLOTMENT
+        assert proxy.executed() == []
+        assert proxy.gateway.open_transactions == 0
+
+    async def test_an_organisation_without_a_limit_needs_no_token(
+        self, proxy: Proxy
+    ) -> None:
+        proxy.gateway.allotments = StubAllotments(tokens=0)
+        for organisation in ("free", ""):
+            await proxy.run(self.session(proxy, organisation), Read())
