--- a/src/celeryjunction/allotments/allotments.py
+++ b/src/celeryjunction/allotments/allotments.py
@@ -15,9 +15,8 @@
 from celeryjunction.allotments.share_keeper import ShareKeeper
 from celeryjunction.allotments.share_rules import (
     SHARE_PREFIX,
-    SHARES,
     decode_entry,
-    share_key,
+    share_number,
 )
 from celeryjunction.allotments.shares import Borrowed, HeldShares
 from celeryjunction.decoding import parse_address
@@ -203,13 +202,14 @@
 
     def _apply_change(self, event: WatchEvent) -> None:
         self._ordered = None
-        for number in range(SHARES):
-            if event.key == share_key(number):
-                entry = decode_entry(event.value)
-                if entry is None:
-                    self._holders.pop(number, None)
-                else:
-                    self._holders[number] = entry.vm
+        number = share_number(event.key)
+        if number is None:
+            return
+        entry = decode_entry(event.value)
+        if entry is None:
+            self._holders.pop(number, None)
+        else:
+            self._holders[number] = entry.vm
 
     async def _maintain(self) -> None:
         while True:
--- a/src/celeryjunction/allotments/holder_link.py
+++ b/src/celeryjunction/allotments/holder_link.py
@@ -86,6 +86,7 @@
         """Number of the last request on this connection, by organisation."""
         self._used_at = clock.monotonic()
         self._failed_at: float | None = None
+        """When the last request failed; None if it was answered."""
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
         yield "vm", self.vm
@@ -203,7 +204,7 @@
 
     def _fail(self, reason: str) -> None:
         """Give up what is in flight and close the connection."""
-        if not self.is_failing:
+        if self._failed_at is None:
             _log.warning("holder_not_reached", vm=self.vm, reason=reason)
         self._failed_at = self._clock.monotonic()
         self._disconnect()
--- a/src/celeryjunction/allotments/share_keeper.py
+++ b/src/celeryjunction/allotments/share_keeper.py
@@ -8,7 +8,6 @@
 from celeryjunction.allotments.bound import QuotaBound
 from celeryjunction.allotments.leased_keys import LeasedKeys
 from celeryjunction.allotments.share_rules import (
-    SHARE_PREFIX,
     SHARES,
     Decision,
     Knowledge,
@@ -17,6 +16,7 @@
     decide,
     decode_entry,
     share_key,
+    share_number,
     trace_key,
 )
 from celeryjunction.allotments.shares import HeldShare, HeldShares
@@ -92,7 +92,9 @@
                 self._failing = False
             except LeaseExpired:
                 self._keys.forget_lease()
-                self._lose_all("lease_expired")
+                for share in list(self._shares):
+                    if share.number not in self._unconfirmed:
+                        self._lose(share.number, "lease_expired")
             except (StoreUnavailable, StoreRefused) as error:
                 if not self._failing:
                     self._failing = True
@@ -103,7 +105,8 @@
         """Stop using all shares and free them for other VMs."""
         held = [share.number for share in self._shares]
         for number in held:
-            self._drop(number, "share_given_up", reason="not_needed_here")
+            self._drop(number)
+            _log.info("share_given_up", share=number)
         await self._keys.revoke()
 
     # Changes in the store
@@ -118,7 +121,7 @@
         self._unconfirmed.update(share.number for share in self._shares)
 
     def _apply_change(self, event: WatchEvent) -> None:
-        number = _share_number(event.key)
+        number = share_number(event.key)
         if number is None:
             return
         if event.value is None:
@@ -129,7 +132,7 @@
         if number not in self._shares or number in self._unconfirmed or is_older:
             return
         if not self._is_own(decode_entry(event.value)):
-            self._drop(number, "share_lost", reason="taken_or_deleted")
+            self._lose(number, "taken_or_deleted")
 
     def _is_own(self, entry: ShareEntry | None) -> bool:
         return (
@@ -144,7 +147,7 @@
         now = self._clock.monotonic()
         for share in list(self._shares):
             if now >= share.valid_until:
-                self._drop(share.number, "share_lost", reason="not_renewed")
+                self._lose(share.number, "not_renewed")
         if not self._is_wanted():
             if self._keys.has_lease:
                 await self.give_up()
@@ -175,8 +178,8 @@
         items = self._follower.items
         item, trace = items.get(share_key(number)), items.get(trace_key(number))
         entry = _decode(item)
-        if item is not None and entry is None:
-            return  # Written by another program.
+        if item is not None and (entry is None or entry.vm != self._own.name):
+            return  # Held, or written by another program.
         ranked = candidates(number, self._vms())
         if self._own.name not in ranked:
             return
@@ -235,7 +238,7 @@
         written_era, era = self._eras[number], self._history.era
         is_stale = entry is not None and entry.era <= written_era and entry.era != era
         if item is not None and not (is_stale or self._is_own(entry)):
-            self._drop(number, "share_lost", reason="taken_after_loss")
+            self._lose(number, "taken_after_loss")
             return
         revision = item.revision if item is not None else 0
         settled = number not in self._unsettled
@@ -278,27 +281,17 @@
             self._own.name, self._own.incarnation, self._history.era, settled
         )
 
-    def _lose_all(self, reason: str) -> None:
-        for share in list(self._shares):
-            if share.number not in self._unconfirmed:
-                self._drop(share.number, "share_lost", reason=reason)
+    def _lose(self, number: int, reason: str) -> None:
+        self._drop(number)
+        _log.warning("share_lost", share=number, reason=reason)
 
-    def _drop(self, number: int, event: str, *, reason: str) -> None:
-        """Stop using a share and log it as an event."""
+    def _drop(self, number: int) -> None:
+        """Stop using a share."""
         self._shares.remove(number)
         self._unconfirmed.discard(number)
         self._unsettled.discard(number)
         self._revisions.pop(number, None)
-        _log.info(event, share=number, reason=reason)
 
 
 def _decode(item: KeyValue | None) -> ShareEntry | None:
     return decode_entry(item.value) if item is not None else None
-
-
-def _share_number(key: str) -> int | None:
-    """Return the number of the share whose key this is; None for other keys."""
-    for number in range(SHARES):
-        if key == SHARE_PREFIX + str(number):
-            return number
-    return None
--- a/src/celeryjunction/allotments/share_rules.py
+++ b/src/celeryjunction/allotments/share_rules.py
@@ -15,7 +15,13 @@
 
 import msgspec
 
-from celeryjunction.decoding import Count, DecodingError, Name, decode_json
+from celeryjunction.decoding import (
+    Count,
+    DecodingError,
+    Name,
+    decode_json,
+    parse_number,
+)
 from celeryjunction.home import rank_weighted
 from celeryjunction.membership import VmRecord
 
@@ -68,6 +74,12 @@
     return f"{SHARE_PREFIX}{share}"
 
 
+def share_number(key: str) -> int | None:
+    """Return the share whose key this is; None for other keys, such as traces."""
+    number = parse_number(key.removeprefix(SHARE_PREFIX), limit=SHARES - 1)
+    return number if number is not None and key == share_key(number) else None
+
+
 def trace_key(share: int) -> str:
     """Return the key of a share's trace."""
     return f"{SHARE_PREFIX}{share}{TRACE_SUFFIX}"
--- a/tests/_allotment_support.py
+++ b/tests/_allotment_support.py
@@ -21,10 +21,7 @@
 from celeryjunction.membership import VmRecord
 from celeryjunction.metrics import Metrics
 from celeryjunction.ports import (
-    Compare,
-    KeyValue,
     KeyValueList,
-    Put,
     PutResult,
     StoreUnavailable,
     WatchCompacted,
@@ -71,12 +68,7 @@
         return renewed
 
     async def compare_and_put(
-        self,
-        compares: Sequence[Compare],
-        puts: Sequence[Put],
-        *,
-        lease: int = 0,
-        timeout: float = 2.0,
+        self, compares, puts, *, lease: int = 0, timeout: float = 2.0
     ) -> PutResult:
         result = await super().compare_and_put(compares, puts, lease=lease)
         if result.succeeded:
@@ -89,12 +81,12 @@
         """Return a copy of the present state for `restore`."""
         return copy.deepcopy((self.items, self.leases))
 
-    def restore(self, saved: tuple, *, new_era: bool = True) -> None:
+    def restore(self, saved: tuple) -> None:
         """Come back from an older copy; revisions go on above the known ones."""
         self.items, self.leases = copy.deepcopy(saved)
         self.revision += 1
         self.history.clear()
-        self.era += new_era
+        self.era += 1
 
 
 class StoreView:
@@ -105,25 +97,24 @@
         self._history = history
         self.cut = False
         self.frozen = False
-        self.lose_answers = 0
-        """Number of calls that take effect and whose answers are lost."""
         history.observe(store.era)
 
-    async def _call(self, call, timeout: float):
-        try:
+    def __getattr__(self, name: str):
+        """Return a call of the store as this VM can make it."""
+        method = getattr(self._store, name)
+
+        async def call(*arguments, timeout: float = 2.0, **options):
             await self._reach(timeout)
-        except BaseException:
-            call.close()
-            raise
-        losses = self._history.losses
-        result = await call
-        await self._reach(timeout)
-        if self.lose_answers:
-            self.lose_answers -= 1
-            raise StoreUnavailable("the answer was lost")
-        self._history.observe(self._store.era)
-        self._history.check_no_loss_since(losses)
-        return result
+            losses = self._history.losses
+            result = await method(*arguments, **options)
+            await self._reach(timeout)
+            self._history.observe(self._store.era)
+            self._history.check_no_loss_since(losses)
+            if isinstance(result, KeyValueList):
+                return result._replace(losses=losses)
+            return result
+
+        return call
 
     async def _reach(self, timeout: float) -> None:
         while self.frozen:
@@ -132,19 +123,6 @@
             await asyncio.sleep(timeout)
             raise StoreUnavailable("cut off")
 
-    async def get(self, key: str, *, timeout: float = 2.0) -> KeyValue | None:
-        return await self._call(self._store.get(key), timeout)
-
-    async def list(self, prefix: str, *, timeout: float = 2.0) -> KeyValueList:
-        listed = await self._call(self._store.list(prefix), timeout)
-        return listed._replace(losses=self._history.losses)
-
-    async def compare_and_put(
-        self, compares, puts, *, lease: int = 0, timeout: float = 2.0
-    ) -> PutResult:
-        call = self._store.compare_and_put(compares, puts, lease=lease)
-        return await self._call(call, timeout)
-
     async def watch(
         self, prefix: str, *, start_revision: int
     ) -> AsyncIterator[WatchEvent]:
@@ -156,15 +134,6 @@
                 raise WatchCompacted("the store has lost changes")
             yield event
 
-    async def grant_lease(self, ttl: int, *, timeout: float = 2.0) -> int:
-        return await self._call(self._store.grant_lease(ttl), timeout)
-
-    async def renew_lease(self, lease: int, *, timeout: float = 2.0) -> bool:
-        return await self._call(self._store.renew_lease(lease), timeout)
-
-    async def revoke_lease(self, lease: int, *, timeout: float = 2.0) -> None:
-        await self._call(self._store.revoke_lease(lease), timeout)
-
 
 class FakeLinkStream:
     """The asking end of a connection between two VMs."""
@@ -260,7 +229,7 @@
         held = self.allotments._held
         return sorted(share.number for share in held if share.is_usable(now))
 
-    def freeze(self, frozen: bool = True) -> None:
+    def freeze(self, frozen: bool) -> None:
         self.frozen = self.store.frozen = frozen
 
     async def run_operation(self, name: str, *, timeout: float = 1.0) -> str:
@@ -271,7 +240,7 @@
             await self.allotments.admit(organisation, deadline=deadline)
         except ProxyError as error:
             return str(error.details["reason"])
-        self.site.record(name, self.clock.monotonic())
+        self.site.uses[name].append(self.clock.monotonic())
         return "ok"
 
     def kill(self) -> None:
@@ -321,6 +290,11 @@
     def holder(self, share: int) -> Vm | None:
         return next((v for v in self.vms.values() if share in v.shares), None)
 
+    @property
+    def other_vm(self) -> Vm:
+        """A VM that holds no share."""
+        return next(vm for vm in self.vms.values() if not vm.shares)
+
     async def travel(self, source: Vm, target: Vm) -> None:
         """Wait until a message arrives, which may be never."""
         same_zone = source.record.zone == target.record.zone
@@ -332,9 +306,6 @@
         ):
             await asyncio.sleep(0.01)
 
-    def record(self, name: str, now: float) -> None:
-        self.uses[name].append(now)
-
     def worst_window(self, name: str) -> int:
         """Return the highest number of operations in any window."""
         uses, worst, first = sorted(self.uses[name]), 0, 0
--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -7,6 +7,7 @@
 
 import pytest
 from _allotment_support import Site, Vm
+from _node_support import Deployment
 from fakes import event_loop_policy  # noqa: F401
 from test_gateway import Proxy, kind_of, table
 
@@ -63,8 +64,7 @@
         self.admitted.append(organisation.name)
 
 
-def limited_table() -> RouteTable:
-    known = table()
+def limited_table(known: RouteTable) -> RouteTable:
     return RouteTable(
         version=2,
         routes=tuple(known.routes),
@@ -250,14 +250,14 @@
         assert ended.value.value == "ok"
 
     async def test_the_whole_burst_is_served_at_one_vm(self, site: Site) -> None:
-        vm = next(vm for vm in site.vms.values() if not vm.shares)
+        vm = site.other_vm
         results = [await vm.run_operation("bode") for _ in range(32)]
         assert results.count("ok") in (30, 31)
         assert results[-1] == "nothing_left"
 
     async def test_a_token_is_put_together_from_fractions(self, site: Site) -> None:
         """Guards against refusals while no share but the sum has a token."""
-        vm = next(vm for vm in site.vms.values() if not vm.shares)
+        vm = site.other_vm
         for _ in range(3):
             assert await vm.run_operation("small") == "ok"
         assert await vm.run_operation("small") == "nothing_left"
@@ -265,7 +265,7 @@
         assert await vm.run_operation("small") == "ok"
 
     async def test_a_refused_request_returns_its_fractions(self, site: Site) -> None:
-        vm = next(vm for vm in site.vms.values() if not vm.shares)
+        vm = site.other_vm
         for _ in range(3):
             await vm.run_operation("small")
         for _ in range(10):
@@ -279,7 +279,29 @@
         assert site.worst_window("bode") <= 30 + 30 * 5.3
 
 
+class TestNode:
+    async def test_only_limits_make_a_node_use_shares(self) -> None:
+        """Guards against store calls of a deployment without organisations."""
+        deployment = Deployment("g")
+        node = await deployment.start_node("a0", "a")
+        routes = node.gateway.table
+        await asyncio.sleep(10.0)
+        assert node.gateway.allotments is None
+        assert not [key for key in deployment.store.items if "allotments" in key]
+        node.apply_routes(limited_table(routes))
+        await asyncio.sleep(10.0)
+        assert {"allotments/0", "allotments/2"} <= deployment.store.items.keys()
+        await node.gateway.allotments.admit(ORGANISATION, deadline=0.0)
+        await deployment.close()
+
+
 class TestFailures:
+    async def test_a_claim_without_an_answer_is_made_again(self, site: Site) -> None:
+        site.holder(1).kill()
+        site.store.lose_answers = 1
+        await asyncio.sleep(15.0)
+        assert site.holder(1) is not None
+
     async def test_a_killed_holders_share_moves_once(self, site: Site) -> None:
         holder = site.holder(1)
         holder.kill()
@@ -326,14 +348,14 @@
         """Guards against tokens that are used after another holder has begun."""
         for name in site.vms:
             site.delays[name] = 0.2
-        vm = next(vm for vm in site.vms.values() if not vm.shares)
+        vm = site.other_vm
         assert await vm.run_operation("bode", timeout=2.0) == "no_holder"
         site.delays.clear()
         await asyncio.sleep(1.1)
         assert await vm.run_operation("bode") == "ok"
 
     async def test_a_vm_without_holders_refuses(self, site: Site) -> None:
-        vm = next(vm for vm in site.vms.values() if not vm.shares)
+        vm = site.other_vm
         site.cuts = {frozenset((vm.record.name, other)) for other in site.vms}
         started = vm.clock.monotonic()
         assert await vm.run_operation("bode", timeout=2.0) == "no_holder"
@@ -365,7 +387,7 @@
     async def proxy(self):
         proxy = Proxy()
         await proxy.start()
-        proxy.gateway.apply_routes(limited_table())
+        proxy.gateway.apply_routes(limited_table(table()))
         yield proxy
         proxy.dispatcher.close()
 
