Replace a primary that answers without a member that is lost

Cause: a member that didn't answer and didn't drain counted as a possible only holder of a commit for 60 s, also where the primary answered and another replica had all of its log. The class is a wait for one witness where another source has the same knowledge. Elsewhere: a demoted primary of an earlier attempt counts the same way now; reads without a primary still need an answer of all members (`ReplicationGroup._sample_replicas`), as there is no such source.

Change: if the primary answers, a member follows it and no earlier call is out, the holder demotes the primary first, requires the end of its log, and seals the roster without the lost member. If no replica has that log, the demoted primary is promoted again, as before.

Measured: of the two new tests in tests/test_failover.py, the first failed before and passes; the second guards the case that must stay refused.

--- a/src/celeryjunction/failover/attempt.py
+++ b/src/celeryjunction/failover/attempt.py
@@ -31,6 +31,7 @@
         "sealed",
         "term",
         "token",
+        "unanswered",
     )
 
     def __init__(
@@ -70,5 +71,7 @@
         """Whether an earlier promotion may rely on the pauses."""
         self.is_announced = False
         """Whether the call of this attempt is announced in the stored roster."""
+        self.unanswered: list[str] = []
+        """Members that are not paused, as the old primary's log has ended."""
         self.token = 0
         """Fencing token of the promotion; 0 until one is decided."""
--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -13,6 +13,7 @@
 
 from celeryjunction.failover.attempt import Attempt
 from celeryjunction.failover.claims import Claim, Claims
+from celeryjunction.failover.lost_members import end_log
 from celeryjunction.failover.promotion_paths import PromotionPaths
 from celeryjunction.failover.selection import choose_replica
 from celeryjunction.logs import get_logger
@@ -199,6 +200,7 @@
         if restart_floor is None:
             return False
         attempt.required = max(
+            attempt.required,
             attempt.acknowledged,
             restart_floor,
             self._roster.floor(stored, term=term),
@@ -285,6 +287,11 @@
         unanswered = sorted(name for name in to_pause if statuses[name] is None)
         if not unanswered and to_pause:
             return to_pause
+        answering = {n: i for n, i in to_pause.items() if n not in unanswered}
+        if answering and await self._ends_log(attempt, answering):
+            attempt.unanswered = unanswered
+            leader = attempt.demoted_primary
+            return answering | {leader: attempt.infos[leader]}
         _log.warning(
             "replica_not_asked",
             group=group.name,
@@ -295,6 +302,28 @@
         )
         return {}
 
+    async def _ends_log(
+        self, attempt: Attempt, answering: dict[str, EndpointInfo]
+    ) -> bool:
+        """Whether the old primary was demoted, so that only its log matters."""
+        leader = attempt.old_primary or attempt.demoted_primary
+        members = answering.keys() - {leader}
+        is_called = bool(attempt.sealed or attempt.outstanding)
+        if is_called or not members or leader not in self._group.endpoints:
+            return False
+        if not await end_log(
+            self._send,
+            primary=leader,
+            term=attempt.term,
+            members=members,
+            is_claimed=lambda: self._claims.is_valid(attempt.claim),
+        ):
+            return False
+        attempt.infos[leader] = self._group.endpoints[leader]
+        attempt.old_primary, attempt.demoted_primary = None, leader
+        attempt.required = self._group.statuses[leader][1].received
+        return True
+
     async def _floor_of_restarts(
         self, attempt: Attempt, stored: Roster
     ) -> LogPosition | None:
@@ -306,8 +335,7 @@
         group = self._group
         members = {member.id: member for member in stored.members}
         restarted = restarted_members(members, group.endpoints)
-        if attempt.old_primary in restarted:
-            restarted.remove(attempt.old_primary)
+        restarted = [name for name in restarted if name != attempt.old_primary]
         if stored.term != attempt.term or not restarted:
             return NO_POSITION
         leader = attempt.old_primary or attempt.demoted_primary
@@ -547,7 +575,7 @@
             next_primary=chosen,
             next_members=[attempt.infos[name] for name in attempt.paused],
             next_floor=attempt.paused[chosen].received,
-            paused=attempt.paused,
+            paused=[*attempt.paused, *attempt.unanswered],
             claim=self._claims.condition(claim),
             token=attempt.token,
             earlier_calls=earlier_calls,
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -681,6 +681,39 @@
         assert vm.group.primary == "c1"
         await vm.stop()
 
+    async def replace_without_c1(
+        self, cluster: FakeCluster, store: FakeStore, *, b1_follows: bool
+    ) -> tuple[Vm, LogPosition]:
+        """Let c1 be lost, and the primary drain; return a commit and the VM."""
+        vm = Vm(cluster, store)
+        vm.run()
+        assert await wait_for_term(vm, 1)
+        await asyncio.sleep(3)
+        cluster["b1"].replication_cut = not b1_follows
+        position = await cluster.commit(cluster["a1"])
+        cluster["c1"].silent = True
+        await asyncio.sleep(1)
+        cluster["a1"].info = replace(cluster["a1"].info, draining=True)
+        vm.group.update_endpoints(cluster.infos)
+        await wait_for_term(vm, 2)
+        await vm.stop()
+        return vm, position
+
+    async def test_a_lost_replica_does_not_keep_a_primary_that_answers(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        """Guards against a drained primary that nothing replaces for a minute."""
+        vm, position = await self.replace_without_c1(cluster, store, b1_follows=True)
+        assert vm.group.primary == "b1" and cluster["b1"].received >= position
+        assert not cluster["a1"].is_primary
+
+    async def test_a_lost_replica_may_have_what_no_other_has_received(
+        self, cluster: FakeCluster, store: FakeStore
+    ) -> None:
+        _, position = await self.replace_without_c1(cluster, store, b1_follows=False)
+        assert not cluster.promotions
+        assert cluster["a1"].is_primary and cluster["a1"].received == position
+
     async def test_a_restarted_vm_reads_the_members_from_the_store(
         self, cluster: FakeCluster, store: FakeStore
     ) -> None:
