--- a/src/celeryjunction/failover/lost_members.py
+++ b/src/celeryjunction/failover/lost_members.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Collection
+from typing import TypeGuard
 
 from celeryjunction.replication.ports import Demote, EndpointStatus, LogPosition
 
@@ -45,7 +46,7 @@
     return True
 
 
-def _is_of(status: EndpointStatus | None, term: int) -> bool:
+def _is_of(status: EndpointStatus | None, term: int) -> TypeGuard[EndpointStatus]:
     return status is not None and status.term == term
 
 
