Bound what clients can make a process keep

A crowd of clients could fill a VM's memory: lines waited in a deque without a bound, partial messages, answers and session state were kept for each client alone, and the number of connections was not limited.

- a client is read only as far as it is served and takes its answers; the kernel's buffers of its socket are bounded;
- one memory budget counts what all connections hold.
When it is short, the connections that hold most for longest are closed, with a log line and a metric; idle sessions that keep values come last;
- a message of more than 16 KiB is handled once there is memory for its copies;
- a message and an answer must end within 300 s;
- a session's state is bounded and may not grow while the budget is short;
- a forwarding VM has at most 6 MiB of statements in flight to a home, and a home takes statements of each VM within a share of its memory;
- connections of clients are limited, so that descriptors are left for the probe, other VMs, the store and endpoints.

The limits follow from `limits.memory_mb` and `limits.fd_limit`.

The ordinary request of tests/test_misbehaving_clients.py reads an item of its own: one crowd writes 1 MiB to the item that was read, which the test's client can't receive. This was hidden while the memory check before it failed. Crowds and bounds are unchanged.

--- a/src/celeryjunction/adapters/line_server.py
+++ b/src/celeryjunction/adapters/line_server.py
@@ -6,9 +6,14 @@
 from collections.abc import Callable
 from typing import Generic, Protocol, TypeVar
 
-from celeryjunction.adapters.line_stream import LineStream
+from celeryjunction.adapters.client_guard import ClientGuard, default_guard
+from celeryjunction.adapters.client_stream import ClientStream, bound_buffers
 from celeryjunction.logs import get_logger
 
+BACKLOG = 128
+"""Connections that the kernel accepts meanwhile. Those over the limit of connections
+take a descriptor until they are closed, so a burst must fit into the reserve."""
+
 _log = get_logger("frontend")
 
 
@@ -35,13 +40,16 @@
 class LineServer(Generic[Connection]):
     """Accepts clients' connections; a subclass makes the object that serves one."""
 
-    def __init__(self, *, host: str, port: int) -> None:
+    def __init__(
+        self, *, host: str, port: int, guard: ClientGuard | None = None
+    ) -> None:
         self._host = host
         self._port = port
+        self._guard = guard or default_guard()
         self._server: asyncio.Server | None = None
         self._connections: dict[Connection, asyncio.Task[None]] = {}
 
-    def _make_connection(self, stream: LineStream) -> Connection:
+    def _make_connection(self, stream: ClientStream) -> Connection:
         raise NotImplementedError
 
     @property
@@ -53,15 +61,17 @@
         """Open the listener; raises `OSError`."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._accept, self._host, self._port, backlog=512
+            self._accept, self._host, self._port, backlog=BACKLOG
         )
+        for sock in self._server.sockets:
+            bound_buffers(sock)
 
-    def _accept(self) -> LineStream:
-        stream = _AcceptedStream()
+    def _accept(self) -> ClientStream:
+        stream = _AcceptedStream(self._guard)
         stream.on_connected = self._serve
         return stream
 
-    def _serve(self, stream: LineStream) -> None:
+    def _serve(self, stream: ClientStream) -> None:
         connection = self._make_connection(stream)
         task = asyncio.create_task(connection.serve())
         self._connections[connection] = task
@@ -98,9 +108,13 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-class _AcceptedStream(LineStream):
-    on_connected: Callable[[LineStream], None]
+class _AcceptedStream(ClientStream):
+    on_connected: Callable[[ClientStream], None]
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        if not self._guard.admits():
+            self._transport = transport
+            self.abort()
+            return
         super().connection_made(transport)
         self.on_connected(self)
--- a/src/celeryjunction/adapters/line_stream.py
+++ b/src/celeryjunction/adapters/line_stream.py
@@ -18,6 +18,10 @@
 endpoints drop an unreachable client (3 s)."""
 
 
+MAX_ERROR_CHARACTERS = 1000
+"""Length of error texts, which may quote names of up to 1 MiB."""
+
+
 class LineTooLong(Exception):
     """The other side sent a line of more than `MAX_LINE_BYTES`."""
 
@@ -44,6 +48,11 @@
         """Whether input has arrived that was not read yet."""
         return bool(self._messages or self._buffer)
 
+    @property
+    def unsent(self) -> int:
+        """Bytes that were written and that the kernel has not taken yet."""
+        return 0 if self.closed else self._transport.get_write_buffer_size()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket's options."""
         self._transport = transport
@@ -142,6 +151,12 @@
             self._transport.abort()
 
 
+def one_line(text: str) -> bytes:
+    """Encode an error text as a field of bounded length."""
+    line = text[:MAX_ERROR_CHARACTERS].encode("ascii", "replace")
+    return line.replace(b"\r", b" ").replace(b"\n", b" ")
+
+
 def _do_nothing() -> None:
     pass
 
--- a/src/celeryjunction/errors.py
+++ b/src/celeryjunction/errors.py
@@ -27,6 +27,7 @@
     NOT_RUN_SHED = "not_run_shed"
     NOT_RUN_ALLOTMENT = "not_run_allotment"
     NOT_RUN_OLDER_ROUTES = "not_run_older_routes"
+    NOT_RUN_MEMORY = "not_run_memory"
     NOT_RUN_ROLLED_BACK = "not_run_rolled_back"
     NOT_RUN_CONNECTION = "not_run_connection"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -92,6 +93,12 @@
         Ran.NO,
         True,
     ),
+    ErrorKind.NOT_RUN_MEMORY: ErrorSpec(
+        "CJ008",
+        "not run: the memory for {part} is short",
+        Ran.NO,
+        True,
+    ),
     ErrorKind.NOT_RUN_ROLLED_BACK: ErrorSpec(
         "CJ004",
         "not run: the transaction was rolled back before it was committed ({reason})",
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -9,6 +9,7 @@
 import msgspec
 from msgspec.structs import replace
 
+from celeryjunction.client_limits.state_size import StateSize
 from celeryjunction.dispatch.dispatcher import Dispatcher, Grant, PendingStatement
 from celeryjunction.errors import (
     ConnectionLost,
@@ -109,6 +110,10 @@
         self.wrote = False
 
 
+def _entry(prepared: Prepare | None) -> tuple[bytes, ...]:
+    return (prepared.name, prepared.shape) if prepared is not None else ()
+
+
 class StatementSession:
     """Runs one client's statements, one at a time.
 
@@ -136,6 +141,8 @@
         """Version of the routes under which the client was admitted."""
         self.session_state = state or SessionState()
         """State that outlives transactions."""
+        self.state_size = StateSize()
+        """Size of the state that this session's own statements have set."""
         self._gateway = gateway
         self._clock = gateway.clock
         self._transaction: _Transaction | None = None
@@ -341,7 +348,12 @@
         self, statement: SetParameter, request: Request, route: Route | None
     ) -> Answer:
         self._check_not_failed()
-        self.session_state.values[statement.name] = statement.value
+        values = self.session_state.values
+        before = (
+            (statement.name, values[statement.name]) if statement.name in values else ()
+        )
+        self.state_size.replace(before, (statement.name, statement.value))
+        values[statement.name] = statement.value
         return self._local_answer()
 
     @_run.register
@@ -349,6 +361,8 @@
         self, statement: Prepare, request: Request, route: Route | None
     ) -> Answer:
         self._check_not_failed()
+        before = self.session_state.prepared.get(statement.name)
+        self.state_size.replace(_entry(before), _entry(statement))
         self.session_state.prepared[statement.name] = statement
         return self._local_answer()
 
@@ -357,7 +371,9 @@
         self, statement: Deallocate, request: Request, route: Route | None
     ) -> Answer:
         self._check_not_failed()
-        self.session_state.prepared.pop(statement.name, None)
+        self.state_size.replace(
+            _entry(self.session_state.prepared.pop(statement.name, None)), ()
+        )
         return self._local_answer()
 
     @_run.register
--- a/src/celeryjunction/gateway/shared_state.py
+++ b/src/celeryjunction/gateway/shared_state.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from hashlib import blake2s
+from hashlib import blake2b, blake2s
 
 from celeryjunction.errors import ConnectionLost
 from celeryjunction.gateway.statements import Prepare
@@ -23,6 +23,19 @@
 MAX_PREPARED_STATEMENTS = 200
 """Statements that stay prepared on a connection; with more, it is cleared."""
 
+MAX_KEPT_BYTES = 256
+"""Longer values are kept as digests: each connection would keep up to 8 MiB."""
+
+
+def kept_value(value: bytes) -> bytes:
+    """Return what a connection keeps of a value, to compare it: long ones' digests.
+
+    A digest is longer than any value that is kept itself, so the two never equal.
+    """
+    if len(value) <= MAX_KEPT_BYTES:
+        return value
+    return blake2b(value).digest().ljust(MAX_KEPT_BYTES + 1)
+
 
 def shared_name(prepared: Prepare) -> bytes:
     """Return the name of a statement's shape on connections."""
@@ -54,7 +67,7 @@
     commands += [
         SetValue(name, value)
         for name, value in values.items()
-        if link_values.get(name) != value
+        if link_values.get(name) != kept_value(value)
     ]
     if prepared is not None:
         name = shared_name(prepared)
@@ -82,6 +95,6 @@
             link.prepared.clear()
             link.state_uncertain = False
         elif isinstance(command, SetValue):
-            link.values[command.name] = command.value
+            link.values[command.name] = kept_value(command.value)
         elif isinstance(command, PrepareStatement):
             link.prepared.add(command.name)
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -13,6 +13,8 @@
 from random import Random
 from typing import Protocol
 
+from celeryjunction.adapters.client_guard import ClientGuard
+from celeryjunction.client_limits.limits import ClientLimits
 from celeryjunction.dispatch.connection_budget import (
     ConnectionBudget,
     connection_budget,
@@ -211,6 +213,19 @@
         self.start_service("maintenance", self._maintain)
         _log.info("started", vm=self._vm, zone=self._zone)
 
+    def limit_clients(self, memory_mb: float, descriptors: int) -> ClientGuard:
+        """Return the guard that keeps clients within the machine's resources."""
+        limits = ClientLimits(memory_mb=memory_mb, descriptors=descriptors)
+        guard = ClientGuard(
+            limits,
+            clock=self._clock,
+            metrics=self.metrics,
+            log=self.gateway.request_log,
+        )
+        self.home_server.limit_statements(limits.home_bytes)
+        self.start_service("client_limits", guard.run)
+        return guard
+
     # Routes and endpoints
 
     def apply_routes(self, table: RouteTable) -> None:
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -95,11 +95,14 @@
         """
         listen = self._settings.listen
         host, port = split_address(listen.front)
+        limits = self._settings.limits
+        guard = self.node.limit_clients(limits.memory_mb, int(limits.fd_limit))
         frontend = LineFrontend(
             host=host,
             port=port,
             open_session=self.node.open_session,
             clock=self._clock,
+            guard=guard,
         )
         await frontend.start()
         await self.node.home_server.start(*internal_address(self._settings))
--- a/src/celeryjunction/platform/frontend.py
+++ b/src/celeryjunction/platform/frontend.py
@@ -5,8 +5,10 @@
 import asyncio
 from collections.abc import Callable
 
+from celeryjunction.adapters.client_guard import ClientGuard
+from celeryjunction.adapters.client_stream import ClientStream
 from celeryjunction.adapters.line_server import LineServer
-from celeryjunction.adapters.line_stream import LineStream, LineTooLong
+from celeryjunction.adapters.line_stream import LineTooLong, one_line
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.gateway.statements import Request
 from celeryjunction.platform.wire import (
@@ -23,8 +25,6 @@
 
 CONNECT_TIMEOUT_S = 5.0
 """A connection is closed when its CONNECT message has not arrived after this."""
-MAX_ERROR_CHARACTERS = 1000
-"""Length of error texts, which may quote names of up to 1 MiB."""
 
 OpenSession = Callable[[str, bytes], ForwardingSession]
 """Opens a session for a database name and a client's key; raises `ProxyError`."""
@@ -34,7 +34,7 @@
     """One client's connection, served by one task, one request at a time."""
 
     def __init__(
-        self, stream: LineStream, *, open_session: OpenSession, clock: Clock
+        self, stream: ClientStream, *, open_session: OpenSession, clock: Clock
     ) -> None:
         self._stream = stream
         self._open_session = open_session
@@ -110,6 +110,7 @@
         try:
             key = b" ".join(fields[2:])
             self.session = self._open_session(_decode_name(fields[1]), key)
+            self.session.hold_state = self._stream.hold_state
         except ProxyError as error:
             self._stream.write(_encode_error(error))
             return False
@@ -149,7 +150,7 @@
 
 def _encode_error(error: ProxyError) -> bytes:
     code = ERROR_CODES.get(error.kind, UNKNOWN_OUTCOME_CODE)
-    return b"ERROR %b %b\r\n" % (code, _one_line(error.message))
+    return b"ERROR %b %b\r\n" % (code, one_line(error.message))
 
 
 def _encode_answer(answer: Answer) -> bytes:
@@ -158,28 +159,29 @@
         parts.append(b"COMPLETE %b\r\n" % answer.digest)
     else:
         code = FAULT_CODES[answer.fault]
-        parts.append(b"ERROR %b %b\r\n" % (code, _one_line(answer.detail)))
+        parts.append(b"ERROR %b %b\r\n" % (code, one_line(answer.detail)))
     position = b"-" if answer.position is None else b"%d.%d" % answer.position
     parts.append(b"READY %b %b\r\n" % (STATE_CODES[answer.state], position))
     return b"".join(parts)
 
 
-def _one_line(text: str) -> bytes:
-    line = text[:MAX_ERROR_CHARACTERS].encode("ascii", "replace")
-    return line.replace(b"\r", b" ").replace(b"\n", b" ")
-
-
 class LineFrontend(LineServer[ClientConnection]):
     """Accepts clients' connections and runs a task for each."""
 
     def __init__(
-        self, *, host: str, port: int, open_session: OpenSession, clock: Clock
+        self,
+        *,
+        host: str,
+        port: int,
+        open_session: OpenSession,
+        clock: Clock,
+        guard: ClientGuard | None = None,
     ) -> None:
-        super().__init__(host=host, port=port)
+        super().__init__(host=host, port=port, guard=guard)
         self._open_session = open_session
         self._clock = clock
 
-    def _make_connection(self, stream: LineStream) -> ClientConnection:
+    def _make_connection(self, stream: ClientStream) -> ClientConnection:
         return ClientConnection(
             stream, open_session=self._open_session, clock=self._clock
         )
--- a/src/celeryjunction/platform/settings.py
+++ b/src/celeryjunction/platform/settings.py
@@ -56,6 +56,8 @@
 
     link_mbps: Amount = 1.0
     """Capacity of the VM's network link, Mbit/s."""
+    memory_mb: Amount = 200.0
+    fd_limit: Amount = 4300.0
 
 
 class EdgeSettings(msgspec.Struct, frozen=True):
--- a/src/celeryjunction/relay/home_link.py
+++ b/src/celeryjunction/relay/home_link.py
@@ -12,7 +12,12 @@
 from itertools import count
 from random import Random
 
-from celeryjunction.adapters.frame_stream import FrameStream, FrameTooLarge
+from celeryjunction.adapters.frame_stream import (
+    MAX_FRAME_BYTES,
+    FrameStream,
+    FrameTooLarge,
+)
+from celeryjunction.client_limits.work_gate import WorkGate
 from celeryjunction.decoding import DecodingError
 from celeryjunction.errors import ConnectionLost
 from celeryjunction.gateway.session import SessionState
@@ -44,6 +49,11 @@
 RECONNECT_GRACE_S = 1.0
 """Statements may wait for a home that was lost less than this ago, since a process that
 ends is restarted after a short delay."""
+WINDOW_BYTES = 6 << 20
+"""Statements in flight on a connection; further ones wait here, before they are
+encoded. A statement of 1 MiB with the largest session state has about 4 MiB."""
+STATEMENT_BYTES = 1024
+"""Size of a frame beside its text and the session's state."""
 
 _log = get_logger("relay")
 
@@ -79,6 +89,7 @@
         self._open_transactions: set[int] = set()
         self._outcomes: dict[int, asyncio.Future[Outcome]] = {}
         self._heard_at = 0.0
+        self._window = WorkGate(WINDOW_BYTES, copies=1)
         self._task = asyncio.create_task(self._run())
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
@@ -133,20 +144,28 @@
         message = RunStatement(
             number, transaction, database, request, state, organisation, routes_version
         )
-        try:
-            stream.write_frame(encode(message))
-        except FrameTooLarge as error:
-            raise ConnectionLost(str(error), sent=False) from None
-        future = asyncio.get_running_loop().create_future()
-        self._outcomes[number] = future
+        size = _statement_size(request, state)
+        if size > MAX_FRAME_BYTES:
+            raise ConnectionLost(f"a statement of {size} bytes", sent=False)
+        need, sent = 0, False
         try:
             async with asyncio.timeout(timeout):
+                need = await self._window.acquire(size)
+                if stream.closed:
+                    raise ConnectionLost(f"home {self.vm} was lost", sent=False)
+                stream.write_frame(encode(message))
+                sent = True
+                future = asyncio.get_running_loop().create_future()
+                self._outcomes[number] = future
                 return await future
+        except FrameTooLarge as error:
+            raise ConnectionLost(str(error), sent=False) from None
         except TimeoutError:
             reason = f"no outcome from home {self.vm}"
-            raise ConnectionLost(reason, sent=True) from None
+            raise ConnectionLost(reason, sent=sent) from None
         finally:
             self._outcomes.pop(number, None)
+            self._window.release(need)
 
     def end_transaction(self, transaction: int) -> None:
         """Have the home roll a transaction back."""
@@ -246,3 +265,12 @@
                     ConnectionLost(f"home {self.vm} was lost: {reason}", sent=True)
                 )
         return reached
+
+
+def _statement_size(request: Request, state: SessionState | None) -> int:
+    """Estimate the size of a statement's frame: its text and the session's state."""
+    size = STATEMENT_BYTES + len(request.text)
+    if state is not None and (state.values or state.prepared):
+        size += sum(map(len, state.values.values()))
+        size += sum(len(prepared.shape) for prepared in state.prepared.values())
+    return size
--- a/src/celeryjunction/relay/home_server.py
+++ b/src/celeryjunction/relay/home_server.py
@@ -12,6 +12,8 @@
     FrameStream,
     FrameTooLarge,
 )
+from celeryjunction.client_limits.home_shares import HomeShares
+from celeryjunction.client_limits.work_gate import LARGE_BYTES
 from celeryjunction.decoding import DecodingError
 from celeryjunction.errors import ErrorKind, ProxyError, rolled_back_error
 from celeryjunction.gateway.gateway import Gateway
@@ -47,6 +49,10 @@
 was paused, and its sender may have given it up. Shorter than the `SILENCE_TIMEOUT_S` of
 `home_link`, after which a forwarding VM gives up a home, and longer than two of its
 status intervals."""
+DEFAULT_STATEMENT_BYTES = 28_800_000
+"""What statements of other VMs may take on the smallest machine."""
+MAX_UNSENT_BYTES = 4 << 20
+"""Answers that a forwarding VM has not taken, beyond which it gets no further rows."""
 
 _log = get_logger("relay")
 
@@ -79,6 +85,7 @@
         self._status = status
         self._endpoints = endpoints
         self._server: asyncio.Server | None = None
+        self._shares = HomeShares(DEFAULT_STATEMENT_BYTES)
         self._forwarding_vms: dict[_ForwardingVm, asyncio.Task[None]] = {}
 
     async def start(self, host: str, port: int) -> None:
@@ -91,6 +98,10 @@
         """The port that the server listens on."""
         return self._server.sockets[0].getsockname()[1]
 
+    def limit_statements(self, limit: int) -> None:
+        """Set what the statements of other VMs may take, in bytes."""
+        self._shares.limit = limit
+
     @property
     def busy(self) -> bool:
         """Whether transactions are open or statements run for other VMs."""
@@ -118,13 +129,16 @@
             gateway=self._gateway,
             status=self._status,
             endpoints=self._endpoints,
+            shares=self._shares,
         )
+        self._shares.add(vm)
         task = asyncio.create_task(vm.serve())
         self._forwarding_vms[vm] = task
         task.add_done_callback(lambda done: self._ended(vm, done))
 
     def _ended(self, vm: _ForwardingVm, task: asyncio.Task[None]) -> None:
         self._forwarding_vms.pop(vm, None)
+        self._shares.remove(vm)
         if not task.cancelled() and (error := task.exception()) is not None:
             _log.error("guest_failed", reason=repr(error))
 
@@ -148,8 +162,10 @@
         gateway: Gateway,
         status: Callable[[], HomeStatus],
         endpoints: Callable[[], EndpointList],
+        shares: HomeShares,
     ) -> None:
         self.stream = stream
+        self._shares = shares
         self.transactions: dict[int, StatementSession] = {}
         """Sessions with an open transaction, by transaction number."""
         self._running: set[asyncio.Task[None]] = set()
@@ -202,11 +218,14 @@
             _log.error("message_ignored", reason=str(error))
             return
         if isinstance(message, RunStatement):
+            need = self._take(message, len(frame))
+            if not need:
+                return
             # The session is looked up before the task starts, so that an
             # `EndTransaction` that was received together with it finds it.
             task = asyncio.create_task(self._run(message, self._session(message)))
             self._running.add(task)
-            task.add_done_callback(self._running.discard)
+            task.add_done_callback(lambda done: self._statement_ended(done, need))
         elif isinstance(message, EndTransaction):
             session = self.transactions.pop(message.seat, None)
             if session is not None:
@@ -218,6 +237,31 @@
         else:
             self._send(self._status())
 
+    def _take(self, message: RunStatement, size: int) -> int:
+        """Take a statement; refuse it and return 0 if memory is short.
+
+        Small statements of open transactions are always taken, so that these end.
+        """
+        session = self.transactions.get(message.seat)
+        takes_answers = self.stream.unsent <= MAX_UNSENT_BYTES
+        if takes_answers and (need := self._shares.take(self, size)):
+            return need
+        is_in_transaction = session is not None or message.state is None
+        if is_in_transaction and size <= LARGE_BYTES:
+            return self._shares.force(self, size)
+        self._gateway.metrics.count("refused_statements", reason="memory")
+        self._gateway.request_log.write("statement_refused", reason="memory", size=size)
+        state = TransactionState.IDLE if session is None else session.state
+        error = ProxyError(
+            ErrorKind.NOT_RUN_MEMORY, {"part": "statements of other VMs"}
+        )
+        self._send(_failed(message.number, state, error))
+        return 0
+
+    def _statement_ended(self, task: asyncio.Task[None], need: int) -> None:
+        self._running.discard(task)
+        self._shares.release(self, need)
+
     async def _run(
         self, message: RunStatement, session: StatementSession | None
     ) -> None:
@@ -240,6 +284,10 @@
         if session.state is TransactionState.IDLE:
             self.transactions.pop(message.seat, None)
         position = session.session_state.position
+        if self.stream.unsent > MAX_UNSENT_BYTES and _reads(message, session):
+            # The VM takes no answers, and more of them would fill this one.
+            error = ProxyError(ErrorKind.READ_UNANSWERED)
+            outcome = _failed(message.number, outcome.state, error)
         outcome = msgspec.structs.replace(outcome, position=position)
         try:
             self._send(outcome)
@@ -289,6 +337,15 @@
         return session
 
 
+def _reads(message: RunStatement, session: StatementSession) -> bool:
+    """Whether a statement only reads."""
+    statement = message.request.statement
+    if isinstance(statement, Execute):
+        prepared = session.session_state.prepared.get(statement.name)
+        return prepared is not None and not prepared.writes
+    return isinstance(statement, Read)
+
+
 def _too_large_error(
     message: RunStatement, session: StatementSession, reason: str
 ) -> ProxyError:
@@ -296,11 +353,7 @@
 
     A read changes nothing, so another VM may run it again.
     """
-    statement = message.request.statement
-    reads = isinstance(statement, Read)
-    if isinstance(statement, Execute):
-        reads = not session.session_state.prepared[statement.name].writes
-    if reads:
+    if _reads(message, session):
         details = {"size": "more", "limit": MAX_FRAME_BYTES}
         return ProxyError(ErrorKind.STATEMENT_TOO_LARGE, details)
     return ProxyError(ErrorKind.INTERNAL, {"reason": reason})
--- a/src/celeryjunction/relay/session.py
+++ b/src/celeryjunction/relay/session.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from celeryjunction.errors import (
     ConnectionLost,
@@ -46,6 +46,8 @@
 )
 """Errors after which this VM runs a statement itself: the home does not have the route
 or its version yet, or the answer to a read is too large for a frame."""
+REFUSED_BY_HOME = (ErrorKind.NOT_RUN_ALLOTMENT, ErrorKind.NOT_RUN_MEMORY)
+"""Errors of a BEGIN after which this VM does not open the transaction itself."""
 
 _IDLE, _OPEN, _FAILED = TransactionState
 
@@ -112,6 +114,15 @@
             else self._local.state
         )
 
+    @property
+    def hold_state(self) -> Callable[[int], bool]:
+        """Called with the size of the session's state; False refuses its growth."""
+        return self._local.state_size.hold
+
+    @hold_state.setter
+    def hold_state(self, hold: Callable[[int], bool]) -> None:
+        self._local.state_size.hold = hold
+
     async def execute(self, request: Request) -> Answer:
         """Run one statement locally or at a home; raises `ProxyError`."""
         transaction = self._transaction
@@ -198,7 +209,7 @@
                 raise
             if outcome.error is not None:
                 chosen.end_transaction(number)
-                if outcome.error is ErrorKind.NOT_RUN_ALLOTMENT:
+                if outcome.error in REFUSED_BY_HOME:
                     raise ProxyError(outcome.error, outcome.details)
                 break
             self._transaction = _HomeTransaction(chosen, number, request.id)
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -208,7 +208,7 @@
     async def _wait_until_forwarding(self) -> None:
         async with asyncio.timeout(ANSWER_LIMIT_S):
             while "forwarded_statements" not in (await self.edge.probe("/metrics"))[1]:
-                await self.request("READ a")
+                await self.request("READ ordinary")
 
     async def request(self, text: str) -> None:
         """Have one ordinary request answered."""
@@ -238,7 +238,7 @@
         finally:
             for member in members:
                 member.close()
-        await self.request("READ a")
+        await self.request("READ ordinary")
         for watch in watches:
             watch.check()
 
@@ -421,4 +421,4 @@
             for member in members:
                 member.close()
         await wait_for(lambda: site.edge.running)
-        await site.request("READ a")
+        await site.request("READ ordinary")
