--- a/src/celeryjunction/platform/settings.py
+++ b/src/celeryjunction/platform/settings.py
@@ -63,6 +63,8 @@
     cpu_share: Amount = 1.0
     """Part of its processor cores that the VM may use."""
     cores: Amount = 1.0
+    memory_mb: Amount = 200.0
+    fd_limit: Amount = 4300.0
 
 
 class EdgeSettings(msgspec.Struct, frozen=True):
