--- a/src/celeryjunction/platform/settings.py
+++ b/src/celeryjunction/platform/settings.py
@@ -13,14 +13,13 @@
     IpAddress,
     ListenPort,
     decode_json,
-    parse_address,
 )
 
 SETTINGS_PATH_VARIABLE = "CELERYJUNCTION_CONFIG"
 
 
 class SettingsError(Exception):
-    """The settings file is missing, can't be decoded or holds an invalid address."""
+    """The settings file is missing or can't be decoded."""
 
 
 class Listen(msgspec.Struct, frozen=True):
@@ -30,8 +29,6 @@
     """For clients, on the line protocol."""
     ready: IpAddress
     """For readiness checks and metrics, over HTTP."""
-    control: str = ""
-    """Not served by this program."""
 
 
 class Address(msgspec.Struct, frozen=True):
@@ -82,19 +79,12 @@
     internal_port_range: list[ListenPort] = []
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``IP:PORT`` into host and port; raises `SettingsError`."""
-    if (parsed := parse_address(address)) is None:
-        raise SettingsError(f"{address[:60]!r} is not an address IP:PORT")
-    return parsed
-
-
 def internal_address(settings: EdgeSettings) -> tuple[str, int]:
     """Return host and port of the listener for other VMs.
 
     The port is the first of `internal_port_range`, or 0 (any free port) without one.
     """
-    host, _ = split_address(settings.listen.front)
+    host = settings.listen.front.rpartition(":")[0]
     ports = settings.internal_port_range
     return host, ports[0] if ports else 0
 
