--- a/src/celeryjunction/allotments/bound.py
+++ b/src/celeryjunction/allotments/bound.py
@@ -16,6 +16,9 @@
 
 DISPATCH_S = 0.2
 """Time from an operation's admission until it reaches an endpoint."""
+LATE_FRACTION = 0.5
+"""Part of the slack that is kept for operations that reach an endpoint later, because
+they were queued or their VM was frozen."""
 
 
 class QuotaBound(msgspec.Struct, frozen=True):
@@ -42,13 +45,15 @@
         small for that. Under steady load a bucket's capacity is used once and its rate
         all the time, while rate and burst allow the burst in every window: the rate is
         therefore higher by a burst in each window, as far as the bound has room for
-        the life of a token.
+        the life of a token and for late operations.
         """
         burst, limit = organisation.burst, self.limit(organisation)
         capacity = max(float(SHARES), burst)
         spent_s = self.memory_s + DISPATCH_S
         if capacity + organisation.rate_per_s * spent_s > limit:
             capacity = max(1.0, burst)
+        most = max(0.0, limit - capacity) / spent_s
+        least = min(organisation.rate_per_s, most)
         steady = organisation.rate_per_s + burst / self.window_s
-        rate = min(steady, max(0.0, limit - capacity) / spent_s)
-        return rate / SHARES, capacity / SHARES
+        room = most - LATE_FRACTION * self.slack / spent_s
+        return max(least, min(steady, room)) / SHARES, capacity / SHARES
