Keep no requirement beyond the log of a primary that answers

The class is a bound that is stored without the source that limits it.

What a promotion requires is stored with its seal as before. Two functions moved to failover/attempt.py.

--- a/src/celeryjunction/failover/attempt.py
+++ b/src/celeryjunction/failover/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from celeryjunction.failover.claims import Claim
+from celeryjunction.replication.group import ReplicationGroup
 from celeryjunction.replication.ports import (
     NO_POSITION,
     EndpointInfo,
@@ -75,3 +76,24 @@
         """Members that are not paused, as the old primary's log has ended."""
         self.token = 0
         """Fencing token of the promotion; 0 until one is decided."""
+
+
+def is_paused(status: EndpointStatus, term: int) -> bool:
+    """Whether a replica is paused for the end of `term`, not of a later one."""
+    return status.held_term > term >= status.term and not status.is_primary
+
+
+def describe_old_primary(
+    group: ReplicationGroup, old_primary: str | None, *, now: float
+) -> dict[str, object]:
+    """Return the old primary's last known role and log end, for the log."""
+    known = group.statuses.get(old_primary or "")
+    if known is None:
+        return {"old_primary": old_primary, "old_received": None}
+    asked_at, status = known
+    return {
+        "old_primary": old_primary,
+        "old_received": str(status.received),
+        "old_is_primary": status.is_primary,
+        "old_age_s": round(now - asked_at, 3),
+    }
--- a/src/celeryjunction/failover/coordinator.py
+++ b/src/celeryjunction/failover/coordinator.py
@@ -11,7 +11,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 
-from celeryjunction.failover.attempt import Attempt
+from celeryjunction.failover.attempt import Attempt, describe_old_primary, is_paused
 from celeryjunction.failover.claims import Claim, Claims
 from celeryjunction.failover.lost_members import end_log
 from celeryjunction.failover.promotion_paths import PromotionPaths
@@ -206,7 +206,6 @@
             self._roster.floor(stored, term=term),
             *map(group.highest_received, to_pause),
         )
-        self._roster.require(attempt.required, term=term)
         # Replicas found paused: an earlier holder may have requested a promotion.
         attempt.promotion_pending = bool(attempt.sealed) or any(
             statuses[name].held_term > term for name in to_pause
@@ -227,6 +226,7 @@
         attempt.paused = await self._pause_all(to_pause, term) or {}
         chosen = self._choose(attempt) if attempt.paused else None
         if chosen is None:
+            await self._keep_required(attempt)
             await self._abort(claim, to_pause, attempt.promotion_pending)
             return False
         return await self._promote(attempt, chosen)
@@ -332,8 +332,7 @@
         That is the primary's position; None if it doesn't answer. If all VMs voted, the
         roster takes over the new processes with what these saw acknowledged.
         """
-        group = self._group
-        members = {member.id: member for member in stored.members}
+        group, members = self._group, {member.id: member for member in stored.members}
         restarted = restarted_members(members, group.endpoints)
         restarted = [name for name in restarted if name != attempt.old_primary]
         if stored.term != attempt.term or not restarted:
@@ -398,6 +397,22 @@
         )
         return None
 
+    async def _keep_required(self, attempt: Attempt) -> None:
+        """Have the roster keep what a later attempt needs.
+
+        No acknowledged commit is beyond the log of a primary that answers.
+        """
+        required = attempt.required
+        info = self._group.endpoints.get(attempt.old_primary or "")
+        if info is not None:
+            # A failure on a connection of its own is no news about the group.
+            control = ControlLink(info, dialer=self._dialer, clock=self._clock)
+            status = await control.ask(timeout=DEMOTE_WAIT_S)
+            control.close()
+            if status is not None and status.is_primary and status.term == attempt.term:
+                required = min(required, status.received)
+        self._roster.require(required, term=attempt.term)
+
     async def _demote(self, old_primary: str | None, term: int) -> None:
         """Stop the old primary before the next one starts, if it can be reached."""
         if old_primary is not None:
@@ -472,7 +487,7 @@
         paused = {
             name: status
             for name, status in statuses.items()
-            if status is not None and self._is_paused(status, term)
+            if status is not None and is_paused(status, term)
         }
         if len(paused) < len(to_pause):
             missing = sorted(set(to_pause) - set(paused))
@@ -482,17 +497,12 @@
             return None
         return paused
 
-    @staticmethod
-    def _is_paused(status: EndpointStatus, term: int) -> bool:
-        """Whether a replica is paused for the end of `term`, not of a later one."""
-        return status.held_term > term >= status.term and not status.is_primary
-
     async def _still_paused(self, paused: dict[str, EndpointStatus], term: int) -> bool:
         """Check the pauses again: a replica that restarted has forgotten its pause."""
         again = await self._ask_all(list(paused))
         return all(
             status is not None
-            and self._is_paused(status, term)
+            and is_paused(status, term)
             and status.received == paused[name].received
             for name, status in again.items()
         )
@@ -565,6 +575,7 @@
         """
         group, claim, term = self._group, attempt.claim, attempt.term
         started = self._clock.monotonic()
+        self._roster.require(attempt.required, term=term)
         attempt.token, earlier_calls = self._roster.repeatable_token(term, chosen)
         attempt.token = attempt.token or self._roster.next_token(term)
         if earlier_calls and not await attempt.path.confirm():
@@ -671,23 +682,10 @@
             decided_s=round(decided_s, 3),
             claimed_s=round(now - attempt.claim.requested_at, 3),
             asked_s=round(now - asked_at, 3),
-            **self._describe_old_primary(old_primary),
+            **describe_old_primary(group, old_primary, now=now),
             not_asked=sorted(group.endpoints.keys() - received.keys() - {old_primary}),
         )
 
-    def _describe_old_primary(self, old_primary: str | None) -> dict[str, object]:
-        """Return the old primary's last known role and log end, for the log."""
-        known = self._group.statuses.get(old_primary or "")
-        if known is None:
-            return {"old_primary": old_primary, "old_received": None}
-        asked_at, status = known
-        return {
-            "old_primary": old_primary,
-            "old_received": str(status.received),
-            "old_is_primary": status.is_primary,
-            "old_age_s": round(self._clock.monotonic() - asked_at, 3),
-        }
-
     async def _wait_for_takeover(
         self, names: Iterable[str], term: int, timeout_s: float
     ) -> bool:
