--- a/src/celeryjunction/client_limits/limits.py
+++ b/src/celeryjunction/client_limits/limits.py
@@ -25,6 +25,8 @@
 RESERVED_SHARE = 0.2
 """Share of the descriptors for the readiness probe, other VMs, the store, endpoints and
 connections that are accepted only to be closed."""
+MIN_CLIENT_SHARE = 0.25
+"""Share of the descriptors that clients get where there are only a few hundred."""
 
 CONNECTION_BYTES = 12_288
 """What an idle connection takes, in the process and in the kernel; also what a
@@ -57,6 +59,9 @@
         self.home_bytes = int(free * HOME_SHARE)
         """What statements of other VMs may take."""
         by_memory = self.held_bytes // CONNECTION_BYTES
-        by_descriptors = int(descriptors * (1 - RESERVED_SHARE)) - FILE_DESCRIPTORS
+        by_descriptors = max(
+            int(descriptors * (1 - RESERVED_SHARE)) - FILE_DESCRIPTORS,
+            int(descriptors * MIN_CLIENT_SHARE),
+        )
         self.max_connections = max(min(by_memory, by_descriptors), 1)
         """Connections of clients."""
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from random import Random
@@ -215,6 +216,9 @@
 
     def limit_clients(self, memory_mb: float, descriptors: int) -> ClientGuard:
         """Return the guard that keeps clients within the machine's resources."""
+        allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if allowed != resource.RLIM_INFINITY:
+            descriptors = min(descriptors, allowed)
         limits = ClientLimits(memory_mb=memory_mb, descriptors=descriptors)
         guard = ClientGuard(
             limits,
