--- a/src/celeryjunction/allotments/allotments.py
+++ b/src/celeryjunction/allotments/allotments.py
@@ -12,7 +12,7 @@
 from celeryjunction.allotments.account import Account, Refused
 from celeryjunction.allotments.bound import QuotaBound
 from celeryjunction.allotments.holder_link import Connect, HolderLink, connect_frames
-from celeryjunction.allotments.share_keeper import ShareKeeper
+from celeryjunction.allotments.share_leases import ShareLeases
 from celeryjunction.allotments.share_rules import (
     SHARE_PREFIX,
     decode_entry,
@@ -72,7 +72,7 @@
         self._held = HeldShares()
         self._follower = PrefixFollower(store, SHARE_PREFIX, clock=clock, random=random)
         self._follower.subscribe(self._apply_change)
-        self._keeper = ShareKeeper(
+        self._leases = ShareLeases(
             store,
             own=own,
             shares=self._held,
@@ -101,7 +101,7 @@
         """Hold shares and maintain the links until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._follower.run())
-            tasks.create_task(self._keeper.run())
+            tasks.create_task(self._leases.run())
             tasks.create_task(self._maintain())
 
     async def close(self) -> None:
@@ -111,7 +111,7 @@
         for link in self._links.values():
             link.close()
         self._links.clear()
-        await self._keeper.give_up()
+        await self._leases.give_up()
 
     # Operations of this VM
 
--- a/src/celeryjunction/allotments/share_keeper.py
+++ b/src/celeryjunction/allotments/share_leases.py
@@ -40,7 +40,7 @@
 _log = get_logger("allotments")
 
 
-class ShareKeeper:
+class ShareLeases:
     """Keeps `shares` in accordance with the store.
 
     `vms` returns the VMs that may hold shares, this one included; it is empty while
--- a/src/celeryjunction/allotments/token_bucket.py
+++ b/src/celeryjunction/allotments/token_bucket.py
@@ -1,4 +1,4 @@
-"""A token bucket whose lent tokens may come back without ever adding any.
+"""A token bucket that lends tokens, whose return never adds any.
 
 A token that is returned late must not be spent beside one that the bucket has earned
 meanwhile. Therefore a loan loses its right of return as far as the bucket would have
--- a/src/celeryjunction/platform/endpoints.py
+++ b/src/celeryjunction/platform/endpoints.py
@@ -38,7 +38,7 @@
     ) -> PipelinedLink:
         """Open a connection and wait until the endpoint is ready for statements.
 
-        The endpoint is told the name of `owner`, or of this VM without one.
+        CONNECT gives the name of `owner`, or of this VM without one.
 
         Raises `EndpointRefused` if the endpoint answers with an error, and
         `ConnectionLost` if it can't be reached within `timeout` seconds.
--- a/src/celeryjunction/platform/records.py
+++ b/src/celeryjunction/platform/records.py
@@ -112,7 +112,7 @@
 def _convert_tenants(tenants: list[_Tenant]) -> OrganisationTable | None:
     """Return the organisations; None if the config has none.
 
-    A name that endpoints can't be told is left out, and its keys are then unknown.
+    A name that does not fit into a line is left out, and its keys are then unknown.
     """
     if not tenants:
         return None
