Count the opening of a connection in the cost of an endpoint again

Cause: the merge of the turns by free slots dropped the time that a connection of an owner takes to open from the cost, and left its parameter unused.

Change: endpoints where a connection must be opened cost that time more.

--- a/src/celeryjunction/dispatch/dispatcher.py
+++ b/src/celeryjunction/dispatch/dispatcher.py
@@ -1,10 +1,10 @@
 """Assigns the statements of this VM to the endpoints of a group.
 
-A statement is sent at once to the endpoint with the lowest expected cost that has a
-free slot. Otherwise it waits in a queue. It is refused at once only if no slot could
-become free for it before its queue deadline, even if each statement that runs, or goes
-before it and may wait as long, took only the shortest recent time; the client can then
-still try another VM.
+A statement is sent at once if an endpoint has a free slot: to the one whose turn it is
+by expected free slots and cost. Otherwise it waits in a queue. It is refused at once
+only if no slot could become free for it before its queue deadline, even if each
+statement that runs, or goes before it and may wait as long, took only the shortest
+recent time; the client can then still try another VM.
 """
 
 from __future__ import annotations
@@ -374,7 +374,7 @@
             candidates = own or candidates
         name = self._choice.choose(
             [
-                Candidate(gate.info.id, self._cost(gate), gate.free_slots)
+                Candidate(gate.info.id, self._cost(gate, owner), gate.free_slots)
                 for gate in candidates
             ],
             vm_count=candidates[0].shared.vm_count,
@@ -425,14 +425,16 @@
             return max(limit - 1, 1)
         return limit
 
-    def _cost(self, gate: EndpointGate, opening_s: float = 0.0) -> float:
+    def _cost(self, gate: EndpointGate, owner: str) -> float:
         """Return the expected seconds until success: network, queue and service.
 
-        Opening a connection occupies a slot for `opening_s`, as service does.
+        A connection that has to be opened for an owner occupies a slot meanwhile.
         """
         network_s = 0.0 if gate.info.zone == self._zone else CROSS_ZONE_RTT_S
         load = (gate.running + gate.slots_busy_elsewhere) / max(gate.info.slots, 1)
-        slot_s = gate.service_s + opening_s
+        slot_s = gate.service_s
+        if owner and not gate.pool.connections.has_idle(owner):
+            slot_s += gate.pool.opening_s
         return (network_s + slot_s * (1.0 + load)) * gate.expected_attempts
 
     async def _wait(self, pending: PendingStatement) -> EndpointGate:
