Log refused sessions with the age of the routes, and the age at broken watches

A refused CONNECT left no line, and no line said how long the store had not answered, so a late change could not be told from one that was skipped. session_refused has the version that decided and its age; watch_broken and refresh_failed have the age of the keys. No decision changes.

--- a/src/celeryjunction/follower.py
+++ b/src/celeryjunction/follower.py
@@ -139,6 +139,11 @@
         """Seconds since the service last answered; infinite before its first answer."""
         return self._clock.monotonic() - self._last_contact
 
+    @property
+    def _logged_age_s(self) -> float | None:
+        age_s = self.age_s
+        return round(age_s, 2) if math.isfinite(age_s) else None
+
     @property
     def items(self) -> dict[str, KeyValue]:
         """The last known keys and values; empty with `keep_values=False`."""
@@ -183,6 +188,7 @@
                     prefix=self._prefix,
                     revision=self._revision,
                     failures=self._failures,
+                    age_s=self._logged_age_s,
                     reason=str(error),
                 )
             await self._back_off()
@@ -192,7 +198,12 @@
         try:
             await self._relist(REFRESH_TIMEOUT_S)
         except (StoreUnavailable, StoreRefused) as error:
-            _log.warning("refresh_failed", prefix=self._prefix, reason=str(error))
+            _log.warning(
+                "refresh_failed",
+                prefix=self._prefix,
+                age_s=self._logged_age_s,
+                reason=str(error),
+            )
             return False
         return True
 
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -203,6 +203,8 @@
         )
         self.refresh_routes: Callable[[], Awaitable[bool]] = _no_refresh
         """Reads the routes at once; returns whether that succeeded."""
+        self.routes_age_s: Callable[[], float] = lambda: 0.0
+        """Seconds since the store last answered for the routes."""
         self._refresh_task: asyncio.Task[None] | None = None
         self._routes_checked_at = 0.0
         self._frontend: Frontend | None = None
@@ -243,6 +245,11 @@
 
     # Routes and endpoints
 
+    def follow_routes(self, follower: PrefixFollower) -> None:
+        """Read the routes through the follower of their keys."""
+        self.refresh_routes = follower.refresh
+        self.routes_age_s = lambda: follower.age_s
+
     def apply_routes(self, table: RouteTable) -> None:
         """Put newer routes in force.
 
@@ -480,6 +487,13 @@
             caller = table.identify(database, digest)
         except ProxyError as error:
             self.metrics.count("refused_sessions", reason=error.kind.value)
+            self.gateway.request_log.write(
+                "session_refused",
+                database=database,
+                reason=error.kind.value,
+                routes_version=table.version,
+                routes_age_s=round(self.routes_age_s(), 2),
+            )
             raise
         return ForwardingSession(
             database, gateway=self.gateway, homes=self._homes, caller=caller
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -88,7 +88,7 @@
             random=random,
             history=store.history,
         )
-        self.node.refresh_routes = self._config.refresh
+        self.node.follow_routes(self._config)
 
     async def start(self) -> None:
         """Open the listeners, then start the node and its watches of the platform.
