--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -248,6 +248,24 @@
             await asyncio.sleep(ROUTES_RETRY_S / 10)
         assert len(reads) <= 11
 
+    @pytest.mark.parametrize("forwards", [True, False])
+    async def test_a_newer_version_is_read_by_homes_as_well(
+        self, deployment: Deployment, monkeypatch: pytest.MonkeyPatch, forwards: bool
+    ) -> None:
+        """Guards against a home that ignores what other homes report."""
+        monkeypatch.setattr(HomeSelector, "is_forwarding_only", forwards)
+        node = deployment.nodes["vm-b"]
+        read = asyncio.Event()
+
+        async def refresh_routes() -> bool:
+            read.set()
+            return True
+
+        node.refresh_routes = refresh_routes
+        status = HomeStatus([], isolated=False, leaving=False, routes_version=2)
+        node._apply_home_update(SimpleNamespace(status=status, endpoints=None))
+        await asyncio.wait_for(read.wait(), timeout=1)
+
 
 class TestVotes:
     async def test_the_homes_object_while_another_vm_suspects_a_live_primary(
