Leave time to reconnect within the bound on the config

What callers saw: added routes and keys refused by a VM for longer than the bound after a change was acknowledged (CONFIG), where its connection to the store had gone silent.

Cause: the long poll waited 0.5 s less than config_apply_ms and counted as broken 0.5 s after its wait, so a dead connection took the whole bound, and the pause, the new connection and the read came on top. Sites with a contact_ms of 1 s more than the bound hid it; where both are 5 s the change came after 5.15 s.

The wait now ends 1.5 s before the longer of config_apply_ms and contact_ms, the two times that a VM has after its connections failed: 2.5 s as before where they are 3 and 4 s, 3.5 instead of 4.5 s where both are 5 s.

--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -39,6 +39,7 @@
 from celeryjunction.ports import BootClock, Clock, WatchEvent
 from celeryjunction.relay.placement import MIN_CORES
 from celeryjunction.replication.register import EndpointRegister
+from celeryjunction.watch_wait import WatchWait
 
 SETTINGS_POLL_S = 2.0
 """Interval at which the settings file is read: it may change without a SIGHUP."""
@@ -59,9 +60,9 @@
         self._clock = clock
         self._dialer = LineDialer(client_name=settings.node_name, clock=clock)
         self._store_client = HttpClient(*split_address(settings.platform.address))
-        self._store = store = HttpStore(
-            self._store_client, config_apply_ms=settings.bounds.config_apply_ms
-        )
+        bounds = settings.bounds
+        self._store = store = HttpStore(self._store_client)
+        store.watch_wait = WatchWait(bounds.config_apply_ms, bounds.contact_ms)
         self._config = PrefixFollower(store, CONFIG_PREFIX, clock=clock, random=random)
         self._config.is_small = True
         self._config.subscribe(self._apply_config)
--- a/src/celeryjunction/platform/settings.py
+++ b/src/celeryjunction/platform/settings.py
@@ -47,6 +47,8 @@
     """Time from SIGTERM to SIGKILL."""
     config_apply_ms: Amount = 3000.0
     """Time after which a changed config must be in force."""
+    contact_ms: Amount = 0.0
+    """Time for which a VM whose connections failed is not held to such bounds."""
     quota_window_s: Amount = 5.0
     quota_overrun: Amount = 0.1
     quota_slack: Amount = 20.0
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -244,15 +244,12 @@
         if not history.is_current_revision(after):
             raise WatchCompacted("the store was restored from a copy")
         call = self._evidence.begin()
+        number = local_revision(after)
         try:
             response = await self._call(
                 "GET",
                 "/kv-watch",
-                query={
-                    "prefix": "",
-                    "after": local_revision(after),
-                    "wait_ms": wait_ms,
-                },
+                query={"prefix": "", "after": number, "wait_ms": wait_ms},
                 timeout=wait_ms / 1000 + WATCH_TIMEOUT_MARGIN_S,
                 accept=(200, 410),
                 long_poll=True,
--- a/src/celeryjunction/watch_wait.py
+++ b/src/celeryjunction/watch_wait.py
@@ -10,9 +10,11 @@
 from celeryjunction.shared_watch import BATCH_DELAY_S
 
 MIN_WAIT_MS = 500
-WAIT_MARGIN_MS = 500
-"""A long poll waits this much less than the platform's bound on the config, so that a
-dead connection is noticed in time."""
+RECOVERY_MS = 1500
+"""A long poll waits this much less than a VM has to notice a change over a dead
+connection: 0.5 s until the poll counts as unanswered, then time to connect again, also
+if the first attempt fails, and to list the keys if the service has discarded the
+changes in between."""
 PEER_REPORTED_WAIT_MS = 6000
 """Wait while a peer reports changes within a second."""
 WAIT_AFTER_FAILURE_MS = 500
@@ -22,14 +24,18 @@
 class WatchWait:
     """Wait of the next long poll; changes must be seen within `bound_ms`.
 
-    While `peer_reports_changes` is set, another VM reports them as well, and fewer
-    calls suffice.
+    After its connections were reset or fell silent, a VM is not held to the bound for
+    `contact_ms`, so that it has the longer of the two times to notice a dead
+    connection. While `peer_reports_changes` is set, another VM reports changes as well,
+    and fewer calls suffice.
     """
 
     __slots__ = ("failed", "longest_alone_ms", "peer_reports_changes")
 
-    def __init__(self, bound_ms: float) -> None:
-        self.longest_alone_ms = max(int(bound_ms) - WAIT_MARGIN_MS, MIN_WAIT_MS)
+    def __init__(self, bound_ms: float, contact_ms: float = 0.0) -> None:
+        allowed_ms = int(max(bound_ms, contact_ms))
+        wait_ms = max(allowed_ms - RECOVERY_MS, allowed_ms // 2)
+        self.longest_alone_ms = max(wait_ms, MIN_WAIT_MS)
         """Longest wait of a VM without such a peer."""
         self.peer_reports_changes = False
         self.failed = False
--- a/tests/test_odd_settings.py
+++ b/tests/test_odd_settings.py
@@ -32,7 +32,7 @@
         counts=(),
     )
 )
-for _name in ("drain_ms", "grace_s", "config_apply_ms"):
+for _name in ("drain_ms", "grace_s", "config_apply_ms", "contact_ms"):
     ODD_SETTINGS |= {
         f"{_name}: {kind}": encode_with(
             SETTINGS, "bounds", encode_with(SETTINGS["bounds"], _name, number)
