Let a home read the config when another home reports a newer version

Cause: only VMs that forward all their statements took the version in a home's status as a reason to read the config. A home that forwards some groups to other homes of its zone ignored it, so with a dead watch of its own it kept the old config although its neighbours reported the new one every 0.2 s.

--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -560,9 +560,14 @@
         return self._homes.is_forwarding_only
 
     def _apply_home_update(self, link: HomeLink) -> None:
-        """Take over endpoints and routes from a home if this VM is not one itself."""
+        """Read newer routes; take over endpoints if this VM is not a home itself."""
         status, listed = link.status, link.endpoints
-        if status is None or not self._homes.is_forwarding_only:
+        if status is None:
+            return
+        table = self.gateway.table
+        if table is not None and status.routes_version > table.version:
+            self._refresh_routes(status.routes_version)
+        if not self._homes.is_forwarding_only:
             return
         if listed is not None and listed.version == status.endpoints_version:
             self._register.update_from_peer(
@@ -571,10 +576,7 @@
                 revision=listed.revision,
                 peer=link.vm,
             )
-        table = self.gateway.table
         self._routes_checked_at = self._clock.monotonic()
-        if table is not None and status.routes_version > table.version:
-            self._refresh_routes(status.routes_version)
 
     def _refresh_routes(self, version: int = 0) -> None:
         """Read the routes, of which a home has `version` in force."""
