Count a home's report of the config only from when the store answered it

Cause: each status of a home counted as a check of the config, also while the home's own watch was dead.

A status now has routes_age_s, the time since the store last answered the home for its config. The decision is RoutesCheck, apart from the node. Homes of an earlier version send no age and count as before.

test_homes_that_the_store_does_not_answer_confirm_nothing: the list is made within 5 s of the silence; before, statuses of dead homes led to none.

--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -49,6 +49,7 @@
 from celeryjunction.relay.homes import HomeSelector
 from celeryjunction.relay.messages import EndpointList, HomeStatus
 from celeryjunction.relay.placement import is_crowded
+from celeryjunction.relay.routes_check import REPORT_MARGIN_S, RoutesCheck
 from celeryjunction.relay.session import ForwardingSession
 from celeryjunction.replication.control import REACHABLE
 from celeryjunction.replication.drain_watch import neighbours
@@ -79,8 +80,6 @@
 NON_HOME_IDLE_TIMEOUT_S = 1.5
 """Idle connections of a VM that is not a home are closed after this: such a VM opens
 connections only while it reaches no home."""
-HOME_STATUS_TIMEOUT_S = 2.0
-"""The routes are read after this time without a status from a home."""
 ROUTES_RETRY_S = 0.3
 """Pause after a read of the routes that failed, or was older than a home's."""
 FIRST_LIST_TIMEOUT_S = 1.0
@@ -203,10 +202,8 @@
         )
         self.refresh_routes: Callable[[], Awaitable[bool]] = _no_refresh
         """Reads the routes at once; returns whether that succeeded."""
-        self.routes_age_s: Callable[[], float] = lambda: 0.0
-        """Seconds since the store last answered for the routes."""
+        self._routes_check = RoutesCheck()
         self._refresh_task: asyncio.Task[None] | None = None
-        self._routes_checked_at = 0.0
         self._frontend: Frontend | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._draining = False
@@ -245,10 +242,15 @@
 
     # Routes and endpoints
 
-    def follow_routes(self, follower: PrefixFollower) -> None:
-        """Read the routes through the follower of their keys."""
+    def follow_routes(self, follower: PrefixFollower, *, silence_s: float) -> None:
+        """Read the routes through the follower of their keys.
+
+        A home's watch of them is answered every `silence_s` seconds at least.
+        """
         self.refresh_routes = follower.refresh
-        self.routes_age_s = lambda: follower.age_s
+        self._routes_check = RoutesCheck(
+            own_age_s=lambda: follower.age_s, max_age_s=silence_s + REPORT_MARGIN_S
+        )
 
     def apply_routes(self, table: RouteTable) -> None:
         """Put newer routes in force.
@@ -492,7 +494,7 @@
                 database=database,
                 reason=error.kind.value,
                 routes_version=table.version,
-                routes_age_s=round(self.routes_age_s(), 2),
+                routes_age_s=round(self._routes_check.own_age_s, 2),
             )
             raise
         return ForwardingSession(
@@ -552,6 +554,7 @@
             endpoints_version=self._register.version,
             endpoints_age_s=self._register.age_s,
             reached=[name for name, group in groups if group.reached_at >= oldest],
+            routes_age_s=self._routes_check.own_age_s,
         )
 
     @property
@@ -576,11 +579,13 @@
                 revision=listed.revision,
                 peer=link.vm,
             )
-        self._routes_checked_at = self._clock.monotonic()
+        now = self._clock.monotonic()
+        self._routes_check.record_report(status.routes_age_s, now=now)
+        self._refresh_stale_routes()
 
     def _refresh_routes(self, version: int = 0) -> None:
         """Read the routes, of which a home has `version` in force."""
-        self._routes_checked_at = self._clock.monotonic()
+        self._routes_check.record_read(now=self._clock.monotonic())
         if self._refresh_task is None or self._refresh_task.done():
             self._refresh_task = self.start_task(self._read_routes(version))
 
@@ -592,13 +597,11 @@
             await asyncio.sleep(ROUTES_RETRY_S)
 
     def _refresh_stale_routes(self) -> None:
-        """Read the routes if the homes have stopped reporting changes."""
-        silent_s = self._clock.monotonic() - self._routes_checked_at
-        if self._routes_checked_at and silent_s >= HOME_STATUS_TIMEOUT_S:
+        """Read the routes if no home has confirmed them recently."""
+        if self._routes_check.is_due(now=self._clock.monotonic()):
             self._refresh_routes()
             if any(map(self._homes.is_home, self.gateway.groups)):
-                # As a home, this VM polls the routes often enough itself.
-                self._routes_checked_at = 0.0
+                self._routes_check.stop_reports()
 
     @property
     def _is_isolated(self) -> bool:
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -62,7 +62,7 @@
         self._store_client = HttpClient(*split_address(settings.platform.address))
         bounds = settings.bounds
         self._store = store = HttpStore(self._store_client)
-        store.watch_wait = WatchWait(bounds.config_apply_ms, bounds.contact_ms)
+        store.watch_wait = wait = WatchWait(bounds.config_apply_ms, bounds.contact_ms)
         self._config = PrefixFollower(store, CONFIG_PREFIX, clock=clock, random=random)
         self._config.is_small = True
         self._config.subscribe(self._apply_config)
@@ -72,7 +72,7 @@
             decode=decode_endpoint,
             clock=clock,
             random=random,
-            watch_silence_s=store.watch_wait.longest_silence_s,
+            watch_silence_s=wait.longest_silence_s,
         )
         promotion_client = HttpClient(*split_address(settings.cloud_api.address))
         self.node = Node(
@@ -89,7 +89,7 @@
             random=random,
             history=store.history,
         )
-        self.node.follow_routes(self._config)
+        self.node.follow_routes(self._config, silence_s=wait.longest_silence_s)
 
     async def start(self) -> None:
         """Open the listeners, then start the node and its watches of the platform.
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -36,10 +36,8 @@
     local_lease,
     local_revision,
 )
-from celeryjunction.watch_wait import WatchWait
+from celeryjunction.watch_wait import ANSWER_MARGIN_MS, WatchWait
 
-WATCH_TIMEOUT_MARGIN_S = 0.5
-"""A long poll without a response this long after its wait is taken as broken."""
 ERA_HEADER = "store-era"
 """Header of all responses: how often the store came back from an older copy."""
 
@@ -250,7 +248,7 @@
                 "GET",
                 "/kv-watch",
                 query={"prefix": "", "after": number, "wait_ms": wait_ms},
-                timeout=wait_ms / 1000 + WATCH_TIMEOUT_MARGIN_S,
+                timeout=(wait_ms + ANSWER_MARGIN_MS) / 1000,
                 accept=(200, 410),
                 long_poll=True,
             )
--- a/src/celeryjunction/relay/messages.py
+++ b/src/celeryjunction/relay/messages.py
@@ -86,6 +86,8 @@
     """Seconds since the endpoint register confirmed that list."""
     reached: list[str] = []
     """Groups of which an endpoint recently answered the home."""
+    routes_age_s: Amount = 0.0
+    """Seconds since the store last answered the home for its routes."""
 
 
 class EndpointList(msgspec.Struct, frozen=True, array_like=True, tag="endpoints"):
--- a/src/celeryjunction/watch_wait.py
+++ b/src/celeryjunction/watch_wait.py
@@ -10,11 +10,12 @@
 from celeryjunction.shared_watch import BATCH_DELAY_S
 
 MIN_WAIT_MS = 500
+ANSWER_MARGIN_MS = 500
+"""A long poll without a response this long after its wait is taken as broken."""
 RECOVERY_MS = 1500
 """A long poll waits this much less than a VM has to notice a change over a dead
-connection: 0.5 s until the poll counts as unanswered, then time to connect again, also
-if the first attempt fails, and to list the keys if the service has discarded the
-changes in between."""
+connection: `ANSWER_MARGIN_MS`, then time to connect again, also if the first attempt
+fails, and to list the keys if the service has discarded the changes in between."""
 PEER_REPORTED_WAIT_MS = 6000
 """Wait while a peer reports changes within a second."""
 WAIT_AFTER_FAILURE_MS = 500
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -266,6 +266,34 @@
         node._apply_home_update(SimpleNamespace(status=status, endpoints=None))
         await asyncio.wait_for(read.wait(), timeout=1)
 
+    async def test_homes_that_the_store_does_not_answer_confirm_nothing(
+        self, deployment: Deployment, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a zone that keeps old routes while its homes report them."""
+        monkeypatch.setattr(HomeSelector, "is_forwarding_only", True)
+        loop = asyncio.get_running_loop()
+        node, silent_at = deployment.nodes["vm-b"], loop.time()
+        reads = []
+
+        class DeadFollower:
+            @property
+            def age_s(self) -> float:
+                return loop.time() - silent_at
+
+            async def refresh(self) -> bool:
+                reads.append(loop.time() - silent_at)
+                return False
+
+        node.follow_routes(DeadFollower(), silence_s=4.5)
+        home = deployment.nodes["vm-c"]
+        home.follow_routes(DeadFollower(), silence_s=4.5)
+        while loop.time() < silent_at + 10:
+            link = SimpleNamespace(status=home._home_status(), endpoints=None)
+            node._apply_home_update(link)
+            await asyncio.sleep(0.2)
+        assert reads
+        assert reads[0] <= 5.0
+
 
 class TestVotes:
     async def test_the_homes_object_while_another_vm_suspects_a_live_primary(
--- a/tests/test_odd_frames.py
+++ b/tests/test_odd_frames.py
@@ -59,6 +59,7 @@
         "endpoints_version": 1,
         "endpoints_age_s": 0.5,
         "reached": [],
+        "routes_age_s": 0.5,
     }
     return msgspec.msgpack.encode(("pulse", *(fields | changes).values()))
 
@@ -88,6 +89,8 @@
             ("endpoints_age_s", -1.0),
             ("endpoints_age_s", math.nan),
             ("endpoints_age_s", math.inf),
+            ("routes_age_s", -1.0),
+            ("routes_age_s", math.inf),
         )
     },
 }
@@ -109,6 +112,7 @@
     def test_frames_within_range_are_decoded(self) -> None:
         assert decode_from_home(endpoints_frame()).endpoints[0].port == 8080
         assert decode_from_home(status_frame()).endpoints_age_s == 0.5
+        assert decode_from_home(status_frame()).routes_age_s == 0.5
 
 
 class TestHomeServer:
