Do not join a shared watch that is being cancelled

When the last prefix leaves, the long poll is cancelled, but the task ends only in a later turn of the event loop. A prefix that joined in between waited for a poll that nobody made, until another prefix joined.

test_a_watch_that_begins_as_the_last_one_ends_is_served timed out before and passes now.

--- a/src/celeryjunction/shared_watch.py
+++ b/src/celeryjunction/shared_watch.py
@@ -148,6 +148,7 @@
         self._subscribers.discard(subscriber)
         if not self._subscribers and self._task is not None:
             self._task.cancel()
+            self._task = None
 
     async def _run(self) -> None:
         while True:
--- a/tests/test_shared_watch.py
+++ b/tests/test_shared_watch.py
@@ -141,6 +141,19 @@
         service.put("a/1")
         assert await collect(service, "a/", 1) == ["a/1"]
 
+    async def test_a_watch_that_begins_as_the_last_one_ends_is_served(self) -> None:
+        """Guards against joining a call that is being cancelled."""
+        service = Service()
+        service.put("op/config")
+        first = service.watch.watch("op/", start_revision=1)
+        assert (await anext(first)).key == "op/config"
+        await first.aclose()
+        second = service.watch.watch("op/", start_revision=2)
+        async with asyncio.timeout(2 * WAIT_S):
+            event = await anext(second)
+        assert event.revision == 1
+        await second.aclose()
+
     async def test_no_call_waits_when_nobody_watches(self) -> None:
         service = Service()
         task = asyncio.create_task(collect(service, "a/", 1))
