Read the config over a busy link instead of beginning again

What callers may see: a VM with a narrow link refuses added routes for as long as the link is busy.

Cause: a VM is held to its bounds while packets wait for up to 0.5 s at its link, so a call may take 2 s for its two round trips. A connection was given up after 0.7 s, a list after 1 s, and a watch whenever any other call got no answer; each began again from nothing.

A request now goes on with its first attempt to connect and begins others beside it; the config is listed after each failure, with a time-out of 2.5 s. Channels of the promotion call keep their 0.7 s.

test_a_change_comes_over_a_busy_link_within_the_bound failed before the change of the follower and passes now; TestConnect tests the new code of the client, and has no counterpart before.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -16,9 +16,14 @@
     HttpResponseParser,
 )
 
-CONNECT_TIMEOUT_S = 0.7
+CONNECT_RETRY_S = 0.7
 """Connecting takes one round trip of a few ms. The system resends a lost first packet
-only after 1 s, so a new attempt before then loses no time."""
+only after 1 s, so that another attempt is begun before then. The earlier ones go on,
+since packets may wait for longer in a busy link."""
+MAX_CONNECT_ATTEMPTS = 3
+"""Attempts of a request at the same time; the oldest is given up for a further one."""
+CHANNEL_CONNECT_TIMEOUT_S = 0.7
+"""Time-out of the connection of a channel, whose owner tries again by itself."""
 UNDELIVERED_LIMIT_MS = 5000
 """Bytes of a channel that stay unacknowledged are given up after this, also if the
 process stands still. Shorter than the time after which a promotion call counts as lost
@@ -247,7 +252,8 @@
         The end of the process resets it as well.
         """
         try:
-            connection = await self._connect()
+            async with asyncio.timeout(CHANNEL_CONNECT_TIMEOUT_S):
+                connection = await self._open_connection()
         except (TimeoutError, OSError) as error:
             reason = f"no connection: {type(error).__name__}"
             raise HttpFailure(reason) from None
@@ -255,11 +261,31 @@
         return HttpChannel(self._encode, connection)
 
     async def _connect(self) -> _Connection:
+        """Return the first connection of several attempts; raises `OSError`."""
+        attempts: list[asyncio.Task[_Connection]] = []
+        try:
+            while True:
+                if len(attempts) == MAX_CONNECT_ATTEMPTS:
+                    _give_up(attempts.pop(0))
+                attempts.append(asyncio.create_task(self._open_connection()))
+                done, _ = await asyncio.wait(
+                    attempts,
+                    timeout=CONNECT_RETRY_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if done:
+                    first = next(attempt for attempt in attempts if attempt in done)
+                    attempts.remove(first)
+                    return first.result()
+        finally:
+            for attempt in attempts:
+                _give_up(attempt)
+
+    async def _open_connection(self) -> _Connection:
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, connection = await loop.create_connection(
-                _Connection, self._host, self._port
-            )
+        _, connection = await loop.create_connection(
+            _Connection, self._host, self._port
+        )
         return connection
 
     def abort_long_polls(self) -> None:
@@ -279,6 +305,17 @@
             connection.abort()
 
 
+def _give_up(attempt: asyncio.Task[_Connection]) -> None:
+    """Cancel an attempt to connect, and close what it has opened meanwhile."""
+
+    def close(ended: asyncio.Task[_Connection]) -> None:
+        if not ended.cancelled() and ended.exception() is None:
+            ended.result().abort()
+
+    attempt.cancel()
+    attempt.add_done_callback(close)
+
+
 class HttpChannel:
     """A connection of one caller, who knows which requests it has carried.
 
--- a/src/celeryjunction/follower.py
+++ b/src/celeryjunction/follower.py
@@ -28,13 +28,14 @@
 _MAX_LIST_TIMEOUT_S = 60.0
 """The timeout for lists doubles up to this after each failure: when all VMs list 33,000
 groups at once, 5 s may be too short for each of them on every attempt."""
-_SMALL_LIST_TIMEOUT_S = 1.0
-"""Time-out for lists of few keys, which take some ms. It does not grow: a call that is
-sent as the service falls silent gets no answer when the service is back."""
+_SMALL_LIST_TIMEOUT_S = 2.5
+"""Time-out for lists of few keys, which take some ms, or 2 s over a link on which
+packets wait for 0.5 s in each direction. It does not grow: a call that is sent as the
+service falls silent gets no answer when the service is back."""
 _SMALL_MAX_BACKOFF_S = 0.5
-"""Longest pause between such lists. With the time-out, a change is in force 1.5 s after
+"""Longest pause between such lists. With the time-out, a change is in force 3 s after
 the service is back."""
-REFRESH_TIMEOUT_S = 1.5
+REFRESH_TIMEOUT_S = _SMALL_LIST_TIMEOUT_S
 """Time-out of a list besides the watch. It does not grow with failures: while one
 waits on a dead connection, no other is made."""
 RECONNECTS_PER_S = 1_500
@@ -63,8 +64,10 @@
     pauses longer with many VMs.
 
     With `is_small` set, the prefix has few keys, and a list without an answer is given
-    up soon. With `keep_values=False` only keys and revisions are kept, for subscribers
-    that store the values in another form.
+    up soon. With `lists_after_failure` set, the keys are listed after each failure: a
+    watch is given up whenever another call gets no answer, a list is not. With
+    `keep_values=False` only keys and revisions are kept, for subscribers that store the
+    values in another form.
     """
 
     __slots__ = (
@@ -87,6 +90,7 @@
         "_subscribers",
         "_synced_listeners",
         "is_small",
+        "lists_after_failure",
         "synced",
     )
 
@@ -103,6 +107,7 @@
         sleep: Sleep = asyncio.sleep,
     ) -> None:
         self.is_small = False
+        self.lists_after_failure = False
         self._store = store
         self._prefix = prefix
         self._clock = clock
@@ -191,6 +196,7 @@
                     age_s=self._logged_age_s,
                     reason=str(error),
                 )
+                self._needs_list = self._needs_list or self.lists_after_failure
             await self._back_off()
 
     async def refresh(self) -> bool:
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -64,7 +64,7 @@
         self._store = store = HttpStore(self._store_client)
         store.watch_wait = wait = WatchWait(bounds.config_apply_ms, bounds.contact_ms)
         self._config = PrefixFollower(store, CONFIG_PREFIX, clock=clock, random=random)
-        self._config.is_small = True
+        self._config.is_small = self._config.lists_after_failure = True
         self._config.subscribe(self._apply_config)
         register = EndpointRegister(
             store,
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -1,9 +1,10 @@
-"""Config changes while connections to the store are silent, in simulated time."""
+"""Config changes over silent connections and busy links, in simulated time."""
 
 from __future__ import annotations
 
 import asyncio
 import base64
+import math
 from random import Random
 from urllib.parse import parse_qsl
 
@@ -11,7 +12,12 @@
 import pytest
 from fakes import ManualClock, event_loop_policy  # noqa: F401
 
-from celeryjunction.adapters.http_client import HttpFailure, HttpResponse
+from celeryjunction.adapters.http_client import (
+    CONNECT_RETRY_S,
+    HttpClient,
+    HttpFailure,
+    HttpResponse,
+)
 from celeryjunction.follower import PrefixFollower
 from celeryjunction.platform.store import HttpStore
 from celeryjunction.ports import StoreUnavailable, WatchEvent
@@ -20,6 +26,9 @@
 """Bound on a change, and time for which a VM whose connections fell silent is not held
 to it: `config_apply_ms` and `contact_ms` of the largest deployments."""
 ANSWER_S = 0.004
+BUSY_S = 2.0
+"""A call over a link on which packets wait for 0.5 s in each direction: one round trip
+to connect and one for the request. Operators expect a VM to keep its bounds there."""
 KEY = "op/config"
 
 
@@ -33,9 +42,11 @@
     def __init__(self) -> None:
         self.polled = asyncio.Event()
         self.compacted = 0
+        self.call_s = ANSWER_S
         self._revision = 1
         self._changed = asyncio.Condition()
         self._silent = asyncio.Event()
+        self._polls: set[asyncio.Future[HttpResponse]] = set()
 
     async def change(self) -> None:
         """Write the key again."""
@@ -49,7 +60,9 @@
         self._silent = asyncio.Event()
 
     def abort_long_polls(self) -> None:
-        """Do nothing: a request that timed out leaves none to abort."""
+        """Fail the long polls, as another call that got no response does."""
+        for poll in self._polls:
+            poll.cancel()
 
     async def request(
         self, method: str, path: str, *, timeout: float, **_: object
@@ -57,6 +70,8 @@
         call, _, query = path.partition("?")
         silent = self._silent
         answer = asyncio.ensure_future(self._answer(call, dict(parse_qsl(query))))
+        if call == "/kv-watch":
+            self._polls.add(answer)
         silenced = asyncio.ensure_future(silent.wait())
         try:
             async with asyncio.timeout(timeout):
@@ -65,15 +80,18 @@
                 )
                 if silenced.done():
                     await asyncio.Event().wait()
+                if answer.cancelled():
+                    raise HttpFailure("the connection was closed")
                 return await answer
         except TimeoutError:
             raise HttpFailure(f"{call}: no response: TimeoutError") from None
         finally:
+            self._polls.discard(answer)
             answer.cancel()
             silenced.cancel()
 
     async def _answer(self, call: str, query: dict[str, str]) -> HttpResponse:
-        await asyncio.sleep(ANSWER_S)
+        await asyncio.sleep(self.call_s)
         item = {
             "key": KEY,
             "revision": self._revision,
@@ -99,35 +117,68 @@
     return HttpResponse(200, msgspec.json.encode(body))
 
 
-class TestConfigOfAHome:
-    """A VM that learns of changes by its own watch alone."""
+class Home:
+    """A VM that learns of config changes by its own watch alone."""
+
+    def __init__(self, service: SilentStore) -> None:
+        self._service = service
+        self._versions: dict[int, float] = {}
+        store = HttpStore(service, config_apply_ms=BOUND_S * 1000)
+        self._config = PrefixFollower(
+            store, "op/", clock=ManualClock(), random=Random(1)
+        )
+        self._config.is_small = self._config.lists_after_failure = True
+        self._config.set_vm_count(71)
+        self._config.subscribe(self._record)
+        self._task = asyncio.create_task(self._config.run())
+
+    def _record(self, event: WatchEvent) -> None:
+        now = asyncio.get_running_loop().time()
+        self._versions.setdefault(event.revision, now)
+
+    async def time_until_in_force(self) -> float:
+        """Change the config; return the seconds until it is in force, or infinity."""
+        changed_at = asyncio.get_running_loop().time()
+        await self._service.change()
+        await asyncio.sleep(2 * BOUND_S)
+        newer = [at for at in self._versions.values() if at >= changed_at]
+        return min(newer, default=math.inf) - changed_at
+
+    def close(self) -> None:
+        self._task.cancel()
 
+
+class TestConfigOfAHome:
     @pytest.mark.parametrize("compacted", [False, True])
     async def test_a_change_after_a_silence_is_in_force_within_the_bound(
         self, compacted: bool
     ) -> None:
         """Guards against noticing a dead watch only when the bound has passed."""
         service = SilentStore()
-        store = HttpStore(service, config_apply_ms=BOUND_S * 1000)
-        seen: list[tuple[float, WatchEvent]] = []
-        loop = asyncio.get_running_loop()
-        follower = PrefixFollower(store, "op/", clock=ManualClock(), random=Random(1))
-        follower.is_small = True
-        follower.set_vm_count(71)
-        follower.subscribe(lambda event: seen.append((loop.time(), event)))
-        task = asyncio.create_task(follower.run())
-        try:
-            await asyncio.wait_for(service.polled.wait(), timeout=BOUND_S)
-            silent_at = loop.time()
-            service.silence()
-            service.compacted = 2 if compacted else 0
-            await service.change()
-            await asyncio.sleep(2 * BOUND_S)
-        finally:
-            task.cancel()
-        changes = [at for at, event in seen if event.revision > 1]
-        assert changes
-        assert changes[0] - silent_at <= BOUND_S
+        home = Home(service)
+        await asyncio.wait_for(service.polled.wait(), timeout=BOUND_S)
+        service.silence()
+        service.compacted = 2 if compacted else 0
+        assert await home.time_until_in_force() <= BOUND_S
+        home.close()
+
+    async def test_a_change_comes_over_a_busy_link_within_the_bound(self) -> None:
+        """Guards against reads that are given up and begun again without end."""
+        service = SilentStore()
+        home = Home(service)
+        await asyncio.wait_for(service.polled.wait(), timeout=BOUND_S)
+        service.call_s = BUSY_S
+
+        async def fail_other_calls() -> None:
+            while True:
+                service.abort_long_polls()
+                await asyncio.sleep(0.5)
+
+        failing = asyncio.create_task(fail_other_calls())
+        for _ in range(3):
+            assert await home.time_until_in_force() <= BOUND_S
+        failing.cancel()
+        home.close()
 
     async def test_a_poll_that_was_never_answered_is_unavailable(self) -> None:
         """Guards against a watch that waits without end."""
@@ -138,3 +189,61 @@
         service.silence()
         with pytest.raises(StoreUnavailable):
             await asyncio.wait_for(watch, timeout=BOUND_S + 1)
+
+
+class Opened:
+    """A connection that was established; whether it was closed again."""
+
+    def __init__(self) -> None:
+        self.closed = False
+
+    def abort(self) -> None:
+        self.closed = True
+
+
+class SlowClient(HttpClient):
+    """Connects after the given times in seconds, one for each attempt."""
+
+    def __init__(self, *delays: float) -> None:
+        super().__init__("127.0.0.1", 1)
+        self._delays = iter(delays)
+        self.opened: list[Opened] = []
+
+    async def _open_connection(self) -> Opened:
+        delay = next(self._delays, math.inf)
+        if delay == math.inf:
+            await asyncio.Event().wait()
+        await asyncio.sleep(delay)
+        self.opened.append(Opened())
+        return self.opened[-1]
+
+
+class TestConnect:
+    @pytest.mark.parametrize(
+        ("delays", "expected_s"),
+        [
+            pytest.param((0.01,), 0.01, id="at once"),
+            pytest.param((0.9,), 0.9, id="busy link"),
+            pytest.param((math.inf, 0.01), CONNECT_RETRY_S + 0.01, id="lost packet"),
+            pytest.param((0.9, 0.2, 0.2), 0.9, id="two at once"),
+        ],
+    )
+    async def test_the_first_connection_is_used(
+        self, delays: tuple[float, ...], expected_s: float
+    ) -> None:
+        """Guards against giving up a connection whose packets wait in a busy link."""
+        client, loop = SlowClient(*delays), asyncio.get_running_loop()
+        started = loop.time()
+        connection = await client._connect()
+        assert loop.time() - started == pytest.approx(expected_s, abs=0.01)
+        await asyncio.sleep(2)
+        assert [other for other in client.opened if not other.closed] == [connection]
+
+    async def test_attempts_end_with_the_request(self) -> None:
+        """Guards against connections that nobody uses or closes."""
+        client = SlowClient(*[2.5] * 8)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(2.0):
+                await client._connect()
+        await asyncio.sleep(5)
+        assert not client.opened
