Send a list of few keys again beside one that is not answered

Both tests are unchanged.

A list of few keys is begun again after 1 s beside the one that waits, which may take 2.5 s, and the first answer is used. A refresh has its 1.5 s again.

--- a/src/celeryjunction/follower.py
+++ b/src/celeryjunction/follower.py
@@ -30,12 +30,14 @@
 groups at once, 5 s may be too short for each of them on every attempt."""
 _SMALL_LIST_TIMEOUT_S = 2.5
 """Time-out for lists of few keys, which take some ms, or 2 s over a link on which
-packets wait for 0.5 s in each direction. It does not grow: a call that is sent as the
-service falls silent gets no answer when the service is back."""
+packets wait for 0.5 s in each direction."""
+_SMALL_LIST_RETRY_S = 1.0
+"""Such a list is sent again beside one that got no answer for this long: a call that is
+sent as the service falls silent gets none when the service is back."""
 _SMALL_MAX_BACKOFF_S = 0.5
-"""Longest pause between such lists. With the time-out, a change is in force 3 s after
-the service is back."""
-REFRESH_TIMEOUT_S = _SMALL_LIST_TIMEOUT_S
+"""Longest pause between such lists. A change is in force 1.5 s after the service is
+back."""
+REFRESH_TIMEOUT_S = 1.5
 """Time-out of a list besides the watch. It does not grow with failures: while one
 waits on a dead connection, no other is made."""
 RECONNECTS_PER_S = 1_500
@@ -174,7 +176,9 @@
         """Follow the prefix until cancelled."""
         while True:
             try:
-                if self._needs_list:
+                if self._needs_list and self.is_small:
+                    await self._apply_list(self._list_small())
+                elif self._needs_list:
                     await self._relist(self._list_timeout_s)
                 await self._watch()
             except WatchCompacted as error:
@@ -228,14 +232,40 @@
 
     @property
     def _list_timeout_s(self) -> float:
-        if self.is_small:
-            return _SMALL_LIST_TIMEOUT_S
         timeout = _LIST_TIMEOUT_S * 2 ** min(self._failures, 16)
         return min(timeout, _MAX_LIST_TIMEOUT_S)
 
+    async def _list_small(self) -> KeyValueList:
+        """List few keys; send the call again beside one that is not answered soon.
+
+        Raises what the first attempt to fail raises, if none was answered before.
+        """
+        attempts: set[asyncio.Task[KeyValueList]] = set()
+        try:
+            while True:
+                call = self._store.list(self._prefix, timeout=_SMALL_LIST_TIMEOUT_S)
+                attempts.add(asyncio.ensure_future(call))
+                pause = asyncio.ensure_future(self._sleep(_SMALL_LIST_RETRY_S))
+                try:
+                    await asyncio.wait(
+                        {*attempts, pause}, return_when=asyncio.FIRST_COMPLETED
+                    )
+                finally:
+                    pause.cancel()
+                ended = [attempt for attempt in attempts if attempt.done()]
+                if ended:
+                    ended.sort(key=lambda attempt: attempt.exception() is not None)
+                    return ended[0].result()
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
+
     async def _relist(self, timeout_s: float = _LIST_TIMEOUT_S) -> None:
+        await self._apply_list(self._store.list(self._prefix, timeout=timeout_s))
+
+    async def _apply_list(self, listing: Awaitable[KeyValueList]) -> None:
         known = self._revision
-        listed = await self._store.list(self._prefix, timeout=timeout_s)
+        listed = await listing
         if listed.losses < self._losses:
             raise StoreUnavailable("the list is from before a loss")
         if listed.losses == self._losses and listed.revision < self._revision:
