--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -245,7 +245,8 @@
     def follow_routes(self, follower: PrefixFollower, *, silence_s: float) -> None:
         """Read the routes through the follower of their keys.
 
-        A home's watch of them is answered every `silence_s` seconds at least.
+        While the store answers, a home's watch is answered every `silence_s` seconds or
+        more often.
         """
         self.refresh_routes = follower.refresh
         self._routes_check = RoutesCheck(
--- a/src/celeryjunction/relay/routes_check.py
+++ b/src/celeryjunction/relay/routes_check.py
@@ -39,7 +39,13 @@
     `max_age_s`.
     """
 
-    __slots__ = ("_confirmed_at", "_own_age_s", "_read_at", "_reported_at", "max_age_s")
+    __slots__ = (
+        "_confirmed_at",
+        "_max_age_s",
+        "_own_age_s",
+        "_read_at",
+        "_reported_at",
+    )
 
     def __init__(
         self,
@@ -47,7 +53,7 @@
         own_age_s: Callable[[], float] = lambda: 0.0,
         max_age_s: float = math.inf,
     ) -> None:
-        self.max_age_s = max_age_s
+        self._max_age_s = max_age_s
         self._own_age_s = own_age_s
         self._confirmed_at = -math.inf
         """When the store last confirmed the routes to a home that reported them."""
@@ -85,4 +91,4 @@
             return False
         if now - self._reported_at >= HOME_STATUS_TIMEOUT_S:
             return True
-        return min(now - self._confirmed_at, self.own_age_s) >= self.max_age_s
+        return min(now - self._confirmed_at, self.own_age_s) >= self._max_age_s
