Log the age of replaced routes, and why a long poll was aborted

routes_in_force names the age of the routes that it replaces, and watch_broken the call whose missing answer aborted the poll. No decision depends on either.

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -159,9 +159,14 @@
         self.closed = True
         self._transport.close()
 
-    def abort(self) -> None:
-        """Reset the connection, so that bytes not yet delivered are discarded."""
+    def abort(self, reason: str = "") -> None:
+        """Reset the connection, so that bytes not yet delivered are discarded.
+
+        A request that waits fails with the reason.
+        """
         self.closed = True
+        if reason:
+            self._fail(reason)
         self._ends_at_close = False
         sock = self._transport.get_extra_info("socket")
         if sock is not None and not self._transport.is_closing():
@@ -213,8 +218,8 @@
                 was_sent = True
                 response = await connection.request(data)
         except (TimeoutError, OSError) as error:
-            self.abort_long_polls()
             phase = "no response" if was_sent else "no connection"
+            self.abort_long_polls(f"aborted, as {name} got {phase}")
             raise HttpFailure(f"{name}: {phase}: {type(error).__name__}") from None
         finally:
             if connection is not None:
@@ -288,10 +293,10 @@
         )
         return connection
 
-    def abort_long_polls(self) -> None:
+    def abort_long_polls(self, reason: str = "") -> None:
         """End the requests whose responses the service holds back."""
         for connection in list(self._long_polls):
-            connection.abort()
+            connection.abort(reason)
 
     def close(self) -> None:
         """Close the connections that are open: those of long polls."""
--- a/src/celeryjunction/follower.py
+++ b/src/celeryjunction/follower.py
@@ -281,7 +281,6 @@
                 listed=listed.revision,
             )
             raise StoreUnavailable("the service listed an older revision")
-        self._record_contact()
         changes = self._differences(listed)
         _log.info(
             "keys_listed",
@@ -293,6 +292,7 @@
         )
         for event in changes:
             self._pass_on(event)
+        self._record_contact()
         self._revision, self._losses = listed.revision, listed.losses
         self._needs_list = False
         self.synced.set()
@@ -330,13 +330,13 @@
         events = self._store.watch(self._prefix, start_revision=self._revision + 1)
         try:
             async for event in events:
-                self._record_contact()
                 # The revision of a progress notification (an event without a key) is
                 # ignored: services may send it before changes that the watch has not
                 # delivered yet.
                 if event.key and event.revision >= self._revision:
                     self._apply(event)
                     self._revision = event.revision
+                self._record_contact()
         finally:
             if hasattr(events, "aclose"):
                 await events.aclose()
--- a/src/celeryjunction/gateway/gateway.py
+++ b/src/celeryjunction/gateway/gateway.py
@@ -39,8 +39,11 @@
         self.open_transactions = 0
         self.running = 0
 
-    def apply_routes(self, table: RouteTable) -> bool:
-        """Put routes in force if their version is newer; return whether it is."""
+    def apply_routes(self, table: RouteTable, *, age_s: float | None = None) -> bool:
+        """Put routes in force if their version is newer; return whether it is.
+
+        `age_s` is the age of the routes that they replace, for the log.
+        """
         previous = self.table
         if previous is not None and table.version <= previous.version:
             if table.version < previous.version:
@@ -57,6 +60,7 @@
             before=previous.version if previous else None,
             routes=len(table.routes),
             groups=len(table.groups),
+            previous_age_s=age_s,
         )
         return True
 
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -259,7 +259,8 @@
         They are not forwarded to the other VMs, since each change would then cost a
         call for each pair of VMs.
         """
-        if self.gateway.apply_routes(table):
+        age_s = round(self._routes_check.own_age_s, 2)
+        if self.gateway.apply_routes(table, age_s=age_s):
             self._apply_limits(table)
             self._end_revoked_sessions()
             self._update_topology()
