--- a/bench/config_lags.py
+++ b/bench/config_lags.py
@@ -66,6 +66,17 @@
                 version = next(f for f in fields if f.startswith(b"version="))
                 self.in_force[int(version[8:])] = time.monotonic()
 
+    async def ask(self, host: str) -> str:
+        """Open a session; return READY or the code of the error, "" without answer."""
+        client = LineClient(self.front_port)
+        try:
+            words = (await client.open(host)).split()
+        except (OSError, TimeoutError):
+            return ""
+        finally:
+            client.close()
+        return words[1] if words[:1] == ["ERROR"] else words[0] if words else ""
+
     def is_judged(self, now: float) -> bool:
         """Whether the process has run for the whole bound."""
         return self.running and now - self.started_at > BOUND_S
@@ -219,7 +230,7 @@
         acked_at = self._acks[version]
         applied = [at for v, at in edge.in_force.items() if v >= version]
         self.lags.append(min(applied, default=asked_at) - acked_at)
-        answer = await self._ask(edge, host)
+        answer = await edge.ask(host)
         if not edge.is_judged(asked_at) or not answer:
             return
         self.answers[answer] += 1
@@ -238,17 +249,6 @@
                 f"answers: {', '.join(faults) or 'none'}"
             )
 
-    async def _ask(self, edge: TimedEdge, host: str) -> str:
-        """Open a session; return the first word or the code of the answer."""
-        client = LineClient(edge.front_port)
-        try:
-            words = (await client.open(host)).split()
-        except (OSError, TimeoutError):
-            return ""
-        finally:
-            client.close()
-        return words[1] if words[:1] == ["ERROR"] else words[0] if words else ""
-
     async def _watch(self, edge: TimedEdge) -> None:
         """Ask a VM for the newest routes all the time, and judge regressions."""
         served: dict[str, float] = {}
@@ -259,7 +259,7 @@
                 served, started_at = {}, edge.started_at
             host = self._random.choice(list(self._hosts)[-5:])
             sent_at = time.monotonic()
-            answer = await self._ask(edge, host)
+            answer = await edge.ask(host)
             if edge.started_at != started_at:
                 continue
             if answer == "READY":
--- a/bench/lossy_store.py
+++ b/bench/lossy_store.py
@@ -37,16 +37,19 @@
 
     At most `most_lost` answers are lost one after the other, then none for a time drawn
     from `EPISODE_S`. What closes a connection is seen at once and comes at any time.
+    Without `most_lost` there are no such faults.
     """
 
-    __slots__ = ("_most_lost", "_next_at", "_random", "left", "log")
+    __slots__ = ("_left", "_most_lost", "_next_at", "_random", "left_of_config", "log")
 
     def __init__(self, random: Random, *, most_lost: int) -> None:
         self._random = random
         self._most_lost = most_lost
         self._next_at = time.monotonic() + random.uniform(0.0, EPISODE_S[1])
-        self.left = 0
+        self._left = 0
         """Answers that are still to be lost."""
+        self.left_of_config = 0
+        """Answers about the config that are still to be lost, beside those."""
         self.log: deque[tuple[float, str, str]] = deque(maxlen=200)
         """Time, call and form of the last faults."""
 
@@ -56,11 +59,16 @@
         A series begins at an answer that carries a change, or at any other one.
         """
         now, form = time.monotonic(), ""
-        is_due = not self.left and now >= self._next_at and self._most_lost > 0
+        if self.left_of_config and is_awaited:
+            self.left_of_config -= 1
+            return "lost"
+        if not self._most_lost:
+            return ""
+        is_due = not self._left and now >= self._next_at
         if is_due and (is_awaited or self._random.random() < OTHER_SHARE):
-            self.left = self._random.randint(1, self._most_lost)
-        if self.left:
-            self.left -= 1
+            self._left = self._random.randint(1, self._most_lost)
+        if self._left:
+            self._left -= 1
             self._next_at = now + self._random.uniform(*EPISODE_S)
             form = "lost"
         elif self._random.random() < CLOSE_SHARE:
--- /dev/null
+++ b/tests/test_config_lags.py
@@ -0,0 +1,55 @@
+"""Config changes while the store loses single answers, on real edge processes."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from bench.config_lags import BOUND_S, ConfigPlatform, TimedEdge
+from bench.lossy_store import LossyStore
+
+START_S = 20.0
+
+
+class TestLostAnswers:
+    @pytest.fixture
+    async def store(self) -> AsyncIterator[LossyStore]:
+        store = LossyStore(seed=1, most_lost=0)
+        yield store
+        await store.close()
+
+    @pytest.fixture
+    async def platform(self, store: LossyStore) -> ConfigPlatform:
+        platform = ConfigPlatform(store)
+        await platform.add("edge")
+        platform.configure(["base"], 1)
+        return platform
+
+    @pytest.fixture
+    async def edge(
+        self, platform: ConfigPlatform, tmp_path: Path
+    ) -> AsyncIterator[TimedEdge]:
+        edge = TimedEdge(platform, tmp_path, "edge")
+        await edge.start()
+        yield edge
+        await edge.stop(signal.SIGKILL)
+
+    async def test_a_route_is_served_in_time_after_two_lost_answers(
+        self, store: LossyStore, platform: ConfigPlatform, edge: TimedEdge
+    ) -> None:
+        """Guards against a bound that one lost answer of the store uses up."""
+        async with asyncio.timeout(START_S):
+            while await edge.ask("base") != "READY":
+                await asyncio.sleep(0.05)
+        version, _ = platform.configure(["base", "first"], 1)
+        async with asyncio.timeout(BOUND_S):
+            while version not in edge.in_force:
+                await asyncio.sleep(0.01)
+        store.links["edge"].left_of_config = 2
+        platform.configure(["base", "first", "second"], 1)
+        await asyncio.sleep(BOUND_S)
+        assert await edge.ask("second") == "READY"
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -36,13 +36,15 @@
     """A store over HTTP whose open connections can fall silent.
 
     It has discarded the changes up to `compacted`. Requests that wait when `silence`
-    is called are never answered; later ones are.
+    is called are never answered; later ones are. The next `lost_answers` answers with
+    a change, or to a call without a wait, never come.
     """
 
     def __init__(self) -> None:
         self.polled = asyncio.Event()
         self.compacted = 0
         self.call_s = ANSWER_S
+        self.lost_answers = 0
         self._revision = 1
         self._changed = asyncio.Condition()
         self._silent = asyncio.Event()
@@ -92,6 +94,13 @@
 
     async def _answer(self, call: str, query: dict[str, str]) -> HttpResponse:
         await asyncio.sleep(self.call_s)
+        response = await self._execute(call, query)
+        if self.lost_answers and b'"events":[]' not in response.body:
+            self.lost_answers -= 1
+            await asyncio.Event().wait()
+        return response
+
+    async def _execute(self, call: str, query: dict[str, str]) -> HttpResponse:
         item = {
             "key": KEY,
             "revision": self._revision,
@@ -180,6 +189,25 @@
         failing.cancel()
         home.close()
 
+    @pytest.mark.parametrize("call_s", [ANSWER_S, BUSY_S])
+    async def test_a_change_is_in_force_in_time_after_two_lost_answers(
+        self, call_s: float
+    ) -> None:
+        """Guards against a sum of waits that leaves no time for a lost answer."""
+        late = []
+        for phase in range(0, 50, 2):
+            service = SilentStore()
+            home = Home(service)
+            await asyncio.wait_for(service.polled.wait(), timeout=BOUND_S)
+            await service.change()
+            await asyncio.sleep(phase / 10)
+            service.call_s, service.lost_answers = call_s, 2
+            passed_s = await home.time_until_in_force()
+            if passed_s > BOUND_S:
+                late.append((phase / 10, passed_s))
+            home.close()
+        assert not late
+
     async def test_a_poll_that_was_never_answered_is_unavailable(self) -> None:
         """Guards against a watch that waits without end."""
         service = SilentStore()
--- a/tests/worker_groups.py
+++ b/tests/worker_groups.py
@@ -13,6 +13,7 @@
     for name in (
         "test_commits_lost",
         "test_competing_holders",
+        "test_config_lags",
         "test_contract_cli",
         "test_fencing_tokens",
         "test_forwarding",
