Read the routes when nothing has confirmed them, instead of trusting the watch

Callers saw NODB for a route, or READY for a removed one, 5 s after the ack. Cause: a watch whose answer was lost looks like one without changes, and noticing it took the whole bound (pause 1.0 s, wait 3.5 s, margin 0.5 s); the read after it came on top.

A VM now asks for the changes since its last revision whenever neither such a read nor another VM's report has confirmed the routes for 0.3 of the bound, and sends further reads beside those without an answer (route_updates). The steps add up to less than the bound with two lost answers and a busy link (TimeBudget, tested). A read counts from when it was sent, a report from when it was asked for. lists_after_failure is gone: the reader covers it.

--- a/src/celeryjunction/follower.py
+++ b/src/celeryjunction/follower.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from functools import cache
 from random import Random
 from typing import TypeVar
@@ -66,15 +66,14 @@
     pauses longer with many VMs.
 
     With `is_small` set, the prefix has few keys, and a list without an answer is given
-    up soon. With `lists_after_failure` set, the keys are listed after each failure: a
-    watch is given up whenever another call gets no answer, a list is not. With
-    `keep_values=False` only keys and revisions are kept, for subscribers that store the
-    values in another form.
+    up soon. With `keep_values=False` only keys and revisions are kept, for subscribers
+    that store the values in another form.
     """
 
     __slots__ = (
         "_base_backoff_s",
         "_clock",
+        "_confirmed_at",
         "_failures",
         "_items",
         "_keep_values",
@@ -92,7 +91,6 @@
         "_subscribers",
         "_synced_listeners",
         "is_small",
-        "lists_after_failure",
         "synced",
     )
 
@@ -109,7 +107,6 @@
         sleep: Sleep = asyncio.sleep,
     ) -> None:
         self.is_small = False
-        self.lists_after_failure = False
         self._store = store
         self._prefix = prefix
         self._clock = clock
@@ -126,6 +123,7 @@
         self._losses = 0
         self._failures = 0
         self._last_contact = -math.inf
+        self._confirmed_at = -math.inf
         self._needs_list = True
         self._synced_listeners: list[Callable[[], None]] = []
         self.synced = asyncio.Event()
@@ -136,6 +134,25 @@
         yield "keys", len(self._revisions)
         yield "age_s", self.age_s
 
+    @property
+    def prefix(self) -> str:
+        """Prefix of the keys."""
+        return self._prefix
+
+    @property
+    def losses(self) -> int:
+        """How often the service had lost changes before the last list."""
+        return self._losses
+
+    @property
+    def confirmed_at(self) -> float:
+        """Monotonic time until which all changes are applied, by lists and reads.
+
+        That is when the call was sent, since its answer may come much later. A watch
+        does not count: one whose answer is lost looks like one without changes.
+        """
+        return self._confirmed_at
+
     @property
     def revision(self) -> int:
         """Revision of the service up to which all changes have been applied."""
@@ -200,13 +217,12 @@
                     age_s=self._logged_age_s,
                     reason=str(error),
                 )
-                self._needs_list = self._needs_list or self.lists_after_failure
             await self._back_off()
 
-    async def refresh(self) -> bool:
+    async def refresh(self, timeout_s: float = REFRESH_TIMEOUT_S) -> bool:
         """List the keys now, besides the watch; return whether the service answered."""
         try:
-            await self._relist(REFRESH_TIMEOUT_S)
+            await self._relist(timeout_s)
         except (StoreUnavailable, StoreRefused) as error:
             _log.warning(
                 "refresh_failed",
@@ -217,6 +233,19 @@
             return False
         return True
 
+    def apply_changes(self, events: Sequence[WatchEvent], *, sent_at: float) -> None:
+        """Apply all changes after the known revision, which were read at `sent_at`.
+
+        Changes that the watch has brought meanwhile are ignored.
+        """
+        for event in events:
+            self._apply(event)
+            self._revision = max(self._revision, event.revision)
+        self._confirm(sent_at)
+
+    def _confirm(self, sent_at: float) -> None:
+        self._confirmed_at = max(self._confirmed_at, sent_at)
+
     async def _back_off(self) -> None:
         is_first = self._failures == 0
         exponential = self._base_backoff_s * 2 ** min(self._failures, 16)
@@ -264,7 +293,7 @@
         await self._apply_list(self._store.list(self._prefix, timeout=timeout_s))
 
     async def _apply_list(self, listing: Awaitable[KeyValueList]) -> None:
-        known = self._revision
+        known, sent_at = self._revision, self._clock.monotonic()
         listed = await listing
         if listed.losses < self._losses:
             raise StoreUnavailable("the list is from before a loss")
@@ -272,6 +301,7 @@
             if listed.revision >= known:
                 # A newer answer arrived meanwhile.
                 self._record_contact()
+                self._confirm(sent_at)
                 return
             _log.error(
                 "store_went_back",
@@ -293,6 +323,7 @@
         for event in changes:
             self._pass_on(event)
         self._record_contact()
+        self._confirm(sent_at)
         self._revision, self._losses = listed.revision, listed.losses
         self._needs_list = False
         self.synced.set()
--- a/src/celeryjunction/gateway/gateway.py
+++ b/src/celeryjunction/gateway/gateway.py
@@ -64,6 +64,11 @@
         )
         return True
 
+    @property
+    def version(self) -> int:
+        """Version of the routes in force; 0 if there are none yet."""
+        return self.table.version if self.table is not None else 0
+
     def route(self, database: str) -> Route | None:
         """Return the route in force for a database name."""
         return self.table.route(database) if self.table is not None else None
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import resource
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
@@ -49,7 +50,6 @@
 from celeryjunction.relay.homes import HomeSelector
 from celeryjunction.relay.messages import EndpointList, HomeStatus
 from celeryjunction.relay.placement import is_crowded
-from celeryjunction.relay.routes_check import REPORT_MARGIN_S, RoutesCheck
 from celeryjunction.relay.session import ForwardingSession
 from celeryjunction.replication.control import REACHABLE
 from celeryjunction.replication.drain_watch import neighbours
@@ -57,6 +57,9 @@
 from celeryjunction.replication.ports import EndpointDialer, EndpointInfo, Promoter
 from celeryjunction.replication.register import EndpointRegister
 from celeryjunction.replication.roster import GroupRoster
+from celeryjunction.route_updates.confirmation import RoutesConfirmation
+from celeryjunction.route_updates.reader import ChangesStore, RoutesReader
+from celeryjunction.route_updates.time_budget import TimeBudget
 from celeryjunction.services import keep_running
 from celeryjunction.store_history import StoreHistory
 
@@ -80,8 +83,6 @@
 NON_HOME_IDLE_TIMEOUT_S = 1.5
 """Idle connections of a VM that is not a home are closed after this: such a VM opens
 connections only while it reaches no home."""
-ROUTES_RETRY_S = 0.3
-"""Pause after a read of the routes that failed, or was older than a home's."""
 FIRST_LIST_TIMEOUT_S = 1.0
 """Time that a starting VM waits for the first list of VMs; a call takes 4 ms. Without a
 list by then, the store is unavailable and the VM serves alone."""
@@ -96,15 +97,22 @@
 class NodeLimits:
     """Limits set by the platform, in seconds."""
 
-    __slots__ = ("drain_s", "grace_s", "quota")
+    __slots__ = ("drain_s", "grace_s", "quota", "routes_s")
 
     def __init__(
-        self, *, drain_s: float, grace_s: float, quota: QuotaBound | None = None
+        self,
+        *,
+        drain_s: float,
+        grace_s: float,
+        routes_s: float = math.inf,
+        quota: QuotaBound | None = None,
     ) -> None:
         self.drain_s = drain_s
         """Time after which a draining endpoint must get no new statements."""
         self.grace_s = grace_s
         """Time from the order to stop until the process is killed."""
+        self.routes_s = routes_s
+        """Time after which changed routes must be in force."""
         self.quota = quota or QuotaBound()
         """Bound on the operations of an organisation."""
 
@@ -190,9 +198,11 @@
         self._votes.is_small = membership.follower.is_small = True
         self._votes.subscribe(self._apply_vote)
         self._homes = HomeSelector(
-            membership.record, random=random, on_update=self._apply_home_update
+            membership.record,
+            random=random,
+            clock=clock,
+            on_update=self._apply_home_update,
         )
-        self.gateway.on_newer_routes = self._refresh_routes
         self.home_server = HomeServer(
             self.gateway,
             status=self._home_status,
@@ -200,10 +210,8 @@
                 register.version, list(register.endpoints.values()), register.revision
             ),
         )
-        self.refresh_routes: Callable[[], Awaitable[bool]] = _no_refresh
-        """Reads the routes at once; returns whether that succeeded."""
-        self._routes_check = RoutesCheck()
-        self._refresh_task: asyncio.Task[None] | None = None
+        self._confirmation = RoutesConfirmation()
+        self._routes_reader: RoutesReader | None = None
         self._frontend: Frontend | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._draining = False
@@ -222,6 +230,8 @@
         self.start_service("membership", self._membership.run)
         self.start_service("votes", self._follow_votes)
         self.start_service("maintenance", self._maintain)
+        if self._routes_reader is not None:
+            self.start_service("routes", self._routes_reader.run)
         _log.info("started", vm=self._vm, zone=self._zone)
 
     def limit_clients(self, memory_mb: float, descriptors: int) -> ClientGuard:
@@ -242,16 +252,44 @@
 
     # Routes and endpoints
 
-    def follow_routes(self, follower: PrefixFollower, *, silence_s: float) -> None:
-        """Read the routes through the follower of their keys.
+    def follow_routes(self, follower: PrefixFollower, store: ChangesStore) -> None:
+        """Keep the routes confirmed, through the follower of their keys.
 
-        While the store answers, a home's watch is answered every `silence_s` seconds or
-        more often.
+        Call this before `start`.
         """
-        self.refresh_routes = follower.refresh
-        self._routes_check = RoutesCheck(
-            own_age_s=lambda: follower.age_s, max_age_s=silence_s + REPORT_MARGIN_S
+        self._confirmation = RoutesConfirmation(
+            own_confirmed_at=lambda: follower.confirmed_at
+        )
+        self._routes_reader = RoutesReader(
+            follower,
+            store,
+            confirmation=self._confirmation,
+            budget=lambda: TimeBudget(self.limits.routes_s),
+            in_force=lambda: self.gateway.version,
+            forwards=lambda: self._homes.is_forwarding_only,
+            vm_count=lambda: len(self._membership.peers()) + 1,
+            history=self._history,
+            clock=self._clock,
+            random=self._random,
         )
+        self.gateway.on_newer_routes = self._record_newer_routes
+
+    @property
+    def routes_age_s(self) -> float:
+        """Seconds since the routes were last known to be the newest ones."""
+        return self._confirmation.age_s(self._clock.monotonic())
+
+    def _record_newer_routes(self, version: int) -> None:
+        """Note that another VM has a version in force; read it if it is newer."""
+        self._record_report(version, confirmed_at=-math.inf)
+
+    def _record_report(self, version: int, *, confirmed_at: float) -> None:
+        in_force = self.gateway.version
+        self._confirmation.record_report(
+            version, in_force=in_force, confirmed_at=confirmed_at
+        )
+        if version > in_force and self._routes_reader is not None:
+            self._routes_reader.wake()
 
     def apply_routes(self, table: RouteTable) -> None:
         """Put newer routes in force.
@@ -259,8 +297,7 @@
         They are not forwarded to the other VMs, since each change would then cost a
         call for each pair of VMs.
         """
-        age_s = round(self._routes_check.own_age_s, 2)
-        if self.gateway.apply_routes(table, age_s=age_s):
+        if self.gateway.apply_routes(table, age_s=round(self.routes_age_s, 2)):
             self._apply_limits(table)
             self._end_revoked_sessions()
             self._update_topology()
@@ -496,7 +533,7 @@
                 database=database,
                 reason=error.kind.value,
                 routes_version=table.version,
-                routes_age_s=round(self._routes_check.own_age_s, 2),
+                routes_age_s=round(self.routes_age_s, 2),
             )
             raise
         return ForwardingSession(
@@ -547,16 +584,15 @@
         """Return the status for the VMs that forward statements to this home."""
         oldest = self._clock.monotonic() - MAX_PROOF_AGE_S
         groups = self.gateway.groups.items()
-        table = self.gateway.table
         return HomeStatus(
             [name for name, group in groups if group.proven_at >= oldest],
             self._reaches_no_zone,
             self._draining,
-            routes_version=table.version if table is not None else 0,
+            routes_version=self.gateway.version,
             endpoints_version=self._register.version,
             endpoints_age_s=self._register.age_s,
             reached=[name for name, group in groups if group.reached_at >= oldest],
-            routes_age_s=self._routes_check.own_age_s,
+            routes_age_s=self.routes_age_s,
         )
 
     @property
@@ -569,9 +605,8 @@
         status, listed = link.status, link.endpoints
         if status is None:
             return
-        table = self.gateway.table
-        if table is not None and status.routes_version > table.version:
-            self._refresh_routes(status.routes_version)
+        confirmed_at = link.status_asked_at - status.routes_age_s
+        self._record_report(status.routes_version, confirmed_at=confirmed_at)
         if not self._homes.is_forwarding_only:
             return
         if listed is not None and listed.version == status.endpoints_version:
@@ -581,29 +616,6 @@
                 revision=listed.revision,
                 peer=link.vm,
             )
-        now = self._clock.monotonic()
-        self._routes_check.record_report(status.routes_age_s, now=now)
-        self._refresh_stale_routes()
-
-    def _refresh_routes(self, version: int = 0) -> None:
-        """Read the routes, of which a home has `version` in force."""
-        self._routes_check.record_read(now=self._clock.monotonic())
-        if self._refresh_task is None or self._refresh_task.done():
-            self._refresh_task = self.start_task(self._read_routes(version))
-
-    async def _read_routes(self, version: int) -> None:
-        answered = await self.refresh_routes()
-        table = self.gateway.table
-        # A store that came back from an older copy may not have the version yet.
-        if not answered or table is None or table.version < version:
-            await asyncio.sleep(ROUTES_RETRY_S)
-
-    def _refresh_stale_routes(self) -> None:
-        """Read the routes if no home has confirmed them recently."""
-        if self._routes_check.is_due(now=self._clock.monotonic()):
-            self._refresh_routes()
-            if any(map(self._homes.is_home, self.gateway.groups)):
-                self._routes_check.stop_reports()
 
     @property
     def _is_isolated(self) -> bool:
@@ -675,7 +687,6 @@
             for name, dispatcher in self.gateway.dispatchers.items():
                 self._maintain_group(self.gateway.groups[name], dispatcher)
             self._report_isolation()
-            self._refresh_stale_routes()
             if self._failed_checks >= MAX_FAILED_CHECKS and not self._draining:
                 # Clients reconnect through the balancer to a VM that is ready.
                 self._frontend.close_idle()
@@ -785,7 +796,3 @@
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             _log.error("task_failed", alarm=1, reason=repr(error))
-
-
-async def _no_refresh() -> bool:
-    return True
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -64,7 +64,7 @@
         self._store = store = HttpStore(self._store_client)
         store.watch_wait = wait = WatchWait(bounds.config_apply_ms, bounds.contact_ms)
         self._config = PrefixFollower(store, CONFIG_PREFIX, clock=clock, random=random)
-        self._config.is_small = self._config.lists_after_failure = True
+        self._config.is_small = True
         self._config.subscribe(self._apply_config)
         register = EndpointRegister(
             store,
@@ -89,7 +89,7 @@
             random=random,
             history=store.history,
         )
-        self.node.follow_routes(self._config, silence_s=wait.longest_silence_s)
+        self.node.follow_routes(self._config, store)
 
     async def start(self) -> None:
         """Open the listeners, then start the node and its watches of the platform.
@@ -141,8 +141,7 @@
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_POLL_S)
-            wait = self._store.watch_wait
-            wait.peer_reports_changes = self.node.is_forwarding_only
+            self._store.watch_wait.peer_reports_changes = self.node.is_forwarding_only
             self.reload_settings()
 
     def reload_settings(self) -> None:
@@ -165,7 +164,10 @@
     bounds = settings.bounds
     quota = QuotaBound(bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack)
     return NodeLimits(
-        drain_s=bounds.drain_ms / 1000, grace_s=bounds.grace_s, quota=quota
+        drain_s=bounds.drain_ms / 1000,
+        grace_s=bounds.grace_s,
+        routes_s=bounds.config_apply_ms / 1000,
+        quota=quota,
     )
 
 
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -36,7 +36,7 @@
     local_lease,
     local_revision,
 )
-from celeryjunction.watch_wait import ANSWER_MARGIN_MS, WatchWait
+from celeryjunction.watch_wait import WatchWait
 
 ERA_HEADER = "store-era"
 """Header of all responses: how often the store came back from an older copy."""
@@ -77,16 +77,14 @@
 
 
 class HttpStore:
-    """Implements `KeyValueStore`. All watches share one long poll.
-
-    Changes are seen within `config_apply_ms` even if the connection is dead.
-    """
+    """Implements `KeyValueStore`. All watches share one long poll."""
 
     def __init__(self, client: HttpClient, *, config_apply_ms: float = 3000.0) -> None:
         self._client = client
         self.watch_wait = WatchWait(config_apply_ms)
         self._shared_watch = SharedWatch(
-            self._poll_changes, batch_delay_s=BATCH_DELAY_S
+            lambda after: self.watch_wait.poll(self.changes, after),
+            batch_delay_s=BATCH_DELAY_S,
         )
         self.history = StoreHistory()
         self._evidence = StoreEvidence(self.history)
@@ -235,27 +233,26 @@
         """
         return self._shared_watch.watch(prefix, start_revision=start_revision)
 
-    async def _poll_changes(self, after: int) -> WatchPage:
-        """Wait for changes of any key after a revision."""
-        wait_ms = self.watch_wait.next_ms
+    async def changes(
+        self, prefix: str, after: int, *, wait_ms: int = 0, timeout: float
+    ) -> WatchPage:
+        """Return the changes under a prefix after a revision, or wait for one.
+
+        Raises `WatchCompacted` if the store does not keep them any more.
+        """
         history = self.history
         if not history.is_current_revision(after):
             raise WatchCompacted("the store was restored from a copy")
         call = self._evidence.begin()
         number = local_revision(after)
-        try:
-            response = await self._call(
-                "GET",
-                "/kv-watch",
-                query={"prefix": "", "after": number, "wait_ms": wait_ms},
-                timeout=(wait_ms + ANSWER_MARGIN_MS) / 1000,
-                accept=(200, 410),
-                long_poll=True,
-            )
-        except (StoreUnavailable, StoreRefused):
-            self.watch_wait.failed = True
-            raise
-        self.watch_wait.failed = False
+        response = await self._call(
+            "GET",
+            "/kv-watch",
+            query={"prefix": prefix, "after": number, "wait_ms": wait_ms},
+            timeout=timeout,
+            accept=(200, 410),
+            long_poll=wait_ms > 0,
+        )
         if response.status == 410 or not history.is_current_revision(after):
             raise WatchCompacted(f"changes after revision {after} were compacted")
         page = _decode(response, _ChangesPage)
--- a/src/celeryjunction/relay/home_link.py
+++ b/src/celeryjunction/relay/home_link.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Callable, Iterator
 from itertools import count
+from math import inf
 from random import Random
 
 from celeryjunction.adapters.frame_stream import (
@@ -23,6 +24,7 @@
 from celeryjunction.gateway.session import SessionState
 from celeryjunction.gateway.statements import Request
 from celeryjunction.logs import get_logger
+from celeryjunction.ports import Clock
 from celeryjunction.relay.messages import (
     AskEndpoints,
     AskHomeStatus,
@@ -40,6 +42,10 @@
 SILENCE_TIMEOUT_S = 0.6
 """A connection on which nothing arrives for this long is closed at the next poll. Two
 or three polls are then unanswered. The shortest time-out of a statement is 0.8 s."""
+KEPT_REQUESTS = 16
+"""Requests for the status whose times are kept: more than a silent connection has."""
+LATEST_ANSWER_S = SILENCE_TIMEOUT_S + STATUS_INTERVAL_S
+"""Time after which an answer to a request can still come."""
 CONNECT_TIMEOUT_S = 0.3
 """Time-out of a connection within the zone, where a round trip takes 0.4 ms."""
 MIN_RETRY_S = 0.05
@@ -70,6 +76,7 @@
         address: tuple[str, int],
         *,
         random: Random,
+        clock: Clock,
         on_update: Callable[[HomeLink], None] = lambda link: None,
     ) -> None:
         self.vm = vm
@@ -89,6 +96,11 @@
         self._open_transactions: set[int] = set()
         self._outcomes: dict[int, asyncio.Future[Outcome]] = {}
         self._heard_at = 0.0
+        self._clock = clock
+        self._asked_at: dict[int, float] = {}
+        """Times at which the last requests for the status were sent, by number."""
+        self.status_asked_at = -inf
+        """When the request was sent that the last status answers; monotonic."""
         self._window = WorkGate(WINDOW_BYTES, copies=1)
         self._task = asyncio.create_task(self._run())
 
@@ -224,6 +236,10 @@
 
     def _handle_status(self, status: HomeStatus) -> None:
         before, self.status = self.status, status
+        if status.answers:
+            self.status_asked_at = self._asked_at.get(status.answers, -inf)
+        else:
+            self.status_asked_at = self._clock.monotonic() - LATEST_ANSWER_S
         if before is None or before.leaving != status.leaving:
             _log.info("home_reached", vm=self.vm, leaving=status.leaving)
         endpoints = self.endpoints
@@ -235,8 +251,11 @@
         """Poll the home's status; abort the connection when nothing arrives."""
         loop = asyncio.get_running_loop()
         self._heard_at = loop.time()
-        while True:
-            stream.write_frame(encode(AskHomeStatus()))
+        self._asked_at.clear()
+        for number in count(1):
+            self._asked_at[number] = self._clock.monotonic()
+            self._asked_at.pop(number - KEPT_REQUESTS, None)
+            stream.write_frame(encode(AskHomeStatus(number)))
             asked_at = loop.time()
             await asyncio.sleep(STATUS_INTERVAL_S)
             now = loop.time()
--- a/src/celeryjunction/relay/home_server.py
+++ b/src/celeryjunction/relay/home_server.py
@@ -118,7 +118,7 @@
     def send_status(self) -> None:
         """Send the status unasked to all VMs, because it changed."""
         for vm in self._forwarding_vms:
-            vm.stream.write_frame(encode(self._status()))
+            vm.send_status()
 
     def abort_idle(self, error: ProxyError) -> None:
         """Roll back the open transactions that run no statement."""
@@ -186,6 +186,8 @@
         self._gateway = gateway
         self._status = status
         self._endpoints = endpoints
+        self._last_asked = 0
+        """Number of the last request for the status."""
 
     @property
     def busy(self) -> bool:
@@ -251,7 +253,13 @@
         elif isinstance(message, AskTokens):
             self._send(self._grant(message))
         else:
-            self._send(self._status())
+            self._last_asked = message.number
+            self.send_status()
+
+    def send_status(self) -> None:
+        """Send the home's status."""
+        status = msgspec.structs.replace(self._status(), answers=self._last_asked)
+        self._send(status)
 
     def _take(self, message: RunStatement, size: int) -> int:
         """Take a statement; refuse it and return 0 if memory is short.
--- a/src/celeryjunction/relay/homes.py
+++ b/src/celeryjunction/relay/homes.py
@@ -8,6 +8,7 @@
 
 from celeryjunction.decoding import parse_address
 from celeryjunction.membership import VmRecord
+from celeryjunction.ports import Clock
 from celeryjunction.relay.home_link import HomeLink
 from celeryjunction.relay.placement import (
     HOMES_PER_ZONE,
@@ -33,8 +34,10 @@
         own: VmRecord,
         *,
         random: Random,
+        clock: Clock,
         on_update: Callable[[HomeLink], None] = lambda link: None,
     ) -> None:
+        self._clock = clock
         self._vm = own.name
         self._zone = own.zone
         self._own_record = own
@@ -87,7 +90,11 @@
                 existing.close()
                 existing = None
             self._links[name] = existing or HomeLink(
-                name, address, random=self._random, on_update=self._on_update
+                name,
+                address,
+                random=self._random,
+                clock=self._clock,
+                on_update=self._on_update,
             )
         for name in [n for n, link in self._retired.items() if not link.busy]:
             self._retired.pop(name).close()
--- a/src/celeryjunction/relay/messages.py
+++ b/src/celeryjunction/relay/messages.py
@@ -48,7 +48,9 @@
 
 
 class AskHomeStatus(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
-    """Ask the home for its `HomeStatus`."""
+    """Ask the home for its `HomeStatus`, which names the number."""
+
+    number: Count = 0
 
 
 class Outcome(msgspec.Struct, frozen=True, array_like=True, tag="outcome"):
@@ -87,7 +89,9 @@
     reached: list[str] = []
     """Groups of which an endpoint recently answered the home."""
     routes_age_s: Amount = 0.0
-    """Seconds since the store last answered the home for its routes."""
+    """Seconds since the home's routes were last known to be the newest ones."""
+    answers: Count = 0
+    """Number of the last `AskHomeStatus`; 0 from a home that does not tell."""
 
 
 class EndpointList(msgspec.Struct, frozen=True, array_like=True, tag="endpoints"):
--- /dev/null
+++ b/src/celeryjunction/route_updates/reader.py
@@ -0,0 +1,176 @@
+"""Reads the changes of the routes when they were not confirmed recently.
+
+The watch brings changes quickly, but its answer may be lost, or another call of the VM
+may end it. The reader does not depend on it: it asks the store for the changes since
+the last known revision, which takes one short answer while there are none.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from random import Random
+from typing import Protocol
+
+from celeryjunction.follower import RECONNECTS_PER_S, PrefixFollower
+from celeryjunction.logs import get_logger
+from celeryjunction.ports import (
+    Clock,
+    StoreRefused,
+    StoreUnavailable,
+    WatchCompacted,
+)
+from celeryjunction.route_updates.confirmation import RoutesConfirmation
+from celeryjunction.route_updates.time_budget import LOST_ANSWERS, TimeBudget
+from celeryjunction.shared_watch import WatchPage
+from celeryjunction.store_history import StoreHistory
+
+SPREAD = (0.7, 1.0)
+"""Parts of `TimeBudget.max_age_s` between which a home's next read is drawn, so that
+one home's read confirms the routes of the others."""
+LEAST_WAIT_S = 0.001
+"""Shorter waits may not pass: the sum of a large time and a tiny one is rounded."""
+OUTAGE_RETRY_FACTOR = 2.0
+"""The pause between reads grows by this once more than `LOST_ANSWERS` had no answer."""
+
+_log = get_logger("routes")
+
+
+class ChangesStore(Protocol):
+    """A store that returns changes without waiting for one."""
+
+    async def changes(self, prefix: str, after: int, *, timeout: float) -> WatchPage:
+        """Return the changes under a prefix after a revision.
+
+        Raises `WatchCompacted` if the store does not keep them any more.
+        """
+        ...
+
+
+class RoutesReader:
+    """Keeps the routes confirmed, and reads a newer version that another VM reports.
+
+    `in_force` returns the version in force, and `forwards` whether this VM takes its
+    homes' reports as confirmations.
+    """
+
+    def __init__(
+        self,
+        follower: PrefixFollower,
+        store: ChangesStore,
+        *,
+        confirmation: RoutesConfirmation,
+        budget: Callable[[], TimeBudget],
+        in_force: Callable[[], int],
+        forwards: Callable[[], bool],
+        vm_count: Callable[[], int],
+        history: StoreHistory,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._follower = follower
+        self._store = store
+        self._confirmation = confirmation
+        self._budget = budget
+        self._in_force = in_force
+        self._forwards = forwards
+        self._vm_count = vm_count
+        self._history = history
+        self._clock = clock
+        self._random = random
+        self._woken = asyncio.Event()
+        self._after = 0
+        """Revision that the last read reached."""
+        self._losses = 0
+        """Losses of the store before that read."""
+
+    def __rich_repr__(self) -> Iterator[tuple[str, object]]:
+        yield "age_s", self._confirmation.age_s(self._clock.monotonic())
+        yield "in_force", self._in_force()
+
+    def wake(self) -> None:
+        """Read at once if another VM has reported a newer version."""
+        self._woken.set()
+
+    async def run(self) -> None:
+        """Read the changes whenever that is due, until cancelled."""
+        await self._follower.synced.wait()
+        while True:
+            limit_s = self._budget().limit_s(forwards=self._forwards())
+            if not self._forwards():
+                limit_s *= self._random.uniform(*SPREAD)
+            await self._wait_until_due(limit_s)
+            await self._read_until_confirmed(limit_s)
+
+    def _due_in_s(self, limit_s: float) -> float:
+        if self._confirmation.newer_version(self._in_force()):
+            return 0.0
+        return limit_s - self._confirmation.age_s(self._clock.monotonic())
+
+    async def _wait_until_due(self, limit_s: float) -> None:
+        while (left_s := self._due_in_s(limit_s)) > 0.0:
+            self._woken.clear()
+            try:
+                async with asyncio.timeout(max(left_s, LEAST_WAIT_S)):
+                    await self._woken.wait()
+            except TimeoutError:
+                continue
+
+    async def _read_until_confirmed(self, limit_s: float) -> None:
+        """Send a read, and further ones beside it, until the routes are confirmed."""
+        attempts: list[asyncio.Task[None]] = []
+        sent = 0
+        try:
+            while self._due_in_s(limit_s) <= 0.0:
+                if len(attempts) == self._budget().attempts:
+                    attempts.pop(0).cancel()
+                attempts.append(asyncio.create_task(self._read()))
+                sent += 1
+                await self._wait_for_answer(attempts, limit_s, sent=sent)
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
+
+    async def _wait_for_answer(
+        self, attempts: list[asyncio.Task[None]], limit_s: float, *, sent: int
+    ) -> None:
+        """Wait until the routes are confirmed or the next read is due."""
+        pause = asyncio.create_task(asyncio.sleep(self._pause_s(sent)))
+        try:
+            while not pause.done() and self._due_in_s(limit_s) <= 0.0:
+                await asyncio.wait(
+                    {*attempts, pause}, return_when=asyncio.FIRST_COMPLETED
+                )
+                attempts[:] = [task for task in attempts if not task.done()]
+        finally:
+            pause.cancel()
+
+    def _pause_s(self, sent: int) -> float:
+        """Return the time until the next read, after `sent` reads without an answer."""
+        pause_s = self._budget().retry_s
+        if sent > LOST_ANSWERS:
+            pause_s *= OUTAGE_RETRY_FACTOR
+        return max(pause_s, self._vm_count() / RECONNECTS_PER_S)
+
+    async def _read(self) -> None:
+        """Apply the changes, or list the keys if the store keeps no changes."""
+        follower, sent_at = self._follower, self._clock.monotonic()
+        timeout_s = self._budget().timeout_s
+        if self._losses != follower.losses:
+            self._after, self._losses = 0, follower.losses
+        after = max(self._after, follower.revision)
+        try:
+            if self._losses != self._history.losses:
+                raise WatchCompacted("the store has lost changes")
+            page = await self._store.changes(follower.prefix, after, timeout=timeout_s)
+        except WatchCompacted:
+            await follower.refresh(timeout_s)
+        except (StoreUnavailable, StoreRefused) as error:
+            _log.warning(
+                "routes_not_read",
+                age_s=round(self._confirmation.age_s(sent_at), 2),
+                reason=str(error),
+            )
+        else:
+            follower.apply_changes(page.events, sent_at=sent_at)
+            self._after = max(self._after, page.revision)
--- a/src/celeryjunction/watch_wait.py
+++ b/src/celeryjunction/watch_wait.py
@@ -7,7 +7,13 @@
 
 from __future__ import annotations
 
-from celeryjunction.shared_watch import BATCH_DELAY_S
+from collections.abc import Awaitable, Callable
+
+from celeryjunction.ports import StoreRefused, StoreUnavailable
+from celeryjunction.shared_watch import BATCH_DELAY_S, WatchPage
+
+Changes = Callable[..., Awaitable[WatchPage]]
+"""Takes a prefix, a revision, and `wait_ms` and `timeout` as keywords."""
 
 MIN_WAIT_MS = 500
 ANSWER_MARGIN_MS = 500
@@ -47,6 +53,18 @@
         """Longest time between two answers to a long poll of a VM that has no peer."""
         return self.longest_alone_ms / 1000 + BATCH_DELAY_S
 
+    async def poll(self, changes: Changes, after: int) -> WatchPage:
+        """Wait for changes of any key; raises what `changes` raises."""
+        wait_ms = self.next_ms
+        timeout = (wait_ms + ANSWER_MARGIN_MS) / 1000
+        try:
+            page = await changes("", after, wait_ms=wait_ms, timeout=timeout)
+        except (StoreUnavailable, StoreRefused):
+            self.failed = True
+            raise
+        self.failed = False
+        return page
+
     @property
     def next_ms(self) -> int:
         """Milliseconds that the next long poll waits."""
--- a/tests/test_config_lags.py
+++ b/tests/test_config_lags.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from bench.config_lags import BOUND_S, ConfigPlatform, TimedEdge
+from bench.config_lags import BOUND_S, ConfigPlatform, ConfigRun, TimedEdge
 from bench.lossy_store import LossyStore
 
 START_S = 20.0
@@ -53,3 +53,12 @@
         platform.configure(["base", "first", "second"], 1)
         await asyncio.sleep(BOUND_S)
         assert await edge.ask("second") == "READY"
+
+
+class TestManyVms:
+    async def test_no_vm_is_late_while_answers_are_lost(self, tmp_path: Path) -> None:
+        """Guards against config changes that are late at homes or at other VMs."""
+        run = ConfigRun(seed=1, edges=12, most_lost=2, folder=tmp_path)
+        await run.run(25.0, restarts=True)
+        assert not run.violations, "\n".join(run.violations)
+        assert run.answers["READY"] > 50
--- a/tests/test_home_weights.py
+++ b/tests/test_home_weights.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from celeryjunction.membership import VmRecord
+from celeryjunction.ports import BootClock
 from celeryjunction.relay.homes import HomeSelector
 from celeryjunction.relay.placement import home_weights, homes_of_group
 
@@ -18,7 +19,7 @@
 
 
 def homes_seen_by(own: VmRecord, records: list[VmRecord]) -> dict[str, list[str]]:
-    selector = HomeSelector(own, random=Random(1))
+    selector = HomeSelector(own, random=Random(1), clock=BootClock())
     selector.update({r.name: r for r in records if r is not own}, GROUPS)
     homes = {group: selector._homes[group]["a"] for group in GROUPS}
     selector.close()
--- a/tests/test_late_outcomes.py
+++ b/tests/test_late_outcomes.py
@@ -18,6 +18,7 @@
 from celeryjunction.errors import ConnectionLost, ProxyError
 from celeryjunction.gateway.statements import Begin, Commit, Read, Request, Write
 from celeryjunction.platform.endpoints import LineDialer
+from celeryjunction.ports import BootClock
 from celeryjunction.relay.home_link import HomeLink
 from celeryjunction.relay.messages import (
     NO_TRANSACTION,
@@ -104,7 +105,7 @@
 
     async def check(self, actions: list[tuple[str, int]]) -> None:
         home = ScriptedHome()
-        link = HomeLink("home", await home.start(), random=Random(1))
+        link = HomeLink("home", await home.start(), random=Random(1), clock=BootClock())
         await until(lambda: link.usable)
         running: list[asyncio.Task[Outcome | None]] = []
         for action, index in actions:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from random import Random
 from types import SimpleNamespace
 
 import pytest
@@ -12,12 +13,16 @@
 
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.failover.suspicions import Suspicions
+from celeryjunction.follower import PrefixFollower
+from celeryjunction.gateway.routes import RouteTable
 from celeryjunction.gateway.statements import Read, Request
-from celeryjunction.node import ROUTES_RETRY_S
+from celeryjunction.node import Node
 from celeryjunction.relay.homes import HomeSelector
 from celeryjunction.relay.messages import HomeStatus
 from celeryjunction.replication.group import HEDGE_DELAY_S, MAX_REGISTER_AGE_S
 from celeryjunction.replication.ports import Fault, LogPosition, PromotionResult
+from celeryjunction.route_updates.confirmation import RoutesConfirmation
+from celeryjunction.shared_watch import WatchPage
 
 Outcome = ErrorKind | Fault | None
 
@@ -228,71 +233,102 @@
 
 
 class TestRoutesOfHomes:
+    """Reads of a VM whose store answers reads of the routes, and no watch."""
+
+    @pytest.fixture
+    def reads(self) -> list[float]:
+        return []
+
+    @pytest.fixture
+    async def node(self, deployment: Deployment, reads: list[float]) -> Node:
+        """A node whose store never has a newer version of the routes."""
+        loop = asyncio.get_running_loop()
+
+        class Store:
+            async def changes(
+                self, prefix: str, after: int, *, timeout: float
+            ) -> WatchPage:
+                reads.append(loop.time())
+                return WatchPage([], 1)
+
+        clock = SimpleNamespace(monotonic=loop.time)
+        node = deployment.nodes["vm-b"]
+        node._clock = clock
+        follower = PrefixFollower(Store(), "op/", clock=clock, random=Random(1))
+        follower.synced.set()
+        node.limits.routes_s = 5.0
+        node.follow_routes(follower, Store())
+        node.start_service("routes", node._routes_reader.run)
+        return node
+
+    def report(
+        self, node: Node, *, version: int, age_s: float, asked_s: float = 0.0
+    ) -> None:
+        """Deliver the status of a home that was asked `asked_s` seconds ago."""
+        status = HomeStatus(
+            [],
+            isolated=False,
+            leaving=False,
+            routes_version=version,
+            routes_age_s=age_s,
+        )
+        asked_at = asyncio.get_running_loop().time() - asked_s
+        node._apply_home_update(
+            SimpleNamespace(status=status, endpoints=None, status_asked_at=asked_at)
+        )
+
+    @pytest.mark.parametrize("forwards", [True, False])
     async def test_a_version_that_the_store_lost_is_not_read_at_each_status(
-        self, deployment: Deployment, monkeypatch: pytest.MonkeyPatch
+        self,
+        node: Node,
+        reads: list[float],
+        monkeypatch: pytest.MonkeyPatch,
+        forwards: bool,
     ) -> None:
         """Guards against calls without pause while the store's copy is older."""
-        monkeypatch.setattr(HomeSelector, "is_forwarding_only", True)
-        node = deployment.nodes["vm-b"]
-        reads = []
-
-        async def refresh_routes() -> bool:
-            reads.append(asyncio.get_running_loop().time())
-            return True
-
-        node.refresh_routes = refresh_routes
-        status = HomeStatus([], isolated=False, leaving=False, routes_version=2)
-        link = SimpleNamespace(status=status, endpoints=None)
+        monkeypatch.setattr(HomeSelector, "is_forwarding_only", forwards)
         for _ in range(100):
-            node._apply_home_update(link)
-            await asyncio.sleep(ROUTES_RETRY_S / 10)
-        assert len(reads) <= 11
+            self.report(node, version=2, age_s=0.0)
+            await asyncio.sleep(0.03)
+        assert 1 <= len(reads) <= 11
 
     @pytest.mark.parametrize("forwards", [True, False])
     async def test_a_newer_version_is_read_by_homes_as_well(
-        self, deployment: Deployment, monkeypatch: pytest.MonkeyPatch, forwards: bool
+        self,
+        node: Node,
+        reads: list[float],
+        monkeypatch: pytest.MonkeyPatch,
+        forwards: bool,
     ) -> None:
         """Guards against a home that ignores what other homes report."""
         monkeypatch.setattr(HomeSelector, "is_forwarding_only", forwards)
-        node = deployment.nodes["vm-b"]
-        read = asyncio.Event()
-
-        async def refresh_routes() -> bool:
-            read.set()
-            return True
-
-        node.refresh_routes = refresh_routes
-        status = HomeStatus([], isolated=False, leaving=False, routes_version=2)
-        node._apply_home_update(SimpleNamespace(status=status, endpoints=None))
-        await asyncio.wait_for(read.wait(), timeout=1)
+        await asyncio.sleep(0.1)
+        reads.clear()
+        self.report(node, version=2, age_s=0.0)
+        await asyncio.sleep(0.1)
+        assert len(reads) == 1
 
     async def test_homes_that_the_store_does_not_answer_confirm_nothing(
-        self, deployment: Deployment, monkeypatch: pytest.MonkeyPatch
+        self, node: Node, reads: list[float], monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """Guards against a zone that keeps old routes while its homes report them."""
         monkeypatch.setattr(HomeSelector, "is_forwarding_only", True)
-        loop = asyncio.get_running_loop()
-        node, silent_at = deployment.nodes["vm-b"], loop.time()
-        reads = []
-
-        class DeadFollower:
-            @property
-            def age_s(self) -> float:
-                return loop.time() - silent_at
-
-            async def refresh(self) -> bool:
-                reads.append(loop.time() - silent_at)
-                return False
-
-        node.follow_routes(DeadFollower(), silence_s=4.5)
-        home = deployment.nodes["vm-c"]
-        home.follow_routes(DeadFollower(), silence_s=4.5)
-        while loop.time() < silent_at + 10:
-            link = SimpleNamespace(status=home._home_status(), endpoints=None)
-            node._apply_home_update(link)
+        await asyncio.sleep(0.1)
+        reads_before = len(reads)
+        for number in range(50):
+            self.report(node, version=1, age_s=0.2 * number)
             await asyncio.sleep(0.2)
-        assert reads
-        assert reads[0] <= 5.0
+        assert len(reads) > reads_before
+        assert reads[reads_before] - reads[reads_before - 1] <= 5.0
+
+    async def test_a_status_counts_from_when_it_was_asked_for(self, node: Node) -> None:
+        """Guards against an answer that waited on a busy link and looks new."""
+        node.apply_routes(
+            RouteTable(version=1, routes=(), groups=(), idle_transaction_s=0.0)
+        )
+        node._confirmation = RoutesConfirmation()
+        self.report(node, version=1, age_s=0.4, asked_s=1.0)
+        assert node.routes_age_s == pytest.approx(1.4, abs=0.01)
 
 
 class TestVotes:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -28,7 +28,7 @@
 from celeryjunction.follower import PrefixFollower
 from celeryjunction.membership import Membership, VmRecord, list_vms
 from celeryjunction.platform.records import decode_config, decode_endpoint
-from celeryjunction.ports import KeyValue, StoreUnavailable, WatchEvent
+from celeryjunction.ports import BootClock, KeyValue, StoreUnavailable, WatchEvent
 from celeryjunction.relay.homes import HomeSelector
 from celeryjunction.replication.ports import EndpointInfo
 from celeryjunction.replication.register import REREGISTER_S, EndpointRegister
@@ -434,7 +434,7 @@
     @pytest.mark.parametrize("kind", ODD_PORTS)
     async def test_an_odd_address_is_no_home(self, kind: str) -> None:
         own = VmRecord("vm-9", "a", "", "", "", 1, 0.0)
-        homes = HomeSelector(own, random=Random(1))
+        homes = HomeSelector(own, random=Random(1), clock=BootClock())
         records = [
             VmRecord("vm-1", "a", f"10.0.0.1:{ODD_PORTS[kind]}", "", "", 1, 0.0, 0),
             VmRecord("vm-2", "a", "10.0.0.1:7000", "", "", 1, 0.0),
--- a/tests/test_odd_frames.py
+++ b/tests/test_odd_frames.py
@@ -15,6 +15,7 @@
 
 from celeryjunction.adapters.frame_stream import FrameStream
 from celeryjunction.decoding import DecodingError
+from celeryjunction.ports import BootClock
 from celeryjunction.relay.home_link import HomeLink
 from celeryjunction.relay.messages import (
     AskHomeStatus,
@@ -164,7 +165,7 @@
         home = OddHome((ODD_FRAMES | OUT_OF_RANGE)[kind])
         server = await asyncio.start_server(home.serve, "127.0.0.1", 0)
         address = server.sockets[0].getsockname()
-        link = HomeLink("home", address, random=Random(1))
+        link = HomeLink("home", address, random=Random(1), clock=BootClock())
         async with asyncio.timeout(LIMIT_S):
             while home.connections < 2 or not link.usable:
                 await asyncio.sleep(0.01)
@@ -175,7 +176,7 @@
 
     @pytest.mark.parametrize("host", ["a" * 70, "a..b", "\u00e9" * 80, "a b"])
     async def test_a_host_that_has_no_address_is_tried_again(self, host: str) -> None:
-        link = HomeLink("home", (host, 7000), random=Random(1))
+        link = HomeLink("home", (host, 7000), random=Random(1), clock=BootClock())
         await asyncio.sleep(0.3)
         assert not link._task.done()
         link.close()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -165,7 +165,7 @@
     """Selects homes in a fixed order, whatever their names hash to."""
 
     def __init__(self, own: VmRecord, order: list[str], **options: object) -> None:
-        super().__init__(own, random=Random(1), **options)
+        super().__init__(own, random=Random(1), clock=BootClock(), **options)
         self._order = order
 
     def _homes_in_zone(self, group: str) -> list[str]:
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -10,7 +10,7 @@
 
 import msgspec
 import pytest
-from fakes import ManualClock, event_loop_policy  # noqa: F401
+from fakes import event_loop_policy  # noqa: F401
 
 from celeryjunction.adapters.http_client import (
     CONNECT_RETRY_S,
@@ -21,6 +21,9 @@
 from celeryjunction.follower import PrefixFollower
 from celeryjunction.platform.store import HttpStore
 from celeryjunction.ports import StoreUnavailable, WatchEvent
+from celeryjunction.route_updates.confirmation import RoutesConfirmation
+from celeryjunction.route_updates.reader import RoutesReader
+from celeryjunction.route_updates.time_budget import TimeBudget
 
 BOUND_S = 5.0
 """Bound on a change, and time for which a VM whose connections fell silent is not held
@@ -67,12 +70,18 @@
             poll.cancel()
 
     async def request(
-        self, method: str, path: str, *, timeout: float, **_: object
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout: float,
+        long_poll: bool = False,
+        **_: object,
     ) -> HttpResponse:
         call, _, query = path.partition("?")
         silent = self._silent
         answer = asyncio.ensure_future(self._answer(call, dict(parse_qsl(query))))
-        if call == "/kv-watch":
+        if long_poll:
             self._polls.add(answer)
         silenced = asyncio.ensure_future(silent.wait())
         try:
@@ -126,20 +135,42 @@
     return HttpResponse(200, msgspec.json.encode(body))
 
 
+class LoopClock:
+    """The simulated time."""
+
+    def monotonic(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
 class Home:
-    """A VM that learns of config changes by its own watch alone."""
+    """A VM that learns of config changes from the store alone."""
 
     def __init__(self, service: SilentStore) -> None:
         self._service = service
         self._versions: dict[int, float] = {}
         store = HttpStore(service, config_apply_ms=BOUND_S * 1000)
-        self._config = PrefixFollower(
-            store, "op/", clock=ManualClock(), random=Random(1)
-        )
-        self._config.is_small = self._config.lists_after_failure = True
+        self._config = PrefixFollower(store, "op/", clock=LoopClock(), random=Random(1))
+        self._config.is_small = True
         self._config.set_vm_count(71)
         self._config.subscribe(self._record)
-        self._task = asyncio.create_task(self._config.run())
+        reader = RoutesReader(
+            self._config,
+            store,
+            confirmation=RoutesConfirmation(
+                own_confirmed_at=lambda: self._config.confirmed_at
+            ),
+            budget=lambda: TimeBudget(BOUND_S),
+            in_force=lambda: 1,
+            forwards=lambda: False,
+            vm_count=lambda: 71,
+            history=store.history,
+            clock=LoopClock(),
+            random=Random(1),
+        )
+        self._tasks = [
+            asyncio.create_task(self._config.run()),
+            asyncio.create_task(reader.run()),
+        ]
 
     def _record(self, event: WatchEvent) -> None:
         now = asyncio.get_running_loop().time()
@@ -154,7 +185,8 @@
         return min(newer, default=math.inf) - changed_at
 
     def close(self) -> None:
-        self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
 
 
 class TestConfigOfAHome:
