Refuse a database as unknown only on routes that were confirmed in time

Callers were refused with NODB, or with DENIED for a key, after one look at the VM's own routes, however old those were: also while another VM had already reported a newer version, and after a version that could not be decoded.

Such a refusal is now given only if the routes were the newest ones within the bound on a change. Otherwise the answer is not_run_unconfirmed_routes (BUSY): it is true, nothing ran, and the client may try again at another VM at once. A removed route that is still served is not covered.

Evidence: with all answers about the config lost for 5 s, a real edge process answered NODB for an added route before (test_config_lags), now BUSY; it goes on serving the routes that it has.

--- a/src/celeryjunction/errors.py
+++ b/src/celeryjunction/errors.py
@@ -28,6 +28,7 @@
     NOT_RUN_ALLOTMENT = "not_run_allotment"
     NOT_RUN_OLDER_ROUTES = "not_run_older_routes"
     NOT_RUN_MEMORY = "not_run_memory"
+    NOT_RUN_UNCONFIRMED_ROUTES = "not_run_unconfirmed_routes"
     NOT_RUN_ROLLED_BACK = "not_run_rolled_back"
     NOT_RUN_CONNECTION = "not_run_connection"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -99,6 +100,13 @@
         Ran.NO,
         True,
     ),
+    ErrorKind.NOT_RUN_UNCONFIRMED_ROUTES: ErrorSpec(
+        "CJ009",
+        "not run: newer routes may have database {database}; those in force were "
+        "confirmed {age_s:.1f} s ago",
+        Ran.NO,
+        True,
+    ),
     ErrorKind.NOT_RUN_ROLLED_BACK: ErrorSpec(
         "CJ004",
         "not run: the transaction was rolled back before it was committed ({reason})",
--- a/src/celeryjunction/gateway/gateway.py
+++ b/src/celeryjunction/gateway/gateway.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from celeryjunction.dispatch.dispatcher import Dispatcher
+from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.gateway.request_log import RequestLog
 from celeryjunction.gateway.routes import Route, RouteTable
 from celeryjunction.logs import get_logger
 from celeryjunction.metrics import Metrics
 from celeryjunction.ports import Clock
 from celeryjunction.replication.group import ReplicationGroup
+from celeryjunction.route_updates.confirmation import RoutesConfirmation
 
 if TYPE_CHECKING:
     from celeryjunction.allotments.allotments import Allotments
@@ -36,6 +39,10 @@
         """Limits of the organisations; None while no routes in force have any."""
         self.on_newer_routes: Callable[[int], None] = lambda version: None
         """Called when another VM has newer routes in force than this one."""
+        self.routes_bound_s: Callable[[], float] = lambda: math.inf
+        """Returns the bound on a change of the routes, seconds."""
+        self.confirmation: RoutesConfirmation | None = None
+        """Until when the routes are known to be the newest; None without a store."""
         self.open_transactions = 0
         self.running = 0
 
@@ -73,6 +80,24 @@
         """Return the route in force for a database name."""
         return self.table.route(database) if self.table is not None else None
 
+    def refusal(self, error: ProxyError) -> ProxyError:
+        """Return the error for what the routes in force do not have.
+
+        It says that a database or a key does not exist only if the routes were the
+        newest ones within the bound on a change. Otherwise the client may try again,
+        at once at another VM.
+        """
+        confirmation = self.confirmation
+        if confirmation is None or self.table is None:
+            return error
+        age_s = confirmation.age_s(self.clock.monotonic())
+        is_outdated = confirmation.newer_version(self.table.version) > 0
+        is_outdated = is_outdated or confirmation.is_newest_unusable
+        if age_s <= self.routes_bound_s() and not is_outdated:
+            return error
+        details = {"database": error.details["database"], "age_s": age_s}
+        return ProxyError(ErrorKind.NOT_RUN_UNCONFIRMED_ROUTES, details)
+
     def weight(self, organisation: str) -> float:
         """Return an organisation's share of the slots relative to others."""
         table = self.table.organisations if self.table is not None else None
--- a/src/celeryjunction/gateway/session.py
+++ b/src/celeryjunction/gateway/session.py
@@ -183,8 +183,8 @@
             if self._transaction is None:
                 self._check_routes_version()
             if route is None and self._transaction is None:
-                raise ProxyError(
-                    ErrorKind.UNKNOWN_DATABASE, {"database": self.database}
+                raise gateway.refusal(
+                    ProxyError(ErrorKind.UNKNOWN_DATABASE, {"database": self.database})
                 )
             if gateway.allotments is not None and self._transaction is None:
                 await admit_operation(
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -260,6 +260,7 @@
         self._confirmation = RoutesConfirmation(
             own_confirmed_at=lambda: follower.confirmed_at
         )
+        self.gateway.confirmation = self._confirmation
         self._routes_reader = RoutesReader(
             follower,
             store,
@@ -273,6 +274,7 @@
             random=self._random,
         )
         self.gateway.on_newer_routes = self._record_newer_routes
+        self.gateway.routes_bound_s = lambda: self.limits.routes_s
 
     @property
     def routes_age_s(self) -> float:
@@ -291,12 +293,15 @@
         if version > in_force and self._routes_reader is not None:
             self._routes_reader.wake()
 
-    def apply_routes(self, table: RouteTable) -> None:
-        """Put newer routes in force.
+    def apply_routes(self, table: RouteTable | None) -> None:
+        """Put newer routes in force; None stands for routes that cannot be decoded.
 
         They are not forwarded to the other VMs, since each change would then cost a
         call for each pair of VMs.
         """
+        self._confirmation.is_newest_unusable = table is None
+        if table is None:
+            return
         if self.gateway.apply_routes(table, age_s=round(self.routes_age_s, 2)):
             self._apply_limits(table)
             self._end_revoked_sessions()
@@ -526,7 +531,8 @@
         digest = key_digest(key) if table.organisations is not None else b""
         try:
             caller = table.identify(database, digest)
-        except ProxyError as error:
+        except ProxyError as unconfirmed:
+            error = self.gateway.refusal(unconfirmed)
             self.metrics.count("refused_sessions", reason=error.kind.value)
             self.gateway.request_log.write(
                 "session_refused",
@@ -535,7 +541,7 @@
                 routes_version=table.version,
                 routes_age_s=round(self.routes_age_s, 2),
             )
-            raise
+            raise error from None
         return ForwardingSession(
             database, gateway=self.gateway, homes=self._homes, caller=caller
         )
--- a/src/celeryjunction/platform/edge.py
+++ b/src/celeryjunction/platform/edge.py
@@ -123,11 +123,8 @@
         self.node.start_service("settings", self._watch_settings)
 
     def _apply_config(self, event: WatchEvent) -> None:
-        if event.key != CONFIG_KEY or event.value is None:
-            return
-        table = decode_config(event.value)
-        if table is not None:
-            self.node.apply_routes(table)
+        if event.key == CONFIG_KEY and event.value is not None:
+            self.node.apply_routes(decode_config(event.value))
 
     def _io_counters(self) -> dict[str, object]:
         return {
--- a/src/celeryjunction/platform/wire.py
+++ b/src/celeryjunction/platform/wire.py
@@ -75,6 +75,7 @@
     ErrorKind.NOT_RUN_ALLOTMENT: b"BUSY",
     ErrorKind.NOT_RUN_OLDER_ROUTES: b"BUSY",
     ErrorKind.NOT_RUN_MEMORY: b"BUSY",
+    ErrorKind.NOT_RUN_UNCONFIRMED_ROUTES: b"BUSY",
     ErrorKind.NOT_RUN_ROLLED_BACK: b"ABORTED",
     ErrorKind.IDLE_TRANSACTION: b"ABORTED",
     ErrorKind.SHUTTING_DOWN: b"ABORTED",
--- a/src/celeryjunction/relay/session.py
+++ b/src/celeryjunction/relay/session.py
@@ -42,6 +42,7 @@
 RUN_LOCALLY = (
     ErrorKind.UNKNOWN_DATABASE,
     ErrorKind.NOT_RUN_OLDER_ROUTES,
+    ErrorKind.NOT_RUN_UNCONFIRMED_ROUTES,
     ErrorKind.STATEMENT_TOO_LARGE,
 )
 """Errors after which this VM runs a statement itself: the home does not have the route
--- a/src/celeryjunction/route_updates/confirmation.py
+++ b/src/celeryjunction/route_updates/confirmation.py
@@ -27,7 +27,12 @@
 class RoutesConfirmation:
     """The last confirmation, by this VM's own reads and by reports of other VMs."""
 
-    __slots__ = ("_own_confirmed_at", "_reported_at", "_reported_version")
+    __slots__ = (
+        "_own_confirmed_at",
+        "_reported_at",
+        "_reported_version",
+        "is_newest_unusable",
+    )
 
     def __init__(
         self, *, own_confirmed_at: Callable[[], float] = lambda: -math.inf
@@ -36,6 +41,8 @@
         self._reported_at = -math.inf
         """Last confirmation that other VMs reported."""
         self._reported_version = 0
+        self.is_newest_unusable = False
+        """Whether the newest routes were read and could not be decoded."""
 
     def __rich_repr__(self) -> Iterator[tuple[str, object]]:
         yield "confirmed_at", self.confirmed_at
--- a/tests/test_config_lags.py
+++ b/tests/test_config_lags.py
@@ -54,6 +54,20 @@
         await asyncio.sleep(BOUND_S)
         assert await edge.ask("second") == "READY"
 
+    async def test_a_vm_that_cannot_read_the_routes_does_not_say_that_none_exists(
+        self, store: LossyStore, platform: ConfigPlatform, edge: TimedEdge
+    ) -> None:
+        """Guards against refusals that rest on routes of unknown age."""
+        async with asyncio.timeout(START_S):
+            while await edge.ask("base") != "READY":
+                await asyncio.sleep(0.05)
+        assert await edge.ask("first") == "NODB"
+        store.links["edge"].left_of_config = 1000
+        platform.configure(["base", "first"], 1)
+        await asyncio.sleep(BOUND_S)
+        assert await edge.ask("first") == "BUSY"
+        assert await edge.ask("base") == "READY"
+
 
 class TestManyVms:
     async def test_no_vm_is_late_while_answers_are_lost(self, tmp_path: Path) -> None:
--- a/tests/test_routes_confirmation.py
+++ b/tests/test_routes_confirmation.py
@@ -10,7 +10,11 @@
 import pytest
 from fakes import event_loop_policy  # noqa: F401
 
+from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.follower import PrefixFollower
+from celeryjunction.gateway.gateway import Gateway
+from celeryjunction.gateway.routes import RouteTable
+from celeryjunction.metrics import Metrics
 from celeryjunction.ports import KeyValue, KeyValueList, StoreUnavailable, WatchEvent
 from celeryjunction.route_updates.confirmation import RoutesConfirmation
 from celeryjunction.route_updates.reader import RoutesReader
@@ -199,3 +203,43 @@
         await asyncio.sleep(0.1)
         assert reading.versions[-1] == 2
         reading.close()
+
+
+class TestRefusals:
+    @pytest.fixture
+    async def gateway(self) -> Gateway:
+        """A VM that has just read its routes, and never does again."""
+        now = asyncio.get_running_loop().time()
+        gateway = Gateway(clock=LoopClock(), metrics=Metrics())
+        gateway.confirmation = RoutesConfirmation(own_confirmed_at=lambda: now)
+        gateway.routes_bound_s = lambda: BOUND_S
+        gateway.apply_routes(
+            RouteTable(version=3, routes=(), groups=(), idle_transaction_s=0.0)
+        )
+        return gateway
+
+    async def refuse(self, gateway: Gateway) -> ErrorKind:
+        error = ProxyError(ErrorKind.UNKNOWN_DATABASE, {"database": "db"})
+        return gateway.refusal(error).kind
+
+    async def test_a_database_that_newer_routes_may_have_is_not_said_to_be_unknown(
+        self, gateway: Gateway
+    ) -> None:
+        """Guards against refusals that only an older version justifies."""
+        assert await self.refuse(gateway) is ErrorKind.UNKNOWN_DATABASE
+        await asyncio.sleep(BOUND_S + 0.1)
+        assert await self.refuse(gateway) is ErrorKind.NOT_RUN_UNCONFIRMED_ROUTES
+
+    async def test_a_version_that_is_known_and_not_in_force_counts_as_newer(
+        self, gateway: Gateway
+    ) -> None:
+        """Guards against a refusal right after a home has reported a newer version."""
+        gateway.confirmation.record_report(4, in_force=3, confirmed_at=0.0)
+        assert await self.refuse(gateway) is ErrorKind.NOT_RUN_UNCONFIRMED_ROUTES
+
+    async def test_routes_that_cannot_be_decoded_count_as_newer(
+        self, gateway: Gateway
+    ) -> None:
+        """Guards against refusals that rest on the routes before them."""
+        gateway.confirmation.is_newest_unusable = True
+        assert await self.refuse(gateway) is ErrorKind.NOT_RUN_UNCONFIRMED_ROUTES
