--- a/src/celeryjunction/node_page.py
+++ b/src/celeryjunction/node_page.py
@@ -28,5 +28,12 @@
         return (200, b"ready\n") if ready else (503, b"not ready\n")
 
     def _metrics_text(self) -> bytes:
-        lines = format_metrics(self._node.metrics) + format_counters(self._counters())
+        node = self._node
+        routes = {
+            "routes_version": node.gateway.version,
+            "routes_age_s": round(node.routes_age_s, 2),
+        }
+        lines = format_metrics(node.metrics) + format_counters(
+            {**routes, **self._counters()}
+        )
         return ("\n".join(lines) + "\n").encode()
