Count a confirmation of the register from when its list was sent

A list that waited on a busy link confirmed endpoints as not draining until its answer came, up to 1.5 s too late, and a drain's bound is counted from there (DRAIN).

--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -189,7 +189,7 @@
 
     async def poll(self) -> bool:
         """List the register once; return whether the store answered."""
-        known = self._revision
+        known, sent_at = self._revision, self._clock.monotonic()
         try:
             listed = await self._store.list(self._prefix, timeout=LIST_TIMEOUT_S)
         except (StoreUnavailable, StoreRefused) as error:
@@ -207,7 +207,8 @@
         if not self._available_since or now - self._answered_at > self._max_age_s:
             _log.info("register_available", revision=listed.revision)
             self._available_since = now
-        self._confirm(now)
+        # The answer may have waited, and entries changed since it was given.
+        self._confirm(max(self._answered_at, sent_at))
         self._revision = listed.revision
         self._set_items(listed)
         self._process_items(now)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,7 +9,7 @@
 
 import pytest
 from _node_support import Deployment
-from fakes import event_loop_policy  # noqa: F401
+from fakes import ManualClock, event_loop_policy  # noqa: F401
 
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.failover.suspicions import Suspicions
@@ -251,10 +251,8 @@
                 reads.append(loop.time())
                 return WatchPage([], 1)
 
-        clock = SimpleNamespace(monotonic=loop.time)
         node = deployment.nodes["vm-b"]
-        node._clock = clock
-        follower = PrefixFollower(Store(), "op/", clock=clock, random=Random(1))
+        follower = PrefixFollower(Store(), "op/", clock=ManualClock(), random=Random(1))
         follower.synced.set()
         node.limits.routes_s = 5.0
         node.follow_routes(follower, Store())
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -8,7 +8,7 @@
 from _node_support import WatchedStore
 from fakes import ManualClock, event_loop_policy  # noqa: F401
 
-from celeryjunction.ports import KeyValue
+from celeryjunction.ports import KeyValue, KeyValueList
 from celeryjunction.replication.ports import EndpointInfo
 from celeryjunction.replication.register import REREGISTER_S, EndpointRegister
 from celeryjunction.store_history import StoreHistory
@@ -101,6 +101,26 @@
         assert 0 < site.register.draining_since["a1"] <= cut_off_at
         site.stop()
 
+    async def test_a_drain_that_began_while_a_list_waited_counts_from_its_call(
+        self,
+    ) -> None:
+        """Guards against a list that waits on a busy link and looks new."""
+        site = Register()
+        site.put("a1")
+        list_now = site.store.list
+
+        async def list_late(prefix: str, *, timeout: float) -> KeyValueList:
+            listed = await list_now(prefix, timeout=timeout)
+            await asyncio.sleep(1.4)
+            return listed
+
+        site.store.list = list_late
+        asked_at = asyncio.get_running_loop().time()
+        assert await site.register.poll()
+        site.put("a1", b"draining")
+        assert await site.register.poll()
+        assert site.register.draining_since["a1"] <= asked_at
+
     async def test_an_expired_entry_that_returns_was_never_lost(self) -> None:
         """Guards against giving up an endpoint that was only slow to report.
 
--- a/tests/test_routes_confirmation.py
+++ b/tests/test_routes_confirmation.py
@@ -8,7 +8,7 @@
 from random import Random
 
 import pytest
-from fakes import event_loop_policy  # noqa: F401
+from fakes import ManualClock, event_loop_policy  # noqa: F401
 
 from celeryjunction.errors import ErrorKind, ProxyError
 from celeryjunction.follower import PrefixFollower
@@ -27,11 +27,6 @@
 BUSY_ROUND_TRIP_S = 1.0
 
 
-class LoopClock:
-    def monotonic(self) -> float:
-        return asyncio.get_running_loop().time()
-
-
 class TestTimeBudget:
     @pytest.mark.parametrize("bound_s", [3.0, 5.0, 6.0, 10.0])
     @pytest.mark.parametrize("forwards", [False, True])
@@ -120,7 +115,7 @@
 
     def __init__(self, store: ReadStore, *, forwards: bool = False) -> None:
         self.versions = [1]
-        follower = PrefixFollower(store, "op/", clock=LoopClock(), random=Random(1))
+        follower = PrefixFollower(store, "op/", clock=ManualClock(), random=Random(1))
         follower.subscribe(lambda event: self.versions.append(int(event.value)))
         self.confirmation = RoutesConfirmation(
             own_confirmed_at=lambda: follower.confirmed_at
@@ -134,7 +129,7 @@
             forwards=lambda: forwards,
             vm_count=lambda: 71,
             history=StoreHistory(),
-            clock=LoopClock(),
+            clock=ManualClock(),
             random=Random(2),
         )
         self._tasks = [
@@ -217,7 +212,7 @@
     async def gateway(self) -> Gateway:
         """A VM that has just read its routes, and never does again."""
         now = asyncio.get_running_loop().time()
-        gateway = Gateway(clock=LoopClock(), metrics=Metrics())
+        gateway = Gateway(clock=ManualClock(), metrics=Metrics())
         gateway.confirmation = RoutesConfirmation(own_confirmed_at=lambda: now)
         gateway.routes_bound_s = lambda: BOUND_S
         gateway.apply_routes(
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -10,7 +10,7 @@
 
 import msgspec
 import pytest
-from fakes import event_loop_policy  # noqa: F401
+from fakes import ManualClock, event_loop_policy  # noqa: F401
 
 from celeryjunction.adapters.http_client import (
     CONNECT_RETRY_S,
@@ -135,13 +135,6 @@
     return HttpResponse(200, msgspec.json.encode(body))
 
 
-class LoopClock:
-    """The simulated time."""
-
-    def monotonic(self) -> float:
-        return asyncio.get_running_loop().time()
-
-
 class Home:
     """A VM that learns of config changes from the store alone."""
 
@@ -149,7 +142,9 @@
         self._service = service
         self._versions: dict[int, float] = {}
         store = HttpStore(service, config_apply_ms=BOUND_S * 1000)
-        self._config = PrefixFollower(store, "op/", clock=LoopClock(), random=Random(1))
+        self._config = PrefixFollower(
+            store, "op/", clock=ManualClock(), random=Random(1)
+        )
         self._config.is_small = True
         self._config.set_vm_count(71)
         self._config.subscribe(self._record)
@@ -164,7 +159,7 @@
             forwards=lambda: False,
             vm_count=lambda: 71,
             history=store.history,
-            clock=LoopClock(),
+            clock=ManualClock(),
             random=Random(1),
         )
         self._tasks = [
