Keep the pause between reads of the routes until the bound has passed

It doubled after the third read without an answer, so that a VM had four tries within a bound of 5 s; it now has six. An outage costs two calls a second for the first seconds, then one as before.

--- a/src/celeryjunction/route_updates/reader.py
+++ b/src/celeryjunction/route_updates/reader.py
@@ -21,7 +21,7 @@
     WatchCompacted,
 )
 from celeryjunction.route_updates.confirmation import RoutesConfirmation
-from celeryjunction.route_updates.time_budget import LOST_ANSWERS, TimeBudget
+from celeryjunction.route_updates.time_budget import TimeBudget
 from celeryjunction.shared_watch import WatchPage
 from celeryjunction.store_history import StoreHistory
 
@@ -31,7 +31,7 @@
 LEAST_WAIT_S = 0.001
 """Shorter waits may not pass: the sum of a large time and a tiny one is rounded."""
 OUTAGE_RETRY_FACTOR = 2.0
-"""The pause between reads grows by this once more than `LOST_ANSWERS` had no answer."""
+"""The pause between reads grows by this once the bound has passed."""
 
 _log = get_logger("routes")
 
@@ -119,23 +119,21 @@
     async def _read_until_confirmed(self, limit_s: float) -> None:
         """Send a read, and further ones beside it, until the routes are confirmed."""
         attempts: list[asyncio.Task[None]] = []
-        sent = 0
         try:
             while self._due_in_s(limit_s) <= 0.0:
                 if len(attempts) == self._budget().attempts:
                     attempts.pop(0).cancel()
                 attempts.append(asyncio.create_task(self._read()))
-                sent += 1
-                await self._wait_for_answer(attempts, limit_s, sent=sent)
+                await self._wait_for_answer(attempts, limit_s)
         finally:
             for attempt in attempts:
                 attempt.cancel()
 
     async def _wait_for_answer(
-        self, attempts: list[asyncio.Task[None]], limit_s: float, *, sent: int
+        self, attempts: list[asyncio.Task[None]], limit_s: float
     ) -> None:
         """Wait until the routes are confirmed or the next read is due."""
-        pause = asyncio.create_task(asyncio.sleep(self._pause_s(sent)))
+        pause = asyncio.create_task(asyncio.sleep(self._pause_s()))
         try:
             while not pause.done() and self._due_in_s(limit_s) <= 0.0:
                 ended, _ = await asyncio.wait(
@@ -147,10 +145,11 @@
         finally:
             pause.cancel()
 
-    def _pause_s(self, sent: int) -> float:
-        """Return the time until the next read, after `sent` reads without an answer."""
-        pause_s = self._budget().retry_s
-        if sent > LOST_ANSWERS:
+    def _pause_s(self) -> float:
+        """Return the time until the next read."""
+        budget = self._budget()
+        pause_s = budget.retry_s
+        if self._confirmation.age_s(self._clock.monotonic()) >= budget.bound_s:
             pause_s *= OUTAGE_RETRY_FACTOR
         return max(pause_s, self._vm_count() / RECONNECTS_PER_S)
 
