--- a/src/celeryjunction/relay/home_link.py
+++ b/src/celeryjunction/relay/home_link.py
@@ -43,9 +43,10 @@
 """A connection on which nothing arrives for this long is closed at the next poll. Two
 or three polls are then unanswered. The shortest time-out of a statement is 0.8 s."""
 KEPT_REQUESTS = 16
-"""Requests for the status whose times are kept: more than a silent connection has."""
-LATEST_ANSWER_S = SILENCE_TIMEOUT_S + STATUS_INTERVAL_S
-"""Time after which an answer to a request can still come."""
+"""Requests for the status whose times are kept; a connection that is closed for its
+silence has three or four without an answer."""
+LONGEST_ANSWER_S = SILENCE_TIMEOUT_S + STATUS_INTERVAL_S
+"""Time that the status of a home which does not repeat numbers may have taken."""
 CONNECT_TIMEOUT_S = 0.3
 """Time-out of a connection within the zone, where a round trip takes 0.4 ms."""
 MIN_RETRY_S = 0.05
@@ -239,7 +240,7 @@
         if status.answers:
             self.status_asked_at = self._asked_at.get(status.answers, -inf)
         else:
-            self.status_asked_at = self._clock.monotonic() - LATEST_ANSWER_S
+            self.status_asked_at = self._clock.monotonic() - LONGEST_ANSWER_S
         if before is None or before.leaving != status.leaving:
             _log.info("home_reached", vm=self.vm, leaving=status.leaving)
         endpoints = self.endpoints
--- a/src/celeryjunction/relay/messages.py
+++ b/src/celeryjunction/relay/messages.py
@@ -48,7 +48,7 @@
 
 
 class AskHomeStatus(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
-    """Ask the home for its `HomeStatus`, which names the number."""
+    """Ask the home for its `HomeStatus`, which repeats the number."""
 
     number: Count = 0
 
@@ -91,7 +91,7 @@
     routes_age_s: Amount = 0.0
     """Seconds since the home's routes were last known to be the newest ones."""
     answers: Count = 0
-    """Number of the last `AskHomeStatus`; 0 from a home that does not tell."""
+    """Number of the last `AskHomeStatus`; 0 from a home that does not repeat it."""
 
 
 class EndpointList(msgspec.Struct, frozen=True, array_like=True, tag="endpoints"):
--- a/src/celeryjunction/relay/session.py
+++ b/src/celeryjunction/relay/session.py
@@ -46,7 +46,7 @@
     ErrorKind.STATEMENT_TOO_LARGE,
 )
 """Errors after which this VM runs a statement itself: the home does not have the route
-or its version yet, or the answer to a read is too large for a frame."""
+or its version, or cannot tell, or the answer to a read is too large for a frame."""
 REFUSED_BY_HOME = (ErrorKind.NOT_RUN_ALLOTMENT, ErrorKind.NOT_RUN_MEMORY)
 """Errors of a BEGIN after which this VM does not open the transaction itself."""
 
--- a/src/celeryjunction/shared_watch.py
+++ b/src/celeryjunction/shared_watch.py
@@ -25,8 +25,7 @@
 
 BATCH_DELAY_S = 1.0
 """Pause after changes, so that the next call returns several at once: a rolling restart
-changes the list of VMs twice for each VM, and each VM makes a call for each change. It
-is well within the platform's bound on the config."""
+changes the list of VMs twice for each VM, and each VM makes a call for each change."""
 
 _log = get_logger("store")
 
--- a/src/celeryjunction/watch_wait.py
+++ b/src/celeryjunction/watch_wait.py
@@ -29,7 +29,10 @@
 
 
 class WatchWait:
-    """Wait of the next long poll; changes must be seen within `bound_ms`.
+    """Wait of the next long poll; changes are to be seen within `bound_ms`.
+
+    One lost answer takes up that time. Where more may be lost, a bound must not rest on
+    the watch alone, see `route_updates`.
 
     After its connections were reset or fell silent, a VM is not held to the bound for
     `contact_ms`, so that it has the longer of the two times to notice a dead
