Do not begin large answers of the store again while they arrive

Cause: up to six reads of all versions since (460 routes each, one every 0.3 s) shared a link of 5 Mbit/s, each was given up after 3 s and began again from nothing; their time-outs ended the watch as well.

Three reads wait at most, every second one lists the newest routes, and a large answer is given up only when it stops arriving (pages of watches and lists).

--- a/src/celeryjunction/adapters/http_client.py
+++ b/src/celeryjunction/adapters/http_client.py
@@ -28,6 +28,10 @@
 """Bytes of a channel that stay unacknowledged are given up after this, also if the
 process stands still. Shorter than the time after which a promotion call counts as lost
 (7 s)."""
+STALL_LIMIT_S = 1.0
+"""A large response is not given up while parts of it arrive at most this far apart."""
+LONGEST_TRANSFER_S = 30.0
+"""Time that a large response may take beyond the request's time-out."""
 SWITCHING_PROTOCOLS = 101
 """The only status below 200 that no other response to the request follows."""
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -68,6 +72,8 @@
         self._headers: dict[str, str] = {}
         self._has_all_headers = False
         self._body = bytearray()
+        self.on_data: Callable[[], None] = _ignore
+        """Called when a part of a response has arrived."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
@@ -76,6 +82,7 @@
         if self._response is None:
             self.abort()
             return
+        self.on_data()
         try:
             self._parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade) as error:
@@ -199,9 +206,13 @@
         headers: Mapping[str, str] | None = None,
         timeout: float,
         long_poll: bool = False,
+        large: bool = False,
     ) -> HttpResponse:
         """Send a request; raises `HttpFailure` without a response in `timeout` seconds.
 
+        With `large` a response that began in time may take longer while it arrives: on
+        a narrow link, one that is given up would begin again from nothing.
+
         With `long_poll` the service may hold back the response on purpose; the request
         is aborted when another one gets no response, because its connection is then
         likely to be dead as well.
@@ -211,8 +222,10 @@
         connection: _Connection | None = None
         was_sent = False
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(timeout) as limit:
                 connection = await self._connect()
+                if large:
+                    connection.on_data = _extend_while_arriving(limit)
                 if long_poll:
                     self._long_polls.add(connection)
                 was_sent = True
@@ -310,6 +323,23 @@
             connection.abort()
 
 
+def _ignore() -> None:
+    pass
+
+
+def _extend_while_arriving(limit: asyncio.Timeout) -> Callable[[], None]:
+    """Return a function to call for each part that arrives before a time limit."""
+    loop = asyncio.get_running_loop()
+    latest = limit.when() + LONGEST_TRANSFER_S
+
+    def extend() -> None:
+        if not limit.expired():
+            wanted = min(loop.time() + STALL_LIMIT_S, latest)
+            limit.reschedule(max(limit.when(), wanted))
+
+    return extend
+
+
 def _give_up(attempt: asyncio.Task[_Connection]) -> None:
     """Cancel an attempt to connect, and close what it has opened meanwhile."""
 
--- a/src/celeryjunction/platform/store.py
+++ b/src/celeryjunction/platform/store.py
@@ -101,14 +101,14 @@
         query: dict[str, object] | None = None,
         body: object = None,
         accept: tuple[int, ...] = (200,),
-        long_poll: bool = False,
+        **options: bool,
     ) -> HttpResponse:
         if query:
             path = f"{path}?{urlencode(query)}"
         data = b"" if body is None else msgspec.json.encode(body)
         try:
             response = await self._client.request(
-                method, path, body=data, timeout=timeout, long_poll=long_poll
+                method, path, body=data, timeout=timeout, **options
             )
         except HttpFailure as error:
             raise StoreUnavailable(str(error)) from None
@@ -147,7 +147,7 @@
         while True:
             call = self._evidence.begin()
             response = await self._call(
-                "GET", "/kv-range", query=query, timeout=timeout
+                "GET", "/kv-range", query=query, timeout=timeout, large=True
             )
             page = _decode(response, _RangePage)
             self._evidence.confirm(call, page.current_rev)
@@ -252,6 +252,7 @@
             timeout=timeout,
             accept=(200, 410),
             long_poll=wait_ms > 0,
+            large=True,
         )
         if response.status == 410 or not history.is_current_revision(after):
             raise WatchCompacted(f"changes after revision {after} were compacted")
--- a/src/celeryjunction/route_updates/reader.py
+++ b/src/celeryjunction/route_updates/reader.py
@@ -117,13 +117,18 @@
                 continue
 
     async def _read_until_confirmed(self, limit_s: float) -> None:
-        """Send a read, and further ones beside it, until the routes are confirmed."""
+        """Send a read, and further ones beside it, until the routes are confirmed.
+
+        Every second one is a list, which has only the newest routes: the changes have
+        all versions that were in force since.
+        """
         attempts: list[asyncio.Task[None]] = []
+        lists = False
         try:
             while self._due_in_s(limit_s) <= 0.0:
-                if len(attempts) == self._budget().attempts:
-                    attempts.pop(0).cancel()
-                attempts.append(asyncio.create_task(self._read()))
+                if len(attempts) < self._budget().attempts:
+                    attempts.append(asyncio.create_task(self._read(lists=lists)))
+                    lists = not lists
                 await self._wait_for_answer(attempts, limit_s)
         finally:
             for attempt in attempts:
@@ -153,10 +158,13 @@
             pause_s *= OUTAGE_RETRY_FACTOR
         return max(pause_s, self._vm_count() / RECONNECTS_PER_S)
 
-    async def _read(self) -> None:
-        """Apply the changes, or list the keys if the store keeps no changes."""
+    async def _read(self, *, lists: bool) -> None:
+        """Apply the changes, or list the keys: also if the store keeps no changes."""
         follower, sent_at = self._follower, self._clock.monotonic()
         timeout_s = self._budget().timeout_s
+        if lists:
+            await follower.refresh(timeout_s)
+            return
         if self._losses != follower.losses:
             self._after, self._losses = 0, follower.losses
         after = max(self._after, follower.revision)
--- a/src/celeryjunction/route_updates/time_budget.py
+++ b/src/celeryjunction/route_updates/time_budget.py
@@ -55,13 +55,13 @@
 
     @property
     def attempts(self) -> int:
-        """Reads at the same time, so that none is given up before `call_s`."""
-        return round(CALL_PART / RETRY_PART) + LOST_ANSWERS
+        """Reads at the same time; more would only share the link with one another."""
+        return LOST_ANSWERS + 1
 
     @property
     def timeout_s(self) -> float:
-        """Time-out of a read; others were sent beside it meanwhile."""
-        return self.attempts * self.retry_s
+        """Time until a read without any answer makes room for another one."""
+        return self.call_s + self.retry_s
 
     def limit_s(self, *, forwards: bool) -> float:
         """Return the age at which a VM reads the changes.
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -13,6 +13,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from celeryjunction.adapters import http_client
 from celeryjunction.adapters.http_client import (
     HttpClient,
     HttpFailure,
@@ -567,3 +568,40 @@
             process.kill()
             await process.wait()
             assert isinstance(await ended, ConnectionResetError)
+
+
+class TestLargeResponses:
+    """A response in parts that takes longer than the request's time-out."""
+
+    TIMEOUT_S = 0.3
+
+    async def receive(self, pause_s: float, *, large: bool) -> HttpResponse:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await read_request(reader)
+            for part in (encode_response(200, b"x" * 8)[:-8], *[b"x"] * 8):
+                writer.write(part)
+                await asyncio.sleep(pause_s)
+
+        async with serving(serve) as client:
+            return await client.request(
+                "GET", "/kv-range", timeout=self.TIMEOUT_S, large=large
+            )
+
+    async def test_one_that_arrives_slowly_is_not_given_up(self) -> None:
+        """Guards against a page over a narrow link that begins again without end."""
+        response = await self.receive(0.1, large=True)
+        assert response.body == b"x" * 8
+
+    async def test_a_small_one_keeps_to_its_time_out(self) -> None:
+        with pytest.raises(HttpFailure):
+            await self.receive(0.1, large=False)
+
+    async def test_one_that_stops_arriving_is_given_up(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a response without an end that holds up a watch."""
+        monkeypatch.setattr(http_client, "STALL_LIMIT_S", 0.05)
+        with pytest.raises(HttpFailure):
+            await self.receive(0.25, large=True)
