--- a/bench/config_lags.py
+++ b/bench/config_lags.py
@@ -35,7 +35,7 @@
 GROUP = "db"
 CHANGE_PAUSE_S = (0.3, 2.0)
 RESTART_PAUSE_S = (3.0, 8.0)
-LIFE_S = 12.0
+LIFE_S = 7.0
 """Least time from a route's ack to its removal."""
 WATCHED_S = 0.15
 """Interval at which each VM is asked for the newest route."""
@@ -233,6 +233,8 @@
         answer = await edge.ask(host)
         if not edge.is_judged(asked_at) or not answer:
             return
+        if is_served and host in self._removed:
+            return
         self.answers[answer] += 1
         if answer == ("NODB" if is_served else "READY"):
             await asyncio.sleep(BOUND_S)
