--- a/bench/config_lags.py
+++ b/bench/config_lags.py
@@ -31,6 +31,8 @@
 """`config_apply_ms` and `contact_ms` of the largest deployments."""
 REGRESSION_S = 0.25
 """`rollback_slack_ms`: time after which a version that was seen must stay in force."""
+FIRST_HOST = "base"
+"""Route of all configs."""
 ZONES = ("zone-0", "zone-1", "zone-2")
 GROUP = "db"
 CHANGE_PAUSE_S = (0.3, 2.0)
@@ -39,8 +41,10 @@
 """Least time from a route's ack to its removal."""
 WATCHED_S = 0.15
 """Interval at which each VM is asked for the newest route."""
-SETTLE_S = 8.0
+SETTLE_S = 5.0
 """Time for the VMs to learn of each other before the first change."""
+START_S = 60.0
+"""Time-out for the start of all processes, with room for a busy machine."""
 
 
 class TimedEdge(EdgeProcess):
@@ -77,9 +81,14 @@
             client.close()
         return words[1] if words[:1] == ["ERROR"] else words[0] if words else ""
 
+    async def wait_until_serving(self) -> None:
+        """Wait until the process has the first config in force."""
+        while await self.ask(FIRST_HOST) != "READY":
+            await asyncio.sleep(WATCHED_S)
+
     def is_judged(self, now: float) -> bool:
-        """Whether the process has run for the whole bound."""
-        return self.running and now - self.started_at > BOUND_S
+        """Whether the process has run for the whole bound, and has any config."""
+        return self.running and bool(self.in_force) and now - self.started_at > BOUND_S
 
 
 class ConfigPlatform:
@@ -156,7 +165,7 @@
             TimedEdge(self._platform, folder, f"edge-{number}")
             for number in range(edges)
         ]
-        self._hosts: dict[str, float] = {"base": 0.0}
+        self._hosts: dict[str, float] = {FIRST_HOST: 0.0}
         """Routes of the newest config, with the times of their acks."""
         self._removed: set[str] = set()
         """Routes whose removal was sent."""
@@ -173,6 +182,10 @@
             for number, edge in enumerate(self.edges):
                 await self._platform.add(edge.name)
                 await edge.start(zone=number % len(ZONES))
+            async with asyncio.timeout(START_S):
+                await asyncio.gather(
+                    *(edge.wait_until_serving() for edge in self.edges)
+                )
             await asyncio.sleep(SETTLE_S)
             watchers = [asyncio.create_task(self._watch(edge)) for edge in self.edges]
             if restarts:
