--- a/review/harness3/edges.py
+++ b/review/harness3/edges.py
@@ -12,11 +12,12 @@
 import time
 import tomllib
 from asyncio.subprocess import Process, create_subprocess_exec
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
 from celeryjunction.platform.standin import StandinPlatform
+from harness3.silent_proxy import SilentProxy
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -67,6 +68,13 @@
         self._file.write(f"{self.now_s:8.3f}  {text}\n")
         self._file.flush()
 
+    def write_log(self, name: str, path: Path) -> None:
+        """Add the decisions about failovers from a process's log."""
+        for line in path.read_text(errors="replace").splitlines():
+            if "logger=failover" in line or "logger=replication" in line:
+                self._file.write(f"{name}: {line}\n")
+        self._file.flush()
+
     def say(self, text: str) -> None:
         """Write a line and print it."""
         self.write(text)
@@ -89,6 +97,8 @@
         self.name = name
         self.front, self.ready, self.internal = free_port(), free_port(), free_port()
         self.process: Process | None = None
+        self.store_proxy: SilentProxy | None = None
+        """Proxy on this machine's way to the store, if the case has one."""
         self._platform = platform
         self._folder = folder
         self._zone = zone
@@ -184,8 +194,24 @@
 """Plays a case; takes also whether the disruption happens, returns the exit code."""
 
 
-async def _run(play: Play, record: Record, *, edges: int, trouble: bool) -> int:
-    platform = StandinPlatform()
+async def _put_proxy(edge: Edge, platform: StandinPlatform) -> None:
+    """Put a proxy on an edge's way to the store."""
+    port = int(platform.store.address.rpartition(":")[2])
+    edge.store_proxy = SilentProxy(port)
+    await edge.store_proxy.start()
+    platform.store_addresses[edge.name] = edge.store_proxy.address
+
+
+async def _run(
+    play: Play,
+    record: Record,
+    *,
+    edges: int,
+    trouble: bool,
+    groups: tuple[str, ...],
+    behind_proxy: Collection[str],
+) -> int:
+    platform = StandinPlatform(groups=groups)
     await platform.start()
     started: list[Edge] = []
     with TemporaryDirectory() as folder:
@@ -198,25 +224,51 @@
                     zone=number % len(platform.zones),
                 )
                 started.append(edge)
+                if edge.name in behind_proxy:
+                    await _put_proxy(edge, platform)
                 await edge.start()
             for edge in started:
                 await edge.wait_until_ready()
                 record.write(f"{edge.name} is ready, process {edge.process.pid}")
-            return await play(platform, started, record, trouble)
+            code = await play(platform, started, record, trouble)
+            for edge in started:
+                record.write_log(edge.name, Path(folder) / f"{edge.name}.log")
+            return code
         finally:
             for edge in started:
                 await edge.end()
             await platform.close()
 
 
-def run_case(folder: Path, play: Play, *, edges: int, limit_s: float = 110.0) -> None:
-    """Play a case and exit with its code; `TROUBLE=0` leaves the disruption out."""
+def run_case(
+    folder: Path,
+    play: Play,
+    *,
+    edges: int,
+    groups: tuple[str, ...] = ("db",),
+    behind_proxy: Collection[str] = (),
+    limit_s: float = 110.0,
+) -> None:
+    """Play a case and exit with its code; `TROUBLE=0` leaves the disruption out.
+
+    The edges named in `behind_proxy` reach the store through a proxy of their own.
+    """
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"disruption: {'on' if trouble else 'off'}")
     try:
         code = asyncio.run(
-            asyncio.wait_for(_run(play, record, edges=edges, trouble=trouble), limit_s)
+            asyncio.wait_for(
+                _run(
+                    play,
+                    record,
+                    edges=edges,
+                    trouble=trouble,
+                    groups=groups,
+                    behind_proxy=behind_proxy,
+                ),
+                limit_s,
+            )
         )
     except (OSError, TimeoutError) as error:
         record.say(f"the case couldn't run: {error!r}")
