--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,77 +1,96 @@
-"""Case 11: a crowd's statements, sent ahead, stop a process for many seconds."""
+"""Case 11: a leaving replica proves commits that the next primary lacks."""
 
 from __future__ import annotations
 
 import asyncio
-import sys
 from pathlib import Path
 
-from harness3.callers import Caller, longest_gap_s, probe_each_second
-from harness3.edges import BROKEN, HELD, Edge, Record, run_case
+from harness3.edges import BROKEN, HELD, NOT_RUN, Edge, Record, run_case
+from harness3.writers import Judge, Writer, crash
 
-from celeryjunction.platform.standin import StandinPlatform
+from celeryjunction.platform.standin import StandinEndpoint, StandinPlatform
 
-CROWD = 100
-"""Members; the site files name up to 152 peers that misbehave at once."""
-CALLERS_PER_EDGE = 4
-CALM_S = 5.0
-WATCHED_S = 30.0
-HANG_S = 5.0
-"""A process that does nothing for this long hangs. Longer than `contact_ms` (4 s) and
-than five of the platform's probes."""
-FOLDER = Path(__file__).resolve().parent
+GROUPS = ("db", "orders")
+CUT_EDGE = "edge-1"
+WRITERS = 6
+PAUSE_S = 0.03
+CALM_S = 6.0
+"""Before the planned work, so that all machines have proven their primaries."""
+STORE_SILENT_S = 9.6
+"""`platform_down` (nodes) lasts up to 9.9 s in the site files."""
+DRAIN_AFTER_S = 0.3
+"""From the begin of that silence until the replica reports that it drains."""
+DEAF_AFTER_S = 5.8
+"""From that report until another replica receives nothing."""
+DEAF_S = 6.5
+"""`replica_lag` (deaf crash) lasts up to 6.5 s in the site files."""
+DRAIN_S = 7.6
+"""From the report to the end of the replica: `drain_ms` (7 s) and a little longer."""
+CRASH_BEFORE_END_S = 0.1
+"""The primary crashes this long before the draining replica ends."""
+WATCHED_S = 14.0
+
+
+async def leave(
+    platform: StandinPlatform, endpoint: StandinEndpoint, record: Record
+) -> None:
+    """Drain a replica as planned, and end it."""
+    platform.store.register(endpoint, state="draining")
+    record.write(f"{endpoint.id} reports that it drains")
+    await asyncio.sleep(DRAIN_S)
+    await endpoint.group.remove(endpoint)
+    platform.store.put(f"servers/{endpoint.id}", None)
+    record.write(f"{endpoint.id} has ended")
 
 
 async def play(
     platform: StandinPlatform, edges: list[Edge], record: Record, trouble: bool
 ) -> int:
-    """Serve ordinary callers on two machines, with a crowd at the first one."""
-    callers = {
-        edge.name: [Caller(edge, n, record) for n in range(CALLERS_PER_EDGE)]
-        for edge in edges
-    }
-    answered: dict[str, list[float]] = {edge.name: [] for edge in edges}
-    tasks = [
-        asyncio.create_task(caller.run())
-        for each in callers.values()
-        for caller in each
-    ]
-    tasks += [
-        asyncio.create_task(probe_each_second(edge, record, answered[edge.name]))
-        for edge in edges
-    ]
+    """Have a replica leave, beside the disruption, and judge the promotions."""
+    group = platform.groups["db"]
+    primary, leaving, other = group.endpoints
+    writers = [Writer(edges[0], n, record, pause_s=PAUSE_S) for n in range(WRITERS)]
+    judge = Judge(writers, record)
+    group.on_promotion = judge.promoted
+    tasks = [asyncio.create_task(writer.run()) for writer in writers]
     await asyncio.sleep(CALM_S)
-    begin, crowd = record.now_s, None
+    proxy = edges[0].store_proxy
+    if trouble:
+        record.say(f"the store turns {CUT_EDGE} away for {STORE_SILENT_S} s")
+        proxy.silence_for(STORE_SILENT_S)
+    await asyncio.sleep(DRAIN_AFTER_S)
+    began = record.now_s
+    tasks.append(asyncio.create_task(leave(platform, leaving, record)))
+    await asyncio.sleep(DEAF_AFTER_S)
+    if trouble:
+        record.say(f"{other.id} receives nothing for {DEAF_S} s")
+        other.replication_cut = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(DEAF_S, setattr, other, "replication_cut", False)
+    crash_at = began + DRAIN_S - CRASH_BEFORE_END_S
+    await asyncio.sleep(crash_at - record.now_s)
     if trouble:
-        record.say(f"{CROWD} clients each send 512 KB of statements ahead at edge-1")
-        crowd = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(FOLDER / "crowd.py"),
-            str(edges[0].front),
-            str(CROWD),
-            stdout=asyncio.subprocess.DEVNULL,
-        )
+        record.say(f"{primary.id} crashes as {leaving.id} is about to end")
+        tasks.append(asyncio.create_task(crash(platform, primary, record)))
     await asyncio.sleep(WATCHED_S)
-    end = record.now_s
     for task in tasks:
         task.cancel()
-    if crowd is not None:
-        crowd.kill()
-        await crowd.wait()
-    broken = False
-    for edge in edges:
-        served = [at for caller in callers[edge.name] for at in caller.served_at]
-        failed = [at for caller in callers[edge.name] for at in caller.failed_at]
-        silent_s = longest_gap_s(served + answered[edge.name], begin, end)
-        record.say(
-            f"{edge.name}: running {edge.running}, "
-            f"{sum(at >= begin for at in served)} requests served, "
-            f"{sum(at >= begin for at in failed)} failed, longest time without any "
-            f"answer to a caller or a probe {silent_s:.1f} s"
-        )
-        broken = broken or not edge.running or silent_s > HANG_S
-    return BROKEN if broken else HELD
+    await asyncio.gather(*tasks, return_exceptions=True)
+    acknowledged = sum(len(writer.acknowledged) for writer in writers)
+    record.say(
+        f"{acknowledged} writes acknowledged, {judge.promotions} promotions, "
+        f"{len(judge.lost)} acknowledged writes lost"
+    )
+    if not acknowledged:
+        return NOT_RUN
+    return BROKEN if judge.lost else HELD
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, play, edges=2)
+    run_case(
+        Path(__file__).resolve().parent,
+        play,
+        edges=4,
+        groups=GROUPS,
+        behind_proxy=(CUT_EDGE,),
+    )
