--- a/review/harness3/silent_proxy.py
+++ b/review/harness3/silent_proxy.py
@@ -17,6 +17,13 @@
         self._silent = False
         self._writers: set[asyncio.StreamWriter] = set()
         self._stuck: set[asyncio.StreamWriter] = set()
+        self._awaited: list[tuple[bytes, asyncio.Event]] = []
+
+    async def wait_for(self, text: bytes) -> None:
+        """Wait until a piece that is passed on begins with a text."""
+        arrived = asyncio.Event()
+        self._awaited.append((text, arrived))
+        await arrived.wait()
 
     @property
     def address(self) -> str:
@@ -70,6 +77,9 @@
             while data := await reader.read(1 << 16):
                 if writer in self._stuck:
                     return
+                for text, arrived in self._awaited:
+                    if data.startswith(text):
+                        arrived.set()
                 writer.write(data)
                 await writer.drain()
         except OSError:
