--- a/review/harness3/edges.py
+++ b/review/harness3/edges.py
@@ -97,6 +97,8 @@
         self.name = name
         self.front, self.ready, self.internal = free_port(), free_port(), free_port()
         self.process: Process | None = None
+        self.helpers: list[Process] = []
+        """Processes that the case has started against this edge; they end with it."""
         self.store_proxy: SilentProxy | None = None
         """Proxy on this machine's way to the store, if the case has one."""
         self._platform = platform
@@ -184,10 +186,11 @@
         return 0.0
 
     async def end(self) -> None:
-        """Kill the process."""
-        if self.running:
-            self.process.send_signal(signal.SIGKILL)
-            await self.process.wait()
+        """Kill the process and the helpers."""
+        for process in (self.process, *self.helpers):
+            if process is not None and process.returncode is None:
+                process.send_signal(signal.SIGKILL)
+                await process.wait()
 
 
 Play = Callable[[StandinPlatform, list[Edge], Record, bool], Awaitable[int]]
@@ -211,6 +214,9 @@
     groups: tuple[str, ...],
     behind_proxy: Collection[str],
 ) -> int:
+    # A SIGTERM ends the case in order, and with it all that it started.
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     platform = StandinPlatform(groups=groups)
     await platform.start()
     started: list[Edge] = []
@@ -270,7 +276,7 @@
                 limit_s,
             )
         )
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, asyncio.CancelledError) as error:
         record.say(f"the case couldn't run: {error!r}")
         code = NOT_RUN
     record.write(f"exit code {code}")
