Prove commits by one replica only while drains are known

Cause: the other VMs drop a member that left with the position that it reported 3 s after its drain was seen, because every VM "that reaches the store" then knows of the drain. A VM that doesn't reach the store went on taking the member for a witness, however old its copy of the register was. Its record shows that it read nothing from the store for 9.6 s, and member_struck_off names the position of 3 s after the report.

The read that confirms the routes covers all keys and confirms the register too; a watch confirms nothing. A VM whose reads are not answered asks other VMs and takes over their lists; if the store answers nobody, the agreement of all VMs that may run a failover is enough, since none of them has begun to count. Otherwise all members have to have the commit. A member that left is dropped with its last position only if a replica stays that stayed when its drain began. model/unread_register.py states both halves, with a mutant for each premise.

A request for evidence that lost to a faster one was cancelled, which closed its connection; on the new one the replica proved nothing while the store was silent. Such requests now end by themselves.

--- a/model/all_checks.py
+++ b/model/all_checks.py
@@ -18,6 +18,7 @@
     promotion_calls,
     quota,
     read_your_writes,
+    unread_register,
 )
 
 MODULES = (
@@ -32,6 +33,7 @@
     late_promotion,
     member_restarts,
     lost_member,
+    unread_register,
     fencing_tokens,
     promotion_calls,
     answers,
--- a/model/confirmed_commits.py
+++ b/model/confirmed_commits.py
@@ -34,7 +34,7 @@
 of them reported W, and all answer that they are not paused; this holds for restarts of
 one member only, unless the roster is found unsealed after the answers.
 
-Left out: a VM that is cut off from the store for longer than a drain lasts, a store
+Left out: a VM that doesn't know of the drain (a subject of unread_register), a store
 that comes back from an older copy, and the end of a seal whose limit has passed, which
 is a subject of late_promotion.
 """
--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -209,6 +209,7 @@
 
     async def _stand_by(self) -> None:
         """Leave the group to the VMs that monitor it."""
+        self._group.drain_watch.forget()
         self._paused_since = self._no_primary_since = 0.0
         self._suspected = None
         for control in self._group.controls.values():
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -50,6 +50,7 @@
 from celeryjunction.relay.homes import HomeSelector
 from celeryjunction.relay.messages import EndpointList, HomeStatus
 from celeryjunction.relay.placement import is_crowded
+from celeryjunction.relay.register_sources import SOURCES_AGE_S, RegisterSources
 from celeryjunction.relay.session import ForwardingSession
 from celeryjunction.replication.control import REACHABLE
 from celeryjunction.replication.drain_watch import neighbours
@@ -57,7 +58,10 @@
 from celeryjunction.replication.ports import EndpointDialer, EndpointInfo, Promoter
 from celeryjunction.replication.register import EndpointRegister
 from celeryjunction.replication.roster import GroupRoster
-from celeryjunction.route_updates.confirmation import RoutesConfirmation
+from celeryjunction.route_updates.confirmation import (
+    UNKNOWN_AGE_S,
+    RoutesConfirmation,
+)
 from celeryjunction.route_updates.reader import ChangesStore, RoutesReader
 from celeryjunction.route_updates.time_budget import TimeBudget
 from celeryjunction.services import keep_running
@@ -203,6 +207,12 @@
             clock=clock,
             on_update=self._apply_home_update,
         )
+        self._register_sources = RegisterSources(
+            membership.record,
+            random=random,
+            clock=clock,
+            on_update=self._apply_register_report,
+        )
         self.home_server = HomeServer(
             self.gateway,
             status=self._home_status,
@@ -272,6 +282,7 @@
             history=self._history,
             clock=self._clock,
             random=self._random,
+            register=self._register,
         )
         self.gateway.on_newer_routes = self._record_newer_routes
         self.gateway.routes_bound_s = lambda: self.limits.routes_s
@@ -426,6 +437,7 @@
             idle_pool=dispatcher,
             ask_zone=self._ask_zone,
             register_age_s=lambda: self._register.age_s,
+            drains_known_age_s=lambda: self._register.drains_known_age_s,
         )
         dispatcher.on_stuck = lambda _: self._on_endpoint_stuck(group)
         self.gateway.groups[name] = group
@@ -599,6 +611,7 @@
             endpoints_age_s=self._register.age_s,
             reached=[name for name, group in groups if group.reached_at >= oldest],
             routes_age_s=self.routes_age_s,
+            endpoints_read_s=min(self._register.confirmed_age_s, UNKNOWN_AGE_S),
         )
 
     @property
@@ -607,22 +620,50 @@
         return self._homes.is_forwarding_only
 
     def _apply_home_update(self, link: HomeLink) -> None:
-        """Read newer routes; take over endpoints if this VM is not a home itself."""
+        """Read newer routes; take over endpoints, or their confirmation at a home."""
         status, listed = link.status, link.endpoints
         if status is None:
             return
         confirmed_at = link.status_asked_at - status.routes_age_s
         self._record_report(status.routes_version, confirmed_at=confirmed_at)
         if not self._homes.is_forwarding_only:
-            return
-        if listed is not None and listed.version == status.endpoints_version:
+            self._apply_register_report(link)
+        elif listed is not None and listed.version == status.endpoints_version:
             self._register.update_from_peer(
                 listed.endpoints,
                 age_s=status.endpoints_age_s,
                 revision=listed.revision,
                 peer=link.vm,
+                read_at=link.status_asked_at - status.endpoints_read_s,
             )
 
+    def _apply_register_report(self, link: HomeLink) -> None:
+        """Take another VM's list of endpoints as a confirmation of the register."""
+        status, listed = link.status, link.endpoints
+        if status is None or listed is None:
+            return
+        if listed.version != status.endpoints_version:
+            return
+        is_same = self._register.vouch(
+            listed.endpoints,
+            read_at=link.status_asked_at - status.endpoints_read_s,
+            age_s=status.endpoints_age_s,
+            revision=listed.revision,
+            peer=link.vm,
+        )
+        self._register_sources.record_report(link, is_same=is_same)
+        self._register.record_agreement(self._register_sources.agreed_at)
+
+    def _update_register_sources(self) -> None:
+        """Ask other VMs for their register while the store doesn't answer this one."""
+        is_late = self._register.read_age_s > SOURCES_AGE_S
+        monitors = self._homes.fellow_homes
+        self._register_sources.update(
+            self._membership.peers(),
+            monitors=monitors,
+            is_needed=is_late and bool(monitors) and not self._draining,
+        )
+
     @property
     def _is_isolated(self) -> bool:
         """Whether this VM or most of its homes reach no other zone."""
@@ -693,6 +734,7 @@
             for name, dispatcher in self.gateway.dispatchers.items():
                 self._maintain_group(self.gateway.groups[name], dispatcher)
             self._report_isolation()
+            self._update_register_sources()
             if self._failed_checks >= MAX_FAILED_CHECKS and not self._draining:
                 # Clients reconnect through the balancer to a VM that is ready.
                 self._frontend.close_idle()
@@ -766,6 +808,7 @@
         await self._frontend.close()
         await self.home_server.close()
         self._homes.close()
+        self._register_sources.close()
         current = asyncio.current_task()
         tasks = [task for task in self._tasks if task is not current]
         for task in tasks:
--- a/src/celeryjunction/relay/homes.py
+++ b/src/celeryjunction/relay/homes.py
@@ -106,6 +106,17 @@
         """Whether this VM is a home of the group; False before the first `update`."""
         return self._vm in self._homes_in_zone(group)
 
+    @property
+    def fellow_homes(self) -> set[str]:
+        """Homes of the groups that this VM is a home of, itself included."""
+        groups = filter(self.is_home, self._homes)
+        return {
+            name
+            for group in groups
+            for names in self._homes[group].values()
+            for name in names
+        }
+
     def home_count(self, group: str) -> int:
         """Return the number of homes in all zones, including standbys."""
         return max(1, sum(map(len, self._homes.get(group, {}).values())))
--- a/src/celeryjunction/relay/messages.py
+++ b/src/celeryjunction/relay/messages.py
@@ -20,6 +20,7 @@
     LogPosition,
     TransactionState,
 )
+from celeryjunction.route_updates.confirmation import UNKNOWN_AGE_S
 
 NO_TRANSACTION = 0
 """Value of `seat` for a statement outside a transaction."""
@@ -92,6 +93,8 @@
     """Seconds since the home's routes were last known to be the newest ones."""
     answers: Count = 0
     """Number of the last `AskHomeStatus`; 0 from a home that does not repeat it."""
+    endpoints_read_s: Amount = UNKNOWN_AGE_S
+    """Seconds since a read of the register was sent that confirmed the list."""
 
 
 class EndpointList(msgspec.Struct, frozen=True, array_like=True, tag="endpoints"):
--- a/src/celeryjunction/replication/drain_watch.py
+++ b/src/celeryjunction/replication/drain_watch.py
@@ -31,8 +31,8 @@
 drops an endpoint that is cut off from it only after 3 heartbeats of silence (3.6 s)."""
 
 DRAIN_KNOWN_S = 3.0
-"""All VMs that reach the store know of a draining endpoint after this, and no longer
-take it for a witness. It drains for at least 7 s."""
+"""After this, no VM takes a draining endpoint alone for a witness: it knows of the
+drain, or asks all members (`member_receipts`). An endpoint drains for at least 7 s."""
 MAX_DRAINING = 100
 """Draining processes whose positions are remembered."""
 
@@ -74,20 +74,31 @@
         self._clock = clock
         self._ended_at: dict[tuple[str, int], float] = {}
         """When ends were observed, by endpoint and start of its process; seconds."""
-        self._first_drained: dict[tuple[str, int], float] = {}
-        """When processes were first seen draining; seconds."""
+        self._first_drained: dict[
+            tuple[str, int], tuple[float, frozenset[tuple[str, int]]]
+        ] = {}
+        """When processes were first seen draining, in seconds, and the processes of
+        the replicas that didn't drain then."""
         self._final_received: dict[tuple[str, int], LogPosition] = {}
-        """How far they had received when all VMs knew that they drain."""
+        """How far they had received when no VM relied on them alone any more."""
 
     def record_received(
-        self, info: EndpointInfo, received: LogPosition, *, asked_at: float
+        self,
+        info: EndpointInfo,
+        received: LogPosition,
+        *,
+        asked_at: float,
+        staying: Collection[tuple[str, int]],
     ) -> None:
-        """Note how far a draining replica has received, once all VMs know it drains.
+        """Note how far a draining replica has received, once no VM relies on it alone.
 
-        What it receives later is confirmed to no client because of it.
+        What it receives later is confirmed to no client because of it. `staying` are
+        the processes of the replicas that don't drain.
         """
         key = info.process_key
-        first_at = self._first_drained.setdefault(key, asked_at)
+        first_at, _ = self._first_drained.setdefault(
+            key, (asked_at, frozenset(staying))
+        )
         if asked_at - first_at >= DRAIN_KNOWN_S:
             self._final_received.setdefault(key, received)
         while len(self._first_drained) > MAX_DRAINING:
@@ -95,6 +106,14 @@
             del self._first_drained[oldest]
             self._final_received.pop(oldest, None)
 
+    def forget(self) -> None:
+        """Forget how far draining replicas had received: other VMs monitor the group.
+
+        VMs that don't know of a drain ask only those that monitor it.
+        """
+        self._first_drained.clear()
+        self._final_received.clear()
+
     def final_received(self, info: EndpointInfo) -> LogPosition | None:
         """Return up to where an ended replica alone may have confirmed commits.
 
@@ -102,6 +121,17 @@
         """
         return self._final_received.get(info.process_key)
 
+    def is_outlasted(
+        self, info: EndpointInfo, *, staying: Collection[tuple[str, int]]
+    ) -> bool:
+        """Whether a replica that didn't drain when the given one began still stays.
+
+        It has what VMs confirmed that didn't know of the drain, as they ask all
+        members.
+        """
+        _, stayed = self._first_drained.get(info.process_key, (0.0, frozenset()))
+        return not stayed.isdisjoint(staying)
+
     async def check(self) -> None:
         """Ask the draining endpoints that have no open connection.
 
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -22,6 +22,10 @@
     IdleConnectionPool,
 )
 from celeryjunction.replication.drain_watch import AskZone, DrainWatch, neighbours
+from celeryjunction.replication.member_receipts import (
+    MAX_READ_AGE_S,
+    MemberReceipts,
+)
 from celeryjunction.replication.outage import Holding, hold_for_primary
 from celeryjunction.replication.ports import (
     NO_POSITION,
@@ -75,7 +79,8 @@
 
     `ask_zone` asks endpoints of other groups as well, see `DrainWatch`; by default only
     those of this group. `register_age_s` returns the seconds since the register last
-    confirmed the endpoints.
+    confirmed the endpoints, `drains_known_age_s` those since no VM that may replace
+    the primary knew of a drain that this one doesn't know.
     """
 
     def __init__(
@@ -90,8 +95,10 @@
         idle_pool: IdleConnectionPool | None = None,
         ask_zone: AskZone | None = None,
         register_age_s: Callable[[], float] = lambda: 0.0,
+        drains_known_age_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._register_age_s = register_age_s
+        self._drains_known_age_s = drains_known_age_s
         self._vanished: dict[str, float] = {}
         """When the entries of endpoints went that were not seen to end; seconds."""
         self.name = name
@@ -128,6 +135,7 @@
         self._primary_found = asyncio.Event()
         self._expected_term = 0
         self._has_evidence = True
+        self._asking: set[asyncio.Task[EndpointStatus | None]] = set()
         self._last_contact: dict[str, float] = {}
         self._roster_read: asyncio.Task[None] | None = None
         self.drain_watch = DrainWatch(
@@ -140,6 +148,7 @@
         self._primary_answer: tuple[float, LogPosition] | None = None
         self._highest_received: dict[str, LogPosition] = {}
         """How far each replica was seen to have received in this term."""
+        self._member_receipts = MemberReceipts()
         self.receipts = CommitReceipts(
             name,
             term=lambda: self.term,
@@ -147,6 +156,7 @@
             ask=self._gather_evidence,
             request_refresh=self.refresh_soon,
             clock=clock,
+            describe=self._describe_evidence,
         )
         self.sampled_at = 0.0
         """Instant that the newest entry of the history covers; seconds."""
@@ -286,6 +296,7 @@
         self.sampled_at = 0.0
         self._primary_answer = None
         self.receipts.clear()
+        self._member_receipts.clear()
         self._highest_received.clear()
 
     def _set_primary(self, endpoint: str) -> None:
@@ -491,28 +502,38 @@
             name for name in witnesses if self._is_settled(name)
         )
         asked: list[asyncio.Task[EndpointStatus | None]] = []
-
+        # Without a recent register a commit needs the answers of all members.
+        hedge_s = HEDGE_DELAY_S
+        if position != NO_POSITION and not self._knows_drains:
+            hedge_s = 0.0
         done: set[asyncio.Task[EndpointStatus | None]] = set()
 
         def has_evidence() -> bool:
             return any(self._confirms(task.result(), term) for task in done)
 
-        try:
-            for name in stable:
-                asked.append(asyncio.create_task(self.ask(name)))
-                done, _ = await asyncio.wait(
-                    asked, timeout=HEDGE_DELAY_S, return_when=asyncio.FIRST_COMPLETED
-                )
-                if has_evidence() and self.receipts.received >= position:
-                    return True
-            if asked:
-                done, _ = await asyncio.wait(asked)
-                if has_evidence():
-                    return self.receipts.received >= position
-            return await self._all_confirm(term, position)
-        finally:
-            for task in asked:
-                task.cancel()
+        for name in stable:
+            asked.append(self._ask_beside(name))
+            done, _ = await asyncio.wait(
+                asked, timeout=hedge_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            if has_evidence() and self.receipts.received >= position:
+                return True
+        if asked:
+            done, _ = await asyncio.wait(asked)
+            if has_evidence():
+                return self.receipts.received >= position
+        return await self._all_confirm(term, position)
+
+    def _ask_beside(self, endpoint: str) -> asyncio.Task[EndpointStatus | None]:
+        """Ask an endpoint in a task that ends by itself, within the time-out.
+
+        A request that is cancelled closes its connection, and a replica on a new one
+        gives no evidence until the roster was read again.
+        """
+        task = asyncio.create_task(self.ask(endpoint))
+        self._asking.add(task)
+        task.add_done_callback(self._asking.discard)
+        return task
 
     async def _find_witnesses(self, *, commit: bool) -> dict[str, EndpointInfo]:
         """Return the replicas whose statuses prove the primary and commits.
@@ -541,6 +562,31 @@
             self._roster_read = asyncio.create_task(self._roster.read_again())
         return self._roster_read
 
+    def _describe_evidence(self) -> dict[str, object]:
+        """Return what the log says about a commit without a proof."""
+        return {
+            "settled": [name for name in self.replicas if self._is_settled(name)],
+            "open_s": {n: round(self.controls[n].open_s, 2) for n in self.replicas},
+            "drains_known_age_s": round(min(self._drains_known_age_s(), 1e6), 2),
+        }
+
+    @property
+    def _knows_drains(self) -> bool:
+        """Whether every member that drains is known to, as far as it matters."""
+        return self._drains_known_age_s() <= MAX_READ_AGE_S
+
+    @property
+    def _possible_members(self) -> set[str]:
+        """Return all replicas that this VM knows, or none if all are known to drain.
+
+        Every member that was one when the register was last confirmed is among them.
+        """
+        if all(self.endpoints[name].draining for name in self.replicas):
+            return set()
+        roster = self._roster
+        members = roster.replicas_in_term(self.term) if roster is not None else None
+        return {*(members or ()), *self.replicas} - {self.primary}
+
     @property
     def _witnesses(self) -> dict[str, EndpointInfo]:
         if self._roster is None:
@@ -580,9 +626,15 @@
             return True
         if not await self._still_confirm(names, term):
             return False
-        for name, status in zip(names, answers, strict=True):
-            if name in witnesses and not witnesses[name].draining:
-                self.receipts.record(status.received)
+        staying = [
+            status.received
+            for name, status in zip(names, answers, strict=True)
+            if name in witnesses and not witnesses[name].draining
+        ]
+        if staying and self._knows_drains:
+            self.receipts.record(max(staying))
+        elif staying and candidates >= self._possible_members > set():
+            self.receipts.record(min(status.received for status in answers))
         return self.receipts.received >= position
 
     async def _still_confirm(self, names: Iterable[str], term: int) -> bool:
@@ -623,9 +675,11 @@
         """Return what the next primary needs if an ended member no longer counts.
 
         This is the primary's position after the end, or without its answer how far the
-        member had received when all VMs knew that it drained. None if neither is known.
+        member had received when no VM relied on it alone. None if neither is known.
         """
         final = self.drain_watch.final_received(member)
+        if not self.drain_watch.is_outlasted(member, staying=self._staying):
+            final = None
         primary = self.primary
         if primary is None and self._roster is not None:
             # It may be unknown because of a pause, or demoted; it has all commits.
@@ -637,6 +691,18 @@
             return final
         return max(status.received, final or NO_POSITION)
 
+    @property
+    def _staying(self) -> set[tuple[str, int]]:
+        """Return the processes of the registered replicas that don't drain."""
+        primaries = {self.primary}
+        if self._roster is not None:
+            primaries.add(self._roster.primary_in_term(self.term))
+        return {
+            info.process_key
+            for info in self.endpoints.values()
+            if not info.draining and info.id not in primaries
+        }
+
     def highest_received(self, endpoint: str) -> LogPosition:
         """Return how far a replica was seen to have received in this term.
 
@@ -655,17 +721,29 @@
             status.received, self.highest_received(endpoint)
         )
         if info.draining:
-            self.drain_watch.record_received(info, status.received, asked_at=asked_at)
+            self.drain_watch.record_received(
+                info, status.received, asked_at=asked_at, staying=self._staying
+            )
 
     def _record_receipt(self, endpoint: str, *, asked_at: float) -> None:
-        """Note what a replica that isn't paused proves, if it is a witness."""
+        """Note what a replica that isn't paused proves, if it is a witness.
+
+        One that drains unnoticed proves commits only together with all others.
+        """
         status = self.statuses[endpoint][1]
         if status.term != self.term or endpoint not in self._witnesses:
             return
-        if self._is_settled(endpoint):
-            self.receipts.record_witness(asked_at)
-            if not self.endpoints[endpoint].draining:
-                self.receipts.record(status.received)
+        if not self._is_settled(endpoint):
+            return
+        self.receipts.record_witness(asked_at)
+        receipts, now = self._member_receipts, self._clock.monotonic()
+        receipts.record(endpoint, status.received, asked_at=asked_at)
+        if not self._knows_drains:
+            self.receipts.record(
+                receipts.received_by_all(self._possible_members, now=now)
+            )
+        elif not self.endpoints[endpoint].draining:
+            self.receipts.record(status.received)
 
     def _in_evidence_order(self, names: Iterable[str]) -> list[str]:
         """Order endpoints for evidence: this zone first, then by a hash with the VM.
--- a/src/celeryjunction/replication/receipts.py
+++ b/src/celeryjunction/replication/receipts.py
@@ -35,12 +35,14 @@
 
     `term` returns the group's term. `ask` asks the witnesses until one answers that has
     received a position, and returns whether one has; it reports answers to `record`.
-    `request_refresh` has the group's statuses asked for.
+    `request_refresh` has the group's statuses asked for. `describe` returns what the
+    log says about a commit without a proof.
     """
 
     __slots__ = (
         "_ask",
         "_clock",
+        "_describe",
         "_group",
         "_request_refresh",
         "_round",
@@ -60,8 +62,10 @@
         ask: Callable[[LogPosition], Awaitable[bool]],
         request_refresh: Callable[[], None],
         clock: Clock,
+        describe: Callable[[], dict[str, object]] = dict,
     ) -> None:
         self._group = group
+        self._describe = describe
         self._term = term
         self._witnesses = witnesses
         self._ask = ask
@@ -143,6 +147,7 @@
             position=str(position),
             received=str(self.received),
             witnesses=sorted(self._witnesses()),
+            **self._describe(),
         )
         return False
 
--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -6,13 +6,20 @@
 then. One that drained is expected to go and counts at once. An endpoint never stops to
 drain: an entry of the same process that says otherwise is from an older copy of the
 store.
+
+The answer to a watch may have waited, and one that is lost looks like one without
+changes. The entries are therefore confirmed only by reads, as of when these were sent:
+
+    register.apply_changes(page.events, sent_at=sent_at)
+    register.confirmed_age_s  # seconds since sent_at
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from contextlib import suppress
+from math import inf
 from random import Random
 
 import msgspec
@@ -41,6 +48,8 @@
 ANSWER_MARGIN_S = 0.5
 """The store counts as available, and a list of another VM as recent, for this much
 longer than a watch without changes takes to answer."""
+READ_AGE_S = 1.5
+"""A VM reads the changes when the last read that confirmed the endpoints is older."""
 MAX_DRAINED = 1000
 """Endpoints that drained and are remembered after they have left."""
 
@@ -84,6 +93,12 @@
         self._peer_revisions: dict[str, int] = {}
         """Revision of the last list that each other VM passed on."""
         self._answered_at = 0.0
+        self._read_at = -inf
+        """When the last read of the store was sent that confirmed the entries."""
+        self._vouched_at = -inf
+        """The same of the last read that another VM reported; seconds."""
+        self._agreed_at = -inf
+        """When all VMs that may replace a primary last knew the same; seconds."""
         self._answered_before = 0.0
         """When the register was confirmed before that; seconds."""
         self._available_since = 0.0
@@ -152,6 +167,43 @@
         """Seconds since the register confirmed the endpoints."""
         return self._clock.monotonic() - self._answered_at
 
+    @property
+    def read_age_s(self) -> float:
+        """Seconds since a read of this VM that confirmed the endpoints was sent."""
+        return self._clock.monotonic() - self._read_at
+
+    @property
+    def confirmed_age_s(self) -> float:
+        """Seconds since a read that confirmed the endpoints was sent by any VM.
+
+        Every change that the store had accepted by then is known here. Infinite before
+        the first read.
+        """
+        return self._clock.monotonic() - max(self._read_at, self._vouched_at)
+
+    @property
+    def drains_known_age_s(self) -> float:
+        """Seconds since no VM that may replace a primary knew of a further drain."""
+        agreed_age_s = self._clock.monotonic() - self._agreed_at
+        return min(self.confirmed_age_s, agreed_age_s)
+
+    def record_agreement(self, asked_at: float) -> None:
+        """Note that all VMs that may replace a primary have the same list.
+
+        They were asked at `asked_at`, monotonic seconds, or later.
+        """
+        self._agreed_at = max(self._agreed_at, asked_at)
+
+    @property
+    def applied_revision(self) -> int:
+        """Revision up to which all changes are known; 0 if this VM reads none.
+
+        A read of the changes since then brings the endpoints up to date.
+        """
+        if not self.synced.is_set() or self._clock.monotonic() < self._peer_list_until:
+            return 0
+        return self._applied_revision
+
     @property
     def revision(self) -> int:
         """Revision of the store that the endpoints reflect."""
@@ -164,13 +216,17 @@
         age_s: float,
         revision: int = 0,
         peer: str = "",
+        read_at: float = -inf,
+        replaces_reads: bool = True,
     ) -> None:
         """Use the endpoints that another VM's register confirmed `age_s` seconds ago.
 
-        Until they are older than a watch allows, the register is not read. A list of an
-        older `revision` than the known one is ignored, since it may name endpoints that
-        have left; 0 means that the peer does not tell the revision. The revisions of
-        one `peer` fall only if the store came back from an older copy.
+        Until they are older than a watch allows, the register is not read, unless
+        `replaces_reads` is false. A list of an older `revision` than the known one is
+        ignored, since it may name endpoints that have left; 0 means that the peer does
+        not tell the revision. The revisions of one `peer` fall only if the store came
+        back from an older copy. The list has all changes that the store had accepted at
+        `read_at`, monotonic seconds.
         """
         if age_s > self._max_age_s:
             return
@@ -181,12 +237,59 @@
         if revision:
             self._revision = revision
         now = self._clock.monotonic()
-        self._peer_list_until = now + self._max_age_s - age_s
+        if replaces_reads:
+            self._peer_list_until = now + self._max_age_s - age_s
+        self._vouched_at = max(self._vouched_at, read_at)
         self._confirm(max(self._answered_at, now - age_s))
         found = {info.id: self._keep_draining(info) for info in endpoints}
         if found != self.endpoints or not self.synced.is_set():
             self._set_endpoints(found, now)
 
+    def vouch(
+        self,
+        endpoints: Iterable[EndpointInfo],
+        *,
+        read_at: float,
+        age_s: float,
+        revision: int,
+        peer: str,
+    ) -> bool:
+        """Take another VM's list as a confirmation; return whether it is the same.
+
+        A list that differs replaces the endpoints only if the store doesn't answer this
+        VM's reads; it has all changes that the store had accepted at `read_at`,
+        monotonic seconds. See `update_from_peer` for the rest.
+        """
+        listed = list(endpoints)
+        if {info.id: self._keep_draining(info) for info in listed} == self.endpoints:
+            self._vouched_at = max(self._vouched_at, read_at)
+            return True
+        if self.read_age_s > READ_AGE_S and read_at > self._read_at:
+            self.update_from_peer(
+                listed,
+                age_s=age_s,
+                revision=revision,
+                peer=peer,
+                read_at=read_at,
+                replaces_reads=False,
+            )
+        return False
+
+    def apply_changes(self, events: Sequence[WatchEvent], *, sent_at: float) -> None:
+        """Apply the changes of all keys after `applied_revision`, read at `sent_at`.
+
+        Changes that the watch or a list has brought meanwhile are ignored.
+        """
+        own = [event for event in events if event.key.startswith(self._prefix)]
+        for event in own:
+            self._apply(event)
+        newest = max((event.revision for event in events), default=0)
+        self._applied_revision = max(self._applied_revision, newest)
+        self._revision = max(self._revision, newest)
+        if own:
+            self._process_items(self._clock.monotonic())
+        self._read_at = max(self._read_at, sent_at)
+
     async def poll(self) -> bool:
         """List the register once; return whether the store answered."""
         known, sent_at = self._revision, self._clock.monotonic()
@@ -209,6 +312,7 @@
             self._available_since = now
         # The answer may have waited, and entries changed since it was given.
         self._confirm(max(self._answered_at, sent_at))
+        self._read_at = max(self._read_at, sent_at)
         self._revision = listed.revision
         self._set_items(listed)
         self._process_items(now)
--- a/src/celeryjunction/route_updates/reader.py
+++ b/src/celeryjunction/route_updates/reader.py
@@ -1,13 +1,15 @@
-"""Reads the changes of the routes when they were not confirmed recently.
+"""Reads the changes of the store when the routes were not confirmed recently.
 
 The watch brings changes quickly, but its answer may be lost, or another call of the VM
 may end it. The reader does not depend on it: it asks the store for the changes since
-the last known revision, which takes one short answer while there are none.
+the last known revision, which takes one short answer while there are none. The same
+answer confirms the register of endpoints.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Iterator
 from random import Random
 from typing import Protocol
@@ -20,6 +22,7 @@
     StoreUnavailable,
     WatchCompacted,
 )
+from celeryjunction.replication.register import READ_AGE_S, EndpointRegister
 from celeryjunction.route_updates.confirmation import RoutesConfirmation
 from celeryjunction.route_updates.time_budget import TimeBudget
 from celeryjunction.shared_watch import WatchPage
@@ -51,7 +54,7 @@
     """Keeps the routes confirmed, and reads a newer version that another VM reports.
 
     `in_force` returns the version in force, and `forwards` whether this VM takes its
-    homes' reports as confirmations.
+    homes' reports as confirmations. Otherwise the `register` is kept confirmed as well.
     """
 
     def __init__(
@@ -67,7 +70,9 @@
         history: StoreHistory,
         clock: Clock,
         random: Random,
+        register: EndpointRegister | None = None,
     ) -> None:
+        self._register = register
         self._follower = follower
         self._store = store
         self._confirmation = confirmation
@@ -105,7 +110,14 @@
     def _due_in_s(self, limit_s: float) -> float:
         if self._confirmation.newer_version(self._in_force()):
             return 0.0
-        return limit_s - self._confirmation.age_s(self._clock.monotonic())
+        left_s = limit_s - self._confirmation.age_s(self._clock.monotonic())
+        return min(left_s, self._register_due_in_s(limit_s))
+
+    def _register_due_in_s(self, limit_s: float) -> float:
+        register = self._register
+        if register is None or self._forwards() or not register.applied_revision:
+            return math.inf
+        return min(limit_s, READ_AGE_S) - register.confirmed_age_s
 
     async def _wait_until_due(self, limit_s: float) -> None:
         while (left_s := self._due_in_s(limit_s)) > 0.0:
@@ -167,13 +179,18 @@
             return
         if self._losses != follower.losses:
             self._after, self._losses = 0, follower.losses
-        after = max(self._after, follower.revision)
+        after, prefix = max(self._after, follower.revision), follower.prefix
+        register = self._register
+        if register is not None and register.applied_revision:
+            after, prefix = min(after, register.applied_revision), ""
         try:
             if self._losses != self._history.losses:
                 raise WatchCompacted("the store has lost changes")
-            page = await self._store.changes(follower.prefix, after, timeout=timeout_s)
+            page = await self._store.changes(prefix, after, timeout=timeout_s)
         except WatchCompacted:
             await follower.refresh(timeout_s)
+            if not prefix:
+                await register.poll()
         except (StoreUnavailable, StoreRefused) as error:
             _log.warning(
                 "routes_not_read",
@@ -181,5 +198,8 @@
                 reason=str(error),
             )
         else:
-            follower.apply_changes(page.events, sent_at=sent_at)
+            routes = [e for e in page.events if e.key.startswith(follower.prefix)]
+            follower.apply_changes(routes, sent_at=sent_at)
+            if not prefix:
+                register.apply_changes(page.events, sent_at=sent_at)
             self._after = max(self._after, page.revision)
--- a/tests/_cluster_support.py
+++ b/tests/_cluster_support.py
@@ -24,8 +24,10 @@
 class Cluster:
     """Edges, clients and the judge of one test, in front of one group."""
 
-    def __init__(self, folder: Path, zones: int = 3) -> None:
-        self.platform = StandinPlatform(zones=zones)
+    def __init__(
+        self, folder: Path, zones: int = 3, groups: tuple[str, ...] = ("db",)
+    ) -> None:
+        self.platform = StandinPlatform(zones=zones, groups=groups)
         self.group = self.platform.groups["db"]
         self.store = self.platform.store
         self.judge = CommitJudge(self.platform)
--- a/tests/worker_groups.py
+++ b/tests/worker_groups.py
@@ -12,6 +12,7 @@
     f"tests/{name}.py"
     for name in (
         "test_commits_lost",
+        "test_cut_off_commits",
         "test_competing_holders",
         "test_config_lags",
         "test_contract_cli",
