Have vanished homes vote before a restarted member is taken over

Cause: a member that started again empty is taken over with what "all" VMs saw acknowledged, and all meant those with a record in the store. A VM that the store turns away confirms commits beyond its lease.

Change: a home whose record is gone, and that didn't announce its end, is expected to vote for as long as such a failover waits at most (60 s). Its vote comes once the store answers it. The majority that is enough for other failovers counts as before.

--- a/src/celeryjunction/failover/supervisor.py
+++ b/src/celeryjunction/failover/supervisor.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from contextlib import suppress
 from random import Random
 
@@ -63,11 +63,12 @@
 class Supervisor:
     """Keeps a primary in one group.
 
-    `monitor_count` returns the number of VMs that monitor the group, this one included.
-    While `is_monitor` returns false, other VMs monitor the group and this one sends no
-    commands. `should_hand_over` returns whether an overloaded primary should hand over,
-    `unanswered_since` since when an endpoint answered no statement (seconds, 0 if it
-    does).
+    `monitor_count` returns the number of VMs that monitor the group, this one included,
+    `vanished_monitors` the names of those whose record is gone, though they didn't
+    leave. While `is_monitor` returns false, other VMs monitor the group and this one
+    sends no commands. `should_hand_over` returns whether an overloaded primary should
+    hand over, `unanswered_since` since when an endpoint answered no statement (seconds,
+    0 if it does).
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         suspicions: Suspicions,
         roster: GroupRoster,
         monitor_count: Callable[[], int],
+        vanished_monitors: Callable[[], Collection[str]] = tuple,
         is_monitor: Callable[[], bool] = lambda: True,
         should_hand_over: Callable[[], bool] = lambda: False,
         unanswered_since: Callable[[str], float] = lambda endpoint: 0.0,
@@ -95,6 +97,7 @@
         self._probed_members: set[str] = set()
         self._member_check: asyncio.Task[None] | None = None
         self._monitor_count = monitor_count
+        self._vanished_monitors = vanished_monitors
         self._is_monitor = is_monitor
         self._should_hand_over = should_hand_over
         self._unanswered_since = unanswered_since
@@ -461,7 +464,19 @@
             self._clock.monotonic() + RETRY_DELAY_S * self._random.uniform(1, 2)
         )
         position = max(LogPosition(*vote.acknowledged) for vote in agreeing)
-        return position, len(agreeing) >= self._monitor_count()
+        return position, self._is_unanimous({vote.vm for vote in agreeing})
+
+    def _is_unanimous(self, agreeing: Collection[str]) -> bool:
+        """Whether all VMs agree that may have confirmed commits.
+
+        One that the store turns away may go on after its lease and its record ended.
+        """
+        unasked = set(self._vanished_monitors()) - set(agreeing)
+        if unasked:
+            _log.warning(
+                "votes_missing", group=self._group.name, vanished=sorted(unasked)
+            )
+        return len(agreeing) >= self._monitor_count() and not unasked
 
     def _is_agreed(self, reason: str, *, agreeing: int, objecting: int) -> bool:
         """Whether the votes suffice to replace the suspected primary.
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -483,6 +483,7 @@
             suspicions=self._suspicions,
             roster=roster,
             monitor_count=lambda: self._homes.home_count(group.name),
+            vanished_monitors=lambda: self._homes.vanished_homes(group.name),
             is_monitor=lambda: self._homes.is_home(group.name),
             should_hand_over=lambda: self._should_hand_over(group),
             unanswered_since=self.gateway.dispatchers[group.name].unanswered_since,
--- a/src/celeryjunction/relay/homes.py
+++ b/src/celeryjunction/relay/homes.py
@@ -15,6 +15,7 @@
     home_weights,
     homes_of_group,
 )
+from celeryjunction.relay.vanished_homes import VanishedHomes
 
 HOME_WAIT_S = 0.3
 """Longest wait of a statement for a home that may soon be usable: VMs that start at the
@@ -45,6 +46,7 @@
         self._random = random
         self._vms_per_zone: dict[str, int] = {}
         self._homes: dict[str, dict[str, list[str]]] = {}
+        self._vanished = VanishedHomes(clock)
         self._links: dict[str, HomeLink] = {}
         self._retired: dict[str, HomeLink] = {}
         """Links to VMs that are no longer homes, until their statements have ended."""
@@ -68,6 +70,8 @@
         for record in records:
             zones.setdefault(record.zone, {})[record.name] = weights[record.name]
         self._vms_per_zone = {zone: len(vms) for zone, vms in zones.items()}
+        before = {group: self.homes(group) for group in self._homes}
+        self._vanished.update(before, peers, own=self._vm)
         self._homes = {group: homes_of_group(group, zones) for group in groups}
         self._update_links(
             {
@@ -110,12 +114,16 @@
     def fellow_homes(self) -> set[str]:
         """Homes of the groups that this VM is a home of, itself included."""
         groups = filter(self.is_home, self._homes)
-        return {
-            name
-            for group in groups
-            for names in self._homes[group].values()
-            for name in names
-        }
+        return {name for group in groups for name in self.homes(group)}
+
+    def homes(self, group: str) -> set[str]:
+        """Return the homes of a group in all zones, including standbys."""
+        zones = self._homes.get(group, {})
+        return {name for names in zones.values() for name in names}
+
+    def vanished_homes(self, group: str) -> set[str]:
+        """Return the former homes of a group that may still confirm its commits."""
+        return self._vanished.names(group)
 
     def home_count(self, group: str) -> int:
         """Return the number of homes in all zones, including standbys."""
--- a/tests/test_cut_off_commits.py
+++ b/tests/test_cut_off_commits.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 import pytest
-from _cluster_support import Cluster, wait_for
+from _cluster_support import Cluster, occurs, wait_for
 
 from bench.fault_proxy import FaultProxy
 from bench.platform_cluster import EdgeProcess
@@ -18,6 +18,8 @@
 
 DRAIN_S = 7.6
 """From a replica's report to its end: the platform's 7 s and a little longer."""
+PRIMARY_AWAY_S = 5.0
+"""Time for which a crashed primary is away; a failover that goes on takes 1 to 2 s."""
 DEAF_AFTER_S = 5.8
 """From that report until the other replica receives nothing."""
 
@@ -75,3 +77,28 @@
         await asyncio.sleep(MAX_READ_AGE_S + 1.0)
         await cluster.wait_for_writes(200)
         cluster.check()
+
+    async def test_a_lapsed_lease_leaves_a_vm_among_those_that_have_to_vote(
+        self, cluster: Cluster
+    ) -> None:
+        """Guards against votes of all VMs but the one that confirmed the commits."""
+        primary, holder, other = cluster.group.endpoints
+        edge, store = await start_unread(cluster)
+        record = cluster.store.items[f"/vms/{edge.name}"]
+        cluster.store.end_lease(record["lease"])
+        await asyncio.sleep(1.0)
+        other.replication_cut = True
+        await cluster.wait_for_writes()
+        await primary.stop()
+        await holder.stop()
+        await asyncio.sleep(0.2)
+        holder.lose_data(is_primary=False)
+        await holder.start(holder.port)
+        cluster.store.register(holder)
+        await occurs(lambda: cluster.judge.promotions, PRIMARY_AWAY_S)
+        other.replication_cut = False
+        store.unblock()
+        await primary.start(primary.port)
+        cluster.store.register(primary)
+        await cluster.wait_for_writes()
+        cluster.check()
