Refuse writes at once while an earlier commit has no proof

What callers saw: while no member that stays received commits, each caller learned only at its deadline that the outcome is unknown, one write after the other.

Cause: a write was sent if any witness answered, also one that drains or receives nothing, whose answer proves no commit.

Change: once a commit was not proven by its deadline, one round of requests for that position decides whether later writes are sent. One write each 0.5 s is sent all the same, since a replica may take up its log only with the next commit.

--- a/src/celeryjunction/replication/receipts.py
+++ b/src/celeryjunction/replication/receipts.py
@@ -26,6 +26,8 @@
 MAX_WITNESS_AGE_S = 1.0
 """A write is sent only if a witness answered within this time. Longer than the interval
 between samples, which ask one."""
+UNPROVEN_RETRY_S = 0.5
+"""Pause between two writes that are sent while an earlier commit is not proven."""
 
 _log = get_logger("replication")
 
@@ -41,12 +43,14 @@
 
     __slots__ = (
         "_ask",
+        "_attempt_at",
         "_clock",
         "_describe",
         "_group",
         "_request_refresh",
         "_round",
         "_term",
+        "_unproven",
         "_vote",
         "_witnesses",
         "received",
@@ -73,6 +77,10 @@
         self._clock = clock
         self._round: asyncio.Task[bool] | None = None
         self._vote: LogPosition | None = None
+        self._unproven = NO_POSITION
+        """Highest position of this term that was not proven by its deadline."""
+        self._attempt_at = 0.0
+        """When a write is sent next although that one is not proven; seconds."""
         self.received = NO_POSITION
         """Highest position of this term that a witness is known to have received."""
         self.witnessed_at = 0.0
@@ -80,7 +88,7 @@
 
     def clear(self) -> None:
         """Forget everything: a later term has begun."""
-        self.received = NO_POSITION
+        self.received = self._unproven = NO_POSITION
         self._vote = None
         self.witnessed_at = 0.0
 
@@ -106,8 +114,16 @@
         """Return whether a witness confirmed the primary lately, or does now.
 
         One that has to be asked has until the deadline (seconds), and at least
-        `MIN_EVIDENCE_TIME_S`.
+        `MIN_EVIDENCE_TIME_S`. While an earlier commit is not proven, a later one hardly
+        will be, so one round of requests decides. At times one is sent all the same:
+        a replica may take up its log only with the next commit.
         """
+        if self._unproven > self.received:
+            await self._share_round(self._unproven)
+            now = self._clock.monotonic()
+            if self._unproven > self.received and now < self._attempt_at:
+                return False
+            self._attempt_at = now + UNPROVEN_RETRY_S
         time_s = max(deadline - self._clock.monotonic(), MIN_EVIDENCE_TIME_S)
         try:
             async with asyncio.timeout(time_s):
@@ -140,6 +156,9 @@
                 break
             await asyncio.sleep(pause_s)
             pause_s = min(2 * pause_s, MAX_RETRY_DELAY_S)
+        if self._term() == position.term and self.received < position:
+            self._unproven = max(self._unproven, position)
+            self._attempt_at = self._clock.monotonic() + UNPROVEN_RETRY_S
         _log.warning(
             "commit_not_proven",
             group=self._group,
--- a/tests/test_unread_register.py
+++ b/tests/test_unread_register.py
@@ -28,6 +28,10 @@
     MemberReceipts,
 )
 from celeryjunction.replication.ports import NO_POSITION, EndpointInfo, LogPosition
+from celeryjunction.replication.receipts import (
+    MIN_EVIDENCE_TIME_S,
+    UNPROVEN_RETRY_S,
+)
 from celeryjunction.replication.register import READ_AGE_S
 
 
@@ -251,3 +255,28 @@
         self.connect(sources, is_needed=False)
         assert not sources._links
         assert sources.agreed_at == -inf
+
+
+class TestUnprovenCommits:
+    async def test_writes_are_refused_at_once_while_an_earlier_one_is_not_proven(
+        self, proxy: MemberProxy
+    ) -> None:
+        """Guards against callers that learn only at the deadline, one after another."""
+        await proxy.join("a4")
+        proxy.cut("b1", "c1")
+        outcome = await kind_of(proxy.run(proxy.session(), Write()))
+        assert outcome is ErrorKind.OUTCOME_UNKNOWN
+        began = asyncio.get_running_loop().time()
+        outcome = await kind_of(proxy.run(proxy.session(), Write()))
+        assert outcome is ErrorKind.NOT_RUN_NO_PRIMARY
+        assert asyncio.get_running_loop().time() - began < MIN_EVIDENCE_TIME_S
+
+    async def test_a_write_is_sent_at_times(self, proxy: MemberProxy) -> None:
+        """Guards against a group that stays without writes once it had none proven."""
+        set_drains_known_age(proxy, inf)
+        proxy.cut("b1")
+        await kind_of(proxy.run(proxy.session(), Write()))
+        proxy.cluster["b1"].replication_cut = False
+        await asyncio.sleep(UNPROVEN_RETRY_S)
+        assert (await proxy.run(proxy.session(), Write())).fault is None
+        assert (await proxy.run(proxy.session(), Write())).fault is None
