Prove commits by a member of a zone that is cut off as a whole

Cause: without a recent register all members have to have a commit, and those of other zones don't receive.

Change: if the VM knew all drains when its isolation began, one member of its own zone is enough until the isolation ends. Nobody else can ask that member for its last position meanwhile. A drain counts anew after a request that was not answered, so that the VM notices the end first. model/unread_register.py refutes both premises left out.

--- a/model/unread_register.py
+++ b/model/unread_register.py
@@ -14,6 +14,10 @@
 VMs which replace primaries report no further drain has the same effect: none of them
 takes a last position before the copy is old.
 
+The zone of the VM, with endpoint 1, may be cut off from the other VMs. If the copy was
+recent when that began, endpoint 1 alone is enough until the VM notices the end: nobody
+else asks it meanwhile, and a drain that was seen before counts anew afterwards.
+
 Left out: pauses, restarts and the roster (subjects of confirmed_commits), the primary's
 position, which covers all commits, and a member that stays absent for too long.
 """
@@ -26,6 +30,8 @@
 from model.checks import Check, protocol, put
 
 MEMBERS = (1, 2)
+IN_ZONE = 1
+"""The member in the VM's zone."""
 JOINING = 3
 NOBODY = -1
 RUNS, DRAINS, ASKED, LEFT = range(4)
@@ -49,6 +55,9 @@
     joined: bool = False
     knows_joined: bool = False
     """Whether the VM's copy lists the replica that joined."""
+    cut: bool = False
+    trusts_zone: bool = False
+    """Whether the VM takes its zone for cut off since its copy was recent."""
     confirmed: bool = False
     promoted: int = NOBODY
 
@@ -65,6 +74,12 @@
     """Whether a member that left is dropped only if one that stayed still runs."""
     together: bool = True
     """Whether members may drain at the same time."""
+    cuts: bool = False
+    """Whether the zone may be cut off."""
+    check_copy: bool = True
+    """Whether the copy has to be recent when that begins."""
+    count_anew: bool = True
+    """Whether a drain counts anew after the end of a cut, until the VM notices it."""
     joins: str = ""
     """When endpoint 3 may join: "" (never), "late" (once a member drains), "early"
     (before any does), "any"."""
@@ -81,6 +96,8 @@
     yield from _commit_steps(state)
     yield from _register_steps(state, rules)
     yield from _drain_steps(state, rules)
+    if rules.cuts:
+        yield from _cut_steps(state, rules)
     if not state.confirmed and _is_proven(state, rules):
         yield "W is confirmed", state._replace(confirmed=True)
     yield from _promotion_steps(state, rules)
@@ -117,7 +134,10 @@
             )
             yield f"e{r} drains", begun
         is_due = state.shown[r] or not state.recent or not rules.ask_late
-        if step == DRAINS and is_due:
+        is_apart = r == IN_ZONE and (
+            state.cut or (state.trusts_zone and rules.count_anew)
+        )
+        if step == DRAINS and is_due and not is_apart:
             asked = state._replace(
                 drain=put(state.drain, r, ASKED),
                 was_asked=put(state.was_asked, r, True),
@@ -131,12 +151,25 @@
             yield f"e{r} leaves with its log", left
 
 
+def _cut_steps(state: State, rules: Variant) -> Iterator[tuple[str, State]]:
+    if state.cut:
+        yield "the cut ends", state._replace(cut=False)
+        return
+    if state.trusts_zone:
+        yield "the VM notices the end", state._replace(trusts_zone=False)
+    elif not state.confirmed:
+        trusts = state.recent or not rules.check_copy
+        yield "the zone is cut off", state._replace(cut=True, trusts_zone=trusts)
+
+
 def _is_proven(state: State, rules: Variant) -> bool:
     known = [*MEMBERS, JOINING] if state.knows_joined else list(MEMBERS)
     staying = [r for r in known if not state.shown[r]]
     having = [r for r in known if state.has_w[r] and state.drain[r] != LEFT]
     if state.recent or rules.unread == "one":
         return any(r in having for r in staying)
+    if state.trusts_zone and IN_ZONE in having and IN_ZONE in staying:
+        return True
     if rules.unread == "others":
         known = staying
     return bool(staying) and set(known) <= set(having)
@@ -144,6 +177,8 @@
 
 def _promotion_steps(state: State, rules: Variant) -> Iterator[tuple[str, State]]:
     needs_w = False
+    if state.cut and state.drain[IN_ZONE] != LEFT:
+        return
     for r in (r for r in MEMBERS if state.drain[r] == LEFT):
         outlasting = [x for x in state.stayed[r] if state.drain[x] == RUNS]
         if not state.was_asked[r] or (rules.outlasted and not outlasting):
@@ -194,6 +229,16 @@
     _check(Variant(), refuted=False),
     _check(Variant(joins="late"), refuted=False),
     _check(Variant(together=False, joins="any"), refuted=False),
+    _check(Variant(cuts=True), refuted=False),
+    _check(Variant(cuts=True, joins="late"), refuted=False),
+    _check(
+        Variant(cuts=True, check_copy=False),
+        "a recent copy at the begin of a cut",
+    ),
+    _check(
+        Variant(cuts=True, count_anew=False),
+        "counting a drain anew after a cut",
+    ),
     _check(
         Variant(),
         "nothing; a replica is promoted after one left unnoticed",
--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -55,6 +55,7 @@
 from celeryjunction.replication.control import REACHABLE
 from celeryjunction.replication.drain_watch import neighbours
 from celeryjunction.replication.group import ReplicationGroup
+from celeryjunction.replication.member_receipts import MAX_READ_AGE_S
 from celeryjunction.replication.ports import EndpointDialer, EndpointInfo, Promoter
 from celeryjunction.replication.register import EndpointRegister
 from celeryjunction.replication.roster import GroupRoster
@@ -228,6 +229,8 @@
         self._readiness = Readiness()
         self._was_ready: bool | None = None
         self._was_isolated = False
+        self._knew_drains = False
+        """Whether all drains were known when isolation last began or ended."""
         self._failed_checks = 0
         self._started_at = clock.monotonic()
         register.subscribe(lambda _: self._apply_endpoints())
@@ -438,6 +441,7 @@
             ask_zone=self._ask_zone,
             register_age_s=lambda: self._register.age_s,
             drains_known_age_s=lambda: self._register.drains_known_age_s,
+            is_cut_off=lambda: self._is_cut_off,
         )
         dispatcher.on_stuck = lambda _: self._on_endpoint_stuck(group)
         self.gateway.groups[name] = group
@@ -670,6 +674,15 @@
         """Whether this VM or most of its homes reach no other zone."""
         return self._reaches_no_zone or self._homes.homes_isolated
 
+    @property
+    def _is_cut_off(self) -> bool:
+        """Whether the zone is cut off since a time when all drains were known.
+
+        A VM that talks with one of another zone isn't, whatever endpoints answer.
+        """
+        knows_drains = self._was_isolated and self._knew_drains
+        return knows_drains and not self._register_sources.reaches_zone
+
     @property
     def _reaches_no_zone(self) -> bool:
         """Whether no endpoint of another zone answers this VM."""
@@ -723,6 +736,7 @@
         isolated = self._reaches_no_zone
         if isolated != self._was_isolated:
             self._was_isolated = isolated
+            self._knew_drains = self._register.drains_known_age_s <= MAX_READ_AGE_S
             _log.warning("isolation_changed", vm=self._vm, isolated=isolated)
             self.home_server.send_status()
 
--- a/src/celeryjunction/relay/register_sources.py
+++ b/src/celeryjunction/relay/register_sources.py
@@ -45,6 +45,7 @@
         "_on_update",
         "_own",
         "_random",
+        "_zones",
     )
 
     def __init__(
@@ -60,6 +61,7 @@
         self._clock = clock
         self._on_update = on_update
         self._links: dict[str, HomeLink] = {}
+        self._zones: dict[str, str] = {}
         self._monitors: frozenset[str] = frozenset()
         self._agreed_at: dict[str, float] = {}
         """When VMs were last asked that had the same list; monotonic seconds."""
@@ -77,6 +79,14 @@
             return -inf
         return min((self._agreed_at.get(n, -inf) for n in self._monitors), default=-inf)
 
+    @property
+    def reaches_zone(self) -> bool:
+        """Whether a VM of another zone answers."""
+        return any(
+            link.status is not None and self._zones.get(name) != self._own.zone
+            for name, link in self._links.items()
+        )
+
     def record_report(self, link: HomeLink, *, is_same: bool) -> None:
         """Note whether a VM had the same list of endpoints when it was last asked."""
         if is_same:
@@ -94,6 +104,7 @@
         `monitors` are the VMs that monitor the same groups as this one.
         """
         self._monitors = frozenset(monitors) - {self._own.name}
+        self._zones = {name: record.zone for name, record in peers.items()}
         wanted = self._choose(peers) if is_needed else {}
         obsolete = [
             n for n, link in self._links.items() if wanted.get(n) != link.address
--- a/src/celeryjunction/replication/drain_watch.py
+++ b/src/celeryjunction/replication/drain_watch.py
@@ -40,6 +40,21 @@
 """Returns whether another endpoint in the zone of the given one answers now."""
 
 
+class _Drain:
+    """What was seen of a draining process."""
+
+    __slots__ = ("begun_at", "final", "stayed")
+
+    def __init__(self, begun_at: float, stayed: Collection[tuple[str, int]]) -> None:
+        self.begun_at: float | None = begun_at
+        """When the first request was sent of those that were answered without a gap;
+        seconds. None while the endpoint doesn't answer."""
+        self.stayed = frozenset(stayed)
+        """The processes of the replicas that didn't drain at the first one."""
+        self.final: LogPosition | None = None
+        """How far it had received when no VM relied on it alone any more."""
+
+
 class DrainWatch:
     """Observes the draining endpoints of one group.
 
@@ -52,10 +67,9 @@
         "_ask_zone",
         "_clock",
         "_controls",
+        "_drains",
         "_ended_at",
         "_endpoints",
-        "_final_received",
-        "_first_drained",
     )
 
     def __init__(
@@ -74,13 +88,8 @@
         self._clock = clock
         self._ended_at: dict[tuple[str, int], float] = {}
         """When ends were observed, by endpoint and start of its process; seconds."""
-        self._first_drained: dict[
-            tuple[str, int], tuple[float, frozenset[tuple[str, int]]]
-        ] = {}
-        """When processes were first seen draining, in seconds, and the processes of
-        the replicas that didn't drain then."""
-        self._final_received: dict[tuple[str, int], LogPosition] = {}
-        """How far they had received when no VM relied on them alone any more."""
+        self._drains: dict[tuple[str, int], _Drain] = {}
+        """The draining processes by endpoint and start."""
 
     def record_received(
         self,
@@ -96,30 +105,40 @@
         the processes of the replicas that don't drain.
         """
         key = info.process_key
-        first_at, _ = self._first_drained.setdefault(
-            key, (asked_at, frozenset(staying))
-        )
-        if asked_at - first_at >= DRAIN_KNOWN_S:
-            self._final_received.setdefault(key, received)
-        while len(self._first_drained) > MAX_DRAINING:
-            oldest = next(iter(self._first_drained))
-            del self._first_drained[oldest]
-            self._final_received.pop(oldest, None)
+        drain = self._drains.get(key)
+        if drain is None:
+            drain = self._drains[key] = _Drain(asked_at, staying)
+        elif drain.begun_at is None:
+            drain.begun_at = asked_at
+        if drain.final is None and asked_at - drain.begun_at >= DRAIN_KNOWN_S:
+            drain.final = received
+        while len(self._drains) > MAX_DRAINING:
+            del self._drains[next(iter(self._drains))]
+
+    def record_unanswered(self, info: EndpointInfo) -> None:
+        """Note that an endpoint can't be reached: a drain counts anew afterwards.
+
+        A VM that was cut off together with the endpoint may rely on it alone until it
+        notices that it isn't cut off any more.
+        """
+        drain = self._drains.get(info.process_key)
+        if drain is not None:
+            drain.begun_at = None
 
     def forget(self) -> None:
         """Forget how far draining replicas had received: other VMs monitor the group.
 
         VMs that don't know of a drain ask only those that monitor it.
         """
-        self._first_drained.clear()
-        self._final_received.clear()
+        self._drains.clear()
 
     def final_received(self, info: EndpointInfo) -> LogPosition | None:
         """Return up to where an ended replica alone may have confirmed commits.
 
         None if it was not asked late enough in its drain.
         """
-        return self._final_received.get(info.process_key)
+        drain = self._drains.get(info.process_key)
+        return drain.final if drain is not None else None
 
     def is_outlasted(
         self, info: EndpointInfo, *, staying: Collection[tuple[str, int]]
@@ -129,8 +148,8 @@
         It has what VMs confirmed that didn't know of the drain, as they ask all
         members.
         """
-        _, stayed = self._first_drained.get(info.process_key, (0.0, frozenset()))
-        return not stayed.isdisjoint(staying)
+        drain = self._drains.get(info.process_key)
+        return drain is not None and not drain.stayed.isdisjoint(staying)
 
     async def check(self) -> None:
         """Ask the draining endpoints that have no open connection.
--- a/src/celeryjunction/replication/group.py
+++ b/src/celeryjunction/replication/group.py
@@ -80,7 +80,8 @@
     `ask_zone` asks endpoints of other groups as well, see `DrainWatch`; by default only
     those of this group. `register_age_s` returns the seconds since the register last
     confirmed the endpoints, `drains_known_age_s` those since no VM that may replace
-    the primary knew of a drain that this one doesn't know.
+    the primary knew of a drain that this one doesn't know. `is_cut_off` returns whether
+    the VM's zone is cut off from the others since a time when it knew all drains.
     """
 
     def __init__(
@@ -96,7 +97,9 @@
         ask_zone: AskZone | None = None,
         register_age_s: Callable[[], float] = lambda: 0.0,
         drains_known_age_s: Callable[[], float] = lambda: 0.0,
+        is_cut_off: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_cut_off = is_cut_off
         self._register_age_s = register_age_s
         self._drains_known_age_s = drains_known_age_s
         self._vanished: dict[str, float] = {}
@@ -220,6 +223,8 @@
         status = await control.ask()
         if status is not None:
             self.observe(endpoint, status, asked_at=asked_at)
+        elif control.failure not in REACHABLE:
+            self.drain_watch.record_unanswered(control.info)
         return status
 
     def last_contact_at(self, endpoint: str) -> float:
@@ -575,6 +580,10 @@
         """Whether every member that drains is known to, as far as it matters."""
         return self._drains_known_age_s() <= MAX_READ_AGE_S
 
+    def _is_cut_off_with(self, endpoint: str) -> bool:
+        """Whether VMs of other zones can't ask the endpoint for its last position."""
+        return self.endpoints[endpoint].zone == self._zone and self._is_cut_off()
+
     @property
     def _possible_members(self) -> set[str]:
         """Return all replicas that this VM knows, or none if all are known to drain.
@@ -738,12 +747,13 @@
         self.receipts.record_witness(asked_at)
         receipts, now = self._member_receipts, self._clock.monotonic()
         receipts.record(endpoint, status.received, asked_at=asked_at)
-        if not self._knows_drains:
+        if self._knows_drains or self._is_cut_off_with(endpoint):
+            if not self.endpoints[endpoint].draining:
+                self.receipts.record(status.received)
+        else:
             self.receipts.record(
                 receipts.received_by_all(self._possible_members, now=now)
             )
-        elif not self.endpoints[endpoint].draining:
-            self.receipts.record(status.received)
 
     def _in_evidence_order(self, names: Iterable[str]) -> list[str]:
         """Order endpoints for evidence: this zone first, then by a hash with the VM.
--- a/tests/test_unread_register.py
+++ b/tests/test_unread_register.py
@@ -97,6 +97,19 @@
         for name, link in links.items():
             assert proxy.group.controls[name]._link is link
 
+    @pytest.mark.parametrize("zone", ["a", "b"])
+    async def test_a_member_of_a_zone_that_is_cut_off_is_enough_there(
+        self, proxy: MemberProxy, zone: str
+    ) -> None:
+        """Guards against a zone that refuses writes which nobody else may drop."""
+        set_drains_known_age(proxy, inf)
+        proxy.group._is_cut_off = lambda: True
+        proxy.group._zone = zone
+        proxy.cut("c1")
+        result = await kind_of(proxy.run(proxy.session(), Write()))
+        in_zone = proxy.cluster["b1"].info.zone == zone
+        assert result is (None if in_zone else ErrorKind.OUTCOME_UNKNOWN)
+
 
 class TestFloor:
     @pytest.mark.parametrize("drains_too", [False, True])
@@ -118,6 +131,25 @@
         floor = await group.floor_without(leaving.info)
         assert floor == (None if drains_too else position)
 
+    async def test_a_drain_counts_anew_after_an_endpoint_could_not_be_reached(
+        self, proxy: MemberProxy
+    ) -> None:
+        """Guards against a last position from right after the end of a cut."""
+        group, leaving = proxy.group, proxy.cluster["b1"]
+        leaving.info = replace(leaving.info, draining=True)
+        group.update_endpoints(proxy.cluster.infos)
+        await group.ask("b1")
+        leaving.silent = True
+        await asyncio.sleep(DRAIN_KNOWN_S / 2)
+        await group.ask("b1")
+        leaving.silent = False
+        await asyncio.sleep(DRAIN_KNOWN_S / 2)
+        await group.ask("b1")
+        assert group.drain_watch.final_received(leaving.info) is None
+        await asyncio.sleep(DRAIN_KNOWN_S)
+        await group.ask("b1")
+        assert group.drain_watch.final_received(leaving.info) == leaving.received
+
 
 class TestMemberReceipts:
     def test_answers_count_together_only_for_a_while(self) -> None:
