--- a/src/celeryjunction/node.py
+++ b/src/celeryjunction/node.py
@@ -649,7 +649,7 @@
             return
         if listed.version != status.endpoints_version:
             return
-        is_same = self._register.vouch(
+        is_same = self._register.apply_report(
             listed.endpoints,
             read_at=link.status_asked_at - status.endpoints_read_s,
             age_s=status.endpoints_age_s,
--- a/src/celeryjunction/replication/member_receipts.py
+++ b/src/celeryjunction/replication/member_receipts.py
@@ -52,6 +52,7 @@
         """
         oldest = now - MAX_ANSWER_AGE_S
         answers = [self._answers.get(member) for member in members]
-        if any(answer is None or answer[0] < oldest for answer in answers):
+        recent = [a for a in answers if a is not None and a[0] >= oldest]
+        if len(recent) < len(answers):
             return NO_POSITION
-        return min((received for _, received in answers), default=NO_POSITION)
+        return min((received for _, received in recent), default=NO_POSITION)
--- a/src/celeryjunction/replication/register.py
+++ b/src/celeryjunction/replication/register.py
@@ -95,7 +95,7 @@
         self._answered_at = 0.0
         self._read_at = -inf
         """When the last read of the store was sent that confirmed the entries."""
-        self._vouched_at = -inf
+        self._reported_at = -inf
         """The same of the last read that another VM reported; seconds."""
         self._agreed_at = -inf
         """When all VMs that may replace a primary last knew the same; seconds."""
@@ -179,7 +179,7 @@
         Every change that the store had accepted by then is known here. Infinite before
         the first read.
         """
-        return self._clock.monotonic() - max(self._read_at, self._vouched_at)
+        return self._clock.monotonic() - max(self._read_at, self._reported_at)
 
     @property
     def drains_known_age_s(self) -> float:
@@ -239,13 +239,13 @@
         now = self._clock.monotonic()
         if replaces_reads:
             self._peer_list_until = now + self._max_age_s - age_s
-        self._vouched_at = max(self._vouched_at, read_at)
+        self._reported_at = max(self._reported_at, read_at)
         self._confirm(max(self._answered_at, now - age_s))
         found = {info.id: self._keep_draining(info) for info in endpoints}
         if found != self.endpoints or not self.synced.is_set():
             self._set_endpoints(found, now)
 
-    def vouch(
+    def apply_report(
         self,
         endpoints: Iterable[EndpointInfo],
         *,
@@ -262,7 +262,7 @@
         """
         listed = list(endpoints)
         if {info.id: self._keep_draining(info) for info in listed} == self.endpoints:
-            self._vouched_at = max(self._vouched_at, read_at)
+            self._reported_at = max(self._reported_at, read_at)
             return True
         if self.read_age_s > READ_AGE_S and read_at > self._read_at:
             self.update_from_peer(
--- a/src/celeryjunction/route_updates/reader.py
+++ b/src/celeryjunction/route_updates/reader.py
@@ -182,6 +182,7 @@
         after, prefix = max(self._after, follower.revision), follower.prefix
         register = self._register
         if register is not None and register.applied_revision:
+            # The changes of all keys confirm the register as well, in the same call.
             after, prefix = min(after, register.applied_revision), ""
         try:
             if self._losses != self._history.losses:
